--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios that measure decisions against baselines and ideals."""
--- /dev/null
+++ b/bluebellrun/agent/_session.py
@@ -0,0 +1,108 @@
+"""One entry's exchange call at the agent: requests in, answers out."""
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bluebellrun.agent._execution import Execution
+from bluebellrun.messages import (
+    AgentBatch,
+    AgentEvent,
+    BatchSender,
+    Cancel,
+    Delivered,
+    EntryEvent,
+    Hello,
+    Load,
+    Submit,
+    decode_entry_batch,
+)
+from bluebellrun.runtime import spawn_background
+from bluebellrun.telemetry import get_logger
+from bluebellrun.transport import Call, CallError, LinkLostError
+
+if TYPE_CHECKING:
+    from bluebellrun.agent._agent import Agent
+
+STATUS_INVALID_ARGUMENT = 3
+
+_log = get_logger("agent.session")
+
+
+class Session:
+    """Serve one exchange call."""
+
+    def __init__(self, agent: "Agent", call: Call, flush_interval_s: float) -> None:
+        self._agent = agent
+        self._call = call
+        self._executions: dict[str, Execution] = {}
+        self._sender: BatchSender[AgentEvent] = BatchSender(
+            call, AgentBatch, flush_interval_s, self._collect
+        )
+        self._last_load: Load | None = None
+
+    async def run(self) -> None:
+        """Exchange events until the entry ends the call or the link is lost."""
+        sender = await spawn_background(self._send)
+        try:
+            await self.tell(self._agent.hello())
+            await self._receive()
+        except msgspec.ValidationError as error:
+            raise CallError(STATUS_INVALID_ARGUMENT, str(error)) from error
+        finally:
+            await sender.cancel(blocking=False)
+            await self._agent.forget_session(list(self._executions.values()))
+
+    async def tell(self, event: Hello) -> None:
+        """Send an event that belongs to no attempt."""
+        await self._sender.post(event)
+
+    async def wake(self) -> None:
+        """Send what the executions have to tell."""
+        await self._sender.wake()
+
+    async def _send(self) -> None:
+        """Run the sender until the link is lost."""
+        try:
+            await self._sender.run()
+        except LinkLostError:
+            return
+
+    async def _receive(self) -> None:
+        """Act on the entry's events in order."""
+        while (message := await self._call.receive()) is not None:
+            for event in decode_entry_batch(message).events:
+                await self._act(event)
+
+    async def _act(self, event: EntryEvent) -> None:
+        """Act on one event."""
+        match event:
+            case Submit():
+                execution = await self._agent.submit(event, self)
+                self._executions[event.attempt] = execution
+                await self._sender.wake()
+            case Delivered():
+                if (known := self._executions.get(event.attempt)) is not None:
+                    await known.confirm(event.offset)
+                    self._drop_settled(known)
+            case Cancel():
+                if (known := self._executions.get(event.attempt)) is not None:
+                    await self._agent.cancel(known, event.reason)
+
+    def _collect(self) -> list[AgentEvent]:
+        """Return all that can be told now, with the load if it changed."""
+        events: list[AgentEvent] = []
+        for execution in list(self._executions.values()):
+            events += execution.take_events()
+            self._drop_settled(execution)
+        load = self._agent.load()
+        if events or load != self._last_load:
+            self._last_load = load
+            events.append(load)
+        return events
+
+    def _drop_settled(self, execution: Execution) -> None:
+        """Forget an attempt of which nothing remains to be told."""
+        if execution.settled:
+            self._executions.pop(execution.attempt, None)
+            self._agent.forget(execution)
--- /dev/null
+++ b/bluebellrun/agent/_settings.py
@@ -0,0 +1,39 @@
+"""Settings of the agent."""
+
+from typing import Literal
+
+from pydantic import Field
+
+from bluebellrun.conf import AddressSetting, LinkSettings, ProcessSettings, StoreSettings
+from bluebellrun.core import Address
+
+
+class AgentSettings(ProcessSettings, StoreSettings, LinkSettings):
+    """Run the agent beside one upstream: admission, drain and relay of answers."""
+
+    service: str = Field(description="Name of the service that the upstream serves.")
+    listen: AddressSetting = Field(
+        default=Address("127.0.0.1", 0), description="IP:PORT for links from entries and peers."
+    )
+    upstream: AddressSetting = Field(description="IP:PORT of the upstream, usually loopback.")
+    protocol: Literal["model", "plain"] = Field(
+        default="model", description="What the upstream speaks."
+    )
+    admission_policy: str = Field(default="fifo", description="Policy that picks the next work.")
+    concurrency: int = Field(
+        default=32, gt=0, description="Requests at the upstream at once, at first."
+    )
+    max_waiting: int = Field(default=4_096, gt=0, description="Most requests that wait.")
+    max_answers: int = Field(default=1_024, gt=0, description="Most requests held at once.")
+    upstream_connect_timeout_s: float = Field(
+        default=1.0, gt=0, description="Deadline for connecting to the upstream, in s."
+    )
+    first_byte_timeout_s: float = Field(
+        default=30.0, gt=0, description="Longest wait for an answer's first byte, in s."
+    )
+    gap_timeout_s: float = Field(
+        default=10.0, gt=0, description="Longest silence inside an answer, in s."
+    )
+    flush_interval_s: float = Field(
+        default=0.002, ge=0, description="Time in which pieces of answers are collected, in s."
+    )
--- /dev/null
+++ b/bluebellrun/agent/main.py
@@ -0,0 +1,110 @@
+"""The ``bluebellrun-agent`` program: wiring only."""
+
+from random import Random
+from typing import Any
+
+import curio
+
+from bluebellrun.admission import AdmissionSettings, make_admission
+from bluebellrun.agent._agent import Agent
+from bluebellrun.agent._settings import AgentSettings
+from bluebellrun.conf import settings_command
+from bluebellrun.core import MonotonicClock, new_incarnation
+from bluebellrun.distribution import ConfigurationFollower
+from bluebellrun.engines import (
+    ModelEngine,
+    PlainService,
+    UpstreamClient,
+    UpstreamKind,
+    UpstreamTimeouts,
+)
+from bluebellrun.messages import EXCHANGE_PATH
+from bluebellrun.platform import EtcdStore, StoreTimeouts
+from bluebellrun.runtime import StopSignals, spawn_background
+from bluebellrun.telemetry import Metrics, configure_logs, get_logger
+from bluebellrun.transport import Call, CallError, LinkTiming, Listener, serve_link
+
+STATUS_UNIMPLEMENTED = 12
+EXIT_CUT_OFF = 3
+LAST_FLUSH_S = 0.05
+
+_log = get_logger("agent")
+
+
+def _make_client(settings: AgentSettings) -> UpstreamClient:
+    """Return a client of the upstream."""
+    kind: UpstreamKind = ModelEngine() if settings.protocol == "model" else PlainService()
+    timeouts = UpstreamTimeouts(
+        connect_s=settings.upstream_connect_timeout_s,
+        first_byte_s=settings.first_byte_timeout_s,
+        gap_s=settings.gap_timeout_s,
+    )
+    return UpstreamClient(settings.upstream, kind, timeouts)
+
+
+def _make_agent(settings: AgentSettings) -> Agent:
+    """Return the agent that settings describe."""
+    bounds = AdmissionSettings(settings.concurrency, settings.max_waiting)
+    return Agent(
+        settings=settings,
+        incarnation=new_incarnation(),
+        admission=make_admission(settings.admission_policy, bounds),
+        client=_make_client(settings),
+        clock=MonotonicClock(),
+        metrics=Metrics(settings.statsd, "bluebellrun"),
+    )
+
+
+async def _serve(settings: AgentSettings) -> int:
+    """Run the agent until it is told to stop; return the exit status."""
+    signals = StopSignals()
+    agent = _make_agent(settings)
+    configure_logs(settings, process=settings.name, incarnation=agent.incarnation)
+    store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
+    follower = ConfigurationFollower(store, settings.store_prefix, MonotonicClock(), Random())
+    follower.add_listener(agent.apply_configuration)
+    timing = LinkTiming(
+        settings.link_connect_timeout_s,
+        settings.link_ping_interval_s,
+        settings.link_ping_timeout_s,
+    )
+
+    async def handle_call(call: Call) -> None:
+        if call.path != EXCHANGE_PATH:
+            raise CallError(STATUS_UNIMPLEMENTED, f"no method {call.path}")
+        await agent.serve_session(call)
+
+    async def handle_connection(sock: Any) -> None:
+        await serve_link(sock, handle_call, timing)
+
+    listener = Listener(settings.listen, handle_connection)
+    await spawn_background(listener.run)
+    await spawn_background(follower.run)
+    await spawn_background(agent.run)
+    _log.info("ready", listen=str(listener.address), upstream=str(settings.upstream))
+    await signals.next()
+    return await _stop(agent, signals, settings.stop_grace_s)
+
+
+async def _stop(agent: Agent, signals: StopSignals, grace_s: float) -> int:
+    """Stop in peace; a second signal or the end of the grace cuts off what is left."""
+    async with curio.ignore_after(grace_s), curio.TaskGroup(wait=any) as group:
+        await group.spawn(agent.stop)
+        await group.spawn(signals.next)
+    if agent.held:
+        _log.error("stopped with work in progress", cut_off=agent.held)
+        return EXIT_CUT_OFF
+    await curio.sleep(LAST_FLUSH_S)
+    _log.info("stopped")
+    return 0
+
+
+def _start(settings: AgentSettings) -> int:
+    """Run the agent in curio's loop."""
+    return int(curio.run(_serve, settings))
+
+
+run = settings_command(AgentSettings, _start)
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/bluebellrun/conf/__init__.py
@@ -0,0 +1,19 @@
+"""Settings: one class per binary, read from flags, then the environment, then defaults."""
+
+from bluebellrun.conf._commands import settings_command
+from bluebellrun.conf._models import (
+    AddressSetting,
+    HttpSettings,
+    LinkSettings,
+    ProcessSettings,
+    StoreSettings,
+)
+
+__all__ = [
+    "AddressSetting",
+    "HttpSettings",
+    "LinkSettings",
+    "ProcessSettings",
+    "StoreSettings",
+    "settings_command",
+]
--- /dev/null
+++ b/bluebellrun/conf/_models.py
@@ -0,0 +1,97 @@
+"""Settings shared by several binaries."""
+
+from typing import Annotated, Any, Literal
+
+from pydantic import BeforeValidator, Field
+from pydantic_settings import BaseSettings, SettingsConfigDict
+
+from bluebellrun.core import Address, parse_address
+
+
+def _to_address(value: Any) -> Any:
+    """Read an address given as text."""
+    return parse_address(value) if isinstance(value, str) else value
+
+
+AddressSetting = Annotated[Address, BeforeValidator(_to_address)]
+
+
+class _Settings(BaseSettings):
+    """Read fields from flags, then from variables that start with ``BLUEBELLRUN_``."""
+
+    model_config = SettingsConfigDict(env_prefix="BLUEBELLRUN_", frozen=True)
+
+
+class ProcessSettings(_Settings):
+    """What every long-running process is told."""
+
+    name: str = Field(description="Name of this process, unique in the fleet.")
+    host: str = Field(default="", description="Name of the host it runs on.")
+    region: str = Field(default="", description="Region of that host.")
+    failure_domain: str = Field(default="", description="Failure domain of that host.")
+    log_format: Literal["json", "console"] = Field(
+        default="json", description="Format of logs on standard error."
+    )
+    log_level: Literal["debug", "info", "warning", "error"] = Field(
+        default="info", description="Least level that is logged."
+    )
+    statsd: AddressSetting | None = Field(
+        default=None, description="IP:PORT of a statsd daemon; none sends no metrics."
+    )
+    fatal_invariants: bool = Field(
+        default=False, description="Stop the process when a runtime invariant is violated."
+    )
+    stop_grace_s: float = Field(
+        default=600.0, gt=0, description="Longest wait for work in progress at a stop, in s."
+    )
+
+
+class StoreSettings(_Settings):
+    """How the platform's key-value service is reached."""
+
+    store: AddressSetting = Field(description="IP:PORT of the key-value service's JSON gateway.")
+    store_prefix: str = Field(
+        default="/bluebellrun", description="Prefix of all keys in the key-value service."
+    )
+    store_timeout_s: float = Field(
+        default=2.0, gt=0, description="Deadline of one call to the key-value service, in s."
+    )
+
+
+class HttpSettings(_Settings):
+    """Limits on HTTP from callers."""
+
+    max_header_bytes: int = Field(default=32_768, gt=0, description="Most bytes of headers.")
+    max_body_bytes: int = Field(
+        default=8_388_608, gt=0, description="Most bytes of a request's body."
+    )
+    max_connections: int = Field(default=4_096, gt=0, description="Most open connections.")
+    header_timeout_s: float = Field(
+        default=10.0, gt=0, description="Deadline for a request's headers, in s."
+    )
+    body_timeout_s: float = Field(
+        default=30.0, gt=0, description="Deadline for a request's body, in s."
+    )
+    idle_timeout_s: float = Field(
+        default=75.0, gt=0, description="Longest idle time of a kept connection, in s."
+    )
+    write_timeout_s: float = Field(
+        default=60.0, gt=0, description="Longest wait for a caller to take bytes, in s."
+    )
+
+
+class LinkSettings(_Settings):
+    """Timing of links between processes."""
+
+    link_connect_timeout_s: float = Field(
+        default=1.0, gt=0, description="Deadline for opening a link, in s."
+    )
+    link_ping_interval_s: float = Field(
+        default=1.0, gt=0, description="Time between keepalive pings on a link, in s."
+    )
+    link_ping_timeout_s: float = Field(
+        default=2.0, gt=0, description="Silence after which a link is given up, in s."
+    )
+    answer_window_bytes: int = Field(
+        default=262_144, gt=0, description="Most unconfirmed bytes of one answer."
+    )
--- /dev/null
+++ b/bluebellrun/core/__init__.py
@@ -0,0 +1,38 @@
+"""Identifiers, clocks, outcomes and runtime invariants shared by every layer."""
+
+from bluebellrun.core._clock import Clock, ManualClock, MonotonicClock
+from bluebellrun.core._identifiers import (
+    Address,
+    AttemptId,
+    Incarnation,
+    RequestId,
+    attempt_id,
+    new_incarnation,
+    new_request_id,
+    parse_address,
+)
+from bluebellrun.core._invariants import InvariantError, Invariants, invariants
+from bluebellrun.core._outcomes import AlreadyRan, NotRun, Outcome, Ran, Unknown, outcome_name
+
+__all__ = [
+    "Address",
+    "AlreadyRan",
+    "AttemptId",
+    "Clock",
+    "Incarnation",
+    "InvariantError",
+    "Invariants",
+    "ManualClock",
+    "MonotonicClock",
+    "NotRun",
+    "Outcome",
+    "Ran",
+    "RequestId",
+    "Unknown",
+    "attempt_id",
+    "invariants",
+    "new_incarnation",
+    "new_request_id",
+    "outcome_name",
+    "parse_address",
+]
--- /dev/null
+++ b/bluebellrun/core/_clock.py
@@ -0,0 +1,36 @@
+"""Clocks that policies read, so that tests can move time by hand."""
+
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Report the seconds elapsed since an arbitrary fixed point."""
+
+    def now(self) -> float:
+        """Return the current reading in seconds; it never decreases."""
+
+
+class MonotonicClock:
+    """Read the operating system's monotonic clock."""
+
+    def now(self) -> float:
+        """Return the current reading in seconds."""
+        return time.monotonic()
+
+
+class ManualClock:
+    """Hold a reading that only moves when told to."""
+
+    def __init__(self, start: float = 0.0) -> None:
+        self._now = start
+
+    def now(self) -> float:
+        """Return the current reading in seconds."""
+        return self._now
+
+    def advance(self, seconds: float) -> None:
+        """Move the reading forward by a number of seconds."""
+        if seconds < 0:
+            raise ValueError(f"cannot move a clock back by {-seconds} s; pass a positive number")
+        self._now += seconds
--- /dev/null
+++ b/bluebellrun/core/_identifiers.py
@@ -0,0 +1,47 @@
+"""Identifiers of requests, attempts and process incarnations, and network addresses."""
+
+from dataclasses import dataclass
+from typing import NewType
+
+from ulid import ULID
+
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", str)
+Incarnation = NewType("Incarnation", str)
+
+MAX_PORT = 65_535
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Address:
+    """An IP number and a port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the address as ``IP:PORT``."""
+        return f"{self.ip}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Read ``IP:PORT``; raise ``ValueError`` that names the bad value."""
+    ip, separator, port = text.rpartition(":")
+    if not separator or not ip or not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(f"{text!r} is not an address; write IP:PORT, such as 127.0.0.1:8080")
+    return Address(ip, int(port))
+
+
+def new_request_id() -> RequestId:
+    """Return a request id that is unique and sorts by time of creation."""
+    return RequestId(str(ULID()))
+
+
+def new_incarnation() -> Incarnation:
+    """Return an id for one life of a process; a later life sorts after an earlier one."""
+    return Incarnation(str(ULID()))
+
+
+def attempt_id(request: RequestId, number: int) -> AttemptId:
+    """Return the id of a request's numbered try, counted from 1."""
+    return AttemptId(f"{request}.{number}")
--- /dev/null
+++ b/bluebellrun/customers/_models.py
@@ -0,0 +1,48 @@
+"""The customer aggregate and the registry that finds one by its key."""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+MAX_KEYS = 2
+
+
+def hash_key(key: str) -> str:
+    """Return the SHA-256 of a key in hexadecimal, the form in which keys are declared."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer of the fleet.
+
+    ``most_urgent`` is the least RFC 9218 urgency number it may use; ``share`` its weight
+    beside other customers of the same priority.
+    """
+
+    name: str
+    key_hashes: tuple[str, ...]
+    most_urgent: int = 0
+    share: float = 1.0
+    services: tuple[str, ...] = ()
+
+    def capped_priority(self, asked: int) -> int:
+        """Return the urgency number it gets for the one it asked for."""
+        return max(asked, self.most_urgent)
+
+    def may_use(self, service: str) -> bool:
+        """Return whether it may use a service; no list means every service."""
+        return not self.services or service in self.services
+
+
+class CustomerRegistry:
+    """Find customers by the hash of the key they present."""
+
+    def __init__(self, customers: Iterable[Customer]) -> None:
+        self._by_hash = {
+            key_hash: customer for customer in customers for key_hash in customer.key_hashes
+        }
+
+    def find(self, key: str) -> Customer | None:
+        """Return the customer that a key belongs to, or none."""
+        return self._by_hash.get(hash_key(key))
--- /dev/null
+++ b/bluebellrun/engines/__init__.py
@@ -0,0 +1,28 @@
+"""Upstreams' own protocols: model engines and plain services behind one port."""
+
+from bluebellrun.engines._client import UpstreamAnswer, UpstreamClient, UpstreamRequest
+from bluebellrun.engines._exceptions import (
+    AnswerBrokenError,
+    EngineError,
+    NothingSentError,
+    RequestDeclinedError,
+    UpstreamSilentError,
+)
+from bluebellrun.engines._models import ModelEngine, PlainService, UpstreamKind, UpstreamTimeouts
+from bluebellrun.engines._sse import DoneWatcher
+
+__all__ = [
+    "AnswerBrokenError",
+    "DoneWatcher",
+    "EngineError",
+    "ModelEngine",
+    "NothingSentError",
+    "PlainService",
+    "RequestDeclinedError",
+    "UpstreamAnswer",
+    "UpstreamClient",
+    "UpstreamKind",
+    "UpstreamRequest",
+    "UpstreamSilentError",
+    "UpstreamTimeouts",
+]
--- /dev/null
+++ b/bluebellrun/engines/_client.py
@@ -0,0 +1,139 @@
+"""Send one request to an upstream over HTTP/1.1 and read its answer piece by piece."""
+
+from dataclasses import dataclass
+
+from bluebellrun.core import Address
+from bluebellrun.engines._exceptions import (
+    AnswerBrokenError,
+    NothingSentError,
+    RequestDeclinedError,
+    UpstreamSilentError,
+)
+from bluebellrun.engines._models import (
+    ModelEngine,
+    PlainService,
+    UpstreamKind,
+    UpstreamTimeouts,
+)
+from bluebellrun.engines._sse import DoneWatcher
+from bluebellrun.transport import (
+    ClientTimeouts,
+    ConnectError,
+    Headers,
+    HttpClient,
+    HttpResponse,
+    PeerTimeoutError,
+    TransportError,
+    header_value,
+)
+
+DECLINED_STATUSES = frozenset({429, 503})
+EVENT_STREAM = "text/event-stream"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRequest:
+    """A request as the upstream gets it; ``attempt`` names it in the engine's records."""
+
+    attempt: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    priority: int
+
+
+class UpstreamAnswer:
+    """An answer being read."""
+
+    def __init__(self, response: HttpResponse, gap_s: float, stream: bool) -> None:
+        self._response = response
+        self._gap_s = gap_s
+        self._watcher = DoneWatcher() if stream else None
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> Headers:
+        """Return the headers."""
+        return self._response.headers
+
+    @property
+    def tokens(self) -> int:
+        """Return how many tokens of an event stream have passed."""
+        return 0 if self._watcher is None else self._watcher.events
+
+    async def read(self) -> bytes:
+        """Return the next bytes, empty at the proper end.
+
+        Raises ``UpstreamSilentError`` when nothing comes in time and ``AnswerBrokenError`` when the
+        answer is cut short, an event stream without ``[DONE]`` included.
+        """
+        try:
+            data = await self._response.read(self._gap_s)
+        except PeerTimeoutError as error:
+            raise UpstreamSilentError(str(error)) from error
+        except TransportError as error:
+            raise AnswerBrokenError(str(error)) from error
+        if self._watcher is not None:
+            self._watcher.feed(data)
+            if not data and not self._watcher.done:
+                raise AnswerBrokenError("the event stream ended without [DONE]")
+        return data
+
+    async def close(self) -> None:
+        """Give up the answer."""
+        await self._response.close()
+
+
+class UpstreamClient:
+    """Send requests to one upstream."""
+
+    def __init__(self, address: Address, kind: UpstreamKind, timeouts: UpstreamTimeouts) -> None:
+        self._kind = kind
+        self._timeouts = timeouts
+        limits = ClientTimeouts(timeouts.connect_s, timeouts.first_byte_s, timeouts.gap_s)
+        self._client = HttpClient(address, limits, max_idle=256)
+
+    async def open(self, request: UpstreamRequest) -> UpstreamAnswer:
+        """Send a request and return its answer once the head has arrived.
+
+        Raises ``NothingSentError`` or ``RequestDeclinedError`` when it did not run,
+        ``UpstreamSilentError`` or ``AnswerBrokenError`` when it may have.
+        """
+        headers = [
+            *request.headers,
+            ("x-request-id", request.attempt),
+            ("priority", f"u={request.priority}"),
+        ]
+        try:
+            response = await self._client.open(
+                request.method, request.target, headers, request.body
+            )
+        except ConnectError as error:
+            raise NothingSentError(str(error)) from error
+        except PeerTimeoutError as error:
+            raise UpstreamSilentError(str(error)) from error
+        except TransportError as error:
+            raise AnswerBrokenError(str(error)) from error
+        return await self._accept(response)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    async def _accept(self, response: HttpResponse) -> UpstreamAnswer:
+        """Return the answer, by the contract of this kind of upstream."""
+        match self._kind:
+            case ModelEngine():
+                if response.status in DECLINED_STATUSES:
+                    await response.close()
+                    raise RequestDeclinedError(response.status)
+                content_type = header_value(response.headers, "content-type") or ""
+                stream = content_type.startswith(EVENT_STREAM)
+                return UpstreamAnswer(response, self._timeouts.gap_s, stream)
+            case PlainService():
+                return UpstreamAnswer(response, self._timeouts.gap_s, stream=False)
--- /dev/null
+++ b/bluebellrun/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: takes callers' requests, chooses upstreams and relays answers."""
--- /dev/null
+++ b/bluebellrun/entry/_dispatcher.py
@@ -0,0 +1,160 @@
+"""Offer a request to upstreams until one answers it or trying again is not allowed."""
+
+from dataclasses import dataclass, field
+
+import curio
+
+from bluebellrun.core import (
+    AttemptId,
+    Clock,
+    NotRun,
+    Outcome,
+    Ran,
+    Unknown,
+    attempt_id,
+)
+from bluebellrun.entry._callers import CallerRequest
+from bluebellrun.entry._channel import AgentChannel
+from bluebellrun.entry._fleet import Fleet
+from bluebellrun.entry._relay import AnswerRelay
+from bluebellrun.entry._settings import EntrySettings
+from bluebellrun.messages import Submit
+from bluebellrun.routing import RoutedWork, RoutingPolicy
+from bluebellrun.telemetry import Metrics, get_logger
+from bluebellrun.transport import ConnectError, HttpExchange, LinkLostError
+
+PROMPT_BYTES_ROUTED_BY = 4_096
+NO_UPSTREAM_RETRY_S = 1.0
+
+_log = get_logger("entry")
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What has been tried for one request."""
+
+    attempts: int = 0
+    refused_by: set[str] = field(default_factory=set)
+
+
+class Dispatcher:
+    """Route requests, retry those that were not run, and relay answers."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        fleet: Fleet,
+        routing: RoutingPolicy,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._fleet = fleet
+        self._routing = routing
+        self._clock = clock
+        self._metrics = metrics
+
+    async def serve(self, exchange: HttpExchange, request: CallerRequest) -> Outcome:
+        """Serve a request; the answer has been sent if the outcome is ``Ran``."""
+        progress = _Progress()
+        remaining_s = max(0.0, request.deadline - self._clock.now())
+        try:
+            async with curio.timeout_after(remaining_s):
+                return await self._try_upstreams(exchange, request, progress)
+        except curio.TaskTimeout:
+            if progress.attempts == 0:
+                return NotRun("its deadline passed before it was sent")
+            return Unknown("its deadline passed")
+
+    async def _try_upstreams(
+        self, exchange: HttpExchange, request: CallerRequest, progress: _Progress
+    ) -> Outcome:
+        """Make attempts until one settles the request."""
+        outcome: Outcome = NotRun("no upstream takes new work", NO_UPSTREAM_RETRY_S)
+        while progress.attempts < self._settings.max_attempts:
+            channel = self._choose(request, progress)
+            if channel is None:
+                return outcome
+            progress.attempts += 1
+            attempt = attempt_id(request.request_id, progress.attempts)
+            outcome = await self._attempt(exchange, request, channel, attempt)
+            if not self._may_retry(exchange, request, outcome):
+                return outcome
+            progress.refused_by.add(channel.upstream.name)
+            self._routing.on_refused(channel.upstream.name, self._clock.now())
+            self._metrics.count("entry.retries")
+        return outcome
+
+    def _choose(self, request: CallerRequest, progress: _Progress) -> AgentChannel | None:
+        """Return the channel to offer the request to, or none."""
+        work = RoutedWork(
+            service=request.service.name,
+            customer=request.customer.name,
+            priority=request.priority,
+            prompt=request.body[:PROMPT_BYTES_ROUTED_BY],
+            deadline=request.deadline,
+        )
+        candidates = self._fleet.candidates(request.service.name, progress.refused_by)
+        chosen = self._routing.choose(work, candidates, self._clock.now())
+        return None if chosen is None else self._fleet.channel(chosen.name)
+
+    def _may_retry(self, exchange: HttpExchange, request: CallerRequest, outcome: Outcome) -> bool:
+        """Return whether the request may be offered to another upstream."""
+        match outcome:
+            case NotRun():
+                return True
+            case Unknown():
+                return request.repeatable and not exchange.started
+        return False
+
+    async def _attempt(
+        self,
+        exchange: HttpExchange,
+        request: CallerRequest,
+        channel: AgentChannel,
+        attempt: AttemptId,
+    ) -> Outcome:
+        """Make one attempt and return what became of it."""
+        name = channel.upstream.name
+        started = self._clock.now()
+        try:
+            incarnation = await channel.open()
+            inbox = await channel.submit(self._message(request, attempt, incarnation))
+        except (ConnectError, LinkLostError) as error:
+            return NotRun(f"{name} cannot be reached: {error}", NO_UPSTREAM_RETRY_S)
+        relay = AnswerRelay(exchange, request, channel, attempt)
+        cancel_reason: str | None = "the caller is gone or its deadline has passed"
+        try:
+            outcome = await relay.run(inbox)
+            cancel_reason = None if isinstance(outcome, Ran | NotRun) else "not wanted any more"
+        except LinkLostError as error:
+            outcome = Unknown(f"the link to {name} was lost: {error}")
+        finally:
+            await channel.forget(attempt, cancel_reason)
+        failed = isinstance(outcome, Unknown)
+        now = self._clock.now()
+        self._routing.on_finished(name, now - started, failed, now)
+        _log.info("attempt ended", attempt=attempt, upstream=name, outcome=repr(outcome))
+        if isinstance(outcome, Unknown) and exchange.started:
+            await relay.break_off(outcome.reason)
+        return outcome
+
+    def _message(self, request: CallerRequest, attempt: AttemptId, incarnation: str) -> Submit:
+        """Return the request as the agent gets it."""
+        return Submit(
+            attempt=attempt,
+            request=request.request_id,
+            incarnation=incarnation,
+            customer=request.customer.name,
+            service=request.service.name,
+            priority=request.priority,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            repeatable=request.repeatable,
+            budget_s=request.deadline - self._clock.now(),
+            share=request.customer.share,
+            model=request.model,
+            idempotency_key=request.idempotency_key,
+        )
--- /dev/null
+++ b/bluebellrun/entry/_entry.py
@@ -0,0 +1,124 @@
+"""The entry: answers each HTTP request of a caller."""
+
+from bluebellrun.core import (
+    AlreadyRan,
+    Clock,
+    NotRun,
+    Outcome,
+    Ran,
+    RequestId,
+    Unknown,
+    new_request_id,
+    outcome_name,
+)
+from bluebellrun.distribution import ConfigurationFollower
+from bluebellrun.entry._callers import find_customer, read_request, refuse
+from bluebellrun.entry._dispatcher import Dispatcher
+from bluebellrun.entry._problems import CallerError, Problem, problem_body, problem_headers
+from bluebellrun.entry._settings import EntrySettings
+from bluebellrun.telemetry import Metrics, get_logger
+from bluebellrun.transport import HttpExchange
+
+HEALTH_PATHS = frozenset({"/healthz", "/readyz"})
+
+_log = get_logger("entry")
+
+
+class Entry:
+    """Serve callers."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        follower: ConfigurationFollower,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._follower = follower
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._metrics = metrics
+        self._in_progress = 0
+        self._stopping = False
+
+    @property
+    def in_progress(self) -> int:
+        """Return how many requests are being served."""
+        return self._in_progress
+
+    def stop(self) -> None:
+        """Say that this entry is not ready any more."""
+        self._stopping = True
+
+    async def handle(self, exchange: HttpExchange) -> None:
+        """Answer one request."""
+        if exchange.request.path in HEALTH_PATHS:
+            await self._answer_health(exchange)
+            return
+        request_id = new_request_id()
+        self._in_progress += 1
+        started = self._clock.now()
+        try:
+            await self._answer(exchange, request_id)
+        except CallerError as error:
+            await self._answer_problem(exchange, request_id, error.problem)
+        finally:
+            self._in_progress -= 1
+            self._metrics.timing("entry.request", self._clock.now() - started)
+
+    async def _answer_health(self, exchange: HttpExchange) -> None:
+        """Answer the platform's balancer."""
+        if exchange.request.path == "/healthz":
+            await exchange.answer_json(200, {"status": "alive"})
+            return
+        ready = self._follower.current is not None and not self._stopping
+        status = {"ready": ready, "stopping": self._stopping}
+        await exchange.answer_json(200 if ready else 503, status)
+
+    async def _answer(self, exchange: HttpExchange, request_id: RequestId) -> None:
+        """Answer a caller's request."""
+        configuration = self._follower.current
+        if configuration is None:
+            raise refuse(503, "this entry has no configuration yet")
+        if exchange.request.path == "/v1/models" and exchange.request.method == "GET":
+            find_customer(configuration, exchange.request)
+            listed = [{"id": m, "object": "model"} for m in configuration.services.models]
+            await exchange.answer_json(200, {"object": "list", "data": listed})
+            return
+        request = read_request(
+            configuration,
+            exchange.request,
+            request_id,
+            self._clock.now(),
+            self._settings.default_deadline_s,
+        )
+        outcome = await self._dispatcher.serve(exchange, request)
+        self._metrics.count(f"entry.outcome.{outcome_name(outcome)}")
+        if exchange.started:
+            if not isinstance(outcome, Ran):
+                exchange.abort()
+            return
+        await self._answer_problem(exchange, request_id, _problem_for(outcome))
+
+    async def _answer_problem(
+        self, exchange: HttpExchange, request_id: RequestId, problem: Problem
+    ) -> None:
+        """Answer with a problem."""
+        _log.info("problem", request=request_id, status=problem.status, detail=problem.detail)
+        headers = problem_headers(problem, request_id)
+        await exchange.answer(problem.status, headers, problem_body(problem, request_id))
+
+
+def _problem_for(outcome: Outcome) -> Problem:
+    """Return the problem that tells a caller of an outcome."""
+    match outcome:
+        case NotRun(reason, retry_after_s):
+            return Problem(503, outcome, reason, retry_after_s)
+        case Unknown(reason):
+            return Problem(504, outcome, reason)
+        case AlreadyRan(_, reason):
+            return Problem(409, outcome, reason)
+        case Ran(detail):
+            return Problem(409, outcome, detail)
--- /dev/null
+++ b/bluebellrun/entry/_fleet.py
@@ -0,0 +1,68 @@
+"""The upstreams an entry may choose among, each with its channel."""
+
+from bluebellrun.core import Clock, invariants
+from bluebellrun.declarations import Configuration
+from bluebellrun.entry._channel import AgentChannel
+from bluebellrun.entry._settings import EntrySettings
+from bluebellrun.routing import Candidate
+from bluebellrun.transport import LinkTiming
+from bluebellrun.upstreams import Upstream
+
+
+class Fleet:
+    """Channels to all declared upstreams."""
+
+    def __init__(self, settings: EntrySettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._channels: dict[str, AgentChannel] = {}
+        self._timing = LinkTiming(
+            settings.link_connect_timeout_s,
+            settings.link_ping_interval_s,
+            settings.link_ping_timeout_s,
+        )
+
+    async def apply_configuration(self, configuration: Configuration) -> None:
+        """Follow a new configuration: add, change and remove channels."""
+        declared = {upstream.name: upstream for upstream in configuration.upstreams}
+        for name, upstream in declared.items():
+            await self._follow(name, upstream)
+        for name in [name for name in self._channels if name not in declared]:
+            if self._channels[name].in_flight == 0:
+                await self._channels.pop(name).close()
+
+    def channel(self, name: str) -> AgentChannel:
+        """Return the channel to an upstream."""
+        channel = self._channels[name]
+        works = channel.upstream.takes_work
+        invariants.check(works, "no new work to a leaving upstream", upstream=name)
+        return channel
+
+    def candidates(self, service: str, excluded: set[str]) -> list[Candidate]:
+        """Return the upstreams of a service that may take a new request."""
+        return [
+            Candidate(
+                name=name,
+                region=channel.upstream.region,
+                failure_domain=channel.upstream.failure_domain,
+                in_flight=channel.in_flight,
+                load=channel.load,
+            )
+            for name, channel in self._channels.items()
+            if channel.upstream.service == service
+            and channel.upstream.takes_work
+            and not channel.draining
+            and name not in excluded
+        ]
+
+    async def _follow(self, name: str, upstream: Upstream) -> None:
+        """Make or change the channel to one upstream."""
+        channel = self._channels.get(name)
+        if channel is not None and channel.upstream.agent == upstream.agent:
+            channel.follow(upstream)
+            return
+        if channel is not None:
+            await channel.close()
+        self._channels[name] = AgentChannel(
+            upstream, self._timing, self._settings.flush_interval_s, self._clock
+        )
--- /dev/null
+++ b/bluebellrun/entry/_relay.py
@@ -0,0 +1,102 @@
+"""Pass one answer on to the caller, in order and once, and tell whether it was whole."""
+
+import json
+
+from bluebellrun.answers import AnswerAssembly, AnswerGapError, EndMark
+from bluebellrun.core import NotRun, Outcome, Ran, Unknown, invariants
+from bluebellrun.entry._callers import CallerRequest
+from bluebellrun.entry._channel import AgentChannel, AttemptInbox
+from bluebellrun.messages import AgentEvent, Chunk, End, Failed, Head, Refused, Started
+from bluebellrun.transport import Headers, HttpExchange, header_value
+from bluebellrun.transport._http_models import end_to_end
+
+EVENT_STREAM = "text/event-stream"
+CONFIRM_FRACTION = 4
+
+
+class AnswerRelay:
+    """Relay the answer of one attempt."""
+
+    def __init__(
+        self,
+        exchange: HttpExchange,
+        request: CallerRequest,
+        channel: AgentChannel,
+        attempt: str,
+    ) -> None:
+        self._exchange = exchange
+        self._request = request
+        self._channel = channel
+        self._attempt = attempt
+        self._confirm_step = max(1, channel.window_bytes // CONFIRM_FRACTION)
+        self._assembly = AnswerAssembly()
+        self._confirmed = 0
+        self._headers: Headers = []
+
+    async def run(self, inbox: AttemptInbox) -> Outcome:
+        """Relay events until the attempt ends; return what became of it."""
+        while True:
+            outcome = await self._act(await inbox.next())
+            if outcome is not None:
+                return outcome
+
+    async def _act(self, event: AgentEvent) -> Outcome | None:
+        """Act on one event; return the outcome when it was the last."""
+        match event:
+            case Started():
+                return None
+            case Head():
+                await self._send_head(event)
+                return None
+            case Chunk():
+                return await self._pass_on(event)
+            case End():
+                return await self._finish(EndMark(event.total, event.digest))
+            case Refused():
+                return NotRun(event.reason, event.retry_after_s)
+            case Failed():
+                return Unknown(event.reason)
+        return None
+
+    async def _send_head(self, event: Head) -> None:
+        """Send the answer's head to the caller."""
+        self._headers = [
+            *end_to_end([(k, v) for k, v in event.headers if k != "request-id"]),
+            ("request-id", self._request.request_id),
+        ]
+        await self._exchange.send_head(event.status, self._headers)
+
+    async def _pass_on(self, event: Chunk) -> Outcome | None:
+        """Send new bytes to the caller and confirm them to the agent now and then."""
+        try:
+            fresh = self._assembly.accept(event.offset, event.data)
+        except AnswerGapError as gap:
+            return Unknown(f"a part of the answer is missing: {gap}")
+        await self._exchange.send_body(fresh)
+        if self._assembly.offset - self._confirmed >= self._confirm_step:
+            await self._confirm()
+        return None
+
+    async def _finish(self, end: EndMark) -> Outcome:
+        """End the answer if it is whole."""
+        whole = self._assembly.finish(end)
+        invariants.check(whole, "a finished answer is whole", attempt=self._attempt)
+        if not whole:
+            return Unknown("the answer does not match its end mark")
+        await self._confirm()
+        await self._exchange.finish()
+        return Ran()
+
+    async def _confirm(self) -> None:
+        """Tell the agent how much has been passed on."""
+        self._confirmed = self._assembly.offset
+        await self._channel.confirm(self._attempt, self._confirmed)
+
+    async def break_off(self, reason: str) -> None:
+        """End an answer that cannot be completed so that nobody takes it for whole."""
+        content_type = header_value(self._headers, "content-type") or ""
+        if content_type.startswith(EVENT_STREAM):
+            error = {"error": {"message": reason, "type": "unknown", "outcome": "unknown"}}
+            event = f"event: error\ndata: {json.dumps(error)}\n\n"
+            await self._exchange.send_body(event.encode())
+        self._exchange.abort()
--- /dev/null
+++ b/bluebellrun/entry/main.py
@@ -0,0 +1,89 @@
+"""The ``bluebellrun-entry`` program: wiring only."""
+
+from random import Random
+
+import curio
+
+from bluebellrun.conf import settings_command
+from bluebellrun.core import MonotonicClock, new_incarnation
+from bluebellrun.distribution import ConfigurationFollower
+from bluebellrun.entry._dispatcher import Dispatcher
+from bluebellrun.entry._entry import Entry
+from bluebellrun.entry._fleet import Fleet
+from bluebellrun.entry._settings import EntrySettings
+from bluebellrun.platform import EtcdStore, StoreTimeouts
+from bluebellrun.routing import make_routing
+from bluebellrun.runtime import StopSignals, spawn_background
+from bluebellrun.telemetry import Metrics, configure_logs, get_logger
+from bluebellrun.transport import HttpLimits, HttpServer
+
+EXIT_CUT_OFF = 3
+STOP_POLL_S = 0.02
+
+_log = get_logger("entry")
+
+
+def _limits(settings: EntrySettings) -> HttpLimits:
+    """Return the limits on callers."""
+    return HttpLimits(
+        max_header_bytes=settings.max_header_bytes,
+        max_body_bytes=settings.max_body_bytes,
+        max_connections=settings.max_connections,
+        header_timeout_s=settings.header_timeout_s,
+        body_timeout_s=settings.body_timeout_s,
+        idle_timeout_s=settings.idle_timeout_s,
+        write_timeout_s=settings.write_timeout_s,
+    )
+
+
+async def _serve(settings: EntrySettings) -> int:
+    """Run the entry until it is told to stop; return the exit status."""
+    signals = StopSignals()
+    configure_logs(settings, process=settings.name, incarnation=new_incarnation())
+    clock = MonotonicClock()
+    metrics = Metrics(settings.statsd, "bluebellrun")
+    store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
+    follower = ConfigurationFollower(store, settings.store_prefix, clock, Random())
+    fleet = Fleet(settings, clock)
+    follower.add_listener(fleet.apply_configuration)
+    routing = make_routing(settings.routing_policy, Random(), settings.failure_domain)
+    dispatcher = Dispatcher(settings, fleet, routing, clock, metrics)
+    entry = Entry(settings, follower, dispatcher, clock, metrics)
+    server = HttpServer(settings.listen, entry.handle, _limits(settings))
+    await spawn_background(server.run)
+    await spawn_background(follower.run)
+    _log.info("ready", listen=str(server.address))
+    await signals.next()
+    return await _stop(entry, server, signals, settings.stop_grace_s)
+
+
+async def _finish_requests(entry: Entry) -> None:
+    """Wait until no request is in progress."""
+    while entry.in_progress:
+        await curio.sleep(STOP_POLL_S)
+
+
+async def _stop(entry: Entry, server: HttpServer, signals: StopSignals, grace_s: float) -> int:
+    """Stop in peace; a second signal or the end of the grace cuts off what is left."""
+    _log.info("stopping", in_progress=entry.in_progress)
+    entry.stop()
+    await server.close()
+    async with curio.ignore_after(grace_s), curio.TaskGroup(wait=any) as group:
+        await group.spawn(_finish_requests, entry)
+        await group.spawn(signals.next)
+    if entry.in_progress:
+        _log.error("stopped with requests in progress", cut_off=entry.in_progress)
+        return EXIT_CUT_OFF
+    _log.info("stopped")
+    return 0
+
+
+def _start(settings: EntrySettings) -> int:
+    """Run the entry in curio's loop."""
+    return int(curio.run(_serve, settings))
+
+
+run = settings_command(EntrySettings, _start)
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/bluebellrun/messages/__init__.py
@@ -0,0 +1,47 @@
+"""Messages between processes, as msgspec structures in msgpack."""
+
+from bluebellrun.messages._exchange import (
+    EXCHANGE_PATH,
+    AgentBatch,
+    AgentEvent,
+    Cancel,
+    Chunk,
+    Delivered,
+    End,
+    EntryBatch,
+    EntryEvent,
+    Failed,
+    Head,
+    Hello,
+    Load,
+    Refused,
+    Started,
+    Submit,
+    decode_agent_batch,
+    decode_entry_batch,
+    encode_message,
+)
+from bluebellrun.messages._stream import BatchSender
+
+__all__ = [
+    "EXCHANGE_PATH",
+    "AgentBatch",
+    "AgentEvent",
+    "BatchSender",
+    "Cancel",
+    "Chunk",
+    "Delivered",
+    "End",
+    "EntryBatch",
+    "EntryEvent",
+    "Failed",
+    "Head",
+    "Hello",
+    "Load",
+    "Refused",
+    "Started",
+    "Submit",
+    "decode_agent_batch",
+    "decode_entry_batch",
+    "encode_message",
+]
--- /dev/null
+++ b/bluebellrun/messages/_stream.py
@@ -0,0 +1,59 @@
+"""A sender that collects events and sends them in batches on one call."""
+
+from collections.abc import Callable
+from typing import Any, Generic, TypeVar
+
+import curio
+
+from bluebellrun.messages._exchange import encode_message
+from bluebellrun.transport import Call
+
+EventT = TypeVar("EventT")
+
+
+class BatchSender(Generic[EventT]):
+    """Send events in order; only its own task writes to the call.
+
+    A caller that is cancelled after ``post`` leaves its event queued and the call intact.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        make_batch: Callable[[list[EventT]], Any],
+        flush_interval_s: float,
+        collect: Callable[[], list[EventT]] | None = None,
+    ) -> None:
+        self._call = call
+        self._make_batch = make_batch
+        self._flush_interval_s = flush_interval_s
+        self._collect = collect
+        self._events: list[EventT] = []
+        self._wake = curio.Event()
+
+    @property
+    def idle(self) -> bool:
+        """Return whether no event waits to be sent."""
+        return not self._events
+
+    async def post(self, event: EventT) -> None:
+        """Queue an event."""
+        self._events.append(event)
+        await self._wake.set()
+
+    async def wake(self) -> None:
+        """Ask the sender to collect events."""
+        await self._wake.set()
+
+    async def run(self) -> None:
+        """Send batches until the call fails or the task is cancelled."""
+        while True:
+            await self._wake.wait()
+            if self._flush_interval_s > 0:
+                await curio.sleep(self._flush_interval_s)
+            self._wake.clear()
+            events, self._events = self._events, []
+            if self._collect is not None:
+                events += self._collect()
+            if events:
+                await self._call.send(encode_message(self._make_batch(events)))
--- /dev/null
+++ b/bluebellrun/platform/_etcd.py
@@ -0,0 +1,235 @@
+"""The key-value service through the JSON gateway of the published etcd v3 API.
+
+Keys and values are base64 on the wire; 64-bit numbers are strings.
+"""
+
+import base64
+import json
+from collections.abc import Sequence
+from typing import Any
+
+from bluebellrun.core import Address
+from bluebellrun.platform._exceptions import (
+    CompactedError,
+    PlatformError,
+    StoreAnswerLostError,
+    StoreUnavailableError,
+)
+from bluebellrun.platform._models import (
+    Compare,
+    KeyValue,
+    Put,
+    Snapshot,
+    StoreTimeouts,
+    TransactionResult,
+    WatchEvent,
+)
+from bluebellrun.transport import (
+    ClientTimeouts,
+    ConnectError,
+    HttpClient,
+    HttpResponse,
+    TransportError,
+)
+
+OK = 200
+JSON_HEADERS = [("content-type", "application/json")]
+WATCH_SILENCE_S = 3600.0
+
+
+def _encode(text: str | bytes) -> str:
+    """Return text or bytes in base64."""
+    raw = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(raw).decode()
+
+
+def _decode(text: str) -> bytes:
+    """Return the bytes of a base64 text."""
+    return base64.b64decode(text)
+
+
+def _prefix_end(prefix: str) -> bytes:
+    """Return the first key after all keys with a prefix."""
+    raw = bytearray(prefix.encode())
+    raw[-1] += 1
+    return bytes(raw)
+
+
+def _key_value(item: dict[str, Any]) -> KeyValue:
+    """Read a key from its wire form."""
+    return KeyValue(
+        key=_decode(item["key"]).decode(),
+        value=_decode(item.get("value", "")),
+        mod_revision=int(item.get("mod_revision", 0)),
+        create_revision=int(item.get("create_revision", 0)),
+        lease=int(item.get("lease", 0)),
+    )
+
+
+class EtcdStore:
+    """A client of the key-value service."""
+
+    def __init__(self, address: Address, timeouts: StoreTimeouts) -> None:
+        self._timeouts = timeouts
+        limits = ClientTimeouts(timeouts.call_s, timeouts.call_s, timeouts.call_s)
+        self._client = HttpClient(address, limits)
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Return how many calls have been made."""
+        return self._calls
+
+    async def get(self, key: str) -> Snapshot:
+        """Read one key."""
+        return self._snapshot(await self._read("/v3/kv/range", {"key": _encode(key)}))
+
+    async def read_prefix(self, prefix: str) -> Snapshot:
+        """Read all keys below a prefix."""
+        query = {"key": _encode(prefix), "range_end": _encode(_prefix_end(prefix))}
+        return self._snapshot(await self._read("/v3/kv/range", query))
+
+    async def transact(self, compares: Sequence[Compare], puts: Sequence[Put]) -> TransactionResult:
+        """Do all writes if all conditions hold, or none."""
+        body = {
+            "compare": [
+                {
+                    "key": _encode(item.key),
+                    "target": "MOD",
+                    "result": "EQUAL",
+                    "mod_revision": str(item.mod_revision),
+                }
+                for item in compares
+            ],
+            "success": [_operation(item) for item in puts],
+            "failure": [],
+        }
+        answer = await self._call("/v3/kv/txn", body)
+        revision = int(answer["header"]["revision"])
+        return TransactionResult(bool(answer.get("succeeded", False)), revision)
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Return the id of a new lease."""
+        answer = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)})
+        return int(answer["ID"])
+
+    async def keep_alive(self, lease: int) -> int:
+        """Renew a lease and return its time to live in seconds; 0 means it has lapsed."""
+        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease)})
+        return int(answer["result"].get("TTL", 0))
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease; keys bound to it are deleted."""
+        await self._call("/v3/lease/revoke", {"ID": str(lease)})
+
+    async def watch(self, prefix: str, from_revision: int) -> "EtcdWatch":
+        """Follow changes below a prefix from a revision on."""
+        create = {
+            "key": _encode(prefix),
+            "range_end": _encode(_prefix_end(prefix)),
+            "start_revision": str(from_revision),
+        }
+        body = json.dumps({"create_request": create}).encode()
+        self._calls += 1
+        try:
+            response = await self._client.open("POST", "/v3/watch", JSON_HEADERS, body)
+        except TransportError as error:
+            raise StoreUnavailableError(str(error)) from error
+        if response.status != OK:
+            await response.close()
+            raise StoreUnavailableError(f"the store answered {response.status} to a watch")
+        return EtcdWatch(response)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    async def _read(self, target: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Make a call without effect, so that a lost answer only means it is unavailable."""
+        try:
+            return await self._call(target, body)
+        except StoreAnswerLostError as error:
+            raise StoreUnavailableError(str(error)) from error
+
+    async def _call(self, target: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Make one call and return its JSON answer."""
+        self._calls += 1
+        try:
+            status, data = await self._client.fetch(
+                "POST", target, JSON_HEADERS, json.dumps(body).encode()
+            )
+        except ConnectError as error:
+            raise StoreUnavailableError(str(error)) from error
+        except TransportError as error:
+            raise StoreAnswerLostError(str(error)) from error
+        if status != OK:
+            raise StoreUnavailableError(f"the store answered {status} to {target}: {data[:200]!r}")
+        try:
+            return dict(json.loads(data))
+        except ValueError as error:
+            raise StoreAnswerLostError(f"the store's answer is not JSON: {error}") from error
+
+    def _snapshot(self, answer: dict[str, Any]) -> Snapshot:
+        """Read the answer to a range."""
+        items = tuple(_key_value(item) for item in answer.get("kvs", []))
+        return Snapshot(items, int(answer["header"]["revision"]))
+
+
+def _operation(put: Put) -> dict[str, Any]:
+    """Return a write in its wire form."""
+    if put.value is None:
+        return {"request_delete_range": {"key": _encode(put.key)}}
+    request = {"key": _encode(put.key), "value": _encode(put.value)}
+    if put.lease:
+        request["lease"] = str(put.lease)
+    return {"request_put": request}
+
+
+class EtcdWatch:
+    """A watch: JSON objects, one on a line, as they come."""
+
+    def __init__(self, response: HttpResponse) -> None:
+        self._response = response
+        self._partial = b""
+
+    async def next(self) -> list[WatchEvent]:
+        """Return the next changes, in order."""
+        while True:
+            events = self._events(await self._next_line())
+            if events:
+                return events
+
+    async def close(self) -> None:
+        """End the watch."""
+        await self._response.close()
+
+    async def _next_line(self) -> bytes:
+        """Return the next line."""
+        while b"\n" not in self._partial:
+            try:
+                data = await self._response.read(WATCH_SILENCE_S)
+            except TransportError as error:
+                raise StoreUnavailableError(f"the watch broke: {error}") from error
+            if not data:
+                raise StoreUnavailableError("the watch ended")
+            self._partial += data
+        line, _, self._partial = self._partial.partition(b"\n")
+        return line
+
+    def _events(self, line: bytes) -> list[WatchEvent]:
+        """Read the events of one line."""
+        try:
+            message = json.loads(line)
+        except ValueError as error:
+            raise PlatformError(f"the watch sent what is not JSON: {error}") from error
+        result = message.get("result", {})
+        if int(result.get("compact_revision", 0)):
+            raise CompactedError(int(result["compact_revision"]))
+        return [_watch_event(item) for item in result.get("events", [])]
+
+
+def _watch_event(item: dict[str, Any]) -> WatchEvent:
+    """Read one change from its wire form."""
+    pair = _key_value(item["kv"])
+    deleted = item.get("type") == "DELETE"
+    return WatchEvent(pair.key, None if deleted else pair.value, pair.mod_revision)
--- /dev/null
+++ b/bluebellrun/routing/__init__.py
@@ -0,0 +1,16 @@
+"""Routing at the entry: which upstream a request is offered to."""
+
+from bluebellrun.routing._baselines import LeastRequestsRouting, RoundRobinRouting
+from bluebellrun.routing._models import Candidate, RoutedWork, RoutingPolicy, UpstreamLoad
+from bluebellrun.routing._registry import ROUTING_POLICIES, make_routing
+
+__all__ = [
+    "ROUTING_POLICIES",
+    "Candidate",
+    "LeastRequestsRouting",
+    "RoundRobinRouting",
+    "RoutedWork",
+    "RoutingPolicy",
+    "UpstreamLoad",
+    "make_routing",
+]
--- /dev/null
+++ b/bluebellrun/routing/_models.py
@@ -0,0 +1,60 @@
+"""What routing policies see and decide."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLoad:
+    """An agent's report of its load and when it came, in seconds."""
+
+    waiting: int = 0
+    running: int = 0
+    waiting_tokens: float = 0.0
+    limit: int = 1
+    step_s: float = 0.0
+    reported: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An upstream that may take the request.
+
+    ``in_flight`` counts the requests this entry has there now.
+    """
+
+    name: str
+    region: str
+    failure_domain: str
+    in_flight: int
+    load: UpstreamLoad
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedWork:
+    """The part of a request that routing looks at."""
+
+    service: str
+    customer: str
+    priority: int
+    prompt: bytes
+    deadline: float
+
+
+class RoutingPolicy(Protocol):
+    """Choose an upstream among candidates and learn from what becomes of requests."""
+
+    def choose(
+        self, work: RoutedWork, candidates: Sequence[Candidate], now: float
+    ) -> Candidate | None:
+        """Return the candidate to offer the request to, or none when there is none."""
+
+    def on_refused(self, name: str, now: float) -> None:
+        """Note that an upstream refused a request."""
+
+    def on_first_byte(self, name: str, seconds: float, now: float) -> None:
+        """Note the time from sending a request to its first byte."""
+
+    def on_finished(self, name: str, seconds: float, failed: bool, now: float) -> None:
+        """Note that a request ended."""
--- /dev/null
+++ b/bluebellrun/transport/_exceptions.py
@@ -0,0 +1,34 @@
+"""Errors of the transport layer."""
+
+
+class TransportError(Exception):
+    """A message could not be exchanged with a peer."""
+
+
+class ConnectError(TransportError):
+    """No connection was made, so no byte of the message left this process."""
+
+
+class ConnectionLostError(TransportError):
+    """The connection ended after some of the message may have left this process."""
+
+
+class PeerTimeoutError(TransportError):
+    """The peer did not send or take bytes before the deadline."""
+
+
+class BadResponseError(TransportError):
+    """The peer's bytes do not follow the protocol."""
+
+
+class LinkLostError(TransportError):
+    """A link between two processes was closed, broke or went silent."""
+
+
+class CallError(TransportError):
+    """The peer ended a call with an error status."""
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(f"call failed with status {status}: {message}")
+        self.status = status
+        self.message = message
--- /dev/null
+++ b/bluebellrun/transport/_http_server.py
@@ -0,0 +1,318 @@
+"""An HTTP/1.1 server: h11 for the protocol, curio for the sockets.
+
+A request's body is read whole, within a limit, before its handler starts. While a handler
+runs, the connection is watched: a caller that hangs up cancels the handler.
+"""
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import h11
+
+from bluebellrun.core import Address
+from bluebellrun.transport._http_models import Headers, HttpLimits, HttpRequest, decode_headers
+from bluebellrun.transport._listener import Listener
+
+READ_SIZE = 65_536
+BAD_REQUEST = 400
+REQUEST_TIMEOUT = 408
+PAYLOAD_TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+NO_BODY_STATUSES = frozenset({204, 304})
+LINGER_S = 0.5
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class _BadRequestError(Exception):
+    """A request that cannot be accepted, and the status that says why."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.detail = detail
+
+
+class HttpExchange:
+    """One request and the answer being written to it."""
+
+    def __init__(self, connection: "_Connection", request: HttpRequest) -> None:
+        self._connection = connection
+        self._request = request
+        self._started = False
+        self._finished = False
+        self._aborted = False
+
+    @property
+    def request(self) -> HttpRequest:
+        """Return the request."""
+        return self._request
+
+    @property
+    def started(self) -> bool:
+        """Return whether the answer's head has been sent."""
+        return self._started
+
+    @property
+    def finished(self) -> bool:
+        """Return whether the whole answer has been sent."""
+        return self._finished
+
+    @property
+    def aborted(self) -> bool:
+        """Return whether the answer was broken off."""
+        return self._aborted
+
+    async def send_head(self, status: int, headers: Headers) -> None:
+        """Send the status and headers; without a length, the body is chunked."""
+        self._started = True
+        await self._connection.send(h11.Response(status_code=status, headers=headers))
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if data:
+            await self._connection.send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """End the answer."""
+        await self._connection.send(h11.EndOfMessage())
+        self._finished = True
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete answer."""
+        complete = [*headers, ("content-length", str(len(body)))]
+        await self.send_head(status, complete)
+        if self._request.method != "HEAD" and status not in NO_BODY_STATUSES:
+            await self.send_body(body)
+        await self.finish()
+
+    async def answer_json(self, status: int, value: object) -> None:
+        """Send a complete answer with a JSON body."""
+        body = json.dumps(value).encode()
+        await self.answer(status, [("content-type", "application/json")], body)
+
+    def abort(self) -> None:
+        """Break off the answer: the connection is closed without a proper end."""
+        self._aborted = True
+
+
+HttpHandler = Callable[[HttpExchange], Awaitable[None]]
+
+
+class HttpServer:
+    """Serve HTTP/1.1 on one address."""
+
+    def __init__(
+        self, address: Address, handler: HttpHandler, limits: HttpLimits, tls: Any = None
+    ) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._listener = Listener(address, self._serve, limits.max_connections, tls)
+        self._closing = False
+
+    @property
+    def address(self) -> Address:
+        """Return the address in use."""
+        return self._listener.address
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections are open."""
+        return self._listener.open_connections
+
+    async def run(self) -> None:
+        """Serve until cancelled or closed."""
+        await self._listener.run()
+
+    async def close(self) -> None:
+        """Stop accepting connections; answers in progress go on and their connections end."""
+        self._closing = True
+        await self._listener.close()
+
+    async def _serve(self, sock: Any) -> None:
+        """Serve the requests of one connection."""
+        connection = _Connection(sock, self._limits)
+        while await self._serve_one(connection):
+            pass
+
+    async def _serve_one(self, connection: "_Connection") -> bool:
+        """Serve one request; return whether the connection can take another."""
+        try:
+            request = await connection.read_request()
+        except _BadRequestError as error:
+            await connection.refuse(error.status, error.detail)
+            return False
+        except CallerGoneError:
+            return False
+        exchange = HttpExchange(connection, request)
+        await self._run_handler(connection, exchange)
+        if exchange.aborted or not exchange.finished or self._closing:
+            return False
+        return connection.start_next_cycle()
+
+    async def _run_handler(self, connection: "_Connection", exchange: HttpExchange) -> None:
+        """Run the handler until it ends or the caller hangs up."""
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                handler = await group.spawn(self._handler, exchange)
+                watcher = await group.spawn(connection.wait_until_gone)
+        except (OSError, CallerGoneError, h11.LocalProtocolError):
+            return
+        if watcher.terminated and watcher.exception is None and not exchange.started:
+            await connection.refuse(BAD_REQUEST, "the connection was closed before the answer")
+        if handler.exception is not None and not isinstance(
+            handler.exception, curio.CancelledError | OSError | CallerGoneError
+        ):
+            raise handler.exception
+
+
+class _Connection:
+    """The state of one connection from a caller."""
+
+    def __init__(self, sock: Any, limits: HttpLimits) -> None:
+        self._socket = sock
+        self._limits = limits
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+        self._served = 0
+
+    async def read_request(self) -> HttpRequest:
+        """Read one request with its body."""
+        head = await self._read_head()
+        self._check_size(head)
+        self._check_framing(head)
+        headers = decode_headers(head.headers)
+        body = await self._read_body()
+        return HttpRequest(
+            head.method.decode("latin-1"), head.target.decode("latin-1"), headers, body
+        )
+
+    async def send(self, event: Any) -> None:
+        """Send one h11 event; raise ``CallerGoneError`` if the caller takes no bytes."""
+        data = self._protocol.send(event)
+        if not data:
+            return
+        try:
+            async with curio.timeout_after(self._limits.write_timeout_s):
+                await self._socket.sendall(data)
+        except curio.TaskTimeout:
+            raise CallerGoneError("the caller takes no bytes") from None
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+
+    async def refuse(self, status: int, detail: str) -> None:
+        """Answer a request that was not accepted, then close gently."""
+        problem = {"status": status, "title": "Bad request", "detail": detail}
+        body = json.dumps({**problem, "type": "about:blank", "outcome": "not_run"}).encode()
+        headers = [
+            ("content-type", "application/problem+json"),
+            ("content-length", str(len(body))),
+            ("connection", "close"),
+        ]
+        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        try:
+            await self.send(h11.Response(status_code=status, headers=headers))
+            await self.send(h11.Data(data=body))
+            await self.send(h11.EndOfMessage())
+            await self._linger()
+        except (CallerGoneError, h11.LocalProtocolError):
+            return
+
+    async def wait_until_gone(self) -> None:
+        """Return when the caller closes its side while an answer is being made."""
+        held = 0
+        while True:
+            data = await self._socket.recv(READ_SIZE)
+            if not data:
+                return
+            held += len(data)
+            if held > self._limits.max_header_bytes + self._limits.max_body_bytes:
+                return
+            self._protocol.receive_data(data)
+
+    def start_next_cycle(self) -> bool:
+        """Prepare for another request; return whether the connection allows one."""
+        if self._protocol.our_state is not h11.DONE or self._protocol.their_state is not h11.DONE:
+            return False
+        self._protocol.start_next_cycle()
+        self._served += 1
+        return True
+
+    async def _linger(self) -> None:
+        """Discard what the caller still sends, so that it can read the refusal."""
+        async with curio.ignore_after(LINGER_S):
+            while await self._socket.recv(READ_SIZE):
+                pass
+
+    async def _read_head(self) -> Any:
+        """Read the request line and headers within the deadline."""
+        timeout = self._limits.idle_timeout_s if self._served else self._limits.header_timeout_s
+        event = await self._next_event(timeout, "the request's headers")
+        if isinstance(event, h11.Request):
+            return event
+        raise CallerGoneError("closed between requests")
+
+    def _check_size(self, head: Any) -> None:
+        """Refuse headers over the limit, which h11 checks only while they are incomplete."""
+        size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
+        limit = self._limits.max_header_bytes
+        if size > limit:
+            raise _BadRequestError(HEADERS_TOO_LARGE, f"headers are over {limit} bytes; send less")
+
+    def _check_framing(self, head: Any) -> None:
+        """Refuse a request whose body length can be read in two ways."""
+        names = [name for name, _ in head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            raise _BadRequestError(
+                BAD_REQUEST, "send Content-Length or Transfer-Encoding, not both in one request"
+            )
+
+    async def _read_body(self) -> bytes:
+        """Read the body within the deadline and the size limit."""
+        if self._protocol.they_are_waiting_for_100_continue:
+            await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        body = bytearray()
+        deadline = await curio.clock() + self._limits.body_timeout_s
+        while True:
+            remaining = max(0.0, deadline - await curio.clock())
+            event = await self._next_event(remaining, "the request's body")
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                raise CallerGoneError("closed within a request")
+            body += event.data
+            if len(body) > self._limits.max_body_bytes:
+                limit = self._limits.max_body_bytes
+                raise _BadRequestError(
+                    PAYLOAD_TOO_LARGE, f"the body is over {limit} bytes; send less"
+                )
+
+    async def _next_event(self, timeout_s: float, what: str) -> Any:
+        """Return the next h11 event, reading from the socket as needed."""
+        try:
+            async with curio.timeout_after(timeout_s):
+                return await self._pull_event()
+        except curio.TaskTimeout:
+            if what.endswith("headers") and self._protocol.trailing_data[0] == b"":
+                raise CallerGoneError("idle") from None
+            raise _BadRequestError(
+                REQUEST_TIMEOUT, f"{what} did not arrive in time; send faster"
+            ) from None
+        except h11.RemoteProtocolError as error:
+            raise _BadRequestError(error.error_status_hint, str(error)) from None
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+
+    async def _pull_event(self) -> Any:
+        """Return the next h11 event."""
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._protocol.receive_data(await self._socket.recv(READ_SIZE))
--- /dev/null
+++ b/bluebellrun/transport/_listener.py
@@ -0,0 +1,80 @@
+"""A listening TCP socket that hands each connection to its own task."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+from curio import network, socket
+
+from bluebellrun.core import Address
+
+ACCEPT_BACKLOG = 1_024
+
+ConnectionHandler = Callable[[Any], Awaitable[None]]
+
+
+class Listener:
+    """Accept connections on one address until closed."""
+
+    def __init__(
+        self,
+        address: Address,
+        handler: ConnectionHandler,
+        max_connections: int = 4_096,
+        tls: Any = None,
+    ) -> None:
+        self._socket = network.tcp_server_socket(address.ip, address.port, backlog=ACCEPT_BACKLOG)
+        self._handler = handler
+        self._max_connections = max_connections
+        self._tls = tls
+        self._open = 0
+        self._group = curio.TaskGroup(wait=None)
+        self._closed = False
+
+    @property
+    def address(self) -> Address:
+        """Return the address in use, with the port that was chosen."""
+        ip, port = self._socket.getsockname()[:2]
+        return Address(ip, port)
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections are open."""
+        return self._open
+
+    async def run(self) -> None:
+        """Accept connections until cancelled or closed."""
+        while not self._closed:
+            try:
+                client, _ = await self._socket.accept()
+            except OSError:
+                if self._closed:
+                    return
+                await curio.sleep(0.05)
+                continue
+            if self._open >= self._max_connections:
+                await client.close()
+                continue
+            self._open += 1
+            await curio.spawn(self._serve, client, daemon=True)
+
+    async def close(self) -> None:
+        """Stop accepting; connections already open go on."""
+        self._closed = True
+        await self._socket.close()
+
+    async def _serve(self, client: Any) -> None:
+        """Run the handler on one connection and close it."""
+        try:
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._tls is not None:
+                client = self._tls.wrap_socket(
+                    client, server_side=True, do_handshake_on_connect=False
+                )
+                await client.do_handshake()
+            await self._handler(client)
+        except OSError:
+            return
+        finally:
+            self._open -= 1
+            await client.close()
--- /dev/null
+++ b/standins/engine/_app.py
@@ -0,0 +1,175 @@
+"""The engine's HTTP API: completions, models, load, faults and records."""
+
+import hashlib
+import json
+import time
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+
+from bluebellrun.transport import HttpExchange
+from standins._serving import not_found
+from standins.engine._batching import Batcher, EngineSettings, Sequence
+from standins.engine._faults import EngineFaults
+
+FOREVER_S = 3600.0
+
+
+@dataclass(slots=True)
+class AnswerRecord:
+    """What the engine sent for one request."""
+
+    runs: int = 0
+    sha256: str = ""
+    length: int = 0
+    complete: bool = False
+
+
+class EngineApp:
+    """Serve an OpenAI-style API from a batcher."""
+
+    def __init__(self, name: str, models: list[str], settings: EngineSettings) -> None:
+        self.name = name
+        self.models = models
+        self.settings = settings
+        self.faults = EngineFaults()
+        self.batcher = Batcher(settings, self.faults)
+        self.records: dict[str, AnswerRecord] = {}
+
+    async def handle(self, exchange: HttpExchange) -> None:
+        """Answer one request."""
+        match exchange.request.path:
+            case "/v1/chat/completions" | "/v1/completions":
+                await self._complete(exchange)
+            case "/v1/models":
+                listed = [{"id": model, "object": "model"} for model in self.models]
+                await exchange.answer_json(200, {"object": "list", "data": listed})
+            case "/metrics":
+                text = self._metrics().encode()
+                await exchange.answer(200, [("content-type", "text/plain")], text)
+            case "/standin/faults":
+                self._order_faults(json.loads(exchange.request.body))
+                await exchange.answer_json(200, {})
+            case "/standin/records":
+                records = {key: self._record(value) for key, value in self.records.items()}
+                await exchange.answer_json(200, records)
+            case _:
+                await not_found(exchange)
+
+    def _order_faults(self, body: dict[str, Any]) -> None:
+        """Set faults; ``stall_s`` stalls all steps for so many seconds."""
+        for name, value in body.items():
+            if name == "stall_s":
+                self.faults.stall_until = time.monotonic() + float(value)
+            else:
+                setattr(self.faults, name, value)
+
+    def _record(self, record: AnswerRecord) -> dict[str, object]:
+        """Return a record in its wire form."""
+        return {
+            "runs": record.runs,
+            "sha256": record.sha256,
+            "length": record.length,
+            "complete": record.complete,
+        }
+
+    def _metrics(self) -> str:
+        """Return the load in the Prometheus text format."""
+        return (
+            f"engine_requests_waiting {self.batcher.waiting}\n"
+            f"engine_requests_running {self.batcher.running}\n"
+            f"engine_step_seconds {self.batcher.step_s}\n"
+            f"engine_tokens_total {self.batcher.tokens}\n"
+        )
+
+    async def _complete(self, exchange: HttpExchange) -> None:
+        """Run one completion."""
+        if self.faults.decline:
+            await exchange.answer_json(503, {"error": {"message": "overloaded"}})
+            return
+        try:
+            body = json.loads(exchange.request.body)
+            sequence = self._sequence(exchange, body)
+        except (ValueError, TypeError, AttributeError) as error:
+            await exchange.answer_json(400, {"error": {"message": f"bad request: {error}"}})
+            return
+        record = self.records.setdefault(sequence.request, AnswerRecord())
+        record.runs += 1
+        await curio.sleep(self.faults.late_s)
+        await self.batcher.add(sequence)
+        try:
+            if body.get("stream"):
+                await self._stream(exchange, sequence, record)
+            else:
+                await self._whole(exchange, sequence, record)
+        finally:
+            sequence.cancelled = True
+
+    def _sequence(self, exchange: HttpExchange, body: dict[str, Any]) -> Sequence:
+        """Return the sequence that a request asks for."""
+        prompt = json.dumps(body.get("messages") or body.get("prompt") or "").encode()
+        field = exchange.request.header("priority") or "u=3"
+        return Sequence(
+            request=exchange.request.header("x-request-id") or "?",
+            prompt=prompt,
+            max_tokens=int(body.get("max_tokens") or self.settings.default_tokens),
+            priority=int(field.partition("u=")[2][:1] or 3),
+        )
+
+    async def _stream(
+        self, exchange: HttpExchange, sequence: Sequence, record: AnswerRecord
+    ) -> None:
+        """Send the answer as server-sent events."""
+        digest = hashlib.sha256()
+        silence = self.faults.silence
+        index = 0
+        await exchange.send_head(200, [("content-type", "text/event-stream")])
+        while index < sequence.max_tokens:
+            await self._wait(sequence, index)
+            if self.faults.silence != silence:
+                await curio.sleep(FOREVER_S)
+            if self.faults.break_after and index >= self.faults.break_after:
+                exchange.abort()
+                return
+            events = b"".join(self._event(sequence, i) for i in range(index, sequence.produced))
+            index = sequence.produced
+            digest.update(events)
+            record.length += len(events)
+            await exchange.send_body(events)
+        digest.update(b"data: [DONE]\n\n")
+        record.length += len(b"data: [DONE]\n\n")
+        record.sha256 = digest.hexdigest()
+        await exchange.send_body(b"data: [DONE]\n\n")
+        await exchange.finish()
+        record.complete = True
+
+    async def _whole(
+        self, exchange: HttpExchange, sequence: Sequence, record: AnswerRecord
+    ) -> None:
+        """Send the answer as one JSON document."""
+        while not sequence.finished:
+            await self._wait(sequence, sequence.produced)
+        text = "".join(sequence.token(i) for i in range(sequence.max_tokens))
+        choice = {"index": 0, "message": {"role": "assistant", "content": text}, "text": text}
+        usage = {
+            "prompt_tokens": len(sequence.prompt) // 4,
+            "completion_tokens": sequence.max_tokens,
+        }
+        answer = {"id": sequence.request, "choices": [choice], "usage": usage}
+        body = json.dumps(answer).encode()
+        record.sha256 = hashlib.sha256(body).hexdigest()
+        record.length = len(body)
+        await exchange.answer(200, [("content-type", "application/json")], body)
+        record.complete = True
+
+    async def _wait(self, sequence: Sequence, seen: int) -> None:
+        """Wait until a sequence has more tokens than were seen."""
+        while sequence.produced <= seen:
+            sequence.changed.clear()
+            await sequence.changed.wait()
+
+    def _event(self, sequence: Sequence, index: int) -> bytes:
+        """Return one token as an event."""
+        choice = {"index": 0, "delta": {"content": sequence.token(index)}}
+        return b"data: " + json.dumps({"id": "cmpl", "choices": [choice]}).encode() + b"\n\n"
--- /dev/null
+++ b/standins/engine/_batching.py
@@ -0,0 +1,125 @@
+"""Continuous batching: slots, priorities and a step time that grows with the batch."""
+
+import hashlib
+import heapq
+import itertools
+import time
+from dataclasses import dataclass, field
+
+import curio
+
+from standins.engine._faults import EngineFaults
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSettings:
+    """Sizes and speeds of an engine; times in seconds."""
+
+    slots: int = 16
+    step_base_s: float = 0.01
+    step_per_sequence_s: float = 0.0005
+    prefill_per_token_s: float = 0.00002
+    default_tokens: int = 32
+
+
+@dataclass(slots=True)
+class Sequence:
+    """One request inside the engine."""
+
+    request: str
+    prompt: bytes
+    max_tokens: int
+    priority: int
+    produced: int = 0
+    prefilled: bool = False
+    cancelled: bool = False
+    changed: curio.Event = field(default_factory=curio.Event)
+
+    @property
+    def finished(self) -> bool:
+        """Return whether all tokens have been produced."""
+        return self.produced >= self.max_tokens
+
+    def token(self, index: int) -> str:
+        """Return one token of the answer, which depends only on the prompt and the index."""
+        seed = self.prompt + index.to_bytes(4, "big")
+        return hashlib.blake2b(seed, digest_size=3).hexdigest() + " "
+
+
+class Batcher:
+    """Advance all running sequences by one token each step."""
+
+    def __init__(self, settings: EngineSettings, faults: EngineFaults) -> None:
+        self._settings = settings
+        self._faults = faults
+        self._waiting: list[tuple[int, int, Sequence]] = []
+        self._order = itertools.count()
+        self._running: list[Sequence] = []
+        self._work = curio.Event()
+        self._steps = 0
+        self._tokens = 0
+        self._step_s = 0.0
+
+    @property
+    def waiting(self) -> int:
+        """Return how many sequences wait for a slot."""
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Return how many sequences hold a slot."""
+        return len(self._running)
+
+    @property
+    def steps(self) -> int:
+        """Return how many steps have been made."""
+        return self._steps
+
+    @property
+    def tokens(self) -> int:
+        """Return how many tokens have been produced."""
+        return self._tokens
+
+    @property
+    def step_s(self) -> float:
+        """Return the duration of the last step in seconds."""
+        return self._step_s
+
+    async def add(self, sequence: Sequence) -> None:
+        """Queue a sequence by priority."""
+        heapq.heappush(self._waiting, (sequence.priority, next(self._order), sequence))
+        await self._work.set()
+
+    async def run(self) -> None:
+        """Make steps for as long as there is work."""
+        while True:
+            self._admit()
+            if not self._running:
+                self._work.clear()
+                await self._work.wait()
+                continue
+            await self._step()
+
+    def _admit(self) -> None:
+        """Give free slots to waiting sequences, the most urgent first."""
+        self._running = [s for s in self._running if not (s.finished or s.cancelled)]
+        while self._waiting and len(self._running) < self._settings.slots:
+            _, _, sequence = heapq.heappop(self._waiting)
+            if not sequence.cancelled:
+                self._running.append(sequence)
+
+    async def _step(self) -> None:
+        """Produce one token for each running sequence."""
+        settings = self._settings
+        fresh = [s for s in self._running if not s.prefilled]
+        prefill_s = sum(len(s.prompt) // 4 for s in fresh) * settings.prefill_per_token_s
+        batch_s = settings.step_per_sequence_s * len(self._running)
+        self._step_s = settings.step_base_s + batch_s + prefill_s
+        stalled_s = max(0.0, self._faults.stall_until - time.monotonic())
+        await curio.sleep(self._step_s + stalled_s)
+        self._steps += 1
+        for sequence in self._running:
+            sequence.prefilled = True
+            sequence.produced += 1
+            self._tokens += 1
+            await sequence.changed.set()
--- /dev/null
+++ b/standins/engine/_faults.py
@@ -0,0 +1,19 @@
+"""Faults of an engine that can be ordered."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """What goes wrong now.
+
+    ``stall_until`` is a monotonic time in seconds; ``silence`` is raised by one to make all
+    streams that are open at that moment go silent for good; ``break_after`` cuts each stream
+    after so many tokens; ``decline`` answers 503 to new requests.
+    """
+
+    stall_until: float = 0.0
+    late_s: float = 0.0
+    silence: int = 0
+    break_after: int = 0
+    decline: bool = False
--- /dev/null
+++ b/tests/transport/test_link.py
@@ -0,0 +1,78 @@
+import curio
+import pytest
+
+from bluebellrun.core import Address
+from bluebellrun.transport import (
+    Call,
+    CallError,
+    LinkLostError,
+    LinkTiming,
+    Listener,
+    dial,
+    serve_link,
+)
+
+TIMING = LinkTiming(connect_s=1.0, ping_interval_s=0.05, ping_timeout_s=0.2)
+
+
+async def echo(call: Call) -> None:
+    if call.path == "/refuse":
+        raise CallError(5, "not here")
+    while (message := await call.receive()) is not None:
+        await call.send(message)
+
+
+async def listen() -> Listener:
+    listener = Listener(Address("127.0.0.1", 0), lambda sock: serve_link(sock, echo, TIMING))
+    await curio.spawn(listener.run, daemon=True)
+    return listener
+
+
+def test_messages_larger_than_a_frame_arrive_whole_and_in_order():
+    async def main() -> None:
+        link = await dial((await listen()).address, TIMING)
+        call = await link.call("/echo")
+        for size in (0, 1, 20_000, 300_000):
+            await call.send(bytes([size % 251]) * size)
+        for size in (0, 1, 20_000, 300_000):
+            assert await call.receive() == bytes([size % 251]) * size
+        await call.end()
+        assert await call.receive() is None
+        await link.close()
+
+    curio.run(main)
+
+
+def test_an_error_status_reaches_the_caller():
+    async def main() -> None:
+        link = await dial((await listen()).address, TIMING)
+        with pytest.raises(CallError, match="not here"):
+            await link.ask("/refuse", b"", 1.0)
+        await link.close()
+
+    curio.run(main)
+
+
+def test_a_silent_peer_is_given_up():
+    async def main() -> None:
+        async def never_answers(sock) -> None:
+            await curio.sleep(10)
+
+        listener = Listener(Address("127.0.0.1", 0), never_answers)
+        await curio.spawn(listener.run, daemon=True)
+        link = await dial(listener.address, TIMING)
+        with pytest.raises(LinkLostError):
+            await link.ask("/echo", b"", 5.0)
+        assert link.closed
+
+    curio.run(main)
+
+
+def test_an_idle_link_stays_open():
+    async def main() -> None:
+        link = await dial((await listen()).address, TIMING)
+        await curio.sleep(0.6)
+        assert await link.ask("/echo", b"still here", 1.0) == b"still here"
+        await link.close()
+
+    curio.run(main)
