Test a kept connection by poll, and add fair admission

Cause: with more than 1,024 open files select() raised ValueError on taking a kept connection, so a flood crashed the task of each further request. Change: poll() has no such bound; a test uses a descriptor above it. Fair admission: deadlines, priorities with floors, shares by virtual time, learned cost and rate, early refusal, learned concurrency. Not the default yet.

--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -1,8 +1,9 @@
 """Start the Board's fleet of real processes with one pair of policies."""
 
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from bench import _board as board
 from bluebellrun.customers import hash_key
@@ -60,12 +61,11 @@
         """Start everything and wait until the entries are ready."""
         self._fleet.start_platform()
         with ThreadPoolExecutor(STARTS_AT_ONCE) as pool:
-            models = [pool.submit(self.start_model) for _ in range(board.MODEL_UPSTREAMS)]
-            plains = [
-                pool.submit(self._start_plain, n) for n in range(1, board.PLAIN_UPSTREAMS + 1)
-            ]
-            entries = [pool.submit(self._start_entry, n) for n in range(1, board.ENTRIES + 1)]
-            for started in [*models, *plains, *entries]:
+            starts: list[Future[Any]] = []
+            starts += [pool.submit(self.start_model) for _ in range(board.MODEL_UPSTREAMS)]
+            starts += [pool.submit(self._start_plain, n + 1) for n in range(board.PLAIN_UPSTREAMS)]
+            starts += [pool.submit(self._start_entry, n + 1) for n in range(board.ENTRIES)]
+            for started in starts:
                 started.result()
         self.declare()
         for number in range(1, board.ENTRIES + 1):
--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -1,14 +1,23 @@
 """Admission at the agent: which work runs next, and which is refused."""
 
+from bluebellrun.admission._fair import FairAdmission
 from bluebellrun.admission._fifo import FifoAdmission
-from bluebellrun.admission._models import AdmissionPolicy, AdmissionSettings, Refusal, Work
+from bluebellrun.admission._models import (
+    AdmissionPolicy,
+    AdmissionSettings,
+    PriorityTarget,
+    Refusal,
+    Work,
+)
 from bluebellrun.admission._registry import ADMISSION_POLICIES, make_admission
 
 __all__ = [
     "ADMISSION_POLICIES",
     "AdmissionPolicy",
     "AdmissionSettings",
+    "FairAdmission",
     "FifoAdmission",
+    "PriorityTarget",
     "Refusal",
     "Work",
     "make_admission",
--- /dev/null
+++ b/bluebellrun/admission/_estimates.py
@@ -0,0 +1,77 @@
+"""Learned cost of requests, by customer and kind, and the rate at which cost is worked off."""
+
+from collections import OrderedDict
+
+from bluebellrun.admission._models import Work
+
+PROMPT_TOKEN_COST = 0.01
+UNSTATED_ANSWER_TOKENS = 256.0
+LEARNING_RATE = 0.1
+MAX_KINDS = 4_096
+RATE_MEMORY = 0.95
+
+
+class CostEstimates:
+    """Estimate a request's cost in tokens: its answer, and a little for its prompt.
+
+    Where the request states a longest answer, the part of it that is used is learned; else the
+    length itself. The kinds used least recently are forgotten.
+    """
+
+    def __init__(self) -> None:
+        self._learned: OrderedDict[tuple[str, str, bool], float] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return how many kinds are remembered."""
+        return len(self._learned)
+
+    def estimate(self, work: Work) -> float:
+        """Return the expected cost in tokens."""
+        answer = self._learned.get(self._key(work), self._first_guess(work))
+        if work.max_tokens:
+            answer *= work.max_tokens
+        return answer + self.prompt_cost(work)
+
+    def prompt_cost(self, work: Work) -> float:
+        """Return the cost of the prompt in tokens."""
+        return work.prompt_tokens * PROMPT_TOKEN_COST
+
+    def learn(self, work: Work, tokens: int) -> None:
+        """Note how long the answer was."""
+        key = self._key(work)
+        seen = tokens / work.max_tokens if work.max_tokens else float(tokens)
+        before = self._learned.pop(key, seen)
+        self._learned[key] = before + LEARNING_RATE * (seen - before)
+        if len(self._learned) > MAX_KINDS:
+            self._learned.popitem(last=False)
+
+    def _first_guess(self, work: Work) -> float:
+        """Return what an unknown kind is taken for."""
+        return 1.0 if work.max_tokens else UNSTATED_ANSWER_TOKENS
+
+    def _key(self, work: Work) -> tuple[str, str, bool]:
+        """Return what requests of like length have in common."""
+        return work.customer, work.kind, work.max_tokens > 0
+
+
+class ServiceRate:
+    """Learn how many tokens of cost one running request works off in a second."""
+
+    def __init__(self) -> None:
+        self._cost = 0.0
+        self._seconds = 0.0
+
+    @property
+    def known(self) -> bool:
+        """Return whether anything has been learned."""
+        return self._seconds > 0
+
+    @property
+    def per_request(self) -> float:
+        """Return the tokens a second of one running request; infinite while not known."""
+        return self._cost / self._seconds if self.known else float("inf")
+
+    def learn(self, cost: float, seconds: float) -> None:
+        """Note that a request of a cost ran for some seconds."""
+        self._cost = RATE_MEMORY * self._cost + cost
+        self._seconds = RATE_MEMORY * self._seconds + max(seconds, 1e-6)
--- /dev/null
+++ b/bluebellrun/admission/_fair.py
@@ -0,0 +1,251 @@
+"""Admission by deadline, priority, floor and share.
+
+The most urgent work goes first, but for a priority that is owed some of its floor; customers of
+one priority share it by virtual time; work that cannot start in time is refused when it comes.
+Whatever nobody else asks for is used by whoever waits.
+"""
+
+import heapq
+from collections.abc import Sequence
+from dataclasses import replace
+
+from bluebellrun.admission._concurrency import ConcurrencyLimit
+from bluebellrun.admission._estimates import CostEstimates, ServiceRate
+from bluebellrun.admission._fair_queue import FairQueue
+from bluebellrun.admission._floors import FloorCredits
+from bluebellrun.admission._forecast import Demand, Outlook, expected_wait
+from bluebellrun.admission._models import AdmissionSettings, PriorityTarget, Refusal, Work
+from bluebellrun.core import invariants
+
+LEAST_RETRY_S = 0.1
+MOST_RETRY_S = 30.0
+MARGIN = 0.1
+CANNOT_BE_ON_TIME = "it cannot be on time here: too much work waits before it"
+PASSED = "its deadline passed while it waited"
+DISPLACED = "more urgent work took its place in a full queue"
+FULL = "the queue is full"
+
+
+class FairAdmission:
+    """Queue, refuse and start work of one upstream."""
+
+    def __init__(self, settings: AdmissionSettings) -> None:
+        self._settings = settings
+        self._queues: dict[int, FairQueue] = {}
+        self._works: dict[str, Work] = {}
+        self._running: dict[str, tuple[Work, float]] = {}
+        self._latest: list[tuple[float, str]] = []
+        self._displaced: list[Work] = []
+        self._targets: dict[int, PriorityTarget] = {}
+        self._floors = FloorCredits()
+        self._costs = CostEstimates()
+        self._rate = ServiceRate()
+        self._demand: dict[int, Demand] = {}
+        self._limit = ConcurrencyLimit(settings.concurrency, settings.learn_concurrency)
+        self._beyond_limit: set[str] = set()
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._works)
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run."""
+        return len(self._running)
+
+    @property
+    def waiting_cost(self) -> float:
+        """Return the cost in tokens of the requests that wait."""
+        return sum(queue.cost for queue in self._queues.values())
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once."""
+        return self._limit.limit
+
+    def follow_targets(self, targets: Sequence[PriorityTarget]) -> None:
+        """Take the targets and floors that are in force now."""
+        self._targets = {target.urgency: target for target in targets}
+        self._floors.follow(targets)
+        self._limit.follow_gap_target(
+            min((target.token_gap_s for target in targets), default=float("inf"))
+        )
+
+    def offer(self, work: Work, now: float) -> Refusal | None:
+        """Queue work, or refuse it when it cannot be on time or there is no room."""
+        known = work.attempt in self._works or work.attempt in self._running
+        invariants.check(not known, "an attempt is offered once", attempt=work.attempt)
+        work = replace(work, cost=self._costs.estimate(work))
+        wait_s = self._expected_wait(work, now)
+        late_s = now + wait_s - self._latest_start(work)
+        if late_s > 0:
+            return Refusal(work, CANNOT_BE_ON_TIME, _bounded_retry(late_s))
+        if self.waiting >= self._settings.max_waiting and not self._make_room(work):
+            return Refusal(work, FULL, _bounded_retry(wait_s))
+        self._queue_of(work.priority).add(work)
+        self._works[work.attempt] = work
+        self._demand.setdefault(work.priority, Demand()).add(work.cost, now)
+        heapq.heappush(self._latest, (self._latest_start(work), work.attempt))
+        within = self.waiting <= self._settings.max_waiting
+        invariants.check(within, "waiting work is bounded", waiting=self.waiting)
+        return None
+
+    def start_next(self, now: float) -> Work | None:
+        """Take the next work when there is room for it."""
+        priority = self._next_priority()
+        if priority is None or not self._has_room(priority):
+            return None
+        backlogged = self._backlogged()
+        work = self._queues[priority].pop()
+        assert work is not None
+        del self._works[work.attempt]
+        if len(self._running) >= self.limit:
+            self._beyond_limit.add(work.attempt)
+        self._running[work.attempt] = (work, now)
+        self._floors.charge(priority, work.cost, backlogged)
+        self._forgive(priority)
+        return work
+
+    def expire(self, now: float) -> list[Refusal]:
+        """Remove and return waiting work that can no longer be on time or lost its place."""
+        refusals = [Refusal(work, DISPLACED, LEAST_RETRY_S) for work in self._displaced]
+        self._displaced.clear()
+        while self._latest and self._latest[0][0] <= now:
+            _, attempt = heapq.heappop(self._latest)
+            work = self._works.get(attempt)
+            if work is not None:
+                self._remove(work)
+                refusals.append(Refusal(work, PASSED, LEAST_RETRY_S))
+        return refusals
+
+    def withdraw(self, attempt: str) -> bool:
+        """Remove waiting work; return whether it was waiting."""
+        work = self._works.get(attempt)
+        if work is None:
+            return False
+        self._remove(work)
+        return True
+
+    def finish(self, work: Work, tokens: int, now: float) -> None:
+        """Note that running work has ended; learn what it cost."""
+        found = self._running.pop(work.attempt, None)
+        self._beyond_limit.discard(work.attempt)
+        if found is None:
+            return
+        started, at = found
+        cost = started.cost
+        if tokens > 0:
+            self._costs.learn(started, tokens)
+            cost = tokens + self._costs.prompt_cost(started)
+            self._queue_of(started.priority).correct(started, cost)
+        self._rate.learn(cost, now - at)
+
+    def drain(self) -> list[Work]:
+        """Remove and return all waiting work, displaced work included."""
+        drained = [*self._displaced, *self._works.values()]
+        self._displaced.clear()
+        for work in list(self._works.values()):
+            self._remove(work)
+        self._latest.clear()
+        return drained
+
+    def observe_first_token(self, work: Work, seconds: float, now: float) -> None:
+        """Learn the limit from work that was started within it."""
+        if work.attempt not in self._beyond_limit:
+            self._limit.observe_first_token(seconds, self.running >= self.limit)
+
+    def observe_step(self, step_s: float, now: float) -> None:
+        """Note the time between two tokens of running work."""
+        self._limit.observe_step(step_s)
+
+    def _queue_of(self, priority: int) -> FairQueue:
+        """Return the queue of a priority."""
+        return self._queues.setdefault(priority, FairQueue())
+
+    def _backlogged(self) -> list[int]:
+        """Return the priorities that have work waiting, the most urgent first."""
+        return sorted(priority for priority, queue in self._queues.items() if len(queue))
+
+    def _next_priority(self) -> int | None:
+        """Return the priority that goes next."""
+        backlogged = self._backlogged()
+        if not backlogged:
+            return None
+        owed = self._floors.most_owed(backlogged)
+        return backlogged[0] if owed is None else owed
+
+    def _has_room(self, priority: int) -> bool:
+        """Return whether work of a priority may start: in a free place or a preempted one."""
+        if len(self._running) < self.limit:
+            return True
+        if not self._settings.engine_preempts:
+            return False
+        return len(self._beyond_limit) < self._preemptible(priority)
+
+    def _preemptible(self, priority: int) -> int:
+        """Return how many running requests the engine may pause for work of a priority."""
+        return sum(
+            work.priority > priority and not self._floors.floor(work.priority)
+            for work, _ in self._running.values()
+            if work.attempt not in self._beyond_limit
+        )
+
+    def _expected_wait(self, work: Work, now: float) -> float:
+        """Return the expected wait of new work in seconds."""
+        if len(self._running) < self.limit and not self._works:
+            return 0.0
+        rate = self._rate.per_request * self.limit
+        urgent = [p for p in self._queues if p < work.priority]
+        lower = [p for p in self._backlogged() if p > work.priority]
+        ahead = self._queue_of(work.priority).cost_ahead(work.customer, work.share)
+        outlook = Outlook(
+            rate=rate,
+            own_cost=ahead + work.cost / 2,
+            urgent_cost=sum(self._queues[p].cost for p in urgent),
+            urgent_rate=sum(self._demand[p].at(now) for p in urgent if p in self._demand),
+            floor=self._floors.floor(work.priority),
+            lower_floors=sum(self._floors.floor(p) for p in lower),
+        )
+        return expected_wait(outlook)
+
+    def _latest_start(self, work: Work) -> float:
+        """Return the last moment at which work may start and still be on time."""
+        run_s = work.cost / self._rate.per_request
+        latest = work.deadline - run_s * (1 + MARGIN)
+        target = self._targets.get(work.priority)
+        if target is None:
+            return latest
+        first_token_s = target.first_token_s * (1 - MARGIN) - self._limit.first_token_s
+        return min(latest, work.arrived + first_token_s)
+
+    def _make_room(self, work: Work) -> bool:
+        """Displace waiting work that is less urgent, or of a customer with more waiting."""
+        lowest = self._backlogged()[-1]
+        queue = self._queues[lowest]
+        victim = queue.youngest_of_largest()
+        if victim is None or lowest < work.priority:
+            return False
+        if lowest == work.priority:
+            weight = queue.weight_of(work.customer, work.share) + work.cost / work.share
+            if weight >= queue.weight_of(victim.customer, victim.share):
+                return False
+        self._remove(victim)
+        self._displaced.append(victim)
+        return True
+
+    def _remove(self, work: Work) -> None:
+        """Take waiting work out."""
+        del self._works[work.attempt]
+        self._queues[work.priority].remove(work)
+        self._forgive(work.priority)
+
+    def _forgive(self, priority: int) -> None:
+        """Drop what a priority is owed when nothing waits in it."""
+        if not len(self._queues[priority]):
+            self._floors.forgive(priority)
+
+
+def _bounded_retry(seconds: float) -> float:
+    """Return a time to come back after, in seconds."""
+    return min(max(seconds, LEAST_RETRY_S), MOST_RETRY_S)
--- a/bluebellrun/admission/_fifo.py
+++ b/bluebellrun/admission/_fifo.py
@@ -1,8 +1,9 @@
 """First in, first out: the baseline that other policies are compared with."""
 
 from collections import deque
+from collections.abc import Sequence
 
-from bluebellrun.admission._models import AdmissionSettings, Refusal, Work
+from bluebellrun.admission._models import AdmissionSettings, PriorityTarget, Refusal, Work
 
 
 class FifoAdmission:
@@ -33,6 +34,9 @@
         """Return how many requests may run at once."""
         return self._settings.concurrency
 
+    def follow_targets(self, targets: Sequence[PriorityTarget]) -> None:
+        """Ignore targets."""
+
     def offer(self, work: Work, now: float) -> Refusal | None:
         """Queue work, or refuse it when the queue is full."""
         if len(self._queue) >= self._settings.max_waiting:
@@ -71,5 +75,8 @@
         self._queue.clear()
         return drained
 
+    def observe_first_token(self, work: Work, seconds: float, now: float) -> None:
+        """Ignore first tokens: the limit is fixed."""
+
     def observe_step(self, step_s: float, now: float) -> None:
         """Ignore step times: the limit is fixed."""
--- a/bluebellrun/admission/_registry.py
+++ b/bluebellrun/admission/_registry.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 
+from bluebellrun.admission._fair import FairAdmission
 from bluebellrun.admission._fifo import FifoAdmission
 from bluebellrun.admission._models import AdmissionPolicy, AdmissionSettings
 
 ADMISSION_POLICIES: dict[str, Callable[[AdmissionSettings], AdmissionPolicy]] = {
+    "fair": FairAdmission,
     "fifo": FifoAdmission,
 }
 
--- a/bluebellrun/transport/_http_client.py
+++ b/bluebellrun/transport/_http_client.py
@@ -152,8 +152,9 @@
 
     def fresh(self) -> bool:
         """Return whether the server has neither closed nor sent anything unasked."""
-        readable, _, _ = select.select([self._socket.fileno()], [], [], 0)
-        return not readable
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
 
     async def send_request(
         self, address: Address, method: str, target: str, headers: Headers, body: bytes
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -1,3 +1,7 @@
+import fcntl
+import resource
+import socket
+
 import curio
 import pytest
 
@@ -11,6 +15,7 @@
     HttpServer,
     PeerTimeoutError,
 )
+from bluebellrun.transport._http_client import _ClientConnection
 
 
 async def answer(exchange: HttpExchange) -> None:
@@ -57,3 +62,17 @@
             await HttpClient(address, ClientTimeouts()).fetch("GET", "/", [])
 
     curio.run(main)
+
+
+def test_a_kept_connection_with_a_high_file_number_is_tried_for_freshness():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, 2_048), hard))
+    near, far = socket.socketpair()
+    high = socket.socket(fileno=fcntl.fcntl(near.fileno(), fcntl.F_DUPFD, 1_100))
+    connection = _ClientConnection(high)
+    assert high.fileno() >= 1_100
+    assert connection.fresh()
+    far.send(b"unasked")
+    assert not connection.fresh()
+    for item in (near, far, high):
+        item.close()
