Answer every request with an id, and turn away what is over a limit

Cause: refusals by the HTTP server and health answers had no Request-Id, a connection over the limit was closed without a word, and an unexpected error in a handler left the caller without an answer. Change: each answer carries a Request-Id; a connection over the limit gets 503 with Retry-After; an entry that fails on a request says that its outcome is not known. The agent reads the engine's load report and publishes it.

--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -21,8 +21,7 @@
 from bluebellrun.messages import Hello, Load, Submit
 from bluebellrun.runtime import spawn_background
 from bluebellrun.telemetry import Metrics, get_logger
-from bluebellrun.transport import Headers
-from bluebellrun.transport._http_models import end_to_end
+from bluebellrun.transport import Headers, end_to_end
 
 BYTES_PER_TOKEN = 4
 DEFAULT_ANSWER_TOKENS = 256
--- /dev/null
+++ b/bluebellrun/agent/_engine_load.py
@@ -0,0 +1,55 @@
+"""Follow what the engine reports of its load and publish it as metrics."""
+
+import curio
+
+from bluebellrun.core import Clock
+from bluebellrun.engines import EngineLoad, LoadClient, LoadReportError
+from bluebellrun.telemetry import Metrics, get_logger
+
+_log = get_logger("agent.load")
+
+
+class EngineLoadWatcher:
+    """Read the engine's load at an interval."""
+
+    def __init__(
+        self, client: LoadClient, interval_s: float, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._client = client
+        self._interval_s = interval_s
+        self._clock = clock
+        self._metrics = metrics
+        self._load: EngineLoad | None = None
+        self._read_at = 0.0
+
+    @property
+    def load(self) -> EngineLoad | None:
+        """Return the last report, or none when the engine has not answered yet."""
+        return self._load
+
+    @property
+    def age_s(self) -> float:
+        """Return how long ago the last report was read, in seconds."""
+        return self._clock.now() - self._read_at
+
+    async def run(self) -> None:
+        """Read reports for ever; log when the engine stops or starts answering."""
+        answering = True
+        while True:
+            answered = await self._read()
+            if answered != answering:
+                _log.info("load report changed", answering=answered)
+            answering = answered
+            await curio.sleep(self._interval_s)
+
+    async def _read(self) -> bool:
+        """Read one report; return whether the engine answered."""
+        try:
+            self._load = await self._client.read()
+        except LoadReportError:
+            return False
+        self._read_at = self._clock.now()
+        self._metrics.gauge("agent.engine.waiting", self._load.waiting)
+        self._metrics.gauge("agent.engine.running", self._load.running)
+        self._metrics.gauge("agent.engine.step_seconds", self._load.step_s)
+        return True
--- a/bluebellrun/agent/_settings.py
+++ b/bluebellrun/agent/_settings.py
@@ -34,6 +34,9 @@
     gap_timeout_s: float = Field(
         default=10.0, gt=0, description="Longest silence inside an answer, in s."
     )
+    load_interval_s: float = Field(
+        default=5.0, gt=0, description="Time between reads of a model engine's load, in s."
+    )
     flush_interval_s: float = Field(
         default=0.002, ge=0, description="Time in which pieces of answers are collected, in s."
     )
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -7,11 +7,13 @@
 
 from bluebellrun.admission import AdmissionSettings, make_admission
 from bluebellrun.agent._agent import Agent
+from bluebellrun.agent._engine_load import EngineLoadWatcher
 from bluebellrun.agent._settings import AgentSettings
 from bluebellrun.conf import settings_command
 from bluebellrun.core import MonotonicClock, new_incarnation
 from bluebellrun.distribution import ConfigurationFollower
 from bluebellrun.engines import (
+    LoadClient,
     ModelEngine,
     PlainService,
     UpstreamClient,
@@ -81,11 +83,22 @@
     await spawn_background(listener.run)
     await spawn_background(follower.run)
     await spawn_background(agent.run)
+    await _watch_load(settings)
     _log.info("ready", listen=str(listener.address), upstream=str(settings.upstream))
     await signals.next()
     return await _stop(agent, signals, settings.stop_grace_s)
 
 
+async def _watch_load(settings: AgentSettings) -> None:
+    """Follow the load that a model engine reports."""
+    if settings.protocol != "model":
+        return
+    client = LoadClient(settings.upstream, settings.upstream_connect_timeout_s)
+    metrics = Metrics(settings.statsd, "bluebellrun")
+    watcher = EngineLoadWatcher(client, settings.load_interval_s, MonotonicClock(), metrics)
+    await spawn_background(watcher.run)
+
+
 async def _stop(agent: Agent, signals: StopSignals, grace_s: float) -> int:
     """Stop in peace; a second signal or the end of the grace cuts off what is left."""
     async with curio.ignore_after(grace_s), curio.TaskGroup(wait=any) as group:
--- a/bluebellrun/engines/__init__.py
+++ b/bluebellrun/engines/__init__.py
@@ -8,6 +8,7 @@
     RequestDeclinedError,
     UpstreamSilentError,
 )
+from bluebellrun.engines._load import EngineLoad, LoadClient, LoadReportError, parse_load
 from bluebellrun.engines._models import ModelEngine, PlainService, UpstreamKind, UpstreamTimeouts
 from bluebellrun.engines._sse import DoneWatcher
 
@@ -15,6 +16,9 @@
     "AnswerBrokenError",
     "DoneWatcher",
     "EngineError",
+    "EngineLoad",
+    "LoadClient",
+    "LoadReportError",
     "ModelEngine",
     "NothingSentError",
     "PlainService",
@@ -25,4 +29,5 @@
     "UpstreamRequest",
     "UpstreamSilentError",
     "UpstreamTimeouts",
+    "parse_load",
 ]
--- a/bluebellrun/entry/_entry.py
+++ b/bluebellrun/entry/_entry.py
@@ -1,8 +1,11 @@
 """The entry: answers each HTTP request of a caller."""
 
+import json
+
 from bluebellrun.core import (
     AlreadyRan,
     Clock,
+    InvariantError,
     NotRun,
     Outcome,
     Ran,
@@ -17,7 +20,7 @@
 from bluebellrun.entry._problems import CallerError, Problem, problem_body, problem_headers
 from bluebellrun.entry._settings import EntrySettings
 from bluebellrun.telemetry import Metrics, get_logger
-from bluebellrun.transport import HttpExchange
+from bluebellrun.transport import CallerGoneError, HttpExchange
 
 HEALTH_PATHS = frozenset({"/healthz", "/readyz"})
 
@@ -64,18 +67,36 @@
             await self._answer(exchange, request_id)
         except CallerError as error:
             await self._answer_problem(exchange, request_id, error.problem)
+        except (OSError, CallerGoneError, InvariantError):
+            raise
+        except Exception:
+            _log.exception("request failed", request=request_id)
+            await self._answer_failure(exchange, request_id)
         finally:
             self._in_progress -= 1
             self._metrics.timing("entry.request", self._clock.now() - started)
 
+    async def _answer_failure(self, exchange: HttpExchange, request_id: RequestId) -> None:
+        """Answer a request that this entry failed on, so that its outcome is not known."""
+        if exchange.started:
+            exchange.abort()
+            return
+        detail = "the entry failed; its operators find the cause under this request id"
+        await self._answer_problem(exchange, request_id, Problem(500, Unknown(detail), detail))
+
     async def _answer_health(self, exchange: HttpExchange) -> None:
         """Answer the platform's balancer."""
         if exchange.request.path == "/healthz":
-            await exchange.answer_json(200, {"status": "alive"})
+            await self._answer_plainly(exchange, 200, {"status": "alive"})
             return
         ready = self._follower.current is not None and not self._stopping
         status = {"ready": ready, "stopping": self._stopping}
-        await exchange.answer_json(200 if ready else 503, status)
+        await self._answer_plainly(exchange, 200 if ready else 503, status)
+
+    async def _answer_plainly(self, exchange: HttpExchange, status: int, value: object) -> None:
+        """Answer with JSON under a new request id."""
+        headers = [("content-type", "application/json"), ("request-id", new_request_id())]
+        await exchange.answer(status, headers, json.dumps(value).encode())
 
     async def _answer(self, exchange: HttpExchange, request_id: RequestId) -> None:
         """Answer a caller's request."""
@@ -85,7 +106,7 @@
         if exchange.request.path == "/v1/models" and exchange.request.method == "GET":
             find_customer(configuration, exchange.request)
             listed = [{"id": m, "object": "model"} for m in configuration.services.models]
-            await exchange.answer_json(200, {"object": "list", "data": listed})
+            await self._answer_plainly(exchange, 200, {"object": "list", "data": listed})
             return
         request = read_request(
             configuration,
--- a/bluebellrun/entry/_problems.py
+++ b/bluebellrun/entry/_problems.py
@@ -16,6 +16,7 @@
     409: "Conflict",
     413: "Body too large",
     429: "Too many requests",
+    500: "Internal error",
     503: "Not run for now",
     504: "No whole answer in time",
 }
--- a/bluebellrun/entry/_relay.py
+++ b/bluebellrun/entry/_relay.py
@@ -7,8 +7,7 @@
 from bluebellrun.entry._callers import CallerRequest
 from bluebellrun.entry._channel import AgentChannel, AttemptInbox
 from bluebellrun.messages import AgentEvent, Chunk, End, Failed, Head, Refused, Started
-from bluebellrun.transport import Headers, HttpExchange, header_value
-from bluebellrun.transport._http_models import end_to_end
+from bluebellrun.transport import Headers, HttpExchange, end_to_end, header_value
 
 EVENT_STREAM = "text/event-stream"
 CONFIRM_FRACTION = 4
--- a/bluebellrun/transport/__init__.py
+++ b/bluebellrun/transport/__init__.py
@@ -15,9 +15,15 @@
     Headers,
     HttpLimits,
     HttpRequest,
+    end_to_end,
     header_value,
 )
-from bluebellrun.transport._http_server import HttpExchange, HttpServer
+from bluebellrun.transport._http_server import (
+    CallerGoneError,
+    HttpExchange,
+    HttpHandler,
+    HttpServer,
+)
 from bluebellrun.transport._link import Call, Link, LinkTiming, dial, serve_link
 from bluebellrun.transport._listener import Listener
 
@@ -25,12 +31,14 @@
     "BadResponseError",
     "Call",
     "CallError",
+    "CallerGoneError",
     "ClientTimeouts",
     "ConnectError",
     "ConnectionLostError",
     "Headers",
     "HttpClient",
     "HttpExchange",
+    "HttpHandler",
     "HttpLimits",
     "HttpRequest",
     "HttpResponse",
@@ -42,6 +50,7 @@
     "PeerTimeoutError",
     "TransportError",
     "dial",
+    "end_to_end",
     "header_value",
     "serve_link",
 ]
--- a/bluebellrun/transport/_http_server.py
+++ b/bluebellrun/transport/_http_server.py
@@ -6,17 +6,19 @@
 
 import json
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Any
 
 import curio
 import h11
 
-from bluebellrun.core import Address
+from bluebellrun.core import Address, new_request_id
 from bluebellrun.transport._http_models import Headers, HttpLimits, HttpRequest, decode_headers
 from bluebellrun.transport._listener import Listener
 
 READ_SIZE = 65_536
 BAD_REQUEST = 400
+UNAVAILABLE = 503
 REQUEST_TIMEOUT = 408
 PAYLOAD_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
@@ -111,7 +113,9 @@
     ) -> None:
         self._handler = handler
         self._limits = limits
-        self._listener = Listener(address, self._serve, limits.max_connections, tls)
+        self._listener = Listener(
+            address, self._serve, limits.max_connections, tls, self._turn_away
+        )
         self._closing = False
 
     @property
@@ -139,6 +143,14 @@
         while await self._serve_one(connection):
             pass
 
+    async def _turn_away(self, sock: Any) -> None:
+        """Refuse a connection beyond the limit."""
+        connection = _Connection(sock, self._limits)
+        limit = self._limits.max_connections
+        await connection.refuse(
+            UNAVAILABLE, f"{limit} connections are open already; come back later", retry_after_s=1
+        )
+
     async def _serve_one(self, connection: "_Connection") -> bool:
         """Serve one request; return whether the connection can take another."""
         try:
@@ -205,15 +217,26 @@
         except OSError as error:
             raise CallerGoneError(str(error)) from error
 
-    async def refuse(self, status: int, detail: str) -> None:
+    async def refuse(self, status: int, detail: str, retry_after_s: int | None = None) -> None:
         """Answer a request that was not accepted, then close gently."""
-        problem = {"status": status, "title": "Bad request", "detail": detail}
-        body = json.dumps({**problem, "type": "about:blank", "outcome": "not_run"}).encode()
+        request_id = new_request_id()
+        problem = {
+            "type": "about:blank",
+            "title": HTTPStatus(status).phrase,
+            "status": status,
+            "detail": detail,
+            "outcome": "not_run",
+            "request_id": request_id,
+        }
+        body = json.dumps(problem).encode()
         headers = [
             ("content-type", "application/problem+json"),
             ("content-length", str(len(body))),
             ("connection", "close"),
+            ("request-id", request_id),
         ]
+        if retry_after_s is not None:
+            headers.append(("retry-after", str(retry_after_s)))
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         try:
--- a/bluebellrun/transport/_listener.py
+++ b/bluebellrun/transport/_listener.py
@@ -9,6 +9,8 @@
 from bluebellrun.core import Address
 
 ACCEPT_BACKLOG = 1_024
+MAX_TURNED_AWAY = 64
+ACCEPT_RETRY_S = 0.05
 
 ConnectionHandler = Callable[[Any], Awaitable[None]]
 
@@ -22,13 +24,14 @@
         handler: ConnectionHandler,
         max_connections: int = 4_096,
         tls: Any = None,
+        turn_away: ConnectionHandler | None = None,
     ) -> None:
         self._socket = network.tcp_server_socket(address.ip, address.port, backlog=ACCEPT_BACKLOG)
         self._handler = handler
         self._max_connections = max_connections
         self._tls = tls
+        self._turn_away = turn_away
         self._open = 0
-        self._group = curio.TaskGroup(wait=None)
         self._closed = False
 
     @property
@@ -50,21 +53,28 @@
             except OSError:
                 if self._closed:
                     return
-                await curio.sleep(0.05)
+                await curio.sleep(ACCEPT_RETRY_S)
                 continue
-            if self._open >= self._max_connections:
-                await client.close()
-                continue
-            self._open += 1
-            await curio.spawn(self._serve, client, daemon=True)
+            await self._admit(client)
+
+    async def _admit(self, client: Any) -> None:
+        """Serve a connection, or turn it away when as many as allowed are open."""
+        handler: ConnectionHandler | None = self._handler
+        if self._open >= self._max_connections:
+            handler = self._turn_away
+        if handler is None or self._open >= self._max_connections + MAX_TURNED_AWAY:
+            await client.close()
+            return
+        self._open += 1
+        await curio.spawn(self._serve, client, handler, daemon=True)
 
     async def close(self) -> None:
         """Stop accepting; connections already open go on."""
         self._closed = True
         await self._socket.close()
 
-    async def _serve(self, client: Any) -> None:
-        """Run the handler on one connection and close it."""
+    async def _serve(self, client: Any, handler: ConnectionHandler) -> None:
+        """Run a handler on one connection and close it."""
         try:
             client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._tls is not None:
@@ -72,7 +82,7 @@
                     client, server_side=True, do_handshake_on_connect=False
                 )
                 await client.do_handshake()
-            await self._handler(client)
+            await handler(client)
         except OSError:
             return
         finally:
--- a/standins/_serving.py
+++ b/standins/_serving.py
@@ -6,8 +6,7 @@
 
 from bluebellrun.core import Address
 from bluebellrun.runtime import StopSignals
-from bluebellrun.transport import HttpExchange, HttpLimits, HttpServer
-from bluebellrun.transport._http_server import HttpHandler
+from bluebellrun.transport import HttpExchange, HttpHandler, HttpLimits, HttpServer
 
 STANDIN_LIMITS = HttpLimits(max_body_bytes=67_108_864, write_timeout_s=600.0)
 
--- /dev/null
+++ b/tests/engines/test_load.py
@@ -0,0 +1,21 @@
+import pytest
+
+from bluebellrun.engines import EngineLoad, LoadReportError, parse_load
+
+REPORT = """\
+# TYPE engine_requests_waiting gauge
+engine_requests_waiting 3
+engine_requests_running 4
+engine_step_seconds 0.02
+engine_tokens_total 100
+"""
+
+
+def test_a_report_is_read():
+    assert parse_load(REPORT) == EngineLoad(3, 4, 0.02, 100)
+
+
+@pytest.mark.parametrize("text", ["", "engine_requests_waiting", REPORT.replace("100", "many")])
+def test_a_malformed_report_is_refused(text):
+    with pytest.raises(LoadReportError):
+        parse_load(text)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -91,3 +91,21 @@
     answer = curio.run(main)
     assert b"part" in answer
     assert not answer.endswith(b"0\r\n\r\n")
+
+
+def test_a_connection_beyond_the_limit_is_told_to_come_back():
+    async def main() -> bytes:
+        server = HttpServer(Address("127.0.0.1", 0), echo, HttpLimits(max_connections=1))
+        await curio.spawn(server.run, daemon=True)
+        first = await curio.open_connection(*_pair(server))
+        second = await curio.open_connection(*_pair(server))
+        answer = b""
+        while data := await second.recv(10_000):
+            answer += data
+        await first.close()
+        return answer
+
+    answer = curio.run(main)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"retry-after: 1" in answer
+    assert b"request-id: " in answer
