--- a/bluebellrun/routing/_baselines.py
+++ b/bluebellrun/routing/_baselines.py
@@ -9,9 +9,22 @@
 class _Unlearning:
     """A policy that learns nothing from what becomes of requests."""
 
+    @property
+    def stragglers(self) -> frozenset[str]:
+        """Return none: stragglers are not looked for."""
+        return frozenset()
+
+    @property
+    def ejected(self) -> frozenset[str]:
+        """Return none: no upstream is ejected."""
+        return frozenset()
+
     def on_refused(self, name: str, now: float) -> None:
         """Ignore a refusal."""
 
+    def on_unreachable(self, name: str, now: float) -> None:
+        """Ignore a failure to connect."""
+
     def on_first_byte(self, name: str, seconds: float, now: float) -> None:
         """Ignore a first byte."""
 
--- /dev/null
+++ b/bluebellrun/routing/_expected_finish.py
@@ -0,0 +1,164 @@
+"""Route to the sampled upstream where a request is expected to finish first.
+
+A request whose prompt prefix is known goes to the prefix's home unless that is more loaded than
+the mean allows. All else is offered to the best of a few upstreams: some of the entry's own failure
+domain and some of the rest, so that work spills over by load.
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+import xxhash
+
+from bluebellrun.routing._ejection import OutlierEjection
+from bluebellrun.routing._models import Candidate, RoutedWork
+from bluebellrun.routing._outlook import LoadView, step_s, usual_occupied
+from bluebellrun.routing._prefixes import PrefixMap
+from bluebellrun.routing._straggler import StragglerDetector
+
+SUBSET_SIZE = 48
+NEAR_SAMPLES = 2
+FAR_SAMPLES = 2
+OTHER_DOMAIN_S = 0.004
+OTHER_REGION_S = 0.1
+ASSUMED_TOKENS = 32
+HOME_EXCESS = 1.2
+HOME_SLACK = 1.0
+REFUSED_S = 0.25
+
+
+class ExpectedFinishRouting:
+    """Expected finish over a stable subset, with affinity, ejection and slow start."""
+
+    def __init__(self, random: Random, failure_domain: str = "") -> None:
+        self._random = random
+        self._failure_domain = failure_domain
+        self._region = ""
+        self._subset_seed = random.getrandbits(32)
+        self._loads = LoadView()
+        self._detector = StragglerDetector()
+        self._outliers = OutlierEjection()
+        self._prefixes = PrefixMap()
+        self._refused: dict[str, float] = {}
+        self._ejected: frozenset[str] = frozenset()
+
+    @property
+    def stragglers(self) -> frozenset[str]:
+        """Return the upstreams whose steps are far slower than their own history."""
+        return self._detector.stragglers
+
+    @property
+    def ejected(self) -> frozenset[str]:
+        """Return the upstreams that get no work for a while after failures."""
+        return self._ejected
+
+    def choose(
+        self, work: RoutedWork, candidates: Sequence[Candidate], now: float
+    ) -> Candidate | None:
+        """Return the candidate to offer the request to, or none when there is none."""
+        if not candidates:
+            return None
+        self._learn(candidates, now)
+        usable = self._usable(self._subset(work.service, candidates), now)
+        chosen = self._home(work, usable, now) or self._best_sampled(usable, now)
+        self._loads.note_sent(chosen.name, now)
+        self._prefixes.note(work.prompt, chosen.name)
+        return chosen
+
+    def on_refused(self, name: str, now: float) -> None:
+        """Avoid an upstream for a moment after it refused a request."""
+        self._refused[name] = now
+
+    def on_unreachable(self, name: str, now: float) -> None:
+        """Count a failure against an upstream whose agent cannot be reached."""
+        self._outliers.note_failure(name, now)
+
+    def on_first_byte(self, name: str, seconds: float, now: float) -> None:
+        """Note that an upstream answers."""
+        self._outliers.note_success(name, now)
+
+    def on_finished(self, name: str, seconds: float, failed: bool, now: float) -> None:
+        """Note that a request ended."""
+        if failed:
+            self._outliers.note_failure(name, now)
+        else:
+            self._outliers.note_success(name, now)
+
+    def _learn(self, candidates: Sequence[Candidate], now: float) -> None:
+        """Take in the reports."""
+        self._loads.meet(candidates, now)
+        for candidate in candidates:
+            self._detector.observe(candidate.name, candidate.load.step_s, candidate.load.reported)
+
+    def _subset(self, service: str, candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+        """Return this entry's stable part of a large service."""
+        if len(candidates) <= SUBSET_SIZE:
+            return candidates
+        seed = self._subset_seed
+        ranked = sorted(candidates, key=lambda c: xxhash.xxh3_64_intdigest(c.name.encode(), seed=seed))
+        return ranked[:SUBSET_SIZE]
+
+    def _usable(self, candidates: Sequence[Candidate], now: float) -> list[Candidate]:
+        """Return the candidates that are not ejected, and not just refused where others exist."""
+        self._ejected = self._outliers.ejected([c.name for c in candidates], now)
+        healthy = [c for c in candidates if c.name not in self._ejected] or list(candidates)
+        willing = [c for c in healthy if now - self._refused.get(c.name, -1e9) > REFUSED_S]
+        return willing or healthy
+
+    def _home(
+        self, work: RoutedWork, candidates: Sequence[Candidate], now: float
+    ) -> Candidate | None:
+        """Return the first home of the prompt's prefix that is not overloaded."""
+        by_name = {candidate.name: candidate for candidate in candidates}
+        homes = self._prefixes.homes(work.prompt, list(by_name))
+        if not homes:
+            return None
+        usual = usual_occupied(candidates)
+        most = HOME_EXCESS * usual + HOME_SLACK
+        for name in homes:
+            candidate = by_name[name]
+            occupied = self._loads.occupied(candidate, usual, now)
+            if name not in self.stragglers and occupied <= most * self._loads.weight(name, now):
+                return candidate
+        return None
+
+    def _best_sampled(self, candidates: Sequence[Candidate], now: float) -> Candidate:
+        """Return the sampled candidate with the least expected finish."""
+        usual = usual_occupied(candidates)
+        region = self._own_region(candidates)
+        sampled = self._sample(candidates)
+        return min(sampled, key=lambda item: self._finish_s(item, usual, region, now))
+
+    def _sample(self, candidates: Sequence[Candidate]) -> list[Candidate]:
+        """Return a few candidates of the own failure domain and a few others, at random."""
+        near = [c for c in candidates if c.failure_domain == self._failure_domain]
+        far = [c for c in candidates if c.failure_domain != self._failure_domain]
+        sampled = self._random.sample(near, min(NEAR_SAMPLES, len(near)))
+        wanted = NEAR_SAMPLES + FAR_SAMPLES - len(sampled)
+        return sampled + self._random.sample(far, min(wanted, len(far)))
+
+    def _own_region(self, candidates: Sequence[Candidate]) -> str:
+        """Return the region of this entry, learned from upstreams of its failure domain."""
+        for candidate in candidates:
+            if candidate.failure_domain == self._failure_domain:
+                self._region = candidate.region
+                break
+        return self._region
+
+    def _finish_s(self, candidate: Candidate, usual: float, region: str, now: float) -> float:
+        """Return how long a request is expected to take there, in seconds."""
+        run_s = step_s(candidate) * ASSUMED_TOKENS
+        places = max(1.0, candidate.load.limit * self._loads.weight(candidate.name, now))
+        occupied = self._loads.occupied(candidate, usual, now)
+        queued = max(0.0, occupied + 1 - places)
+        wait_s = queued * run_s / places
+        balance_s = step_s(candidate) * occupied / places
+        return wait_s + run_s + balance_s + self._distance_s(candidate, region)
+
+    def _distance_s(self, candidate: Candidate, region: str) -> float:
+        """Return what the distance to an upstream counts, in seconds."""
+        if candidate.failure_domain == self._failure_domain:
+            return 0.0
+        if not region or candidate.region == region:
+            return OTHER_DOMAIN_S
+        return OTHER_REGION_S
--- a/bluebellrun/routing/_models.py
+++ b/bluebellrun/routing/_models.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamLoad:
-    """An agent's report of its load and when it came, in seconds."""
+    """An agent's report of its load and when it came, in seconds; 0 when none has come."""
 
     waiting: int = 0
     running: int = 0
@@ -45,6 +45,14 @@
 class RoutingPolicy(Protocol):
     """Choose an upstream among candidates and learn from what becomes of requests."""
 
+    @property
+    def stragglers(self) -> frozenset[str]:
+        """Return the upstreams whose steps are far slower than their own history."""
+
+    @property
+    def ejected(self) -> frozenset[str]:
+        """Return the upstreams that get no work for a while after failures."""
+
     def choose(
         self, work: RoutedWork, candidates: Sequence[Candidate], now: float
     ) -> Candidate | None:
@@ -53,6 +61,9 @@
     def on_refused(self, name: str, now: float) -> None:
         """Note that an upstream refused a request."""
 
+    def on_unreachable(self, name: str, now: float) -> None:
+        """Note that an upstream's agent could not be reached."""
+
     def on_first_byte(self, name: str, seconds: float, now: float) -> None:
         """Note the time from sending a request to its first byte."""
 
--- /dev/null
+++ b/bluebellrun/routing/_outlook.py
@@ -0,0 +1,90 @@
+"""What an entry knows of the load of its upstreams: reports, aged out, and its own sending."""
+
+from collections import deque
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass, field
+
+from bluebellrun.routing._models import Candidate
+
+REPORT_MEMORY_S = 1.0
+OLDEST_SENT_S = 5.0
+SLOW_START_S = 8.0
+FIRST_WEIGHT = 0.25
+GUESSED_STEP_S = 0.05
+
+
+@dataclass(slots=True)
+class _Known:
+    """When an upstream was first seen and when this entry sent it requests, in seconds."""
+
+    first_seen: float
+    newcomer: bool
+    sent: deque[float] = field(default_factory=deque)
+
+
+class LoadView:
+    """Estimate how loaded each upstream is now."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+        self._started: float | None = None
+
+    def meet(self, candidates: Sequence[Candidate], now: float) -> None:
+        """Take note of upstreams not seen before; those of the first moment are not new."""
+        if self._started is None and candidates:
+            self._started = now
+        for candidate in candidates:
+            if candidate.name not in self._known:
+                newcomer = self._started is not None and now > self._started
+                self._known[candidate.name] = _Known(now, newcomer)
+
+    def note_sent(self, name: str, now: float) -> None:
+        """Note that a request is sent to an upstream."""
+        sent = self._known[name].sent
+        sent.append(now)
+        while sent and now - sent[0] > OLDEST_SENT_S:
+            sent.popleft()
+
+    def keep(self, names: Collection[str]) -> None:
+        """Forget upstreams that are gone."""
+        for name in [name for name in self._known if name not in names]:
+            del self._known[name]
+
+    def occupied(self, candidate: Candidate, usual: float, now: float) -> float:
+        """Return the requests that wait or run there, from the report as far as it is fresh.
+
+        ``usual`` is what the other upstreams have on average; an old report fades into it.
+        """
+        reported = candidate.load.waiting + candidate.load.running
+        since = sum(1 for at in self._known[candidate.name].sent if at > candidate.load.reported)
+        fresh = self.freshness(candidate, now)
+        believed = fresh * reported + (1 - fresh) * max(usual, candidate.in_flight)
+        return max(believed + since * fresh, float(candidate.in_flight))
+
+    def freshness(self, candidate: Candidate, now: float) -> float:
+        """Return from 1 to 0 how far a report still counts; an idle upstream sends none."""
+        if candidate.load.reported == 0:
+            return 0.0
+        if candidate.in_flight == 0 and candidate.load.running == 0:
+            return 1.0
+        age = max(0.0, now - candidate.load.reported)
+        return float(2.0 ** (-age / REPORT_MEMORY_S))
+
+    def weight(self, name: str, now: float) -> float:
+        """Return the part of its capacity that a newcomer is trusted with."""
+        known = self._known[name]
+        if not known.newcomer:
+            return 1.0
+        grown = (now - known.first_seen) / SLOW_START_S
+        return min(1.0, FIRST_WEIGHT + (1 - FIRST_WEIGHT) * grown)
+
+
+def usual_occupied(candidates: Sequence[Candidate]) -> float:
+    """Return the mean of the requests that upstreams reported."""
+    total = sum(item.load.waiting + item.load.running for item in candidates)
+    return total / len(candidates) if candidates else 0.0
+
+
+def step_s(candidate: Candidate) -> float:
+    """Return an upstream's step time in seconds, a guess where none has been reported."""
+    return candidate.load.step_s or GUESSED_STEP_S
--- a/bluebellrun/routing/_registry.py
+++ b/bluebellrun/routing/_registry.py
@@ -4,9 +4,11 @@
 from random import Random
 
 from bluebellrun.routing._baselines import LeastRequestsRouting, RoundRobinRouting
+from bluebellrun.routing._expected_finish import ExpectedFinishRouting
 from bluebellrun.routing._models import RoutingPolicy
 
 ROUTING_POLICIES: dict[str, Callable[[Random, str], RoutingPolicy]] = {
+    "expected-finish": ExpectedFinishRouting,
     "round-robin": RoundRobinRouting,
     "least-requests": LeastRequestsRouting,
 }
--- /dev/null
+++ b/bluebellrun/routing/_straggler.py
@@ -0,0 +1,94 @@
+"""Find an upstream whose steps became far slower than its own history.
+
+The history moves slowly and stands still while the upstream straggles, so that a long fault does
+not become the norm. A rise that most upstreams of the service share is load, not a straggler.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+SLOW_FACTOR = 2.0
+RECOVERED_FACTOR = 1.4
+REPORTS_TO_SUSPECT = 2
+HISTORY_MEMORY_S = 30.0
+WARM_UP_REPORTS = 5
+SHARED_RISE_PART = 0.5
+
+
+@dataclass(slots=True)
+class _History:
+    """Step times of one upstream, in seconds."""
+
+    usual_s: float
+    seen: float
+    reports: int = 1
+    latest_s: float = 0.0
+    slow_reports: int = 0
+    straggles: bool = False
+
+    @property
+    def ratio(self) -> float:
+        """Return the latest step time beside the usual one."""
+        return self.latest_s / self.usual_s if self.usual_s > 0 else 1.0
+
+
+class StragglerDetector:
+    """Compare each upstream's step time with its own past."""
+
+    def __init__(self) -> None:
+        self._histories: dict[str, _History] = {}
+
+    @property
+    def stragglers(self) -> frozenset[str]:
+        """Return the upstreams that straggle."""
+        return frozenset(name for name, item in self._histories.items() if item.straggles)
+
+    def observe(self, name: str, step_s: float, reported: float) -> None:
+        """Take a report of a step time; the same report may be given again."""
+        if step_s <= 0:
+            return
+        history = self._histories.get(name)
+        if history is None:
+            self._histories[name] = _History(step_s, reported, latest_s=step_s)
+            return
+        if reported <= history.seen:
+            return
+        history.latest_s = step_s
+        self._judge(history)
+        self._learn(history, reported)
+
+    def slowness(self, name: str) -> float:
+        """Return how many times slower than usual an upstream is, 1 when not known."""
+        history = self._histories.get(name)
+        return max(1.0, history.ratio) if history is not None and history.straggles else 1.0
+
+    def keep(self, names: Collection[str]) -> None:
+        """Forget upstreams that are gone."""
+        for name in [name for name in self._histories if name not in names]:
+            del self._histories[name]
+
+    def _judge(self, history: _History) -> None:
+        """Decide whether an upstream straggles now."""
+        if history.straggles:
+            history.straggles = history.ratio > RECOVERED_FACTOR
+            return
+        slow = history.ratio > SLOW_FACTOR and history.reports >= WARM_UP_REPORTS
+        history.slow_reports = history.slow_reports + 1 if slow else 0
+        if history.slow_reports >= REPORTS_TO_SUSPECT and not self._rise_is_shared():
+            history.straggles = True
+
+    def _rise_is_shared(self) -> bool:
+        """Return whether most upstreams are slower than usual."""
+        slow = sum(item.ratio > SLOW_FACTOR for item in self._histories.values())
+        return slow > 1 and slow > SHARED_RISE_PART * len(self._histories)
+
+    def _learn(self, history: _History, reported: float) -> None:
+        """Move the usual step time towards the latest unless it is exceptional."""
+        elapsed = reported - history.seen
+        history.seen = reported
+        history.reports += 1
+        if history.straggles or history.slow_reports:
+            return
+        weight = 1 / history.reports if history.reports <= WARM_UP_REPORTS else 0.0
+        weight = max(weight, min(1.0, elapsed / HISTORY_MEMORY_S))
+        history.usual_s += weight * (history.latest_s - history.usual_s)
