--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -21,7 +21,7 @@
     admission: str
 
 
-OURS = Policies("ours", "least-requests", "fifo")
+OURS = Policies("ours", "expected-finish", "fair")
 BASELINES = (
     Policies("least-requests+fifo", "least-requests", "fifo"),
     Policies("round-robin+fifo", "round-robin", "fifo"),
--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission at the agent: which work runs next, and which is refused."""
 
+from bluebellrun.admission._estimates import stated_answer_tokens
 from bluebellrun.admission._fair import FairAdmission
 from bluebellrun.admission._fifo import FifoAdmission
 from bluebellrun.admission._models import (
@@ -21,4 +22,5 @@
     "Refusal",
     "Work",
     "make_admission",
+    "stated_answer_tokens",
 ]
--- a/bluebellrun/admission/_estimates.py
+++ b/bluebellrun/admission/_estimates.py
@@ -1,5 +1,6 @@
 """Learned cost of requests, by customer and kind, and the rate at which cost is worked off."""
 
+import re
 from collections import OrderedDict
 
 from bluebellrun.admission._models import Work
@@ -9,6 +10,13 @@
 LEARNING_RATE = 0.1
 MAX_KINDS = 4_096
 RATE_MEMORY = 0.95
+STATED_LENGTH = re.compile(rb'"max_(?:completion_)?tokens"\s*:\s*(\d{1,7})\b')
+
+
+def stated_answer_tokens(body: bytes) -> int:
+    """Return the longest answer that a model request asks for in tokens, 0 where not stated."""
+    found = STATED_LENGTH.search(body)
+    return int(found.group(1)) if found else 0
 
 
 class CostEstimates:
--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -8,6 +8,7 @@
 from bluebellrun.agent._execution import Execution, ExecutionState
 from bluebellrun.agent._session import Session
 from bluebellrun.agent._settings import AgentSettings
+from bluebellrun.agent._work import make_targets, make_work
 from bluebellrun.core import Clock, Incarnation, invariants
 from bluebellrun.declarations import Configuration
 from bluebellrun.engines import (
@@ -23,8 +24,6 @@
 from bluebellrun.telemetry import Metrics, get_logger
 from bluebellrun.transport import Headers, end_to_end
 
-BYTES_PER_TOKEN = 4
-DEFAULT_ANSWER_TOKENS = 256
 EXPIRE_INTERVAL_S = 0.02
 DECLINED_RETRY_S = 0.5
 
@@ -101,7 +100,7 @@
     async def submit(self, submit: Submit, session: Session) -> Execution:
         """Take a request: queue it or refuse it."""
         now = self._clock.now()
-        work = self._work(submit, now)
+        work = make_work(submit, now)
         execution = Execution(submit, work, self._settings.answer_window_bytes)
         reason = self._reason_to_refuse(submit)
         if reason is not None:
@@ -115,6 +114,7 @@
             self._metrics.count("agent.refused")
             execution.refuse(refusal.reason, refusal.retry_after_s)
             return execution
+        await self._refuse_hopeless()
         await self._start_work()
         return execution
 
@@ -142,6 +142,7 @@
 
     async def apply_configuration(self, configuration: Configuration) -> None:
         """Follow a new configuration: drain when it says so."""
+        self._admission.follow_targets(make_targets(configuration))
         upstream = configuration.upstream(self._settings.name)
         draining = upstream is not None and not upstream.takes_work
         if draining != self._told_to_drain:
@@ -155,8 +156,7 @@
         """Refuse waiting work that can no longer be on time, for ever."""
         while True:
             await curio.sleep(EXPIRE_INTERVAL_S)
-            for refusal in self._admission.expire(self._clock.now()):
-                await self._refuse_waiting(refusal.work, refusal.reason, refusal.retry_after_s)
+            await self._refuse_hopeless()
 
     async def stop(self) -> None:
         """Refuse new work, hand back what waits and wait for what runs."""
@@ -179,20 +179,6 @@
             return "the agent holds as many requests as it may"
         return None
 
-    def _work(self, submit: Submit, now: float) -> Work:
-        """Return the request as admission sees it."""
-        prompt_tokens = len(submit.body) // BYTES_PER_TOKEN
-        return Work(
-            attempt=submit.attempt,
-            customer=submit.customer,
-            priority=submit.priority,
-            arrived=now,
-            deadline=now + submit.budget_s,
-            cost=float(prompt_tokens + DEFAULT_ANSWER_TOKENS),
-            share=submit.share,
-            prompt_tokens=prompt_tokens,
-        )
-
     async def _start_work(self) -> None:
         """Start as much work as admission allows."""
         while (work := self._admission.start_next(self._clock.now())) is not None:
@@ -227,27 +213,35 @@
 
     async def _relay(self, execution: Execution) -> int:
         """Send the request and collect its answer; return the tokens that passed."""
+        sent = self._clock.now()
         answer = await self._client.open(_upstream_request(execution.submit))
         try:
             execution.head(answer.status, end_to_end(answer.headers))
-            await self._relay_body(execution, answer)
+            await self._relay_body(execution, answer, sent)
         finally:
             await answer.close()
         execution.complete()
         return answer.tokens
 
-    async def _relay_body(self, execution: Execution, answer: UpstreamAnswer) -> None:
-        """Collect the body piece by piece and learn the time between pieces."""
+    async def _relay_body(self, execution: Execution, answer: UpstreamAnswer, sent: float) -> None:
+        """Collect the body piece by piece and learn the times to and between pieces."""
         last: float | None = None
         while data := await answer.read():
             now = self._clock.now()
-            if last is not None:
+            if last is None:
+                self._admission.observe_first_token(execution.work, now - sent, now)
+            else:
                 self._step_s += 0.1 * ((now - last) - self._step_s)
                 self._admission.observe_step(now - last, now)
             last = now
             await execution.append(data)
             await self._wake(execution)
 
+    async def _refuse_hopeless(self) -> None:
+        """Refuse waiting work that can no longer be on time or has lost its place."""
+        for refusal in self._admission.expire(self._clock.now()):
+            await self._refuse_waiting(refusal.work, refusal.reason, refusal.retry_after_s)
+
     async def _refuse_waiting(self, work: Work, reason: str, retry_after_s: float | None) -> None:
         """Tell an entry that waiting work will not run."""
         execution = self._executions.get(work.attempt)
--- a/bluebellrun/agent/_settings.py
+++ b/bluebellrun/agent/_settings.py
@@ -24,6 +24,10 @@
         default=32, gt=0, description="Requests at the upstream at once, at first."
     )
     max_waiting: int = Field(default=4_096, gt=0, description="Most requests that wait.")
+    engine_preempts: bool = Field(
+        default=False,
+        description="Whether the engine pauses less urgent work for more urgent work.",
+    )
     max_answers: int = Field(default=1_024, gt=0, description="Most requests held at once.")
     upstream_connect_timeout_s: float = Field(
         default=1.0, gt=0, description="Deadline for connecting to the upstream, in s."
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -46,7 +46,12 @@
 
 def _make_agent(settings: AgentSettings) -> Agent:
     """Return the agent that settings describe."""
-    bounds = AdmissionSettings(settings.concurrency, settings.max_waiting)
+    bounds = AdmissionSettings(
+        concurrency=settings.concurrency,
+        max_waiting=settings.max_waiting,
+        engine_preempts=settings.engine_preempts,
+        learn_concurrency=settings.protocol == "model",
+    )
     return Agent(
         settings=settings,
         incarnation=new_incarnation(),
--- a/bluebellrun/entry/_dispatcher.py
+++ b/bluebellrun/entry/_dispatcher.py
@@ -1,6 +1,7 @@
 """Offer a request to upstreams until one answers it or trying again is not allowed."""
 
 from dataclasses import dataclass, field
+from random import Random
 
 import curio
 
@@ -16,8 +17,11 @@
 from bluebellrun.entry._callers import CallerRequest
 from bluebellrun.entry._channel import AgentChannel
 from bluebellrun.entry._fleet import Fleet
+from bluebellrun.entry._health import HealthReporter
 from bluebellrun.entry._relay import AnswerRelay
+from bluebellrun.entry._retries import Retries
 from bluebellrun.entry._settings import EntrySettings
+from bluebellrun.entry._spread import CustomerSpread
 from bluebellrun.messages import Submit
 from bluebellrun.routing import RoutedWork, RoutingPolicy
 from bluebellrun.telemetry import Metrics, get_logger
@@ -53,6 +57,9 @@
         self._routing = routing
         self._clock = clock
         self._metrics = metrics
+        self._retries = Retries(settings, Random())
+        self._spread = CustomerSpread()
+        self._health = HealthReporter(routing, metrics)
 
     async def serve(self, exchange: HttpExchange, request: CallerRequest) -> Outcome:
         """Serve a request; the answer has been sent if the outcome is ``Ran``."""
@@ -71,6 +78,7 @@
     ) -> Outcome:
         """Make attempts until one settles the request."""
         outcome: Outcome = NotRun("no upstream takes new work", NO_UPSTREAM_RETRY_S)
+        self._retries.note_first(request)
         while progress.attempts < self._settings.max_attempts:
             channel = self._choose(request, progress)
             if channel is None:
@@ -78,11 +86,17 @@
             progress.attempts += 1
             attempt = attempt_id(request.request_id, progress.attempts)
             outcome = await self._attempt(exchange, request, channel, attempt)
-            if not self._may_retry(exchange, request, outcome):
-                return outcome
+            now = self._clock.now()
             progress.refused_by.add(channel.upstream.name)
-            self._routing.on_refused(channel.upstream.name, self._clock.now())
+            if isinstance(outcome, NotRun):
+                self._routing.on_refused(channel.upstream.name, now)
+            pause_s = self._retries.pause_s(
+                request, outcome, exchange.started, progress.attempts, now
+            )
+            if pause_s is None:
+                return outcome
             self._metrics.count("entry.retries")
+            await curio.sleep(pause_s)
         return outcome
 
     def _choose(self, request: CallerRequest, progress: _Progress) -> AgentChannel | None:
@@ -96,17 +110,9 @@
         )
         candidates = self._fleet.candidates(request.service.name, progress.refused_by)
         chosen = self._routing.choose(work, candidates, self._clock.now())
+        self._health.report()
         return None if chosen is None else self._fleet.channel(chosen.name)
 
-    def _may_retry(self, exchange: HttpExchange, request: CallerRequest, outcome: Outcome) -> bool:
-        """Return whether the request may be offered to another upstream."""
-        match outcome:
-            case NotRun():
-                return True
-            case Unknown():
-                return request.repeatable and not exchange.started
-        return False
-
     async def _attempt(
         self,
         exchange: HttpExchange,
@@ -119,8 +125,9 @@
         started = self._clock.now()
         try:
             incarnation = await channel.open()
-            inbox = await channel.submit(self._message(request, attempt, incarnation))
+            inbox = await channel.submit(self._message(request, attempt, incarnation, name))
         except (ConnectError, LinkLostError) as error:
+            self._routing.on_unreachable(name, self._clock.now())
             return NotRun(f"{name} cannot be reached: {error}", NO_UPSTREAM_RETRY_S)
         relay = AnswerRelay(exchange, request, channel, attempt)
         cancel_reason: str | None = "the caller is gone or its deadline has passed"
@@ -139,7 +146,9 @@
             await relay.break_off(outcome.reason)
         return outcome
 
-    def _message(self, request: CallerRequest, attempt: AttemptId, incarnation: str) -> Submit:
+    def _message(
+        self, request: CallerRequest, attempt: AttemptId, incarnation: str, upstream: str
+    ) -> Submit:
         """Return the request as the agent gets it."""
         return Submit(
             attempt=attempt,
@@ -157,4 +166,5 @@
             share=request.customer.share,
             model=request.model,
             idempotency_key=request.idempotency_key,
+            served_elsewhere=self._spread.take(request, upstream),
         )
--- /dev/null
+++ b/bluebellrun/entry/_retries.py
@@ -0,0 +1,45 @@
+"""Whether, and after what pause, the entry offers a request to another upstream."""
+
+from random import Random
+
+from bluebellrun.core import NotRun, Outcome, Unknown
+from bluebellrun.entry._callers import CallerRequest
+from bluebellrun.entry._settings import EntrySettings
+from bluebellrun.routing import RetryBudget, RetrySettings
+
+
+class Retries:
+    """Decide on retries within a budget for each priority and before the deadline."""
+
+    def __init__(self, settings: EntrySettings, random: Random) -> None:
+        self._budget = RetryBudget(RetrySettings(settings.retry_ratio), random)
+
+    def note_first(self, request: CallerRequest) -> None:
+        """Note the first attempt of a request."""
+        self._budget.note_first(request.priority)
+
+    def pause_s(
+        self,
+        request: CallerRequest,
+        outcome: Outcome,
+        answer_started: bool,
+        attempts: int,
+        now: float,
+    ) -> float | None:
+        """Return the pause in seconds before the next attempt, or none when there is to be none."""
+        if not _permitted(request, outcome, answer_started):
+            return None
+        pause_s = self._budget.pause_s(attempts)
+        if now + pause_s >= request.deadline or not self._budget.take(request.priority):
+            return None
+        return pause_s
+
+
+def _permitted(request: CallerRequest, outcome: Outcome, answer_started: bool) -> bool:
+    """Return whether running the request elsewhere cannot make it run twice unasked."""
+    match outcome:
+        case NotRun():
+            return not answer_started
+        case Unknown():
+            return request.repeatable and not answer_started
+    return False
--- a/bluebellrun/messages/_exchange.py
+++ b/bluebellrun/messages/_exchange.py
@@ -26,7 +26,11 @@
 
 
 class Submit(msgspec.Struct, frozen=True, tag="submit"):
-    """A request to run. ``budget_s`` is the time left before its deadline."""
+    """A request to run. ``budget_s`` is the time left before its deadline.
+
+    ``served_elsewhere`` is what the entry sent for the customer to other upstreams since its last
+    request here, in tokens.
+    """
 
     attempt: str
     request: str
@@ -43,6 +47,7 @@
     share: float = 1.0
     model: str = ""
     idempotency_key: str = ""
+    served_elsewhere: float = 0.0
 
 
 class Delivered(msgspec.Struct, frozen=True, tag="delivered"):
--- a/bluebellrun/routing/_expected_finish.py
+++ b/bluebellrun/routing/_expected_finish.py
@@ -95,7 +95,9 @@
         if len(candidates) <= SUBSET_SIZE:
             return candidates
         seed = self._subset_seed
-        ranked = sorted(candidates, key=lambda c: xxhash.xxh3_64_intdigest(c.name.encode(), seed=seed))
+        ranked = sorted(
+            candidates, key=lambda c: xxhash.xxh3_64_intdigest(c.name.encode(), seed=seed)
+        )
         return ranked[:SUBSET_SIZE]
 
     def _usable(self, candidates: Sequence[Candidate], now: float) -> list[Candidate]:
