Send pieces of answers at once instead of collecting them

Cause: agent and entry waited 2 and 1 ms to collect pieces into batches. Conclusion: an engine delivers the tokens of a step together, so that they share a batch without waiting; the default is now 0 and the delay is gone.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -4,7 +4,6 @@
 import os
 import tempfile
 import threading
-import time
 import urllib.request
 from pathlib import Path
 
@@ -15,6 +14,7 @@
 KEY = "bench-key"
 STREAMS = 150
 TOKENS = 200
+FLUSH_INTERVALS_S = (0.0, 0.002, 0.01)
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -56,39 +56,42 @@
         response.read()
 
 
-def measure(seed: int) -> list[Measure]:
+def _measure_flush(flush_s: float, seed: int) -> list[Measure]:
     """Return tokens a second of one core for the entry and for the agent."""
     with tempfile.TemporaryDirectory() as folder, LocalFleet(Path(folder)) as fleet:
         fleet.start_platform()
         fleet.start_engine("engine-1", "--slots", str(STREAMS), "--step-base-s", "0.02")
-        fleet.start_agent("agent-1", "pool", "engine-1", "--concurrency", str(STREAMS))
+        limits = ("--concurrency", str(STREAMS), "--flush-interval-s", str(flush_s))
+        fleet.start_agent("agent-1", "pool", "engine-1", *limits)
         fleet.start_entry("entry-1")
         _declare(fleet)
         processes = {name: fleet[name].process.pid for name in ("entry-1", "agent-1")}
         before = {name: _processor_seconds(pid) for name, pid in processes.items()}
         url = f"http://{fleet['entry-1'].address}/v1/chat/completions"
-        started = time.monotonic()
         threads = [threading.Thread(target=_stream, args=(url,)) for _ in range(STREAMS)]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
-        wall_s = time.monotonic() - started
         used = {name: _processor_seconds(pid) - before[name] for name, pid in processes.items()}
-    total = STREAMS * TOKENS
-    measures = [
+    policy = f"flush {flush_s * 1000:g} ms"
+    return [
         Measure(
-            "relay",
-            name.removesuffix("-1"),
-            "tokens per core second",
-            total / cost,
-            "tokens/s",
-            None,
-            seed,
+            scenario="relay",
+            policy=policy,
+            measure=f"{name.removesuffix('-1')} tokens per core second",
+            value=STREAMS * TOKENS / cost,
+            unit="tokens/s",
+            bound=None,
+            seed=seed,
         )
         for name, cost in used.items()
     ]
-    measures.append(
-        Measure("relay", "all", "tokens per second", total / wall_s, "tokens/s", None, seed)
-    )
+
+
+def measure(seed: int) -> list[Measure]:
+    """Return the cost for several times in which pieces of answers are collected."""
+    measures: list[Measure] = []
+    for flush_s in FLUSH_INTERVALS_S:
+        measures += _measure_flush(flush_s, seed)
     return measures
--- a/bluebellrun/agent/_settings.py
+++ b/bluebellrun/agent/_settings.py
@@ -38,5 +38,5 @@
         default=5.0, gt=0, description="Time between reads of a model engine's load, in s."
     )
     flush_interval_s: float = Field(
-        default=0.002, ge=0, description="Time in which pieces of answers are collected, in s."
+        default=0.0, ge=0, description="Time in which pieces of answers are collected, in s."
     )
--- a/bluebellrun/entry/_settings.py
+++ b/bluebellrun/entry/_settings.py
@@ -31,5 +31,5 @@
         default=60.0, gt=0, description="Deadline where neither caller nor priority sets one, in s."
     )
     flush_interval_s: float = Field(
-        default=0.001, ge=0, description="Time in which messages to an agent are collected, in s."
+        default=0.0, ge=0, description="Time in which messages to an agent are collected, in s."
     )
