--- /dev/null
+++ b/bluebellrun/groups/_planner.py
@@ -0,0 +1,261 @@
+"""Plan a better expert map: gain in idle time against weights moved."""
+
+from collections.abc import Generator, Sequence
+from dataclasses import dataclass, field
+
+import numpy as np
+
+from bluebellrun.core import invariants
+from bluebellrun.groups._expert_map import ExpertMap, FloatArray, IntArray, weights_to_load
+from bluebellrun.groups._layer import LayerState, Move
+
+MOVES_BETWEEN_PAUSES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerSettings:
+    """What a change of map is worth and how large it may be.
+
+    ``seconds_per_unit`` is a rank's time for a unit of an expert's load; ``weight_cost_s`` is the
+    rank time that loading one weight costs, in s; ``horizon_s`` is the time in which a move has
+    to repay it, ``repay`` times over. ``max_weights`` bounds the weights of one change, which
+    are all in flight at once, and ``max_weights_per_rank`` those of one rank.
+    """
+
+    seconds_per_unit: float = 1.0
+    weight_cost_s: float = 1.0
+    horizon_s: float = 600.0
+    repay: float = 1.5
+    target_skew: float = 1.02
+    max_weights: int = 4_096
+    max_weights_per_rank: int = 128
+    max_moves_per_layer: int = 160
+
+
+@dataclass(frozen=True, slots=True)
+class RankConditions:
+    """What is known of the ranks: time for a unit of work (1 is sound) and ranks to empty."""
+
+    slowness: FloatArray
+    closed: tuple[int, ...] = ()
+    failure_domains: tuple[str, ...] = ()
+
+    def domain_numbers(self) -> IntArray:
+        """Return the failure domain of each rank as a number."""
+        names = self.failure_domains or ("",) * len(self.slowness)
+        order = {name: number for number, name in enumerate(sorted(set(names)))}
+        return np.array([order[name] for name in names], dtype=np.int16)
+
+
+@dataclass(frozen=True, slots=True)
+class MapPlan:
+    """A new map and what it brings; ``expert_map`` is none when no move repays its cost.
+
+    Skews are the longest over the mean rank time, summed over the layers. ``gain_s`` is rank
+    time no longer idle within the horizon, ``cost_s`` the rank time spent on ``weights``.
+    """
+
+    expert_map: ExpertMap | None
+    skew_before: float
+    skew_after: float
+    weights: int = 0
+    gain_s: float = 0.0
+    cost_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _LayerMoves:
+    """The moves found for a layer, the longest time and the weights after each."""
+
+    layer: int
+    moves: list[Move] = field(default_factory=list)
+    longest: list[float] = field(default_factory=list)
+    weights: list[int] = field(default_factory=list)
+
+    def worth(self, count: int, settings: PlannerSettings, ranks: int) -> tuple[float, float]:
+        """Return gain and cost, in s of rank time, of the first moves."""
+        saved = self.longest[0] - self.longest[count]
+        gain = saved * ranks * settings.seconds_per_unit * settings.horizon_s
+        return gain, self.weights[count] * settings.weight_cost_s
+
+    def best_count(self, settings: PlannerSettings, ranks: int) -> int:
+        """Return how many moves bring the most; 0 when they do not repay their cost."""
+        longest = np.array(self.longest)
+        gains = (longest[0] - longest) * ranks * settings.seconds_per_unit * settings.horizon_s
+        costs = np.array(self.weights) * settings.weight_cost_s
+        return int((gains - settings.repay * costs).argmax())
+
+
+def plan_map(
+    current: ExpertMap,
+    load: FloatArray,
+    conditions: RankConditions,
+    settings: PlannerSettings,
+) -> MapPlan:
+    """Return a plan at once; ``load[layer, expert]`` is in units of work a second."""
+    steps = plan_in_steps(current, load, conditions, settings)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            return done.value
+
+
+def plan_in_steps(
+    current: ExpertMap,
+    load: FloatArray,
+    conditions: RankConditions,
+    settings: PlannerSettings,
+) -> Generator[None, None, MapPlan]:
+    """Plan in short steps: yield between them, so that a loop can do other work."""
+    domains = conditions.domain_numbers()
+    before = LongestAndMean()
+    after = LongestAndMean()
+    found: list[_LayerMoves] = []
+    placement = current.placement.copy()
+    emptied = 0
+    for layer in range(current.shape.layers):
+        state = LayerState(
+            placement[layer], load[layer], conditions.slowness, conditions.closed, domains
+        )
+        before.add(state)
+        for rank in conditions.closed:
+            emptied += state.evacuate(rank)
+        placement[layer] = state.placement
+        found.append((yield from _search(layer, state, settings)))
+        yield
+    chosen = yield from _choose(found, settings, current.shape.ranks, emptied)
+    gain_s = cost_s = 0.0
+    for moves, count in chosen:
+        gain, cost = moves.worth(count, settings, current.shape.ranks)
+        gain_s, cost_s = gain_s + gain, cost_s + cost
+        yield from _apply(placement, moves, count, load, conditions, domains)
+    for layer in range(current.shape.layers):
+        after.add(
+            LayerState(
+                placement[layer], load[layer], conditions.slowness, conditions.closed, domains
+            )
+        )
+        yield
+    if not chosen and not emptied:
+        return MapPlan(None, before.skew, before.skew)
+    planned = ExpertMap(current.version + 1, current.shape, placement)
+    yield
+    weights = weights_to_load(current, planned)
+    yield
+    invariants.check(
+        weights <= max(settings.max_weights, emptied),
+        "a change of map stays within its bound of weights",
+        weights=weights,
+        bound=settings.max_weights,
+    )
+    cost_s += emptied * settings.weight_cost_s
+    return MapPlan(planned, before.skew, after.skew, weights, gain_s, cost_s)
+
+
+class LongestAndMean:
+    """Sum the longest and the mean rank time over layers."""
+
+    def __init__(self) -> None:
+        self._longest = 0.0
+        self._mean = 0.0
+
+    @property
+    def skew(self) -> float:
+        """Return the longest over the mean; 1 when there is no load."""
+        return self._longest / self._mean if self._mean > 0 else 1.0
+
+    def add(self, state: LayerState) -> None:
+        """Add one layer."""
+        self._longest += state.longest
+        self._mean += float(state.times.mean())
+
+
+def _search(
+    layer: int, state: LayerState, settings: PlannerSettings
+) -> Generator[None, None, _LayerMoves]:
+    """Find moves for one layer, each the best at its turn."""
+    result = _LayerMoves(layer, longest=[state.longest], weights=[0])
+    while len(result.moves) < settings.max_moves_per_layer and state.skew > settings.target_skew:
+        candidate = state.best_move()
+        if candidate is None:
+            break
+        state.apply(candidate.move)
+        result.moves.append(candidate.move)
+        result.longest.append(state.longest)
+        result.weights.append(result.weights[-1] + candidate.weights)
+        if len(result.moves) % MOVES_BETWEEN_PAUSES == 0:
+            yield
+    return result
+
+
+def _choose(
+    found: Sequence[_LayerMoves], settings: PlannerSettings, ranks: int, emptied: int
+) -> Generator[None, None, list[tuple[_LayerMoves, int]]]:
+    """Choose layers by gain for each weight until the change is as large as it may be."""
+    worthy = [(moves, moves.best_count(settings, ranks)) for moves in found]
+    worthy = [(moves, count) for moves, count in worthy if count]
+    yield
+    worthy.sort(key=lambda item: -_gain_per_weight(item[0], item[1], settings, ranks))
+    room = settings.max_weights - emptied
+    incoming = np.zeros(ranks, dtype=np.int64)
+    chosen = []
+    for moves, count in worthy:
+        fitting = _fit(moves, count, room, incoming, settings)
+        if not fitting:
+            continue
+        gain, cost = moves.worth(fitting, settings, ranks)
+        if gain > settings.repay * cost:
+            chosen.append((moves, fitting))
+            room -= moves.weights[fitting]
+            for move in moves.moves[:fitting]:
+                _count_incoming(move, incoming)
+        yield
+    return chosen
+
+
+def _gain_per_weight(
+    moves: _LayerMoves, count: int, settings: PlannerSettings, ranks: int
+) -> float:
+    """Return the gain of a layer's moves for each weight."""
+    return moves.worth(count, settings, ranks)[0] / moves.weights[count]
+
+
+def _fit(
+    moves: _LayerMoves, count: int, room: int, incoming: IntArray, settings: PlannerSettings
+) -> int:
+    """Return how many of a layer's first moves stay within both bounds."""
+    incoming = incoming.copy()
+    for number in range(count):
+        _count_incoming(moves.moves[number], incoming)
+        if moves.weights[number + 1] > room or incoming.max() > settings.max_weights_per_rank:
+            return number
+    return count
+
+
+def _count_incoming(move: Move, incoming: IntArray) -> None:
+    """Count the weights that each rank loads for a move."""
+    incoming[move.rank] += 1
+    if hasattr(move, "other_rank"):
+        incoming[move.other_rank] += 1
+
+
+def _apply(
+    placement: IntArray,
+    moves: _LayerMoves,
+    count: int,
+    load: FloatArray,
+    conditions: RankConditions,
+    domains: IntArray,
+) -> Generator[None, None, None]:
+    """Make the chosen moves of one layer."""
+    layer = moves.layer
+    state = LayerState(
+        placement[layer], load[layer], conditions.slowness, conditions.closed, domains
+    )
+    for number, move in enumerate(moves.moves[:count], start=1):
+        state.apply(move)
+        if number % (MOVES_BETWEEN_PAUSES * 4) == 0:
+            yield
+    placement[layer] = state.placement
+    yield
