--- /dev/null
+++ b/bluebellrun/leases/_holder.py
@@ -0,0 +1,205 @@
+"""Acquire a role, renew it and give it up, through the key-value service.
+
+The holder's record is a key bound to a lease of the service, created only where no such key
+exists. The revision that creates it is the fencing number. A lapsed lease deletes the key.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+import curio
+from ulid import ULID
+
+from bluebellrun.core import Clock
+from bluebellrun.leases._exceptions import LeaseError
+from bluebellrun.leases._models import RoleLease, RoleRecord, decode_record, encode_record
+from bluebellrun.platform import (
+    Compare,
+    KeyValue,
+    KeyValueStore,
+    PlatformError,
+    Put,
+    StoreAnswerLostError,
+)
+from bluebellrun.telemetry import get_logger
+
+CLOCK_DRIFT = 0.02
+RENEWALS_PER_TTL = 3
+ABSENT = 0
+
+_log = get_logger("leases")
+
+
+@dataclass(frozen=True, slots=True)
+class _Claim:
+    """An attempt to acquire the role whose outcome may be unknown."""
+
+    nonce: str
+    lease: int
+    asked_at: float
+
+
+class RoleHolder:
+    """One process's hold on one role; times in seconds of ``clock``."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        prefix: str,
+        role: str,
+        holder: str,
+        ttl_s: int,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._store = store
+        self._key = f"{prefix}/roles/{role}"
+        self._role = role
+        self._holder = holder
+        self._ttl_s = ttl_s
+        self._clock = clock
+        self._random = random
+        self._claim: _Claim | None = None
+        self._lease: RoleLease | None = None
+        self._released = False
+
+    @property
+    def role(self) -> str:
+        """Return the name of the role."""
+        return self._role
+
+    @property
+    def key(self) -> str:
+        """Return the key that names the holder."""
+        return self._key
+
+    def current(self, now: float) -> RoleLease | None:
+        """Return the lease if the role may be acted for now, or none."""
+        lease = self._lease
+        return lease if lease is not None and lease.valid(now) else None
+
+    async def acquire(self) -> RoleLease | None:
+        """Take the role if nobody holds it; return the lease, or none when another does.
+
+        Raises ``LeaseError`` when the service cannot be asked. A claim whose answer was lost is
+        settled by reading back its nonce, at the latest by the next call.
+        """
+        try:
+            return await self._acquire()
+        except PlatformError as error:
+            raise LeaseError(f"role {self._role!r} cannot be acquired: {error}") from error
+
+    async def renew(self) -> RoleLease | None:
+        """Renew the lease; return it, or none when the role is lost.
+
+        Raises ``LeaseError`` when the service cannot be asked; the lease held so far keeps its
+        deadline.
+        """
+        claim, lease = self._claim, self._lease
+        if claim is None or lease is None:
+            return None
+        try:
+            return await self._renew(claim, lease.number)
+        except PlatformError as error:
+            raise LeaseError(f"role {self._role!r} cannot be renewed: {error}") from error
+
+    async def release(self) -> None:
+        """Stop acting for the role at once and let others take it."""
+        self._released = True
+        claim = self._claim
+        self._forget()
+        if claim is None:
+            return
+        try:
+            await self._store.revoke_lease(claim.lease)
+        except PlatformError as error:
+            _log.info("role left to lapse", role=self._role, error=str(error))
+
+    async def run(self) -> None:
+        """Acquire and renew the role until it is released."""
+        self._released = False
+        while not self._released:
+            try:
+                await self._step()
+            except LeaseError as error:
+                _log.warning("role not settled", role=self._role, error=str(error))
+            await curio.sleep(self._pause_s())
+
+    async def _step(self) -> None:
+        """Renew the role, or acquire it if it is not held."""
+        if self.current(self._clock.now()) is not None:
+            await self.renew()
+            return
+        lease = await self.acquire()
+        if lease is not None:
+            _log.info("role acquired", role=self._role, number=lease.number)
+
+    def _pause_s(self) -> float:
+        """Return the time to the next step, jittered so that contenders spread."""
+        return self._ttl_s / RENEWALS_PER_TTL * (0.7 + 0.3 * self._random.random())
+
+    async def _acquire(self) -> RoleLease | None:
+        """Claim the role, or settle an earlier claim."""
+        held = await self._read()
+        if held is not None:
+            return await self._settle(held)
+        asked_at = self._clock.now()
+        lease_id = await self._store.grant_lease(self._ttl_s)
+        claim = _Claim(str(ULID()), lease_id, asked_at)
+        self._forget()
+        self._claim = claim
+        try:
+            number = await self._create(claim)
+        except StoreAnswerLostError:
+            held = await self._read()
+            return None if held is None else await self._settle(held)
+        if number is None:
+            self._claim = None
+            await self._store.revoke_lease(lease_id)
+            return None
+        return self._take(claim.asked_at, number)
+
+    async def _create(self, claim: _Claim) -> int | None:
+        """Create the record; return its revision, or none when there is one already."""
+        record = RoleRecord(self._holder, claim.nonce, claim.lease)
+        result = await self._store.transact(
+            [Compare(self._key, ABSENT)],
+            [Put(self._key, encode_record(record), claim.lease)],
+        )
+        return result.revision if result.succeeded else None
+
+    async def _settle(self, held: KeyValue) -> RoleLease | None:
+        """Take up a record if it is this process's own claim."""
+        claim = self._claim
+        if claim is None or decode_record(held.value).nonce != claim.nonce:
+            self._forget()
+            return None
+        return await self._renew(claim, held.create_revision)
+
+    async def _renew(self, claim: _Claim, number: int) -> RoleLease | None:
+        """Renew the service's lease and move the deadline."""
+        asked_at = self._clock.now()
+        left_s = await self._store.keep_alive(claim.lease)
+        if self._claim is not claim:
+            return None
+        if left_s <= 0:
+            _log.warning("role lost", role=self._role, number=number)
+            self._forget()
+            return None
+        return self._take(asked_at, number)
+
+    def _take(self, asked_at: float, number: int) -> RoleLease:
+        """Keep the lease that counts from when it was asked for."""
+        deadline = asked_at + self._ttl_s * (1 - CLOCK_DRIFT)
+        lease = RoleLease(self._role, self._holder, number, deadline)
+        self._lease = lease
+        return lease
+
+    async def _read(self) -> KeyValue | None:
+        """Return the record of the role's holder, or none."""
+        return (await self._store.get(self._key)).get(self._key)
+
+    def _forget(self) -> None:
+        """Hold nothing."""
+        self._claim = None
+        self._lease = None
