--- a/bluebellrun/platform/_etcd.py
+++ b/bluebellrun/platform/_etcd.py
@@ -34,6 +34,8 @@
 
 OK = 200
 JSON_HEADERS = [("content-type", "application/json")]
+SERVER_ERROR = 500
+UNKNOWN_EFFECT = (b"timed out", b"leader changed", b"deadline exceeded", b"stopped")
 WATCH_SILENCE_S = 3600.0
 
 
@@ -89,6 +91,11 @@
         query = {"key": _encode(prefix), "range_end": _encode(_prefix_end(prefix))}
         return self._snapshot(await self._read("/v3/kv/range", query))
 
+    async def read_revisions(self, prefix: str) -> Snapshot:
+        """Read all keys below a prefix without their values."""
+        query = {"key": _encode(prefix), "range_end": _encode(_prefix_end(prefix))}
+        return self._snapshot(await self._read("/v3/kv/range", query | {"keys_only": True}))
+
     async def transact(self, compares: Sequence[Compare], puts: Sequence[Put]) -> TransactionResult:
         """Do all writes if all conditions hold, or none."""
         body = {
@@ -161,9 +168,10 @@
         except ConnectError as error:
             raise StoreUnavailableError(str(error)) from error
         except TransportError as error:
+            await self._client.close()
             raise StoreAnswerLostError(str(error)) from error
         if status != OK:
-            raise StoreUnavailableError(f"the store answered {status} to {target}: {data[:200]!r}")
+            raise _refusal(status, target, data)
         try:
             return dict(json.loads(data))
         except ValueError as error:
@@ -175,6 +183,17 @@
         return Snapshot(items, int(answer["header"]["revision"]))
 
 
+def _refusal(status: int, target: str, data: bytes) -> PlatformError:
+    """Return the error for an answer that is not a success.
+
+    A server that gave up waiting for its own cluster does not know whether a write took effect.
+    """
+    detail = f"the store answered {status} to {target}: {data[:200]!r}"
+    if status >= SERVER_ERROR and any(word in data for word in UNKNOWN_EFFECT):
+        return StoreAnswerLostError(detail)
+    return StoreUnavailableError(detail)
+
+
 def _operation(put: Put) -> dict[str, Any]:
     """Return a write in its wire form."""
     if put.value is None:
--- /dev/null
+++ b/bluebellrun/platform/_follow.py
@@ -0,0 +1,116 @@
+"""Follow the keys below a prefix through outages, broken watches and compaction."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from random import Random
+
+import curio
+
+from bluebellrun.core import Clock
+from bluebellrun.platform._backoff import Backoff
+from bluebellrun.platform._exceptions import CompactedError, PlatformError, StoreUnavailableError
+from bluebellrun.platform._models import Snapshot, WatchEvent
+from bluebellrun.platform._ports import KeyValueStore, Watch
+from bluebellrun.telemetry import get_logger
+
+CHECK_INTERVAL_S = 4.0
+CHECK_GRACE_S = 0.5
+
+TakeSnapshot = Callable[[Snapshot], Awaitable[None]]
+TakeEvents = Callable[[list[WatchEvent]], Awaitable[None]]
+
+_log = get_logger("platform.follow")
+
+
+class PrefixFollower:
+    """Hand over a snapshot, then changes; resume a broken watch from the last revision.
+
+    A watch whose connection has gone silent is found by comparing revisions every few seconds.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        prefix: str,
+        take_snapshot: TakeSnapshot,
+        take_events: TakeEvents,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._take_snapshot = take_snapshot
+        self._take_events = take_events
+        self._clock = clock
+        self._random = random
+        self._revision = 0
+        self._seen = 0
+        self._confirmed_at: float | None = None
+
+    @property
+    def confirmed_at(self) -> float | None:
+        """Return when the store last confirmed that nothing was missed, or none."""
+        return self._confirmed_at
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        backoff = Backoff(self._random)
+        while True:
+            try:
+                await self._follow(backoff)
+            except CompactedError:
+                self._revision = 0
+            except PlatformError as error:
+                _log.info("store not followed", prefix=self._prefix, error=str(error))
+            await curio.sleep(backoff.pause_s())
+
+    async def _follow(self, backoff: Backoff) -> None:
+        """Read a snapshot unless changes can be resumed, then take changes as they come."""
+        if not self._revision:
+            snapshot = await self._store.read_prefix(self._prefix)
+            await self._take_snapshot(snapshot)
+            self._revision = snapshot.revision
+            self._note(item.mod_revision for item in snapshot.items)
+        watch = await self._store.watch(self._prefix, self._revision + 1)
+        self._confirm()
+        try:
+            while True:
+                if not await self._take_next(watch, self._check_interval_s()):
+                    await self._check(watch)
+                backoff.reset()
+        finally:
+            await watch.close()
+
+    async def _take_next(self, watch: Watch, wait_s: float) -> bool:
+        """Take the next changes; return whether there were any in time."""
+        events: list[WatchEvent] = []
+        async with curio.ignore_after(wait_s):
+            events = await watch.next()
+        if not events:
+            return False
+        await self._take_events(events)
+        self._note(event.mod_revision for event in events)
+        self._revision = max(self._revision, self._seen)
+        self._confirm()
+        return True
+
+    async def _check(self, watch: Watch) -> None:
+        """Compare revisions with the store; raise ``PlatformError`` if the watch missed one."""
+        snapshot = await self._store.read_revisions(self._prefix)
+        newest = max((item.mod_revision for item in snapshot.items), default=0)
+        if newest > self._seen:
+            await self._take_next(watch, CHECK_GRACE_S)
+        if newest > self._seen:
+            raise StoreUnavailableError(f"the watch went silent before revision {newest}")
+        self._confirm()
+
+    def _check_interval_s(self) -> float:
+        """Return the quiet time after which the watch is checked, jittered."""
+        return CHECK_INTERVAL_S * (0.75 + 0.5 * self._random.random())
+
+    def _note(self, revisions: Iterable[int]) -> None:
+        """Remember the newest revision that was handed over."""
+        self._seen = max(self._seen, max(revisions, default=0))
+
+    def _confirm(self) -> None:
+        """Note that the store and this process agree now."""
+        self._confirmed_at = self._clock.now()
--- a/bluebellrun/platform/_hosts.py
+++ b/bluebellrun/platform/_hosts.py
@@ -7,9 +7,11 @@
 
 from bluebellrun.core import Address
 from bluebellrun.platform._exceptions import PlatformError, StoreUnavailableError
-from bluebellrun.transport import ClientTimeouts, HttpClient, TransportError
+from bluebellrun.transport import ClientTimeouts, HttpClient, TransportError, header_value
 
 OK = 200
+NOT_MODIFIED = 304
+READ_GAP_S = 2.0
 
 
 class HostState(StrEnum):
@@ -45,17 +47,34 @@
 
     def __init__(self, address: Address, timeout_s: float) -> None:
         self._client = HttpClient(address, ClientTimeouts(timeout_s, timeout_s, timeout_s))
+        self._tag = ""
+        self._hosts: tuple[HostEntry, ...] = ()
 
     async def read(self) -> tuple[HostEntry, ...]:
-        """Return the hosts; raise ``PlatformError`` when the list cannot be read."""
+        """Return the hosts; raise ``PlatformError`` when the list cannot be read.
+
+        The list is sent again only when it has changed, where the platform supports that.
+        """
+        headers = [("if-none-match", self._tag)] if self._tag else []
         try:
-            status, data = await self._client.fetch("GET", "/hosts", [])
+            response = await self._client.open("GET", "/hosts", headers, b"")
+            tag = header_value(response.headers, "etag") or ""
+            data = await response.read_all(READ_GAP_S)
         except TransportError as error:
             raise StoreUnavailableError(f"host list: {error}") from error
-        if status != OK:
-            raise StoreUnavailableError(f"the host list answered {status}")
-        try:
-            wire = _WireHosts.model_validate_json(data)
-        except ValidationError as error:
-            raise PlatformError(f"host list: {error}") from error
-        return tuple(HostEntry(host.name, host.state) for host in wire.hosts)
+        match response.status:
+            case int() as status if status == NOT_MODIFIED and self._tag:
+                return self._hosts
+            case int() as status if status != OK:
+                raise StoreUnavailableError(f"the host list answered {status}")
+        self._hosts, self._tag = _read_hosts(data), tag
+        return self._hosts
+
+
+def _read_hosts(data: bytes) -> tuple[HostEntry, ...]:
+    """Read the list from its wire form."""
+    try:
+        wire = _WireHosts.model_validate_json(data)
+    except ValidationError as error:
+        raise PlatformError(f"host list: {error}") from error
+    return tuple(HostEntry(host.name, host.state) for host in wire.hosts)
--- a/bluebellrun/platform/_ports.py
+++ b/bluebellrun/platform/_ports.py
@@ -31,6 +31,9 @@
     async def read_prefix(self, prefix: str) -> Snapshot:
         """Read all keys below a prefix."""
 
+    async def read_revisions(self, prefix: str) -> Snapshot:
+        """Read all keys below a prefix without their values."""
+
     async def transact(self, compares: Sequence[Compare], puts: Sequence[Put]) -> TransactionResult:
         """Do all writes if all conditions hold, or none."""
 
--- a/standins/platform/_app.py
+++ b/standins/platform/_app.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import time
+import zlib
 from dataclasses import asdict
 from typing import Any
 
@@ -12,6 +13,7 @@
 from standins._serving import not_found
 from standins.platform._faults import CallCounts, StoreFaults
 from standins.platform._store import Change, MemoryStore, Record
+from standins.platform._weights import WeightShelf
 
 WATCH_POLL_S = 0.005
 LEASE_SWEEP_S = 0.05
@@ -54,6 +56,7 @@
         self.store = MemoryStore()
         self.faults = faults or StoreFaults()
         self.counts = CallCounts()
+        self.weights = WeightShelf()
         self.hosts: dict[str, str] = {}
         self.host_lag_s = 0.0
         self._host_history: list[tuple[float, dict[str, str]]] = []
@@ -73,6 +76,9 @@
         if path == "/hosts":
             await self._hosts(exchange)
             return
+        if path.startswith("/weights/"):
+            await self.weights.handle(exchange)
+            return
         if not path.startswith("/v3/"):
             await not_found(exchange)
             return
@@ -80,7 +86,7 @@
         if self.faults.delay_s:
             await curio.sleep(self.faults.delay_s)
         if self.faults.down:
-            await exchange.answer_json(503, {"error": "unavailable"})
+            await exchange.answer_json(503, {"error": "etcdserver: no leader", "code": 14})
             return
         await self._store_call(exchange, path)
 
@@ -128,7 +134,10 @@
         """Answer a range."""
         end = _decode(body["range_end"]) if body.get("range_end") else None
         found = self.store.select(_decode(body["key"]), end)
-        return {"kvs": [_wire_record(k, r) for k, r in found], "count": str(len(found))}
+        pairs = [_wire_record(k, r) for k, r in found]
+        if body.get("keys_only"):
+            pairs = [pair | {"value": ""} for pair in pairs]
+        return {"kvs": pairs, "count": str(len(found))}
 
     def _transaction(self, body: dict[str, Any]) -> dict[str, Any]:
         """Answer a transaction."""
@@ -204,7 +213,13 @@
             if when <= cutoff:
                 seen = hosts
         listed = [{"name": name, "state": state} for name, state in sorted(seen.items())]
-        await exchange.answer_json(200, {"hosts": listed})
+        tag = f'"{zlib.crc32(json.dumps(listed).encode()):08x}"'
+        if exchange.request.header("if-none-match") == tag:
+            await exchange.answer(304, [("etag", tag)], b"")
+            return
+        body = json.dumps({"hosts": listed}).encode()
+        headers = [("content-type", "application/json"), ("etag", tag)]
+        await exchange.answer(200, headers, body)
 
     async def _control(self, exchange: HttpExchange, path: str) -> None:
         """Take an order for a fault, or tell the counts."""
@@ -218,6 +233,8 @@
                 self._host_history.append((time.monotonic(), dict(body)))
             case "/standin/host-lag":
                 self.host_lag_s = float(body["seconds"])
+            case "/standin/weights":
+                self.weights.rate_bytes_per_s = float(body["rate_bytes_per_s"])
             case "/standin/compact":
                 self.store.compact(self.store.revision + 1)
             case "/standin/counts":
--- a/standins/platform/_direct.py
+++ b/standins/platform/_direct.py
@@ -1,6 +1,7 @@
 """The key-value port straight over the store in memory: no sockets, time moved by hand."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import Any
 
 import curio
@@ -57,6 +58,12 @@
         self._arrive()
         return self._snapshot(prefix.encode(), _end(prefix))
 
+    async def read_revisions(self, prefix: str) -> Snapshot:
+        """Read all keys below a prefix without their values."""
+        snapshot = await self.read_prefix(prefix)
+        items = tuple(replace(item, value=b"") for item in snapshot.items)
+        return Snapshot(items, snapshot.revision)
+
     async def transact(self, compares: Sequence[Compare], puts: Sequence[Put]) -> TransactionResult:
         """Do all writes if all conditions hold, or none."""
         self._arrive()
