--- a/bluebellrun/customers/_models.py
+++ b/bluebellrun/customers/_models.py
@@ -1,8 +1,8 @@
 """The customer aggregate and the registry that finds one by its key."""
 
 import hashlib
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 
 MAX_KEYS = 2
 
@@ -25,6 +25,11 @@
     most_urgent: int = 0
     share: float = 1.0
     services: tuple[str, ...] = ()
+    service_shares: Mapping[str, float] = field(default_factory=dict, hash=False)
+
+    def share_of(self, service: str) -> float:
+        """Return its weight on a service: the one declared for it, or the general one."""
+        return self.service_shares.get(service, self.share)
 
     def capped_priority(self, asked: int) -> int:
         """Return the urgency number it gets for the one it asked for."""
--- a/bluebellrun/declarations/_configuration.py
+++ b/bluebellrun/declarations/_configuration.py
@@ -4,12 +4,17 @@
 from dataclasses import dataclass
 
 from bluebellrun.core import parse_address
-from bluebellrun.customers import Customer, CustomerRegistry
+from bluebellrun.customers import Customer, CustomerRegistry, hash_key
 from bluebellrun.declarations._models import (
     CustomerDocument,
     Document,
+    ModelGroupDocument,
+    ModelVersionDocument,
+    ObjectiveDocument,
+    OperatorDocument,
     PriorityDocument,
     ServiceDocument,
+    ShareDocument,
     UpstreamDocument,
 )
 from bluebellrun.upstreams import Service, ServiceRegistry, Upstream
@@ -30,6 +35,60 @@
     floor: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class ModelVersionRule:
+    """A version of a model: its place in the weight store and its size in bytes."""
+
+    name: str
+    model: str
+    weights: str
+    weights_bytes: int
+    layers: int
+    experts_per_layer: int
+
+
+@dataclass(frozen=True, slots=True)
+class ModelGroupRule:
+    """What operators want of a group of ranks in lock-step.
+
+    ``rebalance`` rises with each order to rebalance; ``max_moved_bytes`` of 0 sets no limit.
+    """
+
+    name: str
+    service: str
+    ranks: int
+    version: str
+    previous_version: str
+    rebalance: int
+    max_moved_bytes: int
+    capacity_floor: float
+    paused: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Objective:
+    """The shares of a priority's requests to answer on time and whole.
+
+    ``urgency`` is the priority's number; an empty customer means all customers together.
+    """
+
+    name: str
+    priority: str
+    urgency: int
+    customer: str
+    on_time: float
+    whole: float
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorRule:
+    """An operator's token hashes and roles."""
+
+    name: str
+    token_hashes: tuple[str, ...]
+    roles: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """All declarations of one version."""
@@ -39,6 +98,23 @@
     services: ServiceRegistry
     priorities: tuple[PriorityRule, ...]
     upstreams: tuple[Upstream, ...]
+    model_groups: tuple[ModelGroupRule, ...] = ()
+    model_versions: tuple[ModelVersionRule, ...] = ()
+    objectives: tuple[Objective, ...] = ()
+    operators: tuple[OperatorRule, ...] = ()
+
+    def find_operator(self, token: str) -> OperatorRule | None:
+        """Return the operator that a token belongs to, or none."""
+        hashed = hash_key(token)
+        return next((item for item in self.operators if hashed in item.token_hashes), None)
+
+    def model_group(self, name: str) -> ModelGroupRule | None:
+        """Return a group by name, or none."""
+        return next((item for item in self.model_groups if item.name == name), None)
+
+    def model_version(self, name: str) -> ModelVersionRule | None:
+        """Return a model's version by name, or none."""
+        return next((item for item in self.model_versions if item.name == name), None)
 
     def priority_rule(self, urgency: int) -> PriorityRule:
         """Return the rule of the nearest declared urgency that is not more urgent."""
@@ -54,20 +130,12 @@
 
 def build_configuration(version: int, documents: Iterable[Document]) -> Configuration:
     """Return the configuration that documents describe."""
-    customers: list[Customer] = []
-    services: list[Service] = []
-    upstreams: list[Upstream] = []
-    priorities: list[PriorityRule] = []
-    for document in documents:
-        match document:
-            case CustomerDocument():
-                customers.append(_customer(document))
-            case ServiceDocument():
-                services.append(_service(document))
-            case UpstreamDocument():
-                upstreams.append(_upstream(document))
-            case PriorityDocument():
-                priorities.append(_priority(document))
+    listed = list(documents)
+    shares = [item for item in listed if isinstance(item, ShareDocument)]
+    upstreams = [_upstream(item) for item in listed if isinstance(item, UpstreamDocument)]
+    services = [_service(item) for item in listed if isinstance(item, ServiceDocument)]
+    customers = [_customer(x, shares) for x in listed if isinstance(x, CustomerDocument)]
+    priorities = [_priority(item) for item in listed if isinstance(item, PriorityDocument)]
     priorities.sort(key=lambda rule: rule.urgency)
     return Configuration(
         version=version,
@@ -75,20 +143,59 @@
         services=ServiceRegistry(services, upstreams),
         priorities=tuple(priorities),
         upstreams=tuple(upstreams),
+        model_groups=tuple(_group(x) for x in listed if isinstance(x, ModelGroupDocument)),
+        model_versions=tuple(_version(x) for x in listed if isinstance(x, ModelVersionDocument)),
+        objectives=_objectives(listed, priorities),
+        operators=tuple(_operator(x) for x in listed if isinstance(x, OperatorDocument)),
     )
 
 
-def _customer(document: CustomerDocument) -> Customer:
-    """Return the customer a document declares."""
+def _customer(document: CustomerDocument, shares: list[ShareDocument]) -> Customer:
+    """Return the customer a document declares, with its shares of single services."""
+    own = {item.service: item.weight for item in shares if item.customer == document.name}
     return Customer(
         name=document.name,
         key_hashes=tuple(document.key_hashes),
         most_urgent=document.most_urgent,
         share=document.share,
         services=tuple(document.services),
+        service_shares=own,
     )
 
 
+def _objectives(documents: list[Document], rules: list[PriorityRule]) -> tuple[Objective, ...]:
+    """Return the objectives whose priorities are declared."""
+    urgencies = {rule.name: rule.urgency for rule in rules}
+    return tuple(
+        Objective(
+            name=document.name,
+            priority=document.priority,
+            urgency=urgencies[document.priority],
+            customer=document.customer,
+            on_time=document.on_time,
+            whole=document.whole,
+        )
+        for document in documents
+        if isinstance(document, ObjectiveDocument) and document.priority in urgencies
+    )
+
+
+def _group(document: ModelGroupDocument) -> ModelGroupRule:
+    """Return the group a document declares."""
+    return ModelGroupRule(**document.model_dump(exclude={"kind"}))
+
+
+def _version(document: ModelVersionDocument) -> ModelVersionRule:
+    """Return the version a document declares."""
+    return ModelVersionRule(**document.model_dump(exclude={"kind"}))
+
+
+def _operator(document: OperatorDocument) -> OperatorRule:
+    """Return the operator a document declares."""
+    hashes = tuple(document.token_hashes)
+    return OperatorRule(document.name, hashes, frozenset(document.roles))
+
+
 def _service(document: ServiceDocument) -> Service:
     """Return the service a document declares."""
     return Service(
@@ -109,6 +216,8 @@
         region=document.region,
         failure_domain=document.failure_domain,
         state=document.state,
+        group=document.group,
+        rank=document.rank,
     )
 
 
--- a/bluebellrun/declarations/_models.py
+++ b/bluebellrun/declarations/_models.py
@@ -15,6 +15,7 @@
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 KeyHash = Annotated[str, Field(pattern=HASH_PATTERN)]
 Urgency = Annotated[int, Field(ge=MOST_URGENT, le=LEAST_URGENT)]
+Role = Literal["viewer", "planner", "confirmer"]
 
 
 class Document(BaseModel):
@@ -57,7 +58,7 @@
 
 
 class UpstreamDocument(Document):
-    """An upstream: its service, its agent's address and where it stands."""
+    """An upstream: its service, its agent's address, where it stands and its rank in a group."""
 
     kind: Literal["upstream"] = "upstream"
     service: Name
@@ -66,6 +67,8 @@
     region: str = ""
     failure_domain: str = ""
     state: UpstreamState = UpstreamState.ACTIVE
+    group: str = ""
+    rank: int = Field(default=0, ge=0)
 
     @field_validator("agent")
     @classmethod
@@ -74,9 +77,75 @@
         return str(parse_address(value))
 
 
+class ModelVersionDocument(Document):
+    """A version of a model: where its weights lie in the weight store and their size in bytes."""
+
+    kind: Literal["model-version"] = "model-version"
+    model: str = Field(min_length=1)
+    weights: str = Field(min_length=1)
+    weights_bytes: int = Field(gt=0)
+    layers: int = Field(default=1, gt=0)
+    experts_per_layer: int = Field(default=1, gt=0)
+
+
+class ModelGroupDocument(Document):
+    """A group of ranks in lock-step: its service, desired version and wish for rebalancing.
+
+    ``rebalance`` rises by one with each operator's order to rebalance; ``paused`` holds every
+    shift and rebalance; ``capacity_floor`` is the share of the service's capacity that a shift
+    keeps.
+    """
+
+    kind: Literal["model-group"] = "model-group"
+    service: Name
+    ranks: int = Field(gt=0)
+    version: Name
+    previous_version: str = ""
+    rebalance: int = Field(default=0, ge=0)
+    max_moved_bytes: int = Field(default=0, ge=0)
+    capacity_floor: float = Field(default=0.5, ge=0, le=1)
+    paused: bool = False
+
+
+class ShareDocument(Document):
+    """A customer's weight beside others on one service, in place of its general share."""
+
+    kind: Literal["share"] = "share"
+    customer: Name
+    service: Name
+    weight: float = Field(gt=0)
+
+
+class ObjectiveDocument(Document):
+    """A service-level objective of a priority, for one customer or for all together.
+
+    ``on_time`` and ``whole`` are the target shares of requests, below 1 so that there is an
+    error budget.
+    """
+
+    kind: Literal["objective"] = "objective"
+    priority: Name
+    customer: str = ""
+    on_time: float = Field(default=0.99, gt=0, lt=1)
+    whole: float = Field(default=0.999, gt=0, lt=1)
+
+
+class OperatorDocument(Document):
+    """An operator: the hashes of its tokens (two while rotating) and what it may do."""
+
+    kind: Literal["operator"] = "operator"
+    token_hashes: list[KeyHash] = Field(min_length=1, max_length=2)
+    roles: list[Role] = ["viewer"]
+
+
 KINDS: dict[str, type[Document]] = {
     "customer": CustomerDocument,
+    "model-group": ModelGroupDocument,
+    "model-version": ModelVersionDocument,
+    "objective": ObjectiveDocument,
+    "operator": OperatorDocument,
     "priority": PriorityDocument,
     "service": ServiceDocument,
+    "share": ShareDocument,
     "upstream": UpstreamDocument,
 }
--- a/bluebellrun/entry/_dispatcher.py
+++ b/bluebellrun/entry/_dispatcher.py
@@ -154,7 +154,7 @@
             body=request.body,
             repeatable=request.repeatable,
             budget_s=request.deadline - self._clock.now(),
-            share=request.customer.share,
+            share=request.customer.share_of(request.service.name),
             model=request.model,
             idempotency_key=request.idempotency_key,
         )
--- a/bluebellrun/upstreams/_models.py
+++ b/bluebellrun/upstreams/_models.py
@@ -34,6 +34,8 @@
     region: str = ""
     failure_domain: str = ""
     state: UpstreamState = UpstreamState.ACTIVE
+    group: str = ""
+    rank: int = 0
 
     @property
     def takes_work(self) -> bool:
