Claim idempotency keys durably in a sharded ledger

Cause: a keyed request sent twice ran twice, as nothing recorded its key. Change: the pure log of one shard: create-if-absent segments under a head that every write is conditional on, immutable pages, retention, release of claims that were given up; a shell that drives it within a write budget.

--- /dev/null
+++ b/bluebellrun/ledger/__init__.py
@@ -0,0 +1,51 @@
+"""Once-only claims: idempotency keys, claimed durably before their requests run."""
+
+from bluebellrun.ledger._book import ShardBook
+from bluebellrun.ledger._keys import (
+    key_digest,
+    key_time_ms,
+    owner_of,
+    request_fingerprint,
+    shard_of,
+)
+from bluebellrun.ledger._ledger import Ledger, LedgerSettings, wall_clock_ms
+from bluebellrun.ledger._log import Commit, ReadShard, ShardLog
+from bluebellrun.ledger._models import (
+    ClaimState,
+    Decision,
+    Declined,
+    Finished,
+    Granted,
+    KeptResult,
+    LedgerLimits,
+    LedgerRecord,
+    OtherRequest,
+    Replay,
+    Unsettled,
+)
+
+__all__ = [
+    "ClaimState",
+    "Commit",
+    "Decision",
+    "Declined",
+    "Finished",
+    "Granted",
+    "KeptResult",
+    "Ledger",
+    "LedgerLimits",
+    "LedgerRecord",
+    "LedgerSettings",
+    "OtherRequest",
+    "ReadShard",
+    "Replay",
+    "ShardBook",
+    "ShardLog",
+    "Unsettled",
+    "key_digest",
+    "key_time_ms",
+    "owner_of",
+    "request_fingerprint",
+    "shard_of",
+    "wall_clock_ms",
+]
--- /dev/null
+++ b/tests/ledger/fakes.py
@@ -0,0 +1,79 @@
+"""A key-value store in memory whose writes can be delayed, lost or refused."""
+
+from dataclasses import dataclass, field
+
+from bluebellrun.ledger import Commit, LedgerRecord, ShardLog
+from bluebellrun.platform import (
+    Compare,
+    KeyValue,
+    Put,
+    Snapshot,
+    StoreAnswerLostError,
+    StoreUnavailableError,
+    TransactionResult,
+)
+
+
+@dataclass
+class FakeStore:
+    revision: int = 1
+    values: dict[str, KeyValue] = field(default_factory=dict)
+    down: bool = False
+    lose_next: int = 0
+    writes: int = 0
+    largest: int = 0
+
+    def snapshot(self, prefix: str) -> Snapshot:
+        found = sorted(key for key in self.values if key.startswith(prefix))
+        return Snapshot(tuple(self.values[key] for key in found), self.revision)
+
+    def apply(self, compares: tuple[Compare, ...], puts: tuple[Put, ...]) -> bool:
+        for compare in compares:
+            item = self.values.get(compare.key)
+            if (item.mod_revision if item else 0) != compare.mod_revision:
+                return False
+        self.revision += 1
+        for put in puts:
+            if put.value is None:
+                self.values.pop(put.key, None)
+                continue
+            self.largest = max(self.largest, len(put.value))
+            self.values[put.key] = KeyValue(put.key, put.value, self.revision)
+        return True
+
+    async def read_prefix(self, prefix: str) -> Snapshot:
+        if self.down:
+            raise StoreUnavailableError("down")
+        return self.snapshot(prefix)
+
+    async def transact(self, compares, puts) -> TransactionResult:
+        if self.down:
+            raise StoreUnavailableError("down")
+        self.writes += 1
+        done = self.apply(tuple(compares), tuple(puts))
+        if self.lose_next:
+            self.lose_next -= 1
+            raise StoreAnswerLostError("lost")
+        return TransactionResult(done, self.revision)
+
+
+def record(key: str, attempt: str, fingerprint: str = "f", claimed_ms: int = 0) -> LedgerRecord:
+    return LedgerRecord(key, fingerprint, f"r-{attempt}", attempt, "u", "i", claimed_ms)
+
+
+def drive(log: ShardLog, store: FakeStore, now_ms: int = 0) -> list:
+    """Step a log until it rests; return its answers."""
+    answers = []
+    for _ in range(1_000):
+        action = log.next_action(now_ms)
+        answers += log.take_answers()
+        if action is None:
+            return answers
+        if not isinstance(action, Commit):
+            log.on_read(store.snapshot(f"{action.prefix}/"), now_ms)
+        elif store.apply(action.compares, action.puts):
+            log.on_committed(now_ms)
+        else:
+            log.on_conflict()
+        answers += log.take_answers()
+    raise AssertionError("the log does not come to rest")
