--- a/bluebellrun/admission/_concurrency.py
+++ b/bluebellrun/admission/_concurrency.py
@@ -5,9 +5,9 @@
 or steps exceed the tightest gap target, and rises by one after a run of prompt starts at the limit.
 """
 
-LATE_STEPS = 3.0
+LATE_STEPS = 1.5
 MEMORY = 0.9
-MANY_LATE = 0.6
+MANY_LATE = 0.5
 FEW_LATE = 0.1
 PROBE_STARTS_PER_SLOT = 8
 FLOOR_DRIFT = 1.002
@@ -27,6 +27,7 @@
         self._highest = first * HIGHEST_FACTOR
         self._step_s = 0.0
         self._first_token_floor_s = float("inf")
+        self._usual_first_token_s = 0.0
         self._late = 0.0
         self._prompt_starts = 0
         self._gap_target_s = float("inf")
@@ -43,8 +44,8 @@
 
     @property
     def first_token_s(self) -> float:
-        """Return the time to the first token of a request that is not queued, in seconds."""
-        return 0.0 if self._first_token_floor_s == float("inf") else self._first_token_floor_s
+        """Return the usual time from starting a request to its first token, in seconds."""
+        return self._usual_first_token_s
 
     def follow_gap_target(self, seconds: float) -> None:
         """Take the tightest gap between tokens that is promised."""
@@ -58,6 +59,8 @@
 
     def observe_first_token(self, seconds: float, at_limit: bool) -> None:
         """Note a first-token time of a request that was started within the limit."""
+        self._usual_first_token_s = self._usual_first_token_s or seconds
+        self._usual_first_token_s += (1 - MEMORY) * (seconds - self._usual_first_token_s)
         self._first_token_floor_s = min(self._first_token_floor_s * FLOOR_DRIFT, seconds)
         if not self._learning or self._step_s == 0.0:
             return
--- a/bluebellrun/admission/_fair.py
+++ b/bluebellrun/admission/_fair.py
@@ -99,6 +99,8 @@
         backlogged = self._backlogged()
         work = self._queues[priority].pop()
         assert work is not None
+        if priority != backlogged[0]:
+            work = replace(work, engine_priority=backlogged[0])
         del self._works[work.attempt]
         if len(self._running) >= self.limit:
             self._beyond_limit.add(work.attempt)
@@ -186,7 +188,7 @@
     def _preemptible(self, priority: int) -> int:
         """Return how many running requests the engine may pause for work of a priority."""
         return sum(
-            work.priority > priority and not self._floors.floor(work.priority)
+            work.priority > priority and work.engine_priority is None
             for work, _ in self._running.values()
             if work.attempt not in self._beyond_limit
         )
--- a/bluebellrun/admission/_floors.py
+++ b/bluebellrun/admission/_floors.py
@@ -1,6 +1,6 @@
 """Floors: the part of the capacity that a less urgent priority keeps while it has work waiting."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from bluebellrun.admission._models import PriorityTarget
 
@@ -12,7 +12,7 @@
 
     While work waits in a priority, it is owed its floor of each token that any priority starts;
     what it starts itself is taken off. Nothing is owed while nothing waits, so an unused floor is
-    lent. Debt is bounded on both sides.
+    lent. What it starts while nobody more urgent waits clears what it is owed but leaves no debt.
     """
 
     def __init__(self) -> None:
@@ -37,7 +37,7 @@
         most, priority = max(owed, default=(0.0, 0))
         return priority if most > 0 else None
 
-    def charge(self, started: int, cost: float, backlogged: Iterable[int]) -> None:
+    def charge(self, started: int, cost: float, backlogged: Collection[int]) -> None:
         """Note that work of a priority starts while others may wait."""
         for priority in {*backlogged, started}:
             floor = self.floor(priority)
@@ -45,8 +45,9 @@
                 owed = self.owed(priority) + floor * cost
                 self._owed[priority] = min(owed, MOST_OWED_TOKENS)
         if started in self._floors:
-            spent = self._owed.get(started, 0.0) - cost
-            self._owed[started] = max(spent, -cost)
+            owed = self.owed(started)
+            contended = any(priority < started for priority in backlogged)
+            self._owed[started] = owed - cost if contended else max(owed - cost, min(owed, 0.0))
 
     def forgive(self, priority: int) -> None:
         """Note that nothing waits in a priority: it is owed nothing."""
--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -186,6 +186,7 @@
             waiting = execution.state is ExecutionState.WAITING
             invariants.check(waiting, "work starts once", attempt=work.attempt)
             execution.start()
+            execution.work = work
             self._tasks[work.attempt] = await spawn_background(self._run, execution)
 
     async def _run(self, execution: Execution) -> None:
@@ -214,7 +215,7 @@
     async def _relay(self, execution: Execution) -> int:
         """Send the request and collect its answer; return the tokens that passed."""
         sent = self._clock.now()
-        answer = await self._client.open(_upstream_request(execution.submit))
+        answer = await self._client.open(_upstream_request(execution))
         try:
             execution.head(answer.status, end_to_end(answer.headers))
             await self._relay_body(execution, answer, sent)
@@ -267,8 +268,9 @@
             await session.wake()
 
 
-def _upstream_request(submit: Submit) -> UpstreamRequest:
+def _upstream_request(execution: Execution) -> UpstreamRequest:
     """Return the request as the upstream gets it."""
+    submit, told = execution.submit, execution.work.engine_priority
     headers: Headers = [
         (name, value)
         for name, value in end_to_end(submit.headers)
@@ -280,5 +282,5 @@
         target=submit.target,
         headers=headers,
         body=submit.body,
-        priority=submit.priority,
+        priority=submit.priority if told is None else told,
     )
--- a/bluebellrun/agent/_work.py
+++ b/bluebellrun/agent/_work.py
@@ -15,7 +15,7 @@
         attempt=submit.attempt,
         customer=submit.customer,
         priority=submit.priority,
-        arrived=now,
+        arrived=now - submit.age_s,
         deadline=now + submit.budget_s,
         cost=float(prompt_tokens + DEFAULT_ANSWER_TOKENS),
         share=submit.share,
--- a/bluebellrun/entry/_callers.py
+++ b/bluebellrun/entry/_callers.py
@@ -23,12 +23,13 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """A validated request. ``deadline`` is a reading of the entry's clock in seconds."""
+    """A validated request. ``arrived`` and ``deadline`` are on the entry's clock, in seconds."""
 
     request_id: RequestId
     customer: Customer
     service: Service
     priority: int
+    arrived: float
     deadline: float
     method: str
     target: str
@@ -84,6 +85,7 @@
         customer=customer,
         service=service,
         priority=priority,
+        arrived=now,
         deadline=now + _read_timeout(request, longest_s),
         method=request.method,
         target=target,
--- a/bluebellrun/entry/_dispatcher.py
+++ b/bluebellrun/entry/_dispatcher.py
@@ -166,5 +166,6 @@
             share=request.customer.share_of(request.service.name),
             model=request.model,
             idempotency_key=request.idempotency_key,
+            age_s=self._clock.now() - request.arrived,
             served_elsewhere=self._spread.take(request, upstream),
         )
--- a/bluebellrun/entry/_retries.py
+++ b/bluebellrun/entry/_retries.py
@@ -16,7 +16,7 @@
 
     def note_first(self, request: CallerRequest) -> None:
         """Note the first attempt of a request."""
-        self._budget.note_first(request.priority)
+        self._budget.note_first(request.priority, request.customer.name)
 
     def pause_s(
         self,
@@ -30,7 +30,9 @@
         if not _permitted(request, outcome, answer_started):
             return None
         pause_s = self._budget.pause_s(attempts)
-        if now + pause_s >= request.deadline or not self._budget.take(request.priority):
+        if now + pause_s >= request.deadline or not self._budget.take(
+            request.priority, request.customer.name
+        ):
             return None
         return pause_s
 
--- a/bluebellrun/messages/_exchange.py
+++ b/bluebellrun/messages/_exchange.py
@@ -26,7 +26,7 @@
 
 
 class Submit(msgspec.Struct, frozen=True, tag="submit"):
-    """A request to run. ``budget_s`` is the time left before its deadline.
+    """A request to run, ``age_s`` after the caller sent it and ``budget_s`` before its deadline.
 
     ``served_elsewhere`` is what the entry sent for the customer to other upstreams since its last
     request here, in tokens.
@@ -48,6 +48,7 @@
     model: str = ""
     idempotency_key: str = ""
     served_elsewhere: float = 0.0
+    age_s: float = 0.0
 
 
 class Delivered(msgspec.Struct, frozen=True, tag="delivered"):
--- a/bluebellrun/routing/_retry_budget.py
+++ b/bluebellrun/routing/_retry_budget.py
@@ -1,39 +1,49 @@
 """How many retries an entry may make, so that a flood does not feed itself."""
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from random import Random
 
 FIRST_PAUSE_S = 0.01
 LONGEST_PAUSE_S = 0.25
+MAX_BUDGETS = 16_384
 
 
 @dataclass(frozen=True, slots=True)
 class RetrySettings:
-    """Retries allowed for each first attempt, and at most saved up, for each priority."""
+    """Retries allowed for each first attempt, and at most saved up by a customer."""
 
     ratio: float = 0.2
-    most_saved: float = 20.0
+    most_saved: float = 5.0
 
 
 class RetryBudget:
-    """A budget for each priority: first attempts fill it, retries empty it."""
+    """A budget for each priority, in which each customer has what its first attempts put in.
+
+    All retries of a priority stay within the ratio to its first attempts, and a customer that
+    floods uses up nobody else's.
+    """
 
     def __init__(self, settings: RetrySettings, random: Random) -> None:
         self._settings = settings
         self._random = random
-        self._saved: dict[int, float] = {}
+        self._saved: OrderedDict[tuple[int, str], float] = OrderedDict()
 
-    def note_first(self, priority: int) -> None:
+    def note_first(self, priority: int, customer: str) -> None:
         """Note the first attempt of a request."""
-        saved = self._saved.get(priority, self._settings.most_saved)
-        self._saved[priority] = min(self._settings.most_saved, saved + self._settings.ratio)
+        key = (priority, customer)
+        saved = self._saved.pop(key, self._settings.most_saved)
+        self._saved[key] = min(self._settings.most_saved, saved + self._settings.ratio)
+        if len(self._saved) > MAX_BUDGETS:
+            self._saved.popitem(last=False)
 
-    def take(self, priority: int) -> bool:
+    def take(self, priority: int, customer: str) -> bool:
         """Return whether one more retry is allowed, and count it."""
-        saved = self._saved.get(priority, self._settings.most_saved)
+        key = (priority, customer)
+        saved = self._saved.get(key, 0.0)
         if saved < 1:
             return False
-        self._saved[priority] = saved - 1
+        self._saved[key] = saved - 1
         return True
 
     def pause_s(self, retry: int) -> float:
--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -23,9 +23,20 @@
     model: Annotated[list[str] | None, typer.Option(help="Model it serves.")] = None,
     slots: Annotated[int, typer.Option(help="Sequences in one batch.")] = 16,
     step_base_s: Annotated[float, typer.Option(help="Least duration of a step, in s.")] = 0.01,
+    prefill_per_token_s: Annotated[
+        float, typer.Option(help="Time to compute a prompt token, in s.")
+    ] = 0.00002,
+    cache_tokens: Annotated[int, typer.Option(help="Prompt tokens that are cached.")] = 0,
+    preempts: Annotated[bool, typer.Option(help="Pause less urgent sequences.")] = False,
 ) -> None:
     """Serve an OpenAI-style API from a simulated batch."""
-    settings = EngineSettings(slots=slots, step_base_s=step_base_s)
+    settings = EngineSettings(
+        slots=slots,
+        step_base_s=step_base_s,
+        prefill_per_token_s=prefill_per_token_s,
+        cache_tokens=cache_tokens,
+        preempts=preempts,
+    )
     curio.run(_main, EngineApp(name, model or ["draft-large"], settings), parse_address(listen))
 
 
--- a/standins/engine/_app.py
+++ b/standins/engine/_app.py
@@ -51,12 +51,21 @@
             case "/standin/faults":
                 self._order_faults(json.loads(exchange.request.body))
                 await exchange.answer_json(200, {})
+            case "/cache/events":
+                await self._answer_cache_events(exchange)
             case "/standin/records":
                 records = {key: self._record(value) for key, value in self.records.items()}
                 await exchange.answer_json(200, records)
             case _:
                 await not_found(exchange)
 
+    async def _answer_cache_events(self, exchange: HttpExchange) -> None:
+        """Answer the cache events that are visible by now, after the number in ``after=``."""
+        after = int(exchange.request.target.partition("after=")[2] or 0)
+        visible = self.batcher.cache.visible_events(after, time.monotonic())
+        events = [{"number": e.number, "kind": e.kind, "block": e.block} for e in visible]
+        await exchange.answer_json(200, {"events": events})
+
     def _order_faults(self, body: dict[str, Any]) -> None:
         """Set faults; ``stall_s`` stalls all steps for so many seconds."""
         for name, value in body.items():
@@ -76,11 +85,15 @@
 
     def _metrics(self) -> str:
         """Return the load in the Prometheus text format."""
+        waiting, running = self.batcher.lagging_load(time.monotonic())
         return (
-            f"engine_requests_waiting {self.batcher.waiting}\n"
-            f"engine_requests_running {self.batcher.running}\n"
+            f"engine_requests_waiting {waiting}\n"
+            f"engine_requests_running {running}\n"
             f"engine_step_seconds {self.batcher.step_s}\n"
             f"engine_tokens_total {self.batcher.tokens}\n"
+            f"engine_prompt_tokens_total {self.batcher.cache.prompt_tokens}\n"
+            f"engine_prefix_hit_tokens_total {self.batcher.cache.hit_tokens}\n"
+            f"engine_preemptions_total {self.batcher.preempted}\n"
         )
 
     async def _complete(self, exchange: HttpExchange) -> None:
--- a/standins/engine/_faults.py
+++ b/standins/engine/_faults.py
@@ -9,7 +9,7 @@
 
     ``stall_until`` is a monotonic time in seconds; ``silence`` is raised by one to make all
     streams that are open at that moment go silent for good; ``break_after`` cuts each stream
-    after so many tokens; ``decline`` answers 503 to new requests.
+    after so many tokens; ``decline`` answers 503 to new requests; ``slow_factor`` lengthens steps.
     """
 
     stall_until: float = 0.0
@@ -17,3 +17,4 @@
     silence: int = 0
     break_after: int = 0
     decline: bool = False
+    slow_factor: float = 1.0
