--- /dev/null
+++ b/tests/admission/test_fair.py
@@ -0,0 +1,160 @@
+from dataclasses import replace
+
+import pytest
+
+from bluebellrun.admission import AdmissionSettings, FairAdmission, PriorityTarget, Work
+
+RUN_S = 0.1
+
+
+def make(limit: int = 1, waiting: int = 10_000, **bounds: bool) -> FairAdmission:
+    return FairAdmission(AdmissionSettings(limit, waiting, learn_concurrency=False, **bounds))
+
+
+def work(name: str, customer: str = "a", priority: int = 3, **fields: float) -> Work:
+    return replace(Work(name, customer, priority, 0.0, 1e6, max_tokens=10), **fields)
+
+
+def serve(admission: FairAdmission, starts: int, now: float = 0.0) -> list[Work]:
+    """Run work one after the other, each for the same time."""
+    served = []
+    for _ in range(starts):
+        started = admission.start_next(now)
+        if started is None:
+            break
+        now += RUN_S
+        admission.finish(started, 10, now)
+        served.append(started)
+    return served
+
+
+def test_the_most_urgent_work_goes_first():
+    admission = make()
+    for name, priority in (("low", 6), ("top", 1), ("middle", 3)):
+        assert admission.offer(work(name, priority=priority), 0.0) is None
+    assert [item.attempt for item in serve(admission, 3)] == ["top", "middle", "low"]
+
+
+@pytest.mark.parametrize("floor", [0.1, 0.25])
+def test_a_flood_of_urgent_work_leaves_lower_work_its_floor(floor):
+    admission = make()
+    admission.follow_targets([PriorityTarget(6, 1e6, 1.0, floor)])
+    for number in range(300):
+        admission.offer(work(f"top{number}", priority=1), 0.0)
+        admission.offer(work(f"low{number}", priority=6), 0.0)
+    served = serve(admission, 200)
+    low = sum(item.priority == 6 for item in served)
+    assert low == pytest.approx(200 * floor, abs=1)
+    assert all(item.engine_priority == 1 for item in served if item.priority == 6)
+
+
+def test_a_floor_that_nobody_uses_is_lent_and_not_saved_up():
+    admission = make()
+    admission.follow_targets([PriorityTarget(6, 1e6, 1.0, 0.5)])
+    for number in range(300):
+        admission.offer(work(f"top{number}", priority=1), 0.0)
+    assert len(serve(admission, 100)) == 100
+    for number in range(50):
+        admission.offer(work(f"low{number}", priority=6), 0.0)
+    low = sum(item.priority == 6 for item in serve(admission, 20))
+    assert low == pytest.approx(10, abs=1)
+
+
+def test_customers_of_one_priority_get_their_shares_whatever_they_ask_for():
+    admission = make()
+    for number in range(400):
+        admission.offer(work(f"large{number}", "large", share=1.0), 0.0)
+    for number in range(200):
+        admission.offer(work(f"small{number}", "small", share=3.0), 0.0)
+    small = sum(item.customer == "small" for item in serve(admission, 200))
+    assert small == pytest.approx(150, abs=2)
+
+
+def test_a_customer_that_was_idle_saves_nothing_up():
+    admission = make()
+    for number in range(200):
+        admission.offer(work(f"busy{number}", "busy"), 0.0)
+    serve(admission, 100)
+    for number in range(100):
+        admission.offer(work(f"idle{number}", "idle"), 0.0)
+    idle = sum(item.customer == "idle" for item in serve(admission, 40))
+    assert idle == pytest.approx(20, abs=1)
+
+
+def test_what_a_customer_used_elsewhere_counts_against_its_share_here():
+    admission = make()
+    for number in range(200):
+        admission.offer(work(f"wide{number}", "wide", served_elsewhere=10.0), 0.0)
+        admission.offer(work(f"here{number}", "here"), 0.0)
+    wide = sum(item.customer == "wide" for item in serve(admission, 90))
+    assert wide < 35
+
+
+def test_a_small_customers_request_passes_a_large_customers_queue():
+    admission = make()
+    for number in range(100):
+        admission.offer(work(f"large{number}", "large"), 0.0)
+    serve(admission, 10)
+    admission.offer(work("small", "small"), 1.0)
+    assert "small" in [item.attempt for item in serve(admission, 2, 1.0)]
+
+
+def test_work_that_cannot_be_on_time_is_refused_when_it_comes():
+    admission = make()
+    admission.offer(work("first"), 0.0)
+    serve(admission, 1)
+    for number in range(20):
+        admission.offer(work(f"q{number}"), 1.0)
+    admission.start_next(1.0)
+    refusal = admission.offer(work("late", deadline=1.5), 1.0)
+    assert refusal is not None
+    assert refusal.retry_after_s is not None
+    assert refusal.retry_after_s > 0
+    assert admission.offer(work("patient", deadline=60.0), 1.0) is None
+
+
+def test_a_missed_first_token_target_refuses_work_that_waits():
+    admission = make()
+    admission.follow_targets([PriorityTarget(3, 2.0, 1.0)])
+    admission.offer(work("runs"), 0.0)
+    admission.start_next(0.0)
+    assert admission.offer(work("waits"), 0.0) is None
+    assert admission.expire(1.0) == []
+    assert [item.work.attempt for item in admission.expire(2.0)] == ["waits"]
+
+
+def test_a_full_queue_gives_the_place_of_the_largest_customer_to_more_urgent_work():
+    admission = make(waiting=3)
+    admission.offer(work("runs"), 0.0)
+    admission.start_next(0.0)
+    for name, customer in (("l1", "large"), ("l2", "large"), ("s1", "small")):
+        assert admission.offer(work(name, customer, 6), 0.0) is None
+    assert admission.offer(work("urgent", "small", 1), 0.0) is None
+    assert [item.work.attempt for item in admission.expire(0.0)] == ["l2"]
+    assert admission.offer(work("lower", "other", 7), 0.0) is not None
+    assert admission.waiting == 3
+
+
+def test_urgent_work_starts_beyond_the_limit_only_where_the_engine_preempts():
+    for preempts, started in ((False, None), (True, "urgent")):
+        admission = make(engine_preempts=preempts)
+        admission.offer(work("low", priority=6), 0.0)
+        admission.start_next(0.0)
+        admission.offer(work("urgent", priority=1), 0.0)
+        found = admission.start_next(0.0)
+        assert (found and found.attempt) == started
+        admission.offer(work("more", priority=1), 0.0)
+        assert admission.start_next(0.0) is None
+
+
+def test_answer_lengths_are_learned_by_customer():
+    admission = make()
+    for number in range(50):
+        admission.offer(work(f"s{number}", "short", max_tokens=100), 0.0)
+        started = admission.start_next(0.0)
+        assert started is not None
+        admission.finish(started, 10, 1.0)
+    admission.offer(work("next", "short", max_tokens=100), 1.0)
+    assert admission.waiting_cost == pytest.approx(10, rel=0.1)
+    admission.offer(work("other", "unknown", max_tokens=100), 1.0)
+    assert admission.waiting_cost == pytest.approx(110, rel=0.1)
