--- /dev/null
+++ b/tests/routing/test_retry_budget.py
@@ -0,0 +1,40 @@
+from random import Random
+
+from bluebellrun.routing import RetryBudget, RetrySettings
+
+
+def make() -> RetryBudget:
+    return RetryBudget(RetrySettings(ratio=0.2, most_saved=5.0), Random(1))
+
+
+def test_retries_of_a_flood_stay_within_the_ratio():
+    budget = make()
+    taken = 0
+    for _ in range(1_000):
+        budget.note_first(6, "large")
+        taken += sum(budget.take(6, "large") for _ in range(3))
+    assert taken <= 0.2 * 1_000 + 5
+
+
+def test_a_flood_uses_up_neither_another_customers_budget_nor_another_prioritys():
+    budget = make()
+    budget.note_first(6, "small")
+    budget.note_first(1, "large")
+    for _ in range(100):
+        budget.note_first(6, "large")
+        while budget.take(6, "large"):
+            pass
+    assert budget.take(6, "small")
+    assert budget.take(1, "large")
+
+
+def test_no_retry_without_a_first_attempt():
+    assert not make().take(3, "nobody")
+
+
+def test_pauses_are_spread_and_bounded():
+    budget = make()
+    pauses = [budget.pause_s(3) for _ in range(100)]
+    assert max(pauses) <= 0.25
+    assert max(pauses) - min(pauses) > 0.01
+    assert all(0 <= budget.pause_s(50) <= 0.25 for _ in range(100))
