--- a/bench/_fakes.py
+++ b/bench/_fakes.py
@@ -203,14 +203,19 @@
         self.totals: dict[str, float] = {}
         self.seen: dict[tuple[str, str], float] = {}
 
-    def served_elsewhere(self, customer: str, upstream: str, tokens: float) -> float:
-        """Return what went elsewhere for a customer since its last request to an upstream."""
+    def served_elsewhere(self, customer: str, upstream: str) -> float:
+        """Return what ran elsewhere for a customer since its last request to an upstream."""
         total = self.totals.get(customer, 0.0)
         elsewhere = total - self.seen.get((customer, upstream), total)
-        self.totals[customer] = total + tokens
-        self.seen[customer, upstream] = total + tokens
+        self.seen[customer, upstream] = total
         return elsewhere
 
+    def note_ran(self, request: FakeRequest) -> None:
+        """Count a request that was answered."""
+        customer, upstream = request.customer, request.upstream
+        self.totals[customer] = self.totals.get(customer, 0.0) + request.tokens
+        self.seen[customer, upstream] += request.tokens
+
 
 class FakeFleet:
     """Entries, upstreams and the clock."""
@@ -281,6 +286,7 @@
         """Note that a request left its upstream."""
         entry = self._entries[request.entry]
         entry.in_flight[request.upstream] -= 1
+        entry.note_ran(request)
         entry.routing.on_finished(request.upstream, self.now - request.at_s, False, self.now)
 
     def stragglers(self) -> frozenset[str]:
@@ -313,7 +319,7 @@
         request.attempts += 1
         request.upstream = chosen.name
         entry.in_flight[chosen.name] = entry.in_flight.get(chosen.name, 0) + 1
-        elsewhere = entry.served_elsewhere(request.customer, chosen.name, request.tokens)
+        elsewhere = entry.served_elsewhere(request.customer, chosen.name)
         work = Work(
             attempt=f"a{next(self._attempts)}",
             customer=request.customer,
--- a/bluebellrun/admission/_fair.py
+++ b/bluebellrun/admission/_fair.py
@@ -77,6 +77,8 @@
         known = work.attempt in self._works or work.attempt in self._running
         invariants.check(not known, "an attempt is offered once", attempt=work.attempt)
         work = replace(work, cost=self._costs.estimate(work))
+        if work.served_elsewhere:
+            self._queue_of(work.priority).note_elsewhere(work)
         wait_s = self._expected_wait(work, now)
         late_s = now + wait_s - self._latest_start(work)
         if late_s > 0:
--- a/bluebellrun/admission/_fair_queue.py
+++ b/bluebellrun/admission/_fair_queue.py
@@ -52,18 +52,23 @@
         shares = sum(item.share for item in self._backlogged.values())
         return min(self._cost, known.cost * shares / share)
 
+    def note_elsewhere(self, work: Work) -> None:
+        """Move a customer back by what it used elsewhere, whether its work is taken or not.
+
+        It is kept from falling behind the others by more than it can make good.
+        """
+        customer = self._customer(work)
+        start = max(customer.next_start, self._virtual_time)
+        customer.next_start = start + work.served_elsewhere / work.share
+
     def add(self, work: Work) -> None:
         """Queue work behind its customer's other work."""
-        customer = self._customers.setdefault(work.customer, _Customer(work.customer))
-        self._customers.move_to_end(work.customer)
-        customer.share = work.share
-        customer.next_start += work.served_elsewhere / work.share
+        customer = self._customer(work)
         if not customer.works:
             customer.next_start = max(customer.next_start, self._virtual_time)
             self._backlogged[work.customer] = customer
         customer.works[work.attempt] = work
         self._count(customer, work.cost, 1)
-        self._forget_idle()
 
     def head(self) -> Work | None:
         """Return the work that goes next."""
@@ -103,6 +108,14 @@
         if customer is not None:
             customer.next_start += (cost - work.cost) / work.share
 
+    def _customer(self, work: Work) -> _Customer:
+        """Return the customer of work, made where it is not known."""
+        customer = self._customers.setdefault(work.customer, _Customer(work.customer))
+        self._customers.move_to_end(work.customer)
+        customer.share = work.share
+        self._forget_idle()
+        return customer
+
     def _next_customer(self) -> _Customer | None:
         """Return the backlogged customer that is furthest behind."""
         if not self._backlogged:
--- a/bluebellrun/entry/_dispatcher.py
+++ b/bluebellrun/entry/_dispatcher.py
@@ -139,6 +139,8 @@
         finally:
             await channel.forget(attempt, cancel_reason)
         failed = isinstance(outcome, Unknown)
+        if isinstance(outcome, Ran):
+            self._spread.note_ran(request, name)
         now = self._clock.now()
         self._routing.on_finished(name, now - started, failed, now)
         _log.info("attempt ended", attempt=attempt, upstream=name, outcome=repr(outcome))
--- a/bluebellrun/entry/_spread.py
+++ b/bluebellrun/entry/_spread.py
@@ -15,25 +15,35 @@
 
 
 class CustomerSpread:
-    """Count a customer's tokens over all upstreams of a service, and at each."""
+    """Count a customer's tokens over all upstreams of a service, and at each.
+
+    Only what ran counts: a refused request used nothing.
+    """
 
     def __init__(self) -> None:
         self._totals: dict[tuple[str, str], float] = {}
         self._seen: OrderedDict[tuple[str, str, str], float] = OrderedDict()
 
     def take(self, request: CallerRequest, upstream: str) -> float:
-        """Count a request and return the tokens that went elsewhere since the last one here."""
+        """Return the tokens that went elsewhere since the last request to an upstream."""
         pair = (request.service.name, request.customer.name)
-        tokens = _tokens(request)
-        total = self._totals.get(pair, 0.0)
         key = (*pair, upstream)
+        total = self._totals.get(pair, 0.0)
         elsewhere = total - self._seen.pop(key, total)
-        self._totals[pair] = total + tokens
-        self._seen[key] = total + tokens
+        self._seen[key] = total
         if len(self._seen) > MAX_PAIRS:
             self._seen.popitem(last=False)
         return elsewhere
 
+    def note_ran(self, request: CallerRequest, upstream: str) -> None:
+        """Count a request that an upstream answered."""
+        pair = (request.service.name, request.customer.name)
+        tokens = _tokens(request)
+        self._totals[pair] = self._totals.get(pair, 0.0) + tokens
+        key = (*pair, upstream)
+        if key in self._seen:
+            self._seen[key] += tokens
+
 
 def _tokens(request: CallerRequest) -> int:
     """Return the cost of a request in tokens, as far as it can be told from outside."""
--- a/tests/admission/test_fair.py
+++ b/tests/admission/test_fair.py
@@ -158,3 +158,17 @@
     assert admission.waiting_cost == pytest.approx(10, rel=0.1)
     admission.offer(work("other", "unknown", max_tokens=100), 1.0)
     assert admission.waiting_cost == pytest.approx(110, rel=0.1)
+
+
+def test_what_was_used_elsewhere_counts_though_the_request_that_tells_it_is_refused():
+    admission = make()
+    admission.offer(work("warm"), 0.0)
+    serve(admission, 1)
+    for number in range(100):
+        admission.offer(work(f"here{number}", "here"), 0.0)
+    late = work("late", "wide", deadline=-1.0, served_elsewhere=500.0)
+    assert admission.offer(late, 0.0) is not None
+    for number in range(100):
+        admission.offer(work(f"wide{number}", "wide"), 0.0)
+    served = serve(admission, 40)
+    assert all(item.customer == "here" for item in served)
