--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -2,7 +2,6 @@
 
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 from bench import _board as board
@@ -33,11 +32,16 @@
     """The Board's fleet on this machine."""
 
     def __init__(
-        self, fleet: LocalFleet, policies: Policies, engine_arguments: tuple[str, ...] = ()
+        self,
+        fleet: LocalFleet,
+        policies: Policies,
+        engine_arguments: tuple[str, ...] = (),
+        agent_arguments: tuple[str, ...] = (),
     ) -> None:
         self._fleet = fleet
         self._policies = policies
         self._engine_arguments = engine_arguments
+        self._agent_arguments = agent_arguments
         self._upstreams: dict[str, tuple[str, str, str]] = {}
         self._next_number = 1
 
@@ -87,6 +91,7 @@
             f"engine-{name}",
             *("--admission-policy", self._policies.admission),
             *("--concurrency", str(board.SLOTS), "--failure-domain", domain),
+            *self._agent_arguments,
         )
         self._upstreams[name] = (board.MODEL_SERVICE, str(self._fleet[name].address), domain)
         return name
@@ -155,8 +160,3 @@
         for rank in board.CLASSES
     ]
     return documents
-
-
-def open_fleet(folder: str, policies: Policies, *engine_arguments: str) -> BoardFleet:
-    """Return a fleet that has not been started; its logs go to a folder."""
-    return BoardFleet(LocalFleet(Path(folder)), policies, engine_arguments)
--- a/bench/_registry.py
+++ b/bench/_registry.py
@@ -2,15 +2,19 @@
 
 from collections.abc import Callable
 
-from bench import fairness, flood, pure, relay
+from bench import fairness, faults, flood, prefix, pure, relay
 from bench._results import Measure
 
 SCENARIOS: dict[str, Callable[[int], list[Measure]]] = {
+    "churn": faults.churn,
     "fairness": fairness.measure,
     "flood-low": flood.flood_low,
     "flood-urgent": flood.flood_urgent,
     "large-customers": flood.large_customers,
+    "prefix": prefix.measure,
     "pure": pure.measure,
     "relay": relay.measure,
+    "silent": faults.silent,
     "steady": flood.steady,
+    "straggler": faults.straggler,
 }
--- a/bench/_run.py
+++ b/bench/_run.py
@@ -6,9 +6,10 @@
 from pathlib import Path
 
 from bench._driver import Offered, read_offered, start_driver
-from bench._fleet import ALL_POLICIES, BoardFleet, Policies, open_fleet
+from bench._fleet import ALL_POLICIES, BoardFleet, Policies
 from bench._results import Measure
 from bluebellrun.load import Scenario
+from standins.fleet import LocalFleet
 
 Fault = Callable[[BoardFleet], None]
 Judge = Callable[[Policies, Sequence[Offered], BoardFleet], Iterable[Measure]]
@@ -21,36 +22,32 @@
     judge: Judge,
     faults: Sequence[tuple[float, Fault]] = (),
     engine_arguments: tuple[str, ...] = (),
+    agent_arguments: tuple[str, ...] = (),
 ) -> list[Measure]:
     """Return the measures of every pair of policies."""
     measures: list[Measure] = []
     for policies in ALL_POLICIES:
-        measures += _measure(scenario, seed, policies, judge, faults, engine_arguments)
+        with tempfile.TemporaryDirectory() as folder, LocalFleet(Path(folder)) as processes:
+            fleet = BoardFleet(processes, policies, engine_arguments, agent_arguments)
+            fleet.start()
+            offered = _offer(fleet, scenario, seed, faults)
+            measures += judge(policies, offered, fleet)
     return measures
 
 
-def _measure(
-    scenario: Scenario,
-    seed: int,
-    policies: Policies,
-    judge: Judge,
-    faults: Sequence[tuple[float, Fault]],
-    engine_arguments: tuple[str, ...],
-) -> list[Measure]:
-    """Return the measures of one pair of policies."""
-    with tempfile.TemporaryDirectory() as folder:
-        board_fleet = open_fleet(folder, policies, *engine_arguments)
-        with board_fleet.fleet:
-            board_fleet.start()
-            driver = start_driver(Path(folder), scenario, seed, board_fleet.entries)
-            started = time.monotonic() + LEAD_S
-            for at_s, fault in faults:
-                time.sleep(max(0.0, started + at_s - time.monotonic()))
-                fault(board_fleet)
-            if driver.wait() != 0:
-                raise RuntimeError(f"the load of {scenario.name} failed; see its output above")
-            offered = read_offered(Path(folder), scenario, seed)
-            return list(judge(policies, offered, board_fleet))
+def _offer(
+    fleet: BoardFleet, scenario: Scenario, seed: int, faults: Sequence[tuple[float, Fault]]
+) -> list[Offered]:
+    """Offer the load, order the faults at their times and return what came back."""
+    folder = fleet.fleet.folder
+    driver = start_driver(folder, scenario, seed, fleet.entries)
+    started = time.monotonic() + LEAD_S
+    for at_s, fault in faults:
+        time.sleep(max(0.0, started + at_s - time.monotonic()))
+        fault(fleet)
+    if driver.wait() != 0:
+        raise RuntimeError(f"the load of {scenario.name} failed; see its output above")
+    return read_offered(folder, scenario, seed)
 
 
 def on_time_share(offered: Iterable[Offered], prefix: str) -> float:
