--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -1,5 +1,6 @@
 """Start the Board's fleet of real processes with one pair of policies."""
 
+import os
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
@@ -26,6 +27,12 @@
     Policies("round-robin+fifo", "round-robin", "fifo"),
 )
 ALL_POLICIES = (OURS, *BASELINES)
+ONLY_OURS = "BENCH_ONLY_OURS"
+
+
+def compared_policies() -> tuple[Policies, ...]:
+    """Return the policies to measure: all, or ours alone where the environment says so."""
+    return (OURS,) if os.environ.get(ONLY_OURS) else ALL_POLICIES
 
 
 class BoardFleet:
--- a/bluebellrun/agent/_settings.py
+++ b/bluebellrun/agent/_settings.py
@@ -19,7 +19,7 @@
     protocol: Literal["model", "plain"] = Field(
         default="model", description="What the upstream speaks."
     )
-    admission_policy: str = Field(default="fifo", description="Policy that picks the next work.")
+    admission_policy: str = Field(default="fair", description="Policy that picks the next work.")
     concurrency: int = Field(
         default=32, gt=0, description="Requests at the upstream at once, at first."
     )
--- a/bluebellrun/entry/_settings.py
+++ b/bluebellrun/entry/_settings.py
@@ -19,7 +19,7 @@
         default=Address("127.0.0.1", 0), description="IP:PORT for callers' HTTP."
     )
     routing_policy: str = Field(
-        default="least-requests", description="Policy that chooses an upstream."
+        default="expected-finish", description="Policy that chooses an upstream."
     )
     max_attempts: int = Field(
         default=4, gt=0, description="Most upstreams that one request is offered to."
