--- a/bench/pure.py
+++ b/bench/pure.py
@@ -20,6 +20,10 @@
 
 TAIL_S = 10.0
 GAP_S = 0.5
+FAULT_S = 4.0
+SLOW_FACTOR = 5.0
+POLL_S = 0.01
+NEVER_S = 99.0
 
 
 def targets() -> list[PriorityTarget]:
@@ -158,6 +162,7 @@
         measures += _flood_low(policies, seed)
         measures += _flood_urgent(policies, seed)
         measures += _large_customers(policies, seed)
+        measures += _straggler(policies, seed)
     return measures
 
 
@@ -216,3 +221,30 @@
         _row(name, policies, "worst small customer on time", min(small), ">= 0.99", seed),
         _row(name, policies, "goodput of capacity", run.goodput(""), "", seed),
     ]
+
+
+def _straggler(policies: Policies, seed: int) -> list[Measure]:
+    """Measure the fleet with one upstream five times slower than before."""
+    run = PureRun(board.steady_streams(1.0, DURATION_S), policies, seed)
+    fleet, found = run.fleet, [NEVER_S]
+
+    def slow() -> None:
+        fleet.upstreams[0].slow_factor = SLOW_FACTOR
+        look()
+
+    def look() -> None:
+        if fleet.upstreams[0].name in fleet.stragglers():
+            found[0] = fleet.now - FAULT_S
+        else:
+            fleet.after(POLL_S, look)
+
+    fleet.after(FAULT_S, slow)
+    run.run()
+    others = 1 - 1 / board.MODEL_UPSTREAMS
+    rate = run.goodput("") / others
+    label = "goodput of what the others could carry"
+    return [
+        _row("straggler", policies, label, rate, ">= 0.9", seed),
+        Measure("pure/straggler", policies.name, "found after", found[0], "s", "<= 2", seed),
+        _row("straggler", policies, "top on time", run.on_time(board.TOP.name), "", seed),
+    ]
--- a/bluebellrun/routing/_expected_finish.py
+++ b/bluebellrun/routing/_expected_finish.py
@@ -25,6 +25,7 @@
 HOME_EXCESS = 1.2
 HOME_SLACK = 1.0
 REFUSED_S = 0.25
+TIDY_INTERVAL_S = 60.0
 
 
 class ExpectedFinishRouting:
@@ -41,6 +42,7 @@
         self._prefixes = PrefixMap()
         self._refused: dict[str, float] = {}
         self._ejected: frozenset[str] = frozenset()
+        self._tidied = 0.0
 
     @property
     def stragglers(self) -> frozenset[str]:
@@ -89,6 +91,16 @@
         self._loads.meet(candidates, now)
         for candidate in candidates:
             self._detector.observe(candidate.name, candidate.load.step_s, candidate.load.reported)
+        if now - self._tidied > TIDY_INTERVAL_S:
+            self._tidied = now
+            self._forget_gone(now)
+
+    def _forget_gone(self, now: float) -> None:
+        """Forget upstreams that are gone, so that replacements do not fill the memory."""
+        names = self._loads.forget_gone(now)
+        self._detector.keep(names)
+        self._outliers.keep(names)
+        self._refused = {name: at for name, at in self._refused.items() if name in names}
 
     def _subset(self, service: str, candidates: Sequence[Candidate]) -> Sequence[Candidate]:
         """Return this entry's stable part of a large service."""
--- a/bluebellrun/routing/_outlook.py
+++ b/bluebellrun/routing/_outlook.py
@@ -11,6 +11,7 @@
 SLOW_START_S = 8.0
 FIRST_WEIGHT = 0.25
 GUESSED_STEP_S = 0.05
+GONE_AFTER_S = 300.0
 
 
 @dataclass(slots=True)
@@ -19,6 +20,7 @@
 
     first_seen: float
     newcomer: bool
+    last_seen: float
     sent: deque[float] = field(default_factory=deque)
 
 
@@ -34,9 +36,11 @@
         if self._started is None and candidates:
             self._started = now
         for candidate in candidates:
-            if candidate.name not in self._known:
+            known = self._known.get(candidate.name)
+            if known is None:
                 newcomer = self._started is not None and now > self._started
-                self._known[candidate.name] = _Known(now, newcomer)
+                known = self._known[candidate.name] = _Known(now, newcomer, now)
+            known.last_seen = now
 
     def note_sent(self, name: str, now: float) -> None:
         """Note that a request is sent to an upstream."""
@@ -45,10 +49,11 @@
         while sent and now - sent[0] > OLDEST_SENT_S:
             sent.popleft()
 
-    def keep(self, names: Collection[str]) -> None:
-        """Forget upstreams that are gone."""
-        for name in [name for name in self._known if name not in names]:
+    def forget_gone(self, now: float) -> Collection[str]:
+        """Forget upstreams that have not been candidates for long; return those that remain."""
+        for name in [n for n, k in self._known.items() if now - k.last_seen > GONE_AFTER_S]:
             del self._known[name]
+        return self._known.keys()
 
     def occupied(self, candidate: Candidate, usual: float, now: float) -> float:
         """Return the requests that wait or run there, from the report as far as it is fresh.
--- a/tests/routing/test_expected_finish.py
+++ b/tests/routing/test_expected_finish.py
@@ -114,3 +114,14 @@
 
 def test_no_candidate_gives_no_choice():
     assert ExpectedFinishRouting(Random(1), "near").choose(work(), [], 1.0) is None
+
+
+def test_upstreams_that_are_gone_are_forgotten():
+    routing = ExpectedFinishRouting(Random(1), "near")
+    for number in range(100):
+        routing.choose(work(), [candidate(f"u{number}")], 100.0 * number)
+        routing.on_unreachable(f"u{number}", 100.0 * number)
+        routing.on_refused(f"u{number}", 100.0 * number)
+    assert len(routing._loads._known) < 10
+    assert len(routing._outliers._records) < 10
+    assert len(routing._refused) < 10
