Release holds of any earlier change

Change: a release is never too old. Writes in doubt need no extra write: one of those that compare with a revision succeeds, and each is right there.

--- a/bluebellrun/groups/_gate.py
+++ b/bluebellrun/groups/_gate.py
@@ -133,13 +133,16 @@
         return AbortChange(record.aborted()) if impatient else None
 
     def _check_change(self, order: Order) -> Refusal | None:
-        """Return why an order belongs to a change that is over, or none."""
+        """Return why an order belongs to a change that is over, or none.
+
+        A release names a change that was aborted, which stays true, so it is never too old.
+        """
         version = _change_of(order.content)
-        if version == 0:
+        if version == 0 or isinstance(order.content, ReleaseHold):
             return None
         if version < self._change:
             return self._refuse(f"change {version} is older than {self._change}")
-        if version <= self._closed and not isinstance(order.content, ReleaseHold):
+        if version <= self._closed:
             return self._refuse(f"change {version} is over")
         return None
 
--- a/bluebellrun/groups/_map_change.py
+++ b/bluebellrun/groups/_map_change.py
@@ -78,7 +78,6 @@
         self._record: GroupRecord | None = None
         self._revision = 0
         self._store_busy = False
-        self._in_doubt: int | None = None
         self._wanted: str | None = None
         self._hold: int | None = None
         self._margin = settings.step_margin
@@ -122,9 +121,6 @@
         if record.fencing > self._fencing:
             self._deposed = True
             return []
-        if self._in_doubt == self._revision:
-            return self._write(record.touched())
-        self._in_doubt = None
         if record.fencing < self._fencing:
             return self._write(record.taken_over(self._fencing))
         return self._advance(record, now)
@@ -140,14 +136,16 @@
         self._store_busy = False
 
     def on_write(self, written: GroupRecord, succeeded: bool | None, revision: int = 0) -> None:
-        """Take the outcome of a write; none when its answer was lost."""
+        """Take the outcome of a write; none when its answer was lost.
+
+        A lost write may still arrive later. It does no harm: all writes that compare with one
+        revision are right at that revision, and only one of them succeeds.
+        """
         self._store_busy = False
         if succeeded:
             self._take(written, revision)
-            return
-        if succeeded is None:
-            self._in_doubt = self._revision
-        self._record = None
+        else:
+            self._record = None
 
     def on_state(self, rank: int, state: EngineState) -> None:
         """Take a rank's state, as told in answer to an order."""
--- a/bluebellrun/groups/_record.py
+++ b/bluebellrun/groups/_record.py
@@ -33,15 +33,13 @@
 class GroupRecord:
     """The map in force, the number for the next one, and the change in progress.
 
-    ``fencing`` is that of the coordinator that last took the record over; ``touches`` only
-    makes a write differ, so that an earlier one in doubt cannot succeed any more.
+    ``fencing`` is that of the coordinator that last took the record over.
     """
 
     active: int
     next_version: int
     fencing: int = 0
     change: MapChange | None = None
-    touches: int = 0
 
     @property
     def preparing(self) -> bool:
@@ -59,10 +57,6 @@
             raise InvalidTransitionError(f"fencing number {fencing} is older than {self.fencing}")
         return replace(self, fencing=fencing)
 
-    def touched(self) -> "GroupRecord":
-        """Return the record with nothing changed but the count of touches."""
-        return replace(self, touches=self.touches + 1)
-
     def begun(self, digest: str) -> "GroupRecord":
         """Return the record with a new change in progress."""
         if self.change is not None:
--- /dev/null
+++ b/tests/groups/test_gate.py
@@ -0,0 +1,186 @@
+import pytest
+
+from bluebellrun.groups import (
+    AbortChange,
+    ActivateMap,
+    AdoptMap,
+    ChangeRole,
+    EngineState,
+    GroupRecord,
+    HoldStep,
+    LoadAdapter,
+    LoadVersion,
+    MapChangeSettings,
+    MapCoordinator,
+    Order,
+    OrderGate,
+    PrepareMap,
+    ReadRecord,
+    ReleaseHold,
+    Role,
+    SendOrder,
+    Tell,
+    WriteRecord,
+    has_effect,
+)
+
+RECORD = GroupRecord(active=1, next_version=2, fencing=3)
+PREPARING = RECORD.begun("d")
+COMMITTED = PREPARING.committed(40)
+
+
+def gate(record: GroupRecord = RECORD) -> OrderGate:
+    started = OrderGate()
+    started.learn(record)
+    return started
+
+
+def order(content, fencing: int = 3) -> Order:
+    return Order(f"{content}", fencing, content)
+
+
+def test_nothing_is_sent_before_the_fencing_number_is_known():
+    refusal = OrderGate().begin(order(LoadVersion("m", "v")))
+    assert refusal is not None
+    assert refusal.passing
+
+
+def test_an_old_fencing_number_is_refused_for_good():
+    refusal = gate().begin(order(LoadVersion("m", "v"), fencing=2))
+    assert refusal is not None
+    assert not refusal.passing
+    assert refusal.fencing == 3
+
+
+def test_a_new_fencing_number_shuts_out_the_one_before():
+    opened = gate()
+    assert opened.begin(order(LoadAdapter("a", "m"), fencing=4)) is None
+    opened.end()
+    assert opened.begin(order(LoadAdapter("b", "m"), fencing=3)) is not None
+
+
+def test_one_order_is_in_flight_at_most():
+    opened = gate()
+    assert opened.begin(order(LoadVersion("m", "v"))) is None
+    refusal = opened.begin(order(LoadAdapter("a", "m")))
+    assert refusal is not None
+    assert refusal.passing
+
+
+def test_a_late_hold_of_an_earlier_change_does_not_replace_a_later_one():
+    opened = gate(PREPARING.aborted().begun("e"))
+    assert opened.begin(order(HoldStep(3, 50))) is None
+    opened.end()
+    assert opened.begin(order(HoldStep(2, 30))) is not None
+
+
+def test_an_order_of_a_change_that_is_over_is_refused():
+    opened = gate(PREPARING)
+    assert opened.begin(order(ReleaseHold(2))) is None
+    opened.end()
+    assert opened.begin(order(HoldStep(2, 30))) is not None
+
+
+def test_a_hold_of_any_earlier_change_can_be_released():
+    opened = gate(PREPARING.aborted().begun("e"))
+    assert opened.begin(order(ReleaseHold(2))) is None
+
+
+@pytest.mark.parametrize(
+    ("record", "expected"),
+    [
+        (RECORD, Tell(AdoptMap(1, 5, None))),
+        (PREPARING, AbortChange(PREPARING.aborted())),
+        (COMMITTED, Tell(AdoptMap(1, 5, ActivateMap(2, 40)))),
+        (COMMITTED.finished(), Tell(AdoptMap(2, 5, None))),
+    ],
+)
+def test_a_rank_that_joins_learns_its_map_or_aborts_what_is_undecided(record, expected):
+    assert gate().settle(EngineState(epoch=5, learned=False), record, False) == expected
+
+
+@pytest.mark.parametrize(
+    ("record", "impatient", "expected"),
+    [
+        (RECORD, False, Tell(ReleaseHold(2))),
+        (PREPARING, False, None),
+        (PREPARING, True, AbortChange(PREPARING.aborted())),
+        (COMMITTED, False, Tell(ActivateMap(2, 40))),
+    ],
+)
+def test_a_rank_that_holds_is_settled_by_the_record(record, impatient, expected):
+    state = EngineState(active=1, hold=HoldStep(2, 40))
+    assert gate().settle(state, record, impatient) == expected
+
+
+@pytest.mark.parametrize(
+    ("content", "state"),
+    [
+        (PrepareMap(2, "d"), EngineState(prepared=2, prepared_digest="d")),
+        (HoldStep(2, 30), EngineState(hold=HoldStep(2, 40))),
+        (HoldStep(2, 30), EngineState(following=ActivateMap(2, 40))),
+        (ActivateMap(2, 30), EngineState(active=2)),
+        (ReleaseHold(2), EngineState(hold=HoldStep(3, 40))),
+        (LoadVersion("m", "v2"), EngineState(versions=("m@v2",))),
+        (LoadAdapter("a", "m"), EngineState(adapters=("a",))),
+        (ChangeRole(Role.DECODE), EngineState(role=Role.DECODE)),
+        (AdoptMap(1, 0), EngineState(learned=True)),
+    ],
+)
+def test_what_the_engine_shows_as_done_is_not_sent_again(content, state):
+    assert not has_effect(order(content), state)
+
+
+def test_an_action_that_the_engine_remembers_is_not_sent_again():
+    done = order(LoadVersion("m", "v2"))
+    assert has_effect(done, EngineState())
+    assert not has_effect(done, EngineState(actions={done.action: "running"}))
+
+
+def coordinator(states: list[EngineState]) -> MapCoordinator:
+    built = MapCoordinator(3, len(states), MapChangeSettings(step_margin=10))
+    assert built.decide(0.0) == [ReadRecord()]
+    built.on_record(PREPARING, 7)
+    built.decide(0.0)
+    for rank, state in enumerate(states):
+        built.on_state(rank, state)
+    sent = built.decide(0.0)
+    assert all(isinstance(effect, SendOrder) for effect in sent)
+    return built
+
+
+def held(epoch: int) -> EngineState:
+    return EngineState(epoch=epoch, step=20, prepared=2, prepared_digest="d", hold=HoldStep(2, 30))
+
+
+def prepared(epoch: int) -> EngineState:
+    return EngineState(epoch=epoch, step=20, prepared=2, prepared_digest="d")
+
+
+def test_a_change_is_committed_once_all_ranks_hold_the_same_step():
+    built = coordinator([prepared(1), prepared(1)])
+    built.on_state(0, held(1))
+    assert built.decide(0.1) == []
+    built.on_state(1, held(1))
+    assert built.decide(0.1) == [WriteRecord(7, PREPARING.committed(30))]
+
+
+def test_holds_of_two_epochs_do_not_commit():
+    built = coordinator([prepared(1), prepared(2)])
+    built.on_state(0, held(1))
+    built.on_state(1, held(2))
+    assert not any(isinstance(effect, WriteRecord) for effect in built.decide(0.1))
+
+
+def test_a_rank_that_cannot_prepare_aborts_the_change():
+    built = coordinator([EngineState(), EngineState()])
+    built.on_failed(1)
+    assert built.decide(0.1) == [WriteRecord(7, PREPARING.aborted())]
+
+
+def test_a_newer_fencing_number_in_the_record_ends_a_coordinator():
+    built = MapCoordinator(2, 2, MapChangeSettings())
+    built.decide(0.0)
+    built.on_record(RECORD, 1)
+    assert built.decide(0.0) == []
+    assert built.deposed
