--- /dev/null
+++ b/bluebellrun/membership/_hosts.py
@@ -0,0 +1,101 @@
+"""What the platform's lagging host list says, and what may be concluded from it. Pure.
+
+A host listed as leaving gets no new work. A host that vanished from the list is believed gone
+only when few vanish together: a list that lost many hosts at once has a fault of its own, or
+describes a lost region, and neither is that many deaths.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+
+LEAVING = "leaving"
+MAX_VANISHED_SHARE = 0.1
+ALWAYS_BELIEVED = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Departures:
+    """Hosts that get no new work: on their way out, or believed gone."""
+
+    leaving: frozenset[str] = frozenset()
+    gone: frozenset[str] = frozenset()
+
+    def includes(self, host: str) -> bool:
+        """Return whether a host is not to be given new work."""
+        return host in self.leaving or host in self.gone
+
+
+class HostTable:
+    """The newest reading of the host list, from the platform or from a parent."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, str] = {}
+        self._gone: set[str] = set()
+        self._read_at: float | None = None
+        self._digest = 0
+        self._doubted = 0
+
+    @property
+    def states(self) -> dict[str, str]:
+        """Return each listed host's state."""
+        return dict(self._states)
+
+    @property
+    def gone(self) -> frozenset[str]:
+        """Return the hosts that vanished and are believed gone."""
+        return frozenset(self._gone)
+
+    @property
+    def digest(self) -> int:
+        """Return a digest that is equal for equal tables; 0 for none."""
+        return self._digest
+
+    @property
+    def read_at(self) -> float | None:
+        """Return when the table was last confirmed, in seconds, or none."""
+        return self._read_at
+
+    @property
+    def doubted(self) -> int:
+        """Return how many readings were doubted for having lost many hosts at once."""
+        return self._doubted
+
+    @property
+    def departures(self) -> Departures:
+        """Return the hosts that get no new work."""
+        leaving = {host for host, state in self._states.items() if state == LEAVING}
+        return Departures(frozenset(leaving), frozenset(self._gone))
+
+    def read(self, listed: Mapping[str, str], now: float) -> bool:
+        """Take a reading of the platform's list; return whether anything changed."""
+        before = self._digest
+        vanished = {host for host in self._states if host not in listed}
+        limit = max(ALWAYS_BELIEVED, MAX_VANISHED_SHARE * len(self._states))
+        if len(vanished) > limit:
+            self._doubted += 1
+            kept = {host: self._states[host] for host in vanished}
+            self._replace({**kept, **listed}, self._gone - set(listed))
+        else:
+            self._replace(dict(listed), (self._gone | vanished) - set(listed))
+        self._read_at = now
+        return self._digest != before
+
+    def follow(self, states: Mapping[str, str], gone: frozenset[str], now: float) -> bool:
+        """Take a parent's table as it is; return whether anything changed."""
+        before = self._digest
+        self._replace(dict(states), set(gone))
+        self._read_at = now
+        return self._digest != before
+
+    def confirm(self, now: float) -> None:
+        """Note that a parent's table is still equal to this one."""
+        self._read_at = now
+
+    def _replace(self, states: dict[str, str], gone: set[str]) -> None:
+        """Replace the table."""
+        self._states, self._gone = states, gone
+        encoded = msgspec.msgpack.encode([sorted(states.items()), sorted(gone)])
+        self._digest = int(xxhash.xxh3_64_intdigest(encoded))
--- /dev/null
+++ b/bluebellrun/membership/_table.py
@@ -0,0 +1,152 @@
+"""The members of one failure domain, as one of them sees them. Pure.
+
+Rows are merged by the greater order, so that all members come to hold the same rows whatever
+the order in which they arrive. A member whose links broke is suspect; it is gone when it has
+not refuted that in time. A member that hears itself suspected raises its counter.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+
+from bluebellrun.core import invariants
+from bluebellrun.membership._rows import MemberRow, MemberState
+
+
+@dataclass(frozen=True, slots=True)
+class SuspicionTiming:
+    """Times of the life of a suspicion, in seconds, and the share that is believed at once.
+
+    When more than ``max_share`` of the members are suspect together, this process may itself be
+    cut off: suspicions then wait for ``held_s`` before they are believed.
+    """
+
+    suspect_s: float = 5.0
+    held_s: float = 600.0
+    max_share: float = 0.25
+    always_believed: int = 2
+    forget_s: float = 900.0
+
+
+class MemberTable:
+    """Rows by name, this process's own among them; times in seconds."""
+
+    def __init__(self, own: MemberRow, timing: SuspicionTiming) -> None:
+        self._own = own
+        self._timing = timing
+        self._rows: dict[str, MemberRow] = {own.name: own}
+        self._changed_at: dict[str, float] = {}
+        self._digest = _row_digest(own)
+
+    @property
+    def own(self) -> MemberRow:
+        """Return this process's row."""
+        return self._own
+
+    @property
+    def digest(self) -> int:
+        """Return a digest that is equal for tables of equal rows."""
+        return self._digest
+
+    @property
+    def rows(self) -> list[MemberRow]:
+        """Return all rows."""
+        return list(self._rows.values())
+
+    def get(self, name: str) -> MemberRow | None:
+        """Return a member's row, or none."""
+        return self._rows.get(name)
+
+    def names(self, *states: MemberState) -> list[str]:
+        """Return the names of the members in any of some states."""
+        return [name for name, row in self._rows.items() if row.state in states]
+
+    def relays(self) -> list[str]:
+        """Return the members that may watch and relay: the live ones, sorted."""
+        return sorted(self.names(MemberState.LIVE))
+
+    def merge(self, rows: Iterable[MemberRow], now: float) -> list[MemberRow]:
+        """Take rows from others; return the ones that changed here, to be passed on."""
+        changed: list[MemberRow] = []
+        for row in rows:
+            if row.name == self._own.name:
+                changed += self._answer(row, now)
+            elif row.supersedes(self._rows.get(row.name)):
+                changed.append(self._put(row, now))
+        return changed
+
+    def suspect(self, name: str, now: float) -> list[MemberRow]:
+        """Note that a member's links broke; return the changed row, if any."""
+        row = self._rows.get(name)
+        if row is None or name == self._own.name:
+            return []
+        if row.state in (MemberState.SUSPECT, MemberState.GONE):
+            return []
+        return [self._put(row.believed(MemberState.SUSPECT), now)]
+
+    def leave(self, now: float) -> list[MemberRow]:
+        """Say that this process is leaving; return its changed row."""
+        if self._own.leaving:
+            return []
+        return [self._speak(self._own.epoch, self._own.counter + 1, True, now)]
+
+    def advance(self, now: float) -> list[MemberRow]:
+        """Believe suspicions that were not refuted in time; return the changed rows."""
+        changed = []
+        wait_s = self._timing.held_s if self.holds_suspicions else self._timing.suspect_s
+        for name in self.names(MemberState.SUSPECT):
+            if now - self._changed_at.get(name, now) >= wait_s:
+                changed.append(self._put(self._rows[name].believed(MemberState.GONE), now))
+        self._forget(now)
+        return changed
+
+    @property
+    def holds_suspicions(self) -> bool:
+        """Return whether so many members are suspect that this process may be cut off."""
+        suspects = len(self.names(MemberState.SUSPECT))
+        others = len(self.names(MemberState.LIVE, MemberState.LEAVING)) + suspects
+        limit = max(self._timing.always_believed, self._timing.max_share * others)
+        return suspects > limit
+
+    def _answer(self, row: MemberRow, now: float) -> list[MemberRow]:
+        """Refute what others believe of this process where it is newer than its own word."""
+        own = self._own
+        if not row.supersedes(own):
+            return []
+        if row.epoch > own.epoch:
+            return [self._speak(row.epoch + 1, 0, own.leaving, now)]
+        return [self._speak(own.epoch, row.counter + 1, own.leaving, now)]
+
+    def _speak(self, epoch: int, counter: int, leaving: bool, now: float) -> MemberRow:
+        """Replace this process's own row."""
+        state = MemberState.LEAVING if leaving else MemberState.LIVE
+        row = msgspec.structs.replace(
+            self._own, epoch=epoch, counter=counter, state=state, leaving=leaving
+        )
+        self._own = row
+        return self._put(row, now)
+
+    def _put(self, row: MemberRow, now: float) -> MemberRow:
+        """Replace a member's row."""
+        old = self._rows.get(row.name)
+        invariants.check(row.supersedes(old), "member rows only grow", old=old, new=row)
+        if old is not None:
+            self._digest ^= _row_digest(old)
+        self._digest ^= _row_digest(row)
+        self._rows[row.name] = row
+        self._changed_at[row.name] = now
+        return row
+
+    def _forget(self, now: float) -> None:
+        """Drop members that have been gone for long."""
+        for name in self.names(MemberState.GONE):
+            if now - self._changed_at.get(name, now) >= self._timing.forget_s:
+                self._digest ^= _row_digest(self._rows.pop(name))
+                self._changed_at.pop(name, None)
+
+
+def _row_digest(row: MemberRow) -> int:
+    """Return the digest of one row."""
+    return int(xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(row)))
--- /dev/null
+++ b/tests/membership/test_table.py
@@ -0,0 +1,180 @@
+from random import Random
+
+from bluebellrun.membership import (
+    HostTable,
+    MemberRow,
+    MemberState,
+    MemberTable,
+    SuspicionTiming,
+)
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+TIMING = SuspicionTiming(suspect_s=5.0, held_s=600.0)
+
+
+def row(name: str, epoch: int = 1) -> MemberRow:
+    return MemberRow(name, "agent", f"host-{name}", "r", "d", "127.0.0.1:1", epoch)
+
+
+def table(name: str, *others: str) -> MemberTable:
+    made = MemberTable(row(name), TIMING)
+    made.merge([row(other) for other in others], 0.0)
+    return made
+
+
+def test_a_suspect_that_does_not_refute_is_gone():
+    a = table("a", "b", "c")
+    a.suspect("b", 1.0)
+    assert a.get("b").state is MemberState.SUSPECT
+    assert a.relays() == ["a", "c"]
+    assert a.advance(5.9) == []
+    assert [r.state for r in a.advance(6.0)] == [MemberState.GONE]
+
+
+def test_a_false_suspicion_is_refuted_by_the_member():
+    a, b = table("a", "b"), table("b", "a")
+    refuted = b.merge(a.suspect("b", 1.0), 1.1)
+    assert [r.counter for r in refuted] == [1]
+    a.merge(refuted, 1.2)
+    assert a.get("b").state is MemberState.LIVE
+    assert a.advance(100.0) == []
+
+
+def test_a_member_believed_gone_comes_back_by_its_own_word():
+    a, b = table("a", "b"), table("b", "a")
+    a.suspect("b", 0.0)
+    gone = a.advance(10.0)
+    a.merge(b.merge(gone, 10.0), 10.0)
+    assert a.get("b").state is MemberState.LIVE
+    assert a.digest == b.digest
+
+
+def test_a_goodbye_survives_suspicion():
+    a, b = table("a", "b"), table("b", "a")
+    a.merge(b.leave(1.0), 1.0)
+    assert a.get("b").state is MemberState.LEAVING
+    a.suspect("b", 2.0)
+    assert a.get("b").leaving
+    a.merge(b.merge([a.get("b")], 2.0), 2.0)
+    assert a.get("b").state is MemberState.LEAVING
+
+
+def test_a_new_life_with_a_clock_that_lags_still_wins():
+    a = table("a")
+    a.merge([row("b", epoch=100)], 0.0)
+    a.suspect("b", 0.0)
+    newcomer = MemberTable(row("b", epoch=50), TIMING)
+    a.merge(newcomer.merge(a.rows, 1.0), 1.0)
+    assert a.get("b").state is MemberState.LIVE
+    assert a.get("b").epoch == 101
+
+
+def test_half_the_domain_silent_at_once_is_not_taken_for_deaths():
+    others = [f"m-{number}" for number in range(100)]
+    a = table("a", *others)
+    for name in others[:50]:
+        a.suspect(name, 0.0)
+    assert a.holds_suspicions
+    assert a.advance(3_600.0 / 10) == []
+    assert len(a.relays()) == 51
+
+
+def test_an_hour_apart_and_healed_all_are_live_again():
+    names = [f"m-{number}" for number in range(40)]
+    tables = {name: table(name, *[n for n in names if n != name]) for name in names}
+    left, right = names[:20], names[20:]
+    for side, other in ((left, right), (right, left)):
+        for name in side:
+            for lost in other:
+                tables[name].suspect(lost, 0.0)
+    for now in (10.0, 300.0, 3_600.0):
+        for each in tables.values():
+            each.advance(now)
+    rows = [r for each in tables.values() for r in each.rows]
+    for _ in range(2):
+        rows = [r for each in tables.values() for r in each.merge(rows, 3_601.0)]
+    assert len({each.digest for each in tables.values()}) == 1
+    assert all(len(each.relays()) == 40 for each in tables.values())
+
+
+def test_gone_members_are_forgotten_and_the_digest_follows():
+    a = table("a")
+    empty = a.digest
+    a.merge([row("b").believed(MemberState.GONE)], 0.0)
+    assert a.digest != empty
+    a.advance(901.0)
+    assert a.digest == empty
+
+
+@settings(max_examples=60)
+@given(seed=st.integers(0, 2**32))
+def test_members_agree_in_the_end_whatever_is_lost_delayed_or_paused(seed):
+    random = Random(seed)
+    names = ["a", "b", "c", "d", "e"]
+    tables = {name: table(name, *[n for n in names if n != name]) for name in names}
+    flying: list[tuple[float, str, list[MemberRow]]] = []
+    paused_until = dict.fromkeys(names, 0.0)
+
+    def send(sender: str, rows: list[MemberRow], now: float) -> None:
+        for target in names:
+            if rows and target != sender and random.random() > 0.3:
+                flying.append((now + random.random() * 3, target, rows))
+
+    now = 0.0
+    for _ in range(60):
+        now += random.random()
+        name = random.choice(names)
+        if random.random() < 0.15:
+            paused_until[name] = now + random.random() * 12
+        if paused_until[name] <= now:
+            action = random.random()
+            if action < 0.3:
+                send(name, tables[name].suspect(random.choice(names), now), now)
+            elif action < 0.35:
+                send(name, tables[name].leave(now), now)
+            else:
+                send(name, tables[name].advance(now), now)
+        due = [m for m in flying if m[0] <= now and paused_until[m[1]] <= now]
+        random.shuffle(due)
+        for message in due:
+            flying.remove(message)
+            send(message[1], tables[message[1]].merge(message[2], now), now)
+    for _ in range(4):
+        rows = [r for each in tables.values() for r in each.rows]
+        for each in tables.values():
+            each.merge(rows, now)
+    assert len({each.digest for each in tables.values()}) == 1
+    for name in names:
+        for other in names:
+            believed = tables[other].get(name)
+            assert believed == tables[name].own
+
+
+def test_a_leaving_host_gets_no_new_work_and_a_vanished_one_is_gone():
+    hosts = HostTable()
+    hosts.read({f"h-{n}": "live" for n in range(20)}, 0.0)
+    assert hosts.read({f"h-{n}": "leaving" if n == 3 else "live" for n in range(20)}, 1.0)
+    assert hosts.departures.includes("h-3")
+    hosts.read({f"h-{n}": "live" for n in range(20) if n != 3}, 2.0)
+    assert hosts.gone == {"h-3"}
+    hosts.read({f"h-{n}": "live" for n in range(20)}, 3.0)
+    assert not hosts.departures.includes("h-3")
+
+
+def test_a_list_that_lost_a_region_is_doubted():
+    hosts = HostTable()
+    hosts.read({f"h-{n}": "live" for n in range(3_190)}, 0.0)
+    hosts.read({f"h-{n}": "live" for n in range(1_000, 3_190)}, 1.0)
+    hosts.read({}, 2.0)
+    assert hosts.gone == frozenset()
+    assert len(hosts.states) == 3_190
+    assert hosts.doubted == 2
+
+
+def test_a_child_takes_its_parents_table():
+    parent, child = HostTable(), HostTable()
+    parent.read({"h-1": "live", "h-2": "leaving"}, 0.0)
+    assert child.follow(parent.states, parent.gone, 1.0)
+    assert child.digest == parent.digest
+    assert child.departures.includes("h-2")
