--- a/bluebellrun/distribution/__init__.py
+++ b/bluebellrun/distribution/__init__.py
@@ -1,5 +1,42 @@
-"""How the configuration reaches a process."""
+"""How configuration, members and host states reach every process."""
 
-from bluebellrun.distribution._follower import ConfigurationFollower
+from bluebellrun.distribution._configuration import ConfigurationFollower
+from bluebellrun.distribution._directory import Contact, Directory
+from bluebellrun.distribution._documents import (
+    Delta,
+    DocumentItem,
+    DocumentName,
+    DocumentSet,
+    decode_delta,
+    encode_delta,
+)
+from bluebellrun.distribution._exceptions import (
+    DistributionError,
+    GapError,
+    MalformedDocumentsError,
+)
+from bluebellrun.distribution._node import Node
+from bluebellrun.distribution._settings import NodeSettings, NodeTiming
+from bluebellrun.distribution._survey import DomainSurvey, FleetSurvey, ask_status, survey_fleet
 
-__all__ = ["ConfigurationFollower"]
+__all__ = [
+    "ConfigurationFollower",
+    "Contact",
+    "Delta",
+    "Directory",
+    "DistributionError",
+    "DocumentItem",
+    "DocumentName",
+    "DocumentSet",
+    "DomainSurvey",
+    "FleetSurvey",
+    "GapError",
+    "MalformedDocumentsError",
+    "Node",
+    "NodeSettings",
+    "NodeTiming",
+    "ask_status",
+    "decode_delta",
+    "encode_delta",
+    "survey_fleet",
+]
--- /dev/null
+++ b/bluebellrun/distribution/_children.py
@@ -0,0 +1,156 @@
+"""The processes that hear from this one."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import curio
+import msgspec
+
+from bluebellrun.distribution._documents import encode_delta
+from bluebellrun.distribution._session import PeerSession
+from bluebellrun.distribution._state import NodeState
+from bluebellrun.membership import MemberRow, MemberState
+from bluebellrun.messages import (
+    Behind,
+    ControlMessage,
+    Join,
+    News,
+    Redirect,
+    Report,
+    Rows,
+    VersionCount,
+    Want,
+    WantHosts,
+    encode_message,
+)
+from bluebellrun.runtime import spawn_background
+from bluebellrun.telemetry import get_logger
+from bluebellrun.transport import Call, CallError, LinkLostError
+
+MAX_BEHIND = 50
+REDIRECT_ROWS = 16
+STATUS_INVALID = 3
+
+LostChild = Callable[[MemberRow], Awaitable[None]]
+
+_log = get_logger("distribution.children")
+
+
+@dataclass(slots=True, eq=False)
+class _Child:
+    """One child: its row when it joined, its session and its last report."""
+
+    row: MemberRow
+    session: PeerSession
+    report: Report = field(default_factory=lambda: Report([], []))
+
+
+class Children:
+    """Serve the calls of children and send them news."""
+
+    def __init__(self, state: NodeState, lost: LostChild) -> None:
+        self._state = state
+        self._lost = lost
+        self._children: dict[str, _Child] = {}
+
+    @property
+    def names(self) -> list[str]:
+        """Return the children's names, sorted."""
+        return sorted(self._children)
+
+    async def serve(self, call: Call) -> None:
+        """Serve a child's long call until it ends."""
+        session = PeerSession(call)
+        writer = await spawn_background(session.write)
+        child: _Child | None = None
+        try:
+            first = await session.receive()
+            if not isinstance(first, Join):
+                raise CallError(STATUS_INVALID, "the first message must be a join")
+            if self._full(first.row.name):
+                await self._redirect(session)
+                return
+            child = _Child(first.row, session)
+            self._children[first.row.name] = child
+            await self._greet(child, first)
+            await self._listen(child)
+        except msgspec.DecodeError as error:
+            raise CallError(STATUS_INVALID, str(error)) from error
+        except LinkLostError:
+            return
+        finally:
+            await writer.cancel(blocking=False)
+            if child is not None:
+                await self._forget(child)
+
+    async def send(self, message: ControlMessage, besides: object | None) -> None:
+        """Send a message to all children but one, encoded once."""
+        data = encode_message(message)
+        for child in list(self._children.values()):
+            if child.session is not besides:
+                await child.session.post_encoded(data)
+
+    def report(self) -> Report:
+        """Return what this process and all that report through it have in force."""
+        version = self._state.follower.version
+        counts = {version: 1}
+        behind = [Behind(self._state.settings.name, version)]
+        for child in self._children.values():
+            for item in child.report.counts:
+                counts[item.version] = counts.get(item.version, 0) + item.count
+            behind += child.report.behind
+        newest = max(counts)
+        late = [item for item in behind if item.version < newest][:MAX_BEHIND]
+        keep = late or behind[:1]
+        return Report([VersionCount(v, n) for v, n in sorted(counts.items())], keep)
+
+    def _full(self, name: str) -> bool:
+        """Return whether there is no room for another child."""
+        others = len(self._children) - (name in self._children)
+        return others >= self._state.settings.max_children
+
+    async def _redirect(self, session: PeerSession) -> None:
+        """Name some members that a child may try instead."""
+        rows = [row for row in self._state.members.rows if row.state is MemberState.LIVE]
+        await session.post(Redirect(rows[:REDIRECT_ROWS]))
+        await curio.sleep(self._state.settings.timing.tick_s)
+
+    async def _greet(self, child: _Child, join: Join) -> None:
+        """Bring a new child up to date."""
+        state = self._state
+        await state.take_rows([join.row], child.session)
+        await self._send_since(child, join.version)
+        if join.members_digest != state.members.digest:
+            await child.session.post(Rows(state.members.rows))
+        if state.hosts.digest and join.hosts_digest != state.hosts.digest:
+            await child.session.post(state.hosts_message())
+
+    async def _listen(self, child: _Child) -> None:
+        """Act on a child's messages until it ends the call."""
+        while (message := await child.session.receive()) is not None:
+            match message:
+                case Rows(rows, reply):
+                    await self._state.take_rows(rows, child.session)
+                    if reply:
+                        await child.session.post(Rows(self._state.members.rows))
+                case Report():
+                    child.report = message
+                case Want(version):
+                    await self._send_since(child, version)
+                case WantHosts():
+                    await child.session.post(self._state.hosts_message())
+                case _:
+                    _log.warning("unexpected message from a child", child=child.row.name)
+
+    async def _send_since(self, child: _Child, version: int) -> None:
+        """Send a child the documents changed after a version."""
+        delta = self._state.documents.since(version)
+        if delta is not None:
+            await child.session.post(News(encode_delta(delta)))
+
+    async def _forget(self, child: _Child) -> None:
+        """Drop a child whose call ended, unless it has called again."""
+        if self._children.get(child.row.name) is not child:
+            return
+        del self._children[child.row.name]
+        await spawn_background(self._lost, child.row)
--- /dev/null
+++ b/bluebellrun/distribution/_node.py
@@ -0,0 +1,329 @@
+"""A process's part in the control plane: one task for each duty, the rest is in the state."""
+
+from random import Random
+from typing import Any
+
+import curio
+import msgspec
+
+from bluebellrun.core import Clock
+from bluebellrun.distribution._bootstrap import Bootstrap
+from bluebellrun.distribution._children import Children
+from bluebellrun.distribution._configuration import ConfigurationFollower
+from bluebellrun.distribution._directory import Directory
+from bluebellrun.distribution._documents import encode_delta
+from bluebellrun.distribution._parents import Parents, ParentTarget, parent_target
+from bluebellrun.distribution._settings import NodeSettings
+from bluebellrun.distribution._source import Source
+from bluebellrun.distribution._state import LONG_AGO_S, DepartureListener, NodeState
+from bluebellrun.membership import Departures, MemberRow, MemberState
+from bluebellrun.messages import (
+    FOLLOW_PATH,
+    GATHER_PATH,
+    STATUS_PATH,
+    ControlMessage,
+    GatherReply,
+    Hosts,
+    NodeStatus,
+    Report,
+    StatusRequest,
+    StoreCalls,
+    decode_gather_request,
+    decode_status_request,
+    encode_message,
+)
+from bluebellrun.platform import GuardedStore, HostList, KeyValueStore, PlatformError
+from bluebellrun.runtime import spawn_background
+from bluebellrun.telemetry import get_logger
+from bluebellrun.transport import Call, CallError, TransportError, dial
+
+PARENTS = 2
+STATUS_INVALID = 3
+STATUS_UNIMPLEMENTED = 12
+GOODBYE_S = 0.1
+FIRST_DIRECTORY_S = (1.0, 3.0)
+
+_log = get_logger("distribution.node")
+
+
+class Node:
+    """Keep this process's configuration, members and hosts up to date, and others' too."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        address: str,
+        store: KeyValueStore,
+        hosts: HostList | None,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._timing = settings.timing
+        self._random = random
+        self._state = NodeState(settings, address, clock)
+        rates = settings.rates
+        self._ordinary = GuardedStore(store, rates.ordinary_part, clock, random)
+        self._watching = GuardedStore(store, rates.watcher_part, clock, random)
+        self._children = Children(self._state, self._child_lost)
+        self._parents = Parents(self._state)
+        self._bootstrap = Bootstrap(self._state, Directory(self._ordinary, settings.prefix), random)
+        self._slots = Directory(self._watching, settings.prefix)
+        self._source = Source(self._state, self._watching, hosts, random)
+        self._source_task: Any = None
+        self._alone_since = clock.now()
+        self._cut_off_s = self._timing.cut_off_s * (1 + random.random())
+        self._state.set_sender(self)
+
+    @property
+    def follower(self) -> ConfigurationFollower:
+        """Return the follower that has the configuration in force."""
+        return self._state.follower
+
+    @property
+    def departures(self) -> Departures:
+        """Return the hosts and members that get no new work."""
+        return self._state.departures
+
+    @property
+    def state(self) -> NodeState:
+        """Return the state."""
+        return self._state
+
+    @property
+    def ready(self) -> bool:
+        """Return whether a configuration is in force."""
+        return self._state.follower.version > 0
+
+    def add_departure_listener(self, listener: DepartureListener) -> None:
+        """Call a function whenever the hosts or members that get no new work change."""
+        self._state.add_departure_listener(listener)
+
+    async def run(self) -> None:
+        """Do all duties until cancelled."""
+        for duty in (
+            self._state.enforce,
+            self._bootstrap.run,
+            self._choose_parents,
+            self._send_beats,
+            self._believe_suspicions,
+            self._keep_slots,
+        ):
+            await spawn_background(duty)
+
+    async def leave(self) -> None:
+        """Say goodbye, so that nobody sends new work here or waits for a timeout."""
+        await self._state.hand_on_rows(self._state.members.leave(self._state.now))
+        await curio.sleep(GOODBYE_S)
+
+    async def serve_call(self, call: Call) -> None:
+        """Serve a call of another process; raise ``CallError`` for an unknown method."""
+        match call.path:
+            case str() as path if path == FOLLOW_PATH:
+                await self._children.serve(call)
+            case str() as path if path == GATHER_PATH:
+                await self._answer_gather(call)
+            case str() as path if path == STATUS_PATH:
+                await self._answer_status(call)
+            case _:
+                raise CallError(STATUS_UNIMPLEMENTED, f"no method {call.path}")
+
+    async def send(self, message: ControlMessage, besides: object | None) -> None:
+        """Hand a change on to children, and to parents what concerns all members."""
+        await self._children.send(message, besides)
+        if not isinstance(message, Hosts):
+            await self._parents.send(message, besides)
+
+    def status(self, members: bool = False) -> NodeStatus:
+        """Return what this process knows of itself."""
+        state = self._state
+        follower = state.follower
+        counts: dict[str, int] = {}
+        for row in state.members.rows:
+            counts[str(row.state)] = counts.get(str(row.state), 0) + 1
+        return NodeStatus(
+            row=state.members.own,
+            version=follower.version,
+            digest=state.documents.digest,
+            age_s=round(follower.age_s, 3) if self.ready else 0.0,
+            source=follower.source,
+            ready=self.ready,
+            watcher=state.watching,
+            hops=self._hops(),
+            watcher_age_s=round(self._watcher_age_s(), 3),
+            store_age_s=round(self._store_age_s(), 3),
+            members=counts,
+            report=self._children.report(),
+            parents=[parent.status() for parent in self._parents.all],
+            children=self._children.names,
+            calls=self._calls(),
+            rows=state.members.rows if members else [],
+        )
+
+    def _calls(self) -> StoreCalls:
+        """Return the calls made to the key-value service."""
+        accounts = (self._ordinary.account, self._watching.account)
+        return StoreCalls(
+            reads=sum(account.reads for account in accounts),
+            writes=sum(account.writes for account in accounts),
+            watches=sum(account.watches for account in accounts),
+            failures=sum(account.failures for account in accounts),
+            over_budget=sum(account.over_budget for account in accounts),
+        )
+
+    async def _answer_gather(self, call: Call) -> None:
+        """Send a newcomer the documents and the members."""
+        data = await call.receive()
+        try:
+            request = decode_gather_request(data or b"")
+        except msgspec.DecodeError as error:
+            raise CallError(STATUS_INVALID, str(error)) from error
+        state = self._state
+        delta = state.documents.since(request.version)
+        reply = GatherReply(
+            failure_domain=self._settings.failure_domain,
+            version=state.documents.version,
+            news=None if delta is None else encode_delta(delta),
+            rows=state.members.rows,
+        )
+        await call.send(encode_message(reply))
+
+    async def _answer_status(self, call: Call) -> None:
+        """Send the status."""
+        data = await call.receive()
+        try:
+            request = decode_status_request(data or b"")
+        except msgspec.DecodeError as error:
+            raise CallError(STATUS_INVALID, str(error)) from error
+        await call.send(encode_message(self.status(request.members)))
+
+    async def _choose_parents(self) -> None:
+        """Keep the right parents, and watch the store when that is this process's duty."""
+        while True:
+            await self._settle_duty()
+            await self._parents.follow(self._targets(), PARENTS)
+            for name in self._parents.take_lost():
+                await spawn_background(self._doubt, name)
+            await curio.sleep(self._timing.tick_s)
+
+    def _targets(self) -> list[ParentTarget]:
+        """Return whom to hear from, the best first."""
+        state = self._state
+        if not state.joined:
+            return self._bootstrap.answered
+        names = state.tree.candidates(self._settings.name)
+        rows = (state.members.get(name) for name in names)
+        targets = [parent_target(row) for row in rows if row is not None]
+        if not state.watching:
+            return targets
+        foreign = self._bootstrap.foreign[:1]
+        return [*targets[: PARENTS - len(foreign)], *foreign]
+
+    async def _settle_duty(self) -> None:
+        """Start or stop to watch the store."""
+        state = self._state
+        if state.watching or self._parents.watcher_age_s <= self._timing.stale_s:
+            self._alone_since = state.now
+        watches = state.joined and self._must_watch()
+        if watches and self._source_task is None:
+            _log.info("watches the store", members=len(state.members.rows))
+            state.watching_since = state.now
+            self._source_task = await spawn_background(self._source.run)
+        if not watches and self._source_task is not None:
+            _log.info("no longer watches the store")
+            state.watching_since = None
+            await self._source_task.cancel(blocking=False)
+            self._source_task = None
+
+    def _must_watch(self) -> bool:
+        """Return whether this process is a watcher by rank, or hears of no watcher."""
+        state = self._state
+        if state.tree.layer(self._settings.name) == 0:
+            return True
+        if state.watching:
+            return self._parents.watcher_age_s > self._timing.stale_s
+        return state.now - self._alone_since > self._cut_off_s
+
+    async def _send_beats(self) -> None:
+        """Tell children what this process has, and the first parent who has what."""
+        while True:
+            await curio.sleep(self._timing.beat_s)
+            beat = self._state.beat(self._hops(), self._watcher_age_s(), self._store_age_s())
+            await self._children.send(beat, None)
+            if not self._state.watching:
+                await self._parents.report(self._children.report())
+            else:
+                await self._parents.report(Report([], []))
+
+    async def _believe_suspicions(self) -> None:
+        """Let suspicions grow old."""
+        while True:
+            await curio.sleep(self._timing.beat_s)
+            await self._state.hand_on_rows(self._state.members.advance(self._state.now))
+
+    async def _keep_slots(self) -> None:
+        """As a watcher, look at the directory now and then and keep this process's slot."""
+        pauses = list(FIRST_DIRECTORY_S)
+        while True:
+            pause_s = pauses.pop(0) if pauses else self._timing.directory_s
+            await curio.sleep(pause_s * (0.75 + 0.5 * self._random.random()))
+            if not self._state.watching:
+                continue
+            if await self._bootstrap.refresh():
+                await self._bootstrap.merge_islands()
+                await self._write_slot()
+
+    async def _write_slot(self) -> None:
+        """Write the slot of this process's rank, unless it holds it already."""
+        watchers = list(self._state.tree.watchers)
+        if self._settings.name not in watchers:
+            return
+        try:
+            await self._slots.read()
+            slot = watchers.index(self._settings.name)
+            await self._slots.claim(self._state.members.own, slot)
+        except PlatformError as error:
+            _log.info("slot not kept", error=str(error))
+
+    async def _child_lost(self, row: MemberRow) -> None:
+        """Look after a child whose link broke, once it had time to call again."""
+        await curio.sleep(self._timing.child_lost_s)
+        if row.name not in self._children.names:
+            await self._doubt(row.name)
+
+    async def _doubt(self, name: str) -> None:
+        """Suspect a member whose link broke, unless it answers on a new one."""
+        state = self._state
+        row = state.members.get(name)
+        if row is None or row.state in (MemberState.SUSPECT, MemberState.GONE):
+            return
+        if await self._answers(row):
+            return
+        await state.hand_on_rows(state.members.suspect(name, state.now))
+
+    async def _answers(self, row: MemberRow) -> bool:
+        """Return whether a member answers on a new link."""
+        request = encode_message(StatusRequest())
+        try:
+            link = await dial(parent_target(row).address, self._settings.link)
+            try:
+                await link.ask(STATUS_PATH, request, self._timing.ask_s)
+            finally:
+                await link.close()
+        except TransportError:
+            return False
+        return True
+
+    def _hops(self) -> int:
+        """Return how many hops this process is from a watcher."""
+        return 0 if self._state.watching else self._parents.hops + 1
+
+    def _watcher_age_s(self) -> float:
+        """Return how old the newest news of a watcher is."""
+        return 0.0 if self._state.watching else self._parents.watcher_age_s
+
+    def _store_age_s(self) -> float:
+        """Return how old the store's newest confirmation is."""
+        confirmed_at = self._state.store_confirmed_at
+        own = LONG_AGO_S if confirmed_at is None else self._state.now - confirmed_at
+        return min(own, self._parents.store_age_s)
--- /dev/null
+++ b/bluebellrun/distribution/_parents.py
@@ -0,0 +1,301 @@
+"""The processes that this one hears from: two at a time, replaced when they fall silent."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from bluebellrun.core import Address
+from bluebellrun.distribution._documents import decode_delta
+from bluebellrun.distribution._exceptions import DistributionError
+from bluebellrun.distribution._session import PeerSession
+from bluebellrun.distribution._state import LONG_AGO_S, NodeState
+from bluebellrun.membership import MemberRow
+from bluebellrun.messages import (
+    FOLLOW_PATH,
+    Beat,
+    ControlMessage,
+    Hosts,
+    Join,
+    News,
+    ParentStatus,
+    Redirect,
+    Report,
+    Rows,
+    Want,
+    WantHosts,
+    encode_message,
+)
+from bluebellrun.runtime import spawn_background
+from bluebellrun.telemetry import get_logger
+from bluebellrun.transport import CallError, Link, TransportError, dial
+
+SYNC_AFTER_BEATS = 3
+
+_log = get_logger("distribution.parents")
+
+
+@dataclass(frozen=True, slots=True)
+class ParentTarget:
+    """A process to hear from."""
+
+    name: str
+    address: Address
+
+
+class Parent:
+    """A long call to one parent."""
+
+    def __init__(self, state: NodeState, target: ParentTarget) -> None:
+        self._state = state
+        self._target = target
+        self._link: Link | None = None
+        self._session: PeerSession | None = None
+        self._beat: Beat | None = None
+        self._heard_at = state.now
+        self._started_at = state.now
+        self._unequal_beats = 0
+        self._reported = False
+        self.primary = False
+        self.ended = False
+        self.redirected = False
+
+    @property
+    def name(self) -> str:
+        """Return the parent's name."""
+        return self._target.name
+
+    @property
+    def session(self) -> PeerSession | None:
+        """Return the session, or none while there is no link."""
+        return self._session
+
+    @property
+    def hops(self) -> int:
+        """Return the parent's hops from a watcher."""
+        return 0 if self._beat is None else self._beat.hops
+
+    @property
+    def heard(self) -> bool:
+        """Return whether a beat has arrived."""
+        return self._beat is not None
+
+    @property
+    def running_s(self) -> float:
+        """Return for how long this parent has been tried or heard, in seconds."""
+        return self._state.now - self._started_at
+
+    @property
+    def watcher_age_s(self) -> float:
+        """Return how old the news of a watcher is that came by this parent."""
+        if self._beat is None:
+            return LONG_AGO_S
+        return self._beat.watcher_age_s + self._state.now - self._heard_at
+
+    @property
+    def store_age_s(self) -> float:
+        """Return how old the store's last confirmation is that came by this parent."""
+        if self._beat is None:
+            return LONG_AGO_S
+        return self._beat.store_age_s + self._state.now - self._heard_at
+
+    def status(self) -> ParentStatus:
+        """Return the parent as the status tells it."""
+        link = self._link
+        sent = 0 if link is None else link.bytes_sent
+        received = 0 if link is None else link.bytes_received
+        return ParentStatus(self.name, round(self.watcher_age_s, 3), sent, received)
+
+    async def run(self) -> None:
+        """Hear from the parent until the link is lost or this task is cancelled."""
+        try:
+            link = await dial(self._target.address, self._state.settings.link)
+        except TransportError as error:
+            _log.info("parent not reached", parent=self.name, error=str(error))
+            self.ended = True
+            return
+        self._link = link
+        try:
+            await self._exchange(link)
+        except (TransportError, CallError, msgspec.DecodeError) as error:
+            _log.info("parent lost", parent=self.name, error=str(error))
+        finally:
+            self.ended = True
+            self._session = None
+            await link.close()
+
+    async def report(self, report: Report) -> None:
+        """Tell the first parent what this process and all below it have; no other one."""
+        if self._session is None or not (self.primary or self._reported):
+            return
+        self._reported = self.primary
+        await self._session.post(report if self.primary else Report([], []))
+
+    async def send(self, data: bytes) -> None:
+        """Send an encoded message."""
+        if self._session is not None:
+            await self._session.post_encoded(data)
+
+    async def _exchange(self, link: Link) -> None:
+        """Join and act on the parent's messages."""
+        call = await link.call(FOLLOW_PATH)
+        session = PeerSession(call)
+        self._session = session
+        state = self._state
+        own = state.members
+        await session.post(Join(own.own, state.documents.version, own.digest, state.hosts.digest))
+        writer = await spawn_background(session.write)
+        try:
+            while (message := await session.receive()) is not None:
+                await self._take(session, message)
+        finally:
+            await writer.cancel(blocking=False)
+
+    async def _take(self, session: PeerSession, message: ControlMessage) -> None:
+        """Act on one message."""
+        match message:
+            case News(data):
+                await self._take_news(session, data)
+            case Rows(rows):
+                await self._state.take_rows(rows, session)
+            case Hosts():
+                if self.primary and not self._state.watching:
+                    await self._state.take_hosts(message)
+            case Redirect(rows):
+                self.redirected = True
+                await self._state.take_rows(rows, session)
+            case Beat():
+                await self._take_beat(session, message)
+            case _:
+                _log.warning("unexpected message from a parent", parent=self.name)
+
+    async def _take_news(self, session: PeerSession, data: bytes) -> None:
+        """Take changed documents; ask for what is missing before them."""
+        try:
+            await self._state.take_delta(decode_delta(data), self.name, session)
+        except DistributionError as error:
+            _log.warning("news did not join on", parent=self.name, error=str(error))
+            await session.post(Want(0))
+
+    async def _take_beat(self, session: PeerSession, beat: Beat) -> None:
+        """Note the parent's news and repair what differs."""
+        state = self._state
+        self._beat = beat
+        self._heard_at = state.now
+        if beat.version > state.documents.version:
+            await session.post(Want(state.documents.version))
+        if beat.members_digest == state.members.digest:
+            self._unequal_beats = 0
+        else:
+            self._unequal_beats += 1
+        if self._unequal_beats >= SYNC_AFTER_BEATS:
+            self._unequal_beats = 0
+            await session.post(Rows(state.members.rows, reply=True))
+        if not self.primary or state.watching or not beat.hosts_digest:
+            return
+        if beat.hosts_digest == state.hosts.digest:
+            state.hosts.confirm(state.now)
+        else:
+            await session.post(WantHosts())
+
+
+class Parents:
+    """Keep long calls to the best parents."""
+
+    def __init__(self, state: NodeState) -> None:
+        self._state = state
+        self._parents: dict[str, Parent] = {}
+        self._tasks: dict[str, object] = {}
+        self._avoid: dict[str, float] = {}
+        self._lost: list[str] = []
+
+    @property
+    def all(self) -> list[Parent]:
+        """Return the parents being heard or tried, the first one first."""
+        return sorted(self._parents.values(), key=lambda parent: not parent.primary)
+
+    @property
+    def watcher_age_s(self) -> float:
+        """Return the age of the newest news of a watcher by any parent."""
+        return min((parent.watcher_age_s for parent in self.all), default=LONG_AGO_S)
+
+    @property
+    def store_age_s(self) -> float:
+        """Return the age of the store's newest confirmation by any parent."""
+        return min((parent.store_age_s for parent in self.all), default=LONG_AGO_S)
+
+    @property
+    def hops(self) -> int:
+        """Return the hops from a watcher by the parent with the newest news."""
+        best = min(self.all, key=lambda parent: parent.watcher_age_s, default=None)
+        return 0 if best is None else best.hops
+
+    def take_lost(self) -> list[str]:
+        """Return the parents whose links broke since the last call."""
+        lost, self._lost = self._lost, []
+        return lost
+
+    async def follow(self, targets: list[ParentTarget], count: int) -> None:
+        """Hear from the first of these processes that are not to be avoided."""
+        await self._drop_ended()
+        now = self._state.now
+        wanted = [t for t in targets if self._avoid.get(t.name, 0.0) <= now][:count]
+        for target in wanted:
+            if target.name not in self._parents:
+                await self._start(target)
+        names = [target.name for target in wanted]
+        await self._drop_unwanted(names)
+        heard = [name for name in names if self._parents[name].heard]
+        for parent in self._parents.values():
+            parent.primary = parent.name == (heard[0] if heard else "")
+
+    async def send(self, message: ControlMessage, besides: object | None) -> None:
+        """Send a message to all parents but one, encoded once."""
+        data = encode_message(message)
+        for parent in list(self._parents.values()):
+            if parent.session is not besides:
+                await parent.send(data)
+
+    async def report(self, report: Report) -> None:
+        """Send a report to the first parent."""
+        for parent in list(self._parents.values()):
+            await parent.report(report)
+
+    async def close(self) -> None:
+        """Hear from nobody any more."""
+        await self._drop_unwanted([], at_once=True)
+
+    async def _start(self, target: ParentTarget) -> None:
+        """Start to hear from a process."""
+        parent = Parent(self._state, target)
+        self._parents[target.name] = parent
+        self._tasks[target.name] = await spawn_background(parent.run)
+
+    async def _drop_ended(self) -> None:
+        """Forget parents whose links broke and leave those without news of a watcher."""
+        timing = self._state.settings.timing
+        for parent in list(self._parents.values()):
+            silent = parent.watcher_age_s > timing.stale_s and parent.running_s > timing.stale_s
+            if parent.ended and not parent.redirected:
+                self._lost.append(parent.name)
+            if parent.ended or (silent and not self._state.watching):
+                self._avoid[parent.name] = self._state.now + timing.avoid_s
+                await self._drop(parent.name)
+
+    async def _drop_unwanted(self, wanted: list[str], at_once: bool = False) -> None:
+        """Leave parents that are no longer the best, once a better one is heard."""
+        heard = any(self._parents[name].heard for name in wanted)
+        for name in [name for name in self._parents if name not in wanted]:
+            if heard or at_once:
+                await self._drop(name)
+
+    async def _drop(self, name: str) -> None:
+        """Stop hearing from a process."""
+        del self._parents[name]
+        task = self._tasks.pop(name)
+        await task.cancel(blocking=False)  # type: ignore[attr-defined]
+
+
+def parent_target(row: MemberRow) -> ParentTarget:
+    """Return a member as a process to hear from."""
+    ip, _, port = row.address.rpartition(":")
+    return ParentTarget(row.name, Address(ip, int(port)))
--- /dev/null
+++ b/bluebellrun/distribution/_settings.py
@@ -0,0 +1,47 @@
+"""Settings of a process's part in the control plane."""
+
+from dataclasses import dataclass, field
+
+from bluebellrun.core import Address
+from bluebellrun.membership import SuspicionTiming
+from bluebellrun.platform import StoreRates
+from bluebellrun.transport import LinkTiming
+
+
+@dataclass(frozen=True, slots=True)
+class NodeTiming:
+    """Times in seconds.
+
+    A parent without news of a watcher for ``stale_s`` is left for another. A process that hears
+    of no watcher at all for ``cut_off_s``, jittered, watches the store for itself.
+    """
+
+    beat_s: float = 1.0
+    tick_s: float = 0.25
+    stale_s: float = 4.0
+    cut_off_s: float = 15.0
+    avoid_s: float = 5.0
+    child_lost_s: float = 2.0
+    directory_s: float = 15.0
+    hosts_s: float = 1.0
+    ask_s: float = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Who a process is and how it takes part."""
+
+    name: str
+    role: str
+    host: str
+    region: str
+    failure_domain: str
+    prefix: str
+    seeds: tuple[Address, ...] = ()
+    rates: StoreRates = field(default_factory=StoreRates)
+    timing: NodeTiming = field(default_factory=NodeTiming)
+    suspicion: SuspicionTiming = field(default_factory=SuspicionTiming)
+    link: LinkTiming = field(default_factory=LinkTiming)
+    watchers: int = 3
+    fanout: int = 8
+    max_children: int = 48
--- /dev/null
+++ b/bluebellrun/distribution/_source.py
@@ -0,0 +1,117 @@
+"""The duties of a watcher: follow the store's documents and the platform's host list."""
+
+from random import Random
+
+import curio
+
+from bluebellrun.distribution._exceptions import DistributionError
+from bluebellrun.distribution._state import NodeState
+from bluebellrun.platform import (
+    HostList,
+    KeyValueStore,
+    PlatformError,
+    PrefixFollower,
+    Snapshot,
+    WatchEvent,
+)
+from bluebellrun.telemetry import get_logger
+
+STORE = "store"
+HOSTS_BYTES_PER_S = 8_000
+BYTES_PER_HOST = 45
+
+_log = get_logger("distribution.source")
+
+
+class Source:
+    """Follow the platform for this process and all that hear from it."""
+
+    def __init__(
+        self, state: NodeState, store: KeyValueStore, hosts: HostList | None, random: Random
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._hosts = hosts
+        self._random = random
+        self._prefix = f"{state.settings.prefix}/config/"
+        self._refused: dict[str, bytes] = {}
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        state = self._state
+        follower = PrefixFollower(
+            self._store,
+            self._prefix,
+            self._take_snapshot,
+            self._take_events,
+            state.clock,
+            self._random,
+            state.documents.version,
+        )
+        async with curio.TaskGroup() as group:
+            await group.spawn(follower.run)
+            await group.spawn(self._note_confirmations, follower)
+            await group.spawn(self._read_hosts)
+
+    async def _note_confirmations(self, follower: PrefixFollower) -> None:
+        """Note when the store confirmed last that nothing was missed."""
+        while True:
+            if follower.confirmed_at is not None:
+                self._state.store_confirmed_at = follower.confirmed_at
+            await curio.sleep(self._state.settings.timing.tick_s)
+
+    async def _take_snapshot(self, snapshot: Snapshot) -> None:
+        """Take all documents as they were at one revision."""
+        stored = {self._kind(item.key): item.value for item in snapshot.items}
+        newest = max((item.mod_revision for item in snapshot.items), default=0)
+        await self._take(stored, newest)
+
+    async def _take_events(self, events: list[WatchEvent]) -> None:
+        """Take the changes of one or more revisions."""
+        stored: dict[str, bytes] = {}
+        for event in events:
+            if event.value is None:
+                _log.error("a deleted kind of documents stays in force", key=event.key)
+                continue
+            stored[self._kind(event.key)] = event.value
+        if stored:
+            await self._take(stored, max(event.mod_revision for event in events))
+
+    async def _take(self, stored: dict[str, bytes], version: int) -> None:
+        """Put stored documents in force and hand them on.
+
+        What is refused is tried again with the next change, so that a version stays whole.
+        """
+        documents = self._state.documents
+        self._refused |= stored
+        if version <= documents.version:
+            return
+        try:
+            delta = documents.diff(self._refused, version)
+        except DistributionError as error:
+            _log.error("stored documents refused", version=version, error=str(error))
+            return
+        self._refused = {}
+        await self._state.take_delta(delta, STORE)
+
+    async def _read_hosts(self) -> None:
+        """Read the host list at intervals that keep its bytes within bounds."""
+        hosts = self._state.hosts
+        while self._hosts is not None:
+            try:
+                listed = await self._hosts.read()
+                states = {entry.name: str(entry.state) for entry in listed}
+                if hosts.read(states, self._state.now):
+                    await self._state.hosts_changed()
+            except PlatformError as error:
+                _log.info("host list not read", error=str(error))
+            await curio.sleep(self._hosts_interval_s() * (0.75 + 0.5 * self._random.random()))
+
+    def _hosts_interval_s(self) -> float:
+        """Return the time to the next reading of the host list."""
+        size = len(self._state.hosts.states) * BYTES_PER_HOST
+        return max(self._state.settings.timing.hosts_s, size / HOSTS_BYTES_PER_S)
+
+    def _kind(self, key: str) -> str:
+        """Return the kind that a key holds."""
+        return key.removeprefix(self._prefix)
--- /dev/null
+++ b/bluebellrun/distribution/_state.py
@@ -0,0 +1,185 @@
+"""What a process knows: documents, members, hosts, and how fresh its news is.
+
+Changes come in from the store, from parents and from children, and are handed on to the others
+through the sender that is set.
+"""
+
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Protocol
+
+import curio
+
+from bluebellrun.core import Clock
+from bluebellrun.distribution._configuration import ConfigurationFollower
+from bluebellrun.distribution._documents import Delta, DocumentSet, encode_delta
+from bluebellrun.distribution._settings import NodeSettings
+from bluebellrun.membership import (
+    Departures,
+    HostTable,
+    MemberRow,
+    MemberState,
+    MemberTable,
+    RelayTree,
+)
+from bluebellrun.messages import Beat, ControlMessage, Hosts, News, Rows
+from bluebellrun.telemetry import get_logger
+
+LONG_AGO_S = 1e9
+MILLISECONDS = 1_000
+
+DepartureListener = Callable[[Departures], Awaitable[None]]
+
+_log = get_logger("distribution")
+
+
+class Sender(Protocol):
+    """Sends a message to the peers of this process, but for the one that it came from."""
+
+    async def send(self, message: ControlMessage, besides: object | None) -> None:
+        """Send a message to parents and children where it is of use to them."""
+
+
+class NodeState:
+    """The state of one process's part in the control plane."""
+
+    def __init__(self, settings: NodeSettings, address: str, clock: Clock) -> None:
+        own = MemberRow(
+            name=settings.name,
+            role=settings.role,
+            host=settings.host,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            address=address,
+            epoch=time.time_ns() // (MILLISECONDS * MILLISECONDS),
+        )
+        self.settings = settings
+        self.clock = clock
+        self.documents = DocumentSet()
+        self.follower = ConfigurationFollower(clock)
+        self.members = MemberTable(own, settings.suspicion)
+        self.hosts = HostTable()
+        self.joined = False
+        self.watching_since: float | None = None
+        self.store_confirmed_at: float | None = None
+        self._departures = Departures()
+        self._departure_listeners: list[DepartureListener] = []
+        self._sender: Sender | None = None
+        self._source = ""
+        self._changed = curio.Event()
+        self._tree = RelayTree([])
+        self._tree_of: list[str] = []
+
+    @property
+    def now(self) -> float:
+        """Return the clock's reading in seconds."""
+        return self.clock.now()
+
+    @property
+    def watching(self) -> bool:
+        """Return whether this process watches the store."""
+        return self.watching_since is not None
+
+    @property
+    def departures(self) -> Departures:
+        """Return the hosts and members that get no new work."""
+        return self._departures
+
+    @property
+    def tree(self) -> RelayTree:
+        """Return the relay tree of the members that are live now."""
+        names = self.members.relays()
+        if names != self._tree_of:
+            self._tree = RelayTree(names, self.settings.watchers, self.settings.fanout)
+            self._tree_of = names
+        return self._tree
+
+    def set_sender(self, sender: Sender) -> None:
+        """Say who hands changes on."""
+        self._sender = sender
+
+    def add_departure_listener(self, listener: DepartureListener) -> None:
+        """Call a function whenever the hosts or members that get no new work change."""
+        self._departure_listeners.append(listener)
+
+    async def take_delta(self, delta: Delta, source: str, besides: object | None = None) -> bool:
+        """Take changes of documents and hand them on; return whether the version rose.
+
+        Raises ``DistributionError`` when changes before them are missing.
+        """
+        if not self.documents.apply(delta):
+            return False
+        self._source = source
+        await self._changed.set()
+        await self._send(News(encode_delta(delta)), besides)
+        return True
+
+    async def enforce(self) -> None:
+        """Put each newer version in force and tell of departures, one after the other, for ever.
+
+        One task does this, so that no listener sees an older version after a newer one, and no
+        lost link breaks off a change that is being put in force.
+        """
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            documents = self.documents
+            if documents.version > self.follower.version:
+                await self.follower.put_in_force(documents.version, documents.items, self._source)
+            await self._check_departures()
+
+    async def take_rows(self, rows: Iterable[MemberRow], besides: object | None = None) -> None:
+        """Take members' rows and hand on those that were news."""
+        changed = self.members.merge(rows, self.now)
+        await self.hand_on_rows(changed, besides)
+
+    async def hand_on_rows(self, changed: list[MemberRow], besides: object | None = None) -> None:
+        """Hand on changed rows; this process's own answer goes back to where it came from too."""
+        if not changed:
+            return
+        mine = [row for row in changed if row.name == self.settings.name]
+        await self._send(Rows(changed), None if mine else besides)
+        await self._changed.set()
+
+    async def take_hosts(self, hosts: Hosts) -> None:
+        """Take a parent's host table and hand it on if it was news."""
+        if self.hosts.follow(hosts.states, frozenset(hosts.gone), self.now):
+            await self.hosts_changed()
+
+    async def hosts_changed(self) -> None:
+        """Hand on a changed host table."""
+        await self._send(self.hosts_message(), None)
+        await self._changed.set()
+
+    def hosts_message(self) -> Hosts:
+        """Return the host table as a message."""
+        return Hosts(self.hosts.states, sorted(self.hosts.gone))
+
+    def beat(self, hops: int, watcher_age_s: float, store_age_s: float) -> Beat:
+        """Return what this process has, as its children hear it."""
+        return Beat(
+            version=self.documents.version,
+            digest=self.documents.digest,
+            members_digest=self.members.digest,
+            hosts_digest=self.hosts.digest,
+            hops=hops,
+            watcher_age_s=watcher_age_s,
+            store_age_s=store_age_s,
+        )
+
+    async def _send(self, message: ControlMessage, besides: object | None) -> None:
+        """Hand a change on."""
+        if self._sender is not None:
+            await self._sender.send(message, besides)
+
+    async def _check_departures(self) -> None:
+        """Tell the listeners when the hosts or members that get no new work changed."""
+        hosts = self.hosts.departures
+        leaving = frozenset(self.members.names(MemberState.LEAVING))
+        departures = Departures(hosts.leaving, hosts.gone, leaving)
+        if departures == self._departures:
+            return
+        self._departures = departures
+        _log.info("departures changed", hosts=sorted(hosts.leaving), members=sorted(leaving))
+        for listener in self._departure_listeners:
+            await listener(departures)
--- /dev/null
+++ b/bluebellrun/distribution/_survey.py
@@ -0,0 +1,156 @@
+"""What an operator asks of the fleet: who has which version, and who does not answer.
+
+Processes report to their first parent, so the watchers of each failure domain know what all of
+it has in force; the survey asks those few.
+"""
+
+import contextlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import curio
+import msgspec
+
+from bluebellrun.core import Address, parse_address
+from bluebellrun.distribution._directory import Directory
+from bluebellrun.membership import MemberState, RelayTree
+from bluebellrun.messages import (
+    STATUS_PATH,
+    NodeStatus,
+    StatusRequest,
+    decode_status,
+    encode_message,
+)
+from bluebellrun.platform import KeyValueStore, PlatformError
+from bluebellrun.transport import LinkTiming, TransportError, dial
+
+ASK_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class DomainSurvey:
+    """One failure domain as its watchers report it.
+
+    ``versions`` counts processes by version in force; ``behind`` names processes below the
+    newest; ``silent`` counts live members that are in no report yet.
+    """
+
+    failure_domain: str
+    members: dict[str, int]
+    versions: dict[int, int]
+    behind: dict[str, int]
+    silent: int
+    unhealthy: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSurvey:
+    """The whole fleet: domains, watchers' statuses and contacts that did not answer."""
+
+    domains: tuple[DomainSurvey, ...]
+    watchers: tuple[NodeStatus, ...]
+    unreachable: tuple[str, ...]
+
+    @property
+    def newest(self) -> int:
+        """Return the newest version that any process has in force."""
+        return max((v for domain in self.domains for v in domain.versions), default=0)
+
+    @property
+    def processes(self) -> int:
+        """Return how many processes reported."""
+        return sum(sum(domain.versions.values()) for domain in self.domains)
+
+    @property
+    def up_to_date(self) -> int:
+        """Return how many processes have the newest version in force."""
+        return sum(domain.versions.get(self.newest, 0) for domain in self.domains)
+
+
+async def ask_status(
+    address: Address, timing: LinkTiming, members: bool = False, timeout_s: float = ASK_S
+) -> NodeStatus:
+    """Return a process's status; raise ``TransportError`` when it does not answer."""
+    link = await dial(address, timing)
+    try:
+        request = encode_message(StatusRequest(members))
+        return decode_status(await link.ask(STATUS_PATH, request, timeout_s))
+    finally:
+        await link.close()
+
+
+async def survey_fleet(
+    store: KeyValueStore, prefix: str, seeds: Sequence[Address], timing: LinkTiming
+) -> FleetSurvey:
+    """Ask the watchers of each failure domain, found by the directory or from some peers.
+
+    With the key-value service down, ``seeds`` and the members they know are asked instead.
+    """
+    addresses = [str(seed) for seed in seeds]
+    with contextlib.suppress(PlatformError):
+        addresses += [contact.address for contact in await Directory(store, prefix).read()]
+    statuses, unreachable = await _ask_all(addresses, timing)
+    named = {
+        row.address
+        for status in statuses.values()
+        for row in status.rows
+        if row.name in _watchers(status)
+    }
+    more, lost = await _ask_all([a for a in named if a not in addresses], timing)
+    statuses |= more
+    watchers = [status for status in statuses.values() if status.watcher]
+    domains = sorted({status.row.failure_domain for status in watchers})
+    surveys = tuple(
+        _summarise(name, [s for s in watchers if s.row.failure_domain == name]) for name in domains
+    )
+    return FleetSurvey(surveys, tuple(watchers), tuple(sorted({*unreachable, *lost})))
+
+
+async def _ask_all(
+    addresses: Sequence[str], timing: LinkTiming
+) -> tuple[dict[str, NodeStatus], list[str]]:
+    """Return the statuses by process name, and the addresses that did not answer."""
+    tasks = {
+        address: await curio.spawn(ask_status, parse_address(address), timing, True)
+        for address in dict.fromkeys(addresses)
+    }
+    statuses: dict[str, NodeStatus] = {}
+    unreachable = []
+    for address, task in tasks.items():
+        try:
+            status = await task.join()
+            statuses[status.row.name] = status
+        except curio.TaskError as error:
+            if not isinstance(error.__cause__, TransportError | msgspec.DecodeError):
+                raise
+            unreachable.append(address)
+    return statuses, unreachable
+
+
+def _watchers(status: NodeStatus) -> set[str]:
+    """Return the names of the watchers in the domain of a process, as it sees them."""
+    names = [row.name for row in status.rows if row.state is MemberState.LIVE]
+    return set(RelayTree(names).watchers)
+
+
+def _summarise(failure_domain: str, watchers: Sequence[NodeStatus]) -> DomainSurvey:
+    """Add up the reports of a domain's watchers."""
+    versions: dict[int, int] = {}
+    behind: dict[str, int] = {}
+    for status in watchers:
+        for item in status.report.counts:
+            versions[item.version] = versions.get(item.version, 0) + item.count
+        behind |= {item.name: item.version for item in status.report.behind}
+    newest = max(versions, default=0)
+    best = max(watchers, key=lambda status: status.members.get(MemberState.LIVE, 0))
+    live = best.members.get(MemberState.LIVE, 0) + best.members.get(MemberState.LEAVING, 0)
+    return DomainSurvey(
+        failure_domain=failure_domain,
+        members=dict(best.members),
+        versions=versions,
+        behind={name: version for name, version in behind.items() if version < newest},
+        silent=max(0, live - sum(versions.values())),
+        unhealthy={
+            row.name: str(row.state) for row in best.rows if row.state is not MemberState.LIVE
+        },
+    )
--- a/bluebellrun/membership/_hosts.py
+++ b/bluebellrun/membership/_hosts.py
@@ -18,14 +18,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Departures:
-    """Hosts that get no new work: on their way out, or believed gone."""
+    """Who gets no new work: hosts on their way out or believed gone, and leaving members."""
 
     leaving: frozenset[str] = frozenset()
     gone: frozenset[str] = frozenset()
+    members: frozenset[str] = frozenset()
 
-    def includes(self, host: str) -> bool:
-        """Return whether a host is not to be given new work."""
-        return host in self.leaving or host in self.gone
+    def includes(self, host: str, member: str = "") -> bool:
+        """Return whether a member on a host is not to be given new work."""
+        return host in self.leaving or host in self.gone or member in self.members
 
 
 class HostTable:
--- a/bluebellrun/membership/_table.py
+++ b/bluebellrun/membership/_table.py
@@ -47,7 +47,7 @@
 
     @property
     def digest(self) -> int:
-        """Return a digest that is equal for tables of equal rows."""
+        """Return a digest that is equal for tables of equal rows, but for the gone."""
         return self._digest
 
     @property
@@ -73,7 +73,7 @@
         for row in rows:
             if row.name == self._own.name:
                 changed += self._answer(row, now)
-            elif row.supersedes(self._rows.get(row.name)):
+            elif self._is_news(row):
                 changed.append(self._put(row, now))
         return changed
 
@@ -110,6 +110,13 @@
         limit = max(self._timing.always_believed, self._timing.max_share * others)
         return suspects > limit
 
+    def _is_news(self, row: MemberRow) -> bool:
+        """Return whether a row is newer; nobody needs to hear that a stranger is gone."""
+        held = self._rows.get(row.name)
+        if held is None and row.state is MemberState.GONE:
+            return False
+        return row.supersedes(held)
+
     def _answer(self, row: MemberRow, now: float) -> list[MemberRow]:
         """Refute what others believe of this process where it is newer than its own word."""
         own = self._own
@@ -132,9 +139,7 @@
         """Replace a member's row."""
         old = self._rows.get(row.name)
         invariants.check(row.supersedes(old), "member rows only grow", old=old, new=row)
-        if old is not None:
-            self._digest ^= _row_digest(old)
-        self._digest ^= _row_digest(row)
+        self._digest ^= _row_digest(old) ^ _row_digest(row)
         self._rows[row.name] = row
         self._changed_at[row.name] = now
         return row
@@ -143,10 +148,12 @@
         """Drop members that have been gone for long."""
         for name in self.names(MemberState.GONE):
             if now - self._changed_at.get(name, now) >= self._timing.forget_s:
-                self._digest ^= _row_digest(self._rows.pop(name))
+                self._rows.pop(name)
                 self._changed_at.pop(name, None)
 
 
-def _row_digest(row: MemberRow) -> int:
-    """Return the digest of one row."""
+def _row_digest(row: MemberRow | None) -> int:
+    """Return the digest of one row; 0 for none and for one that is gone, which is forgotten."""
+    if row is None or row.state is MemberState.GONE:
+        return 0
     return int(xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(row)))
--- a/bluebellrun/platform/_follow.py
+++ b/bluebellrun/platform/_follow.py
@@ -24,7 +24,8 @@
 class PrefixFollower:
     """Hand over a snapshot, then changes; resume a broken watch from the last revision.
 
-    A watch whose connection has gone silent is found by comparing revisions every few seconds.
+    With ``from_revision`` the changes after it are handed over, without a snapshot. A watch
+    whose connection has gone silent is found by comparing revisions every few seconds.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         take_events: TakeEvents,
         clock: Clock,
         random: Random,
+        from_revision: int = 0,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -42,8 +44,8 @@
         self._take_events = take_events
         self._clock = clock
         self._random = random
-        self._revision = 0
-        self._seen = 0
+        self._revision = from_revision
+        self._seen = from_revision
         self._confirmed_at: float | None = None
 
     @property
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -1,5 +1,8 @@
 from random import Random
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from bluebellrun.membership import (
     HostTable,
     MemberRow,
@@ -7,8 +10,6 @@
     MemberTable,
     SuspicionTiming,
 )
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 TIMING = SuspicionTiming(suspect_s=5.0, held_s=600.0)
 
@@ -98,13 +99,18 @@
     assert all(len(each.relays()) == 40 for each in tables.values())
 
 
-def test_gone_members_are_forgotten_and_the_digest_follows():
-    a = table("a")
+def test_gone_members_are_forgotten_and_never_brought_back():
+    a, b = table("a"), table("b", "a", "c")
     empty = a.digest
-    a.merge([row("b").believed(MemberState.GONE)], 0.0)
+    a.merge([row("c")], 0.0)
     assert a.digest != empty
-    a.advance(901.0)
+    gone = row("c").believed(MemberState.GONE)
+    assert a.merge([gone], 1.0) == [gone]
     assert a.digest == empty
+    a.advance(902.0)
+    assert a.get("c") is None
+    b.merge([gone], 1.0)
+    assert a.merge([r for r in b.rows if r.name == "c"], 903.0) == []
 
 
 @settings(max_examples=60)
