Relay configuration, members and host states through a tree of processes

A few watchers per failure domain, by rendezvous over the live members, follow the store and the host list; all others hear from two parents each, by deltas, with beats that carry digests to repair gaps. A newcomer asks several peers and takes the highest version, also while the store is down, and says it is unready when it finds none. Entries leave out leaving hosts and members, and agents drain when their host leaves.

Also: a socket is no longer closed while another task waits on it, since its number could then be given to another socket (seen as ReadResourceBusy on a new link).

--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -18,6 +18,7 @@
     UpstreamClient,
     UpstreamRequest,
 )
+from bluebellrun.membership import Departures
 from bluebellrun.messages import Hello, Load, Submit
 from bluebellrun.runtime import spawn_background
 from bluebellrun.telemetry import Metrics, get_logger
@@ -55,13 +56,14 @@
         self._open_sessions: set[Session] = set()
         self._stopping = False
         self._told_to_drain = False
+        self._host_leaving = False
         self._step_s = 0.0
         self._idle = curio.Event()
 
     @property
     def draining(self) -> bool:
         """Return whether new work is refused."""
-        return self._stopping or self._told_to_drain
+        return self._stopping or self._told_to_drain or self._host_leaving
 
     @property
     def held(self) -> int:
@@ -151,6 +153,17 @@
             await self._hand_back("the upstream is draining")
         await self._wake_sessions()
 
+    async def apply_departures(self, departures: Departures) -> None:
+        """Drain when the platform says that this host is leaving."""
+        leaving = departures.includes(self._settings.host)
+        if leaving == self._host_leaving:
+            return
+        self._host_leaving = leaving
+        _log.info("host leaving changed", leaving=leaving, host=self._settings.host)
+        if leaving:
+            await self._hand_back("the host is leaving")
+        await self._wake_sessions()
+
     async def run(self) -> None:
         """Refuse waiting work that can no longer be on time, for ever."""
         while True:
--- a/bluebellrun/agent/_settings.py
+++ b/bluebellrun/agent/_settings.py
@@ -4,11 +4,11 @@
 
 from pydantic import Field
 
-from bluebellrun.conf import AddressSetting, LinkSettings, ProcessSettings, StoreSettings
+from bluebellrun.conf import AddressSetting, ControlSettings
 from bluebellrun.core import Address
 
 
-class AgentSettings(ProcessSettings, StoreSettings, LinkSettings):
+class AgentSettings(ControlSettings):
     """Run the agent beside one upstream: admission, drain and relay of answers."""
 
     service: str = Field(description="Name of the service that the upstream serves.")
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -1,6 +1,5 @@
 """The ``bluebellrun-agent`` program: wiring only."""
 
-from random import Random
 from typing import Any
 
 import curio
@@ -11,7 +10,7 @@
 from bluebellrun.agent._settings import AgentSettings
 from bluebellrun.conf import settings_command
 from bluebellrun.core import MonotonicClock, new_incarnation
-from bluebellrun.distribution import ConfigurationFollower
+from bluebellrun.distribution import link_timing, make_node
 from bluebellrun.engines import (
     LoadClient,
     ModelEngine,
@@ -24,9 +23,8 @@
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.runtime import StopSignals, spawn_background
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import Call, CallError, LinkTiming, Listener, serve_link
+from bluebellrun.transport import Call, Listener, serve_link
 
-STATUS_UNIMPLEMENTED = 12
 EXIT_CUT_OFF = 3
 LAST_FLUSH_S = 0.05
 
@@ -63,30 +61,31 @@
     agent = _make_agent(settings)
     configure_logs(settings, process=settings.name, incarnation=agent.incarnation)
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
-    follower = ConfigurationFollower(store, settings.store_prefix, MonotonicClock(), Random())
-    follower.add_listener(agent.apply_configuration)
-    timing = LinkTiming(
-        settings.link_connect_timeout_s,
-        settings.link_ping_interval_s,
-        settings.link_ping_timeout_s,
-    )
+    timing = link_timing(settings)
 
     async def handle_call(call: Call) -> None:
-        if call.path != EXCHANGE_PATH:
-            raise CallError(STATUS_UNIMPLEMENTED, f"no method {call.path}")
-        await agent.serve_session(call)
+        if call.path == EXCHANGE_PATH:
+            await agent.serve_session(call)
+        else:
+            await node.serve_call(call)
 
     async def handle_connection(sock: Any) -> None:
         await serve_link(sock, handle_call, timing)
 
     listener = Listener(settings.listen, handle_connection)
+    node = make_node(settings, "agent", listener.address, store, MonotonicClock())
+    node.follower.add_listener(agent.apply_configuration)
+    node.add_departure_listener(agent.apply_departures)
     await spawn_background(listener.run)
-    await spawn_background(follower.run)
+    await node.run()
     await spawn_background(agent.run)
     await _watch_load(settings)
     _log.info("ready", listen=str(listener.address), upstream=str(settings.upstream))
     await signals.next()
-    return await _stop(agent, signals, settings.stop_grace_s)
+    await node.leave()
+    status = await _stop(agent, signals, settings.stop_grace_s)
+    await node.close()
+    return status
 
 
 async def _watch_load(settings: AgentSettings) -> None:
--- a/bluebellrun/conf/__init__.py
+++ b/bluebellrun/conf/__init__.py
@@ -3,6 +3,7 @@
 from bluebellrun.conf._commands import settings_command
 from bluebellrun.conf._models import (
     AddressSetting,
+    ControlSettings,
     HttpSettings,
     LinkSettings,
     ProcessSettings,
@@ -11,6 +12,7 @@
 
 __all__ = [
     "AddressSetting",
+    "ControlSettings",
     "HttpSettings",
     "LinkSettings",
     "ProcessSettings",
--- a/bluebellrun/conf/_models.py
+++ b/bluebellrun/conf/_models.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated, Any, Literal
 
-from pydantic import BeforeValidator, Field
+from pydantic import BeforeValidator, Field, field_validator
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
 from bluebellrun.core import Address, parse_address
@@ -95,3 +95,45 @@
     answer_window_bytes: int = Field(
         default=262_144, gt=0, description="Most unconfirmed bytes of one answer."
     )
+
+
+class ControlSettings(ProcessSettings, StoreSettings, LinkSettings):
+    """How a process takes part in the control plane."""
+
+    fleet_size: int = Field(
+        default=100,
+        gt=0,
+        description="Processes that share the key-value service's rates.",
+    )
+    store_reads_per_s: float = Field(
+        default=2_000.0, gt=0, description="Reads a second that the key-value service takes."
+    )
+    store_writes_per_s: float = Field(
+        default=300.0, gt=0, description="Writes a second that the key-value service takes."
+    )
+    peers: str = Field(
+        default="",
+        description="Some peers' IP:PORT, comma between, for a start with the store down.",
+    )
+    host_list: AddressSetting | None = Field(
+        default=None, description="IP:PORT of the platform's host list; none does without it."
+    )
+    advertise: AddressSetting | None = Field(
+        default=None, description="IP:PORT that peers reach this process by; none: as it listens."
+    )
+
+    @field_validator("peers")
+    @classmethod
+    def _check_peers(cls, value: str) -> str:
+        """Refuse what is not a list of IP:PORT."""
+        return ",".join(str(address) for address in _addresses(value))
+
+    @property
+    def peer_addresses(self) -> tuple[Address, ...]:
+        """Return the peers' addresses."""
+        return _addresses(self.peers)
+
+
+def _addresses(text: str) -> tuple[Address, ...]:
+    """Read addresses separated by commas."""
+    return tuple(parse_address(part.strip()) for part in text.split(",") if part.strip())
--- a/bluebellrun/distribution/__init__.py
+++ b/bluebellrun/distribution/__init__.py
@@ -18,6 +18,7 @@
 from bluebellrun.distribution._node import Node
 from bluebellrun.distribution._settings import NodeSettings, NodeTiming
 from bluebellrun.distribution._survey import DomainSurvey, FleetSurvey, ask_status, survey_fleet
+from bluebellrun.distribution._wiring import link_timing, make_node
 
 __all__ = [
     "ConfigurationFollower",
@@ -38,5 +39,7 @@
     "ask_status",
     "decode_delta",
     "encode_delta",
+    "link_timing",
+    "make_node",
     "survey_fleet",
 ]
--- a/bluebellrun/distribution/_bootstrap.py
+++ b/bluebellrun/distribution/_bootstrap.py
@@ -6,6 +6,7 @@
 together one becomes the first and the others find it.
 """
 
+from dataclasses import replace
 from random import Random
 
 import curio
@@ -55,7 +56,7 @@
         """Return contacts of other failure domains, as the directory had them last."""
         own = self._state.settings.failure_domain
         others = [contact for contact in self._contacts if contact.failure_domain != own]
-        return [_target(contact) for contact in others]
+        return [replace(_target(contact), foreign=True) for contact in others]
 
     async def run(self) -> None:
         """Try until this process has joined, at a pace that all processes together can keep."""
--- a/bluebellrun/distribution/_children.py
+++ b/bluebellrun/distribution/_children.py
@@ -120,7 +120,8 @@
         state = self._state
         await state.take_rows([join.row], child.session)
         await self._send_since(child, join.version)
-        if join.members_digest != state.members.digest:
+        near = join.row.failure_domain == state.settings.failure_domain
+        if near and join.members_digest != state.members.digest:
             await child.session.post(Rows(state.members.rows))
         if state.hosts.digest and join.hosts_digest != state.hosts.digest:
             await child.session.post(state.hosts_message())
@@ -149,8 +150,9 @@
             await child.session.post(News(encode_delta(delta)))
 
     async def _forget(self, child: _Child) -> None:
-        """Drop a child whose call ended, unless it has called again."""
+        """Drop a child whose call ended, unless it has called again; look after it."""
         if self._children.get(child.row.name) is not child:
             return
         del self._children[child.row.name]
-        await spawn_background(self._lost, child.row)
+        if not self._state.stopping:
+            await spawn_background(self._lost, child.row)
--- a/bluebellrun/distribution/_node.py
+++ b/bluebellrun/distribution/_node.py
@@ -15,7 +15,7 @@
 from bluebellrun.distribution._parents import Parents, ParentTarget, parent_target
 from bluebellrun.distribution._settings import NodeSettings
 from bluebellrun.distribution._source import Source
-from bluebellrun.distribution._state import LONG_AGO_S, DepartureListener, NodeState
+from bluebellrun.distribution._state import LONG_AGO_S, DepartureListener, NodeState, PeerListener
 from bluebellrun.membership import Departures, MemberRow, MemberState
 from bluebellrun.messages import (
     FOLLOW_PATH,
@@ -71,7 +71,9 @@
         self._slots = Directory(self._watching, settings.prefix)
         self._source = Source(self._state, self._watching, hosts, random)
         self._source_task: Any = None
+        self._duties: list[Any] = []
         self._alone_since = clock.now()
+        self._duty_changed_at = clock.now()
         self._cut_off_s = self._timing.cut_off_s * (1 + random.random())
         self._state.set_sender(self)
 
@@ -99,8 +101,12 @@
         """Call a function whenever the hosts or members that get no new work change."""
         self._state.add_departure_listener(listener)
 
+    def add_peer_listener(self, listener: PeerListener) -> None:
+        """Call a function with the live members of this failure domain when they change."""
+        self._state.add_peer_listener(listener)
+
     async def run(self) -> None:
-        """Do all duties until cancelled."""
+        """Start all duties in the background."""
         for duty in (
             self._state.enforce,
             self._bootstrap.run,
@@ -109,7 +115,16 @@
             self._believe_suspicions,
             self._keep_slots,
         ):
-            await spawn_background(duty)
+            self._duties.append(await spawn_background(duty))
+
+    async def close(self) -> None:
+        """End all duties, at the end of the process."""
+        self._state.stopping = True
+        for duty in self._duties:
+            await duty.cancel()
+        if self._source_task is not None:
+            await self._source_task.cancel()
+        await self._parents.close()
 
     async def leave(self) -> None:
         """Say goodbye, so that nobody sends new work here or waits for a timeout."""
@@ -225,6 +240,11 @@
         if state.watching or self._parents.watcher_age_s <= self._timing.stale_s:
             self._alone_since = state.now
         watches = state.joined and self._must_watch()
+        if watches == state.watching:
+            self._duty_changed_at = state.now
+        settled = state.now - self._duty_changed_at >= self._timing.settle_s
+        if not settled and self._parents.watcher_age_s <= self._timing.stale_s:
+            return
         if watches and self._source_task is None:
             _log.info("watches the store", members=len(state.members.rows))
             state.watching_since = state.now
--- a/bluebellrun/distribution/_parents.py
+++ b/bluebellrun/distribution/_parents.py
@@ -1,6 +1,7 @@
 """The processes that this one hears from: two at a time, replaced when they fall silent."""
 
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 
@@ -36,10 +37,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ParentTarget:
-    """A process to hear from."""
+    """A process to hear from; a ``foreign`` one is of another failure domain."""
 
     name: str
     address: Address
+    foreign: bool = False
 
 
 class Parent:
@@ -183,7 +185,7 @@
         self._heard_at = state.now
         if beat.version > state.documents.version:
             await session.post(Want(state.documents.version))
-        if beat.members_digest == state.members.digest:
+        if self._target.foreign or beat.members_digest == state.members.digest:
             self._unequal_beats = 0
         else:
             self._unequal_beats += 1
@@ -204,7 +206,7 @@
     def __init__(self, state: NodeState) -> None:
         self._state = state
         self._parents: dict[str, Parent] = {}
-        self._tasks: dict[str, object] = {}
+        self._tasks: dict[str, Any] = {}
         self._avoid: dict[str, float] = {}
         self._lost: list[str] = []
 
@@ -291,8 +293,7 @@
     async def _drop(self, name: str) -> None:
         """Stop hearing from a process."""
         del self._parents[name]
-        task = self._tasks.pop(name)
-        await task.cancel(blocking=False)  # type: ignore[attr-defined]
+        await self._tasks.pop(name).cancel()
 
 
 def parent_target(row: MemberRow) -> ParentTarget:
--- a/bluebellrun/distribution/_settings.py
+++ b/bluebellrun/distribution/_settings.py
@@ -13,13 +13,15 @@
     """Times in seconds.
 
     A parent without news of a watcher for ``stale_s`` is left for another. A process that hears
-    of no watcher at all for ``cut_off_s``, jittered, watches the store for itself.
+    of no watcher at all for ``cut_off_s``, jittered, watches the store for itself. While others
+    watch, a changed rank must last for ``settle_s`` before this process starts or stops.
     """
 
     beat_s: float = 1.0
     tick_s: float = 0.25
     stale_s: float = 4.0
     cut_off_s: float = 15.0
+    settle_s: float = 2.0
     avoid_s: float = 5.0
     child_lost_s: float = 2.0
     directory_s: float = 15.0
--- a/bluebellrun/distribution/_state.py
+++ b/bluebellrun/distribution/_state.py
@@ -28,6 +28,7 @@
 LONG_AGO_S = 1e9
 MILLISECONDS = 1_000
 
+PeerListener = Callable[[list[MemberRow]], Awaitable[None]]
 DepartureListener = Callable[[Departures], Awaitable[None]]
 
 _log = get_logger("distribution")
@@ -60,10 +61,13 @@
         self.members = MemberTable(own, settings.suspicion)
         self.hosts = HostTable()
         self.joined = False
+        self.stopping = False
         self.watching_since: float | None = None
         self.store_confirmed_at: float | None = None
         self._departures = Departures()
         self._departure_listeners: list[DepartureListener] = []
+        self._peers: list[MemberRow] = []
+        self._peer_listeners: list[PeerListener] = []
         self._sender: Sender | None = None
         self._source = ""
         self._changed = curio.Event()
@@ -102,6 +106,10 @@
         """Call a function whenever the hosts or members that get no new work change."""
         self._departure_listeners.append(listener)
 
+    def add_peer_listener(self, listener: PeerListener) -> None:
+        """Call a function with the live members of this failure domain when they change."""
+        self._peer_listeners.append(listener)
+
     async def take_delta(self, delta: Delta, source: str, besides: object | None = None) -> bool:
         """Take changes of documents and hand them on; return whether the version rose.
 
@@ -127,10 +135,12 @@
             if documents.version > self.follower.version:
                 await self.follower.put_in_force(documents.version, documents.items, self._source)
             await self._check_departures()
+            await self._check_peers()
 
     async def take_rows(self, rows: Iterable[MemberRow], besides: object | None = None) -> None:
-        """Take members' rows and hand on those that were news."""
-        changed = self.members.merge(rows, self.now)
+        """Take rows of this failure domain's members and hand on those that were news."""
+        mine = [row for row in rows if row.failure_domain == self.settings.failure_domain]
+        changed = self.members.merge(mine, self.now)
         await self.hand_on_rows(changed, besides)
 
     async def hand_on_rows(self, changed: list[MemberRow], besides: object | None = None) -> None:
@@ -183,3 +193,12 @@
         _log.info("departures changed", hosts=sorted(hosts.leaving), members=sorted(leaving))
         for listener in self._departure_listeners:
             await listener(departures)
+
+    async def _check_peers(self) -> None:
+        """Tell the listeners when the live members of this failure domain changed."""
+        rows = [row for row in self.members.rows if row.state is MemberState.LIVE]
+        if rows == self._peers:
+            return
+        self._peers = rows
+        for listener in self._peer_listeners:
+            await listener(rows)
--- a/bluebellrun/entry/_settings.py
+++ b/bluebellrun/entry/_settings.py
@@ -2,22 +2,24 @@
 
 from pydantic import Field
 
-from bluebellrun.conf import (
-    AddressSetting,
-    HttpSettings,
-    LinkSettings,
-    ProcessSettings,
-    StoreSettings,
-)
+from bluebellrun.conf import AddressSetting, ControlSettings, HttpSettings
 from bluebellrun.core import Address
 
 
-class EntrySettings(ProcessSettings, StoreSettings, HttpSettings, LinkSettings):
+class EntrySettings(ControlSettings, HttpSettings):
     """Run an entry: HTTP towards callers, links towards agents."""
 
     listen: AddressSetting = Field(
         default=Address("127.0.0.1", 0), description="IP:PORT for callers' HTTP."
     )
+    link_listen: AddressSetting = Field(
+        default=Address("127.0.0.1", 0), description="IP:PORT for links from peers."
+    )
+    entries_per_upstream: int = Field(
+        default=3,
+        gt=0,
+        description="Entries of a failure domain that keep a link to each upstream.",
+    )
     routing_policy: str = Field(
         default="least-requests", description="Policy that chooses an upstream."
     )
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -1,12 +1,13 @@
 """The ``bluebellrun-entry`` program: wiring only."""
 
 from random import Random
+from typing import Any
 
 import curio
 
 from bluebellrun.conf import settings_command
 from bluebellrun.core import MonotonicClock, new_incarnation
-from bluebellrun.distribution import ConfigurationFollower
+from bluebellrun.distribution import link_timing, make_node
 from bluebellrun.entry._dispatcher import Dispatcher
 from bluebellrun.entry._entry import Entry
 from bluebellrun.entry._fleet import Fleet
@@ -15,7 +16,7 @@
 from bluebellrun.routing import make_routing
 from bluebellrun.runtime import StopSignals, spawn_background
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import HttpLimits, HttpServer
+from bluebellrun.transport import HttpLimits, HttpServer, Listener, serve_link
 
 EXIT_CUT_OFF = 3
 STOP_POLL_S = 0.02
@@ -41,20 +42,32 @@
     signals = StopSignals()
     configure_logs(settings, process=settings.name, incarnation=new_incarnation())
     clock = MonotonicClock()
+    timing = link_timing(settings)
+
+    async def handle_connection(sock: Any) -> None:
+        await serve_link(sock, node.serve_call, timing)
+
     metrics = Metrics(settings.statsd, "bluebellrun")
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
-    follower = ConfigurationFollower(store, settings.store_prefix, clock, Random())
+    listener = Listener(settings.link_listen, handle_connection)
+    node = make_node(settings, "entry", listener.address, store, clock)
     fleet = Fleet(settings, clock)
-    follower.add_listener(fleet.apply_configuration)
+    node.follower.add_listener(fleet.apply_configuration)
+    node.add_departure_listener(fleet.apply_departures)
+    node.add_peer_listener(fleet.apply_peers)
     routing = make_routing(settings.routing_policy, Random(), settings.failure_domain)
     dispatcher = Dispatcher(settings, fleet, routing, clock, metrics)
-    entry = Entry(settings, follower, dispatcher, clock, metrics)
+    entry = Entry(settings, node.follower, dispatcher, clock, metrics)
     server = HttpServer(settings.listen, entry.handle, _limits(settings))
     await spawn_background(server.run)
-    await spawn_background(follower.run)
-    _log.info("ready", listen=str(server.address))
+    await spawn_background(listener.run)
+    await node.run()
+    _log.info("ready", listen=str(server.address), links=str(listener.address))
     await signals.next()
-    return await _stop(entry, server, signals, settings.stop_grace_s)
+    await node.leave()
+    status = await _stop(entry, server, signals, settings.stop_grace_s)
+    await node.close()
+    return status
 
 
 async def _finish_requests(entry: Entry) -> None:
--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -189,9 +189,10 @@
         except (OSError, h2.exceptions.ProtocolError) as broken:
             error = LinkLostError(str(broken))
         finally:
-            await pinger.cancel(blocking=False)
-            await writer.cancel(blocking=False)
             await self._shut(error)
+            await pinger.cancel()
+            await writer.cancel()
+            await self._socket.close()
 
     async def wait_closed(self) -> None:
         """Wait until the link is closed."""
@@ -403,7 +404,11 @@
                 await self._flush()
 
     async def _shut(self, error: LinkLostError) -> None:
-        """Close the socket and fail the calls in progress."""
+        """End the connection and fail the calls in progress.
+
+        The socket itself is closed by ``run`` alone, when no task waits on it any more: the
+        number of a socket that is closed under a waiting task may be given to another one.
+        """
         if self._closed.is_set():
             return
         self._error = error
@@ -414,7 +419,6 @@
         await self._frames_ready.set()
         with contextlib.suppress(OSError):
             await self._socket.shutdown(SHUT_RDWR)
-        await self._socket.close()
 
 
 async def dial(address: Address, timing: LinkTiming, tls: Any = None) -> Link:
--- a/bluebellrun/transport/_listener.py
+++ b/bluebellrun/transport/_listener.py
@@ -33,6 +33,7 @@
         self._turn_away = turn_away
         self._open = 0
         self._closed = False
+        self._accepting: Any = None
 
     @property
     def address(self) -> Address:
@@ -47,6 +48,7 @@
 
     async def run(self) -> None:
         """Accept connections until cancelled or closed."""
+        self._accepting = await curio.current_task()
         while not self._closed:
             try:
                 client, _ = await self._socket.accept()
@@ -69,8 +71,14 @@
         await curio.spawn(self._serve, client, handler, daemon=True)
 
     async def close(self) -> None:
-        """Stop accepting; connections already open go on."""
+        """Stop accepting; connections already open go on.
+
+        The accepting task is ended first: the number of a socket that is closed under a waiting
+        task may be given to another one.
+        """
         self._closed = True
+        if self._accepting is not None:
+            await self._accepting.cancel()
         await self._socket.close()
 
     async def _serve(self, client: Any, handler: ConnectionHandler) -> None:
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -76,3 +76,20 @@
         await link.close()
 
     curio.run(main)
+
+
+def test_a_closed_links_socket_number_can_be_used_again_at_once():
+    async def main() -> None:
+        listener = await listen()
+        for _ in range(20):
+            link = await dial(listener.address, TIMING)
+            assert await link.ask("/echo", b"x", 1.0) == b"x"
+            await link.close()
+        other = await listen()
+        await other.close()
+        again = await listen()
+        link = await dial(again.address, TIMING)
+        assert await link.ask("/echo", b"y", 1.0) == b"y"
+        await link.close()
+
+    curio.run(main)
