--- a/bench/_registry.py
+++ b/bench/_registry.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 
-from bench import flood, relay
+from bench import dissemination, flood, relay
 from bench._results import Measure
 
 SCENARIOS: dict[str, Callable[[int], list[Measure]]] = {
+    "dissemination": dissemination.measure,
     "flood-low": flood.flood_low,
     "flood-urgent": flood.flood_urgent,
     "large-customers": flood.large_customers,
--- a/bluebellrun/distribution/_node.py
+++ b/bluebellrun/distribution/_node.py
@@ -67,8 +67,8 @@
         self._watching = GuardedStore(store, rates.watcher_part, clock, random)
         self._children = Children(self._state, self._child_lost)
         self._parents = Parents(self._state)
-        self._bootstrap = Bootstrap(self._state, Directory(self._ordinary, settings.prefix), random)
-        self._slots = Directory(self._watching, settings.prefix)
+        self._directory = Directory(self._ordinary, settings.prefix)
+        self._bootstrap = Bootstrap(self._state, self._directory, random)
         self._source = Source(self._state, self._watching, hosts, random)
         self._source_task: Any = None
         self._duties: list[Any] = []
@@ -299,9 +299,8 @@
         if self._settings.name not in watchers:
             return
         try:
-            await self._slots.read()
             slot = watchers.index(self._settings.name)
-            await self._slots.claim(self._state.members.own, slot)
+            await self._directory.claim(self._state.members.own, slot)
         except PlatformError as error:
             _log.info("slot not kept", error=str(error))
 
--- a/standins/platform/_app.py
+++ b/standins/platform/_app.py
@@ -82,7 +82,7 @@
         if not path.startswith("/v3/"):
             await not_found(exchange)
             return
-        self.counts.by_path[path] += 1
+        self.counts.by_path[path] = self.counts.by_path.get(path, 0) + 1
         if self.faults.delay_s:
             await curio.sleep(self.faults.delay_s)
         if self.faults.down:
--- a/standins/platform/_faults.py
+++ b/standins/platform/_faults.py
@@ -1,6 +1,5 @@
 """Faults of the platform that can be ordered, and counts of calls."""
 
-from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
 
@@ -31,4 +30,4 @@
     writes: int = 0
     watches: int = 0
     open_watches: int = 0
-    by_path: Counter[str] = field(default_factory=Counter)
+    by_path: dict[str, int] = field(default_factory=dict)
