Doubt a host list that lost many hosts, and keep duties going after a fault

Hosts that vanish together are believed gone after ten minutes, an emptied list never. A listener or duty that fails keeps no later version from coming into force. Two processes of one name answer each other once in five seconds. The whole set of documents is encoded once for all that ask.

--- a/bluebellrun/distribution/_children.py
+++ b/bluebellrun/distribution/_children.py
@@ -6,7 +6,6 @@
 import curio
 import msgspec
 
-from bluebellrun.distribution._documents import encode_delta
 from bluebellrun.distribution._session import PeerSession
 from bluebellrun.distribution._state import NodeState
 from bluebellrun.membership import MemberRow, MemberState
@@ -145,9 +144,9 @@
 
     async def _send_since(self, child: _Child, version: int) -> None:
         """Send a child the documents changed after a version."""
-        delta = self._state.documents.since(version)
-        if delta is not None:
-            await child.session.post(News(encode_delta(delta)))
+        news = self._state.encoded_since(version)
+        if news is not None:
+            await child.session.post(News(news))
 
     async def _forget(self, child: _Child) -> None:
         """Drop a child whose call ended, unless it has called again; look after it."""
--- a/bluebellrun/distribution/_configuration.py
+++ b/bluebellrun/distribution/_configuration.py
@@ -4,7 +4,7 @@
 
 from pydantic import ValidationError
 
-from bluebellrun.core import Clock, invariants
+from bluebellrun.core import Clock, InvariantError, invariants
 from bluebellrun.declarations import KINDS, Configuration, Document, build_configuration
 from bluebellrun.distribution._documents import DocumentName
 from bluebellrun.telemetry import get_logger
@@ -67,7 +67,16 @@
         self._source = source
         _log.info("configuration in force", version=version, documents=len(items), source=source)
         for listener in self._listeners:
-            await listener(self._current)
+            await self._tell(listener, self._current)
+
+    async def _tell(self, listener: Listener, configuration: Configuration) -> None:
+        """Call a listener; one that fails keeps no other from hearing of this version or later."""
+        try:
+            await listener(configuration)
+        except InvariantError:
+            raise
+        except Exception:
+            _log.exception("listener failed", version=configuration.version)
 
     def _read(self, items: Mapping[DocumentName, bytes]) -> None:
         """Read the documents that changed and forget those that are gone."""
--- a/bluebellrun/distribution/_node.py
+++ b/bluebellrun/distribution/_node.py
@@ -1,17 +1,17 @@
 """A process's part in the control plane: one task for each duty, the rest is in the state."""
 
+from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
 
 import curio
 import msgspec
 
-from bluebellrun.core import Clock
+from bluebellrun.core import Clock, InvariantError
 from bluebellrun.distribution._bootstrap import Bootstrap
 from bluebellrun.distribution._children import Children
 from bluebellrun.distribution._configuration import ConfigurationFollower
 from bluebellrun.distribution._directory import Directory
-from bluebellrun.distribution._documents import encode_delta
 from bluebellrun.distribution._parents import Parents, ParentTarget, parent_target
 from bluebellrun.distribution._settings import NodeSettings
 from bluebellrun.distribution._source import Source
@@ -115,7 +115,7 @@
             self._believe_suspicions,
             self._keep_slots,
         ):
-            self._duties.append(await spawn_background(duty))
+            self._duties.append(await spawn_background(self._keep, duty))
 
     async def close(self) -> None:
         """End all duties, at the end of the process."""
@@ -175,6 +175,18 @@
             rows=state.members.rows if members else [],
         )
 
+    async def _keep(self, duty: Callable[[], Awaitable[None]]) -> None:
+        """Do a duty; begin again after a fault in it, since no other task takes its place."""
+        while True:
+            try:
+                await duty()
+                return
+            except InvariantError:
+                raise
+            except Exception:
+                _log.exception("duty failed", duty=duty.__qualname__)
+            await curio.sleep(self._timing.beat_s)
+
     def _calls(self) -> StoreCalls:
         """Return the calls made to the key-value service."""
         accounts = (self._ordinary.account, self._watching.account)
@@ -194,11 +206,10 @@
         except msgspec.DecodeError as error:
             raise CallError(STATUS_INVALID, str(error)) from error
         state = self._state
-        delta = state.documents.since(request.version)
         reply = GatherReply(
             failure_domain=self._settings.failure_domain,
             version=state.documents.version,
-            news=None if delta is None else encode_delta(delta),
+            news=state.encoded_since(request.version),
             rows=state.members.rows,
         )
         await call.send(encode_message(reply))
--- a/bluebellrun/distribution/_state.py
+++ b/bluebellrun/distribution/_state.py
@@ -69,6 +69,8 @@
         self._peers: list[MemberRow] = []
         self._peer_listeners: list[PeerListener] = []
         self._sender: Sender | None = None
+        self._whole = b""
+        self._whole_version = 0
         self._source = ""
         self._changed = curio.Event()
         self._tree = RelayTree([])
@@ -137,6 +139,16 @@
             await self._check_departures()
             await self._check_peers()
 
+    def encoded_since(self, version: int) -> bytes | None:
+        """Return the changes after a version as bytes, or none; the whole is encoded once."""
+        delta = self.documents.since(version)
+        if delta is None or not delta.whole:
+            return None if delta is None else encode_delta(delta)
+        if self._whole_version != delta.version:
+            self._whole = encode_delta(delta)
+            self._whole_version = delta.version
+        return self._whole
+
     async def take_rows(self, rows: Iterable[MemberRow], besides: object | None = None) -> None:
         """Take rows of this failure domain's members and hand on those that were news."""
         mine = [row for row in rows if row.failure_domain == self.settings.failure_domain]
--- a/bluebellrun/membership/_hosts.py
+++ b/bluebellrun/membership/_hosts.py
@@ -1,8 +1,9 @@
 """What the platform's lagging host list says, and what may be concluded from it. Pure.
 
 A host listed as leaving gets no new work. A host that vanished from the list is believed gone
-only when few vanish together: a list that lost many hosts at once has a fault of its own, or
-describes a lost region, and neither is that many deaths.
+at once only when few vanish together: a list that lost many hosts has a fault of its own, or
+describes a lost region, and neither is that many deaths. Those are believed after ten minutes,
+and an empty list never is.
 """
 
 from collections.abc import Mapping
@@ -13,7 +14,8 @@
 
 LEAVING = "leaving"
 MAX_VANISHED_SHARE = 0.1
-ALWAYS_BELIEVED = 2
+ALWAYS_BELIEVED = 1
+HELD_S = 600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +40,7 @@
         self._read_at: float | None = None
         self._digest = 0
         self._doubted = 0
+        self._missing_since: dict[str, float] = {}
 
     @property
     def states(self) -> dict[str, str]:
@@ -73,14 +76,12 @@
     def read(self, listed: Mapping[str, str], now: float) -> bool:
         """Take a reading of the platform's list; return whether anything changed."""
         before = self._digest
-        vanished = {host for host in self._states if host not in listed}
-        limit = max(ALWAYS_BELIEVED, MAX_VANISHED_SHARE * len(self._states))
-        if len(vanished) > limit:
-            self._doubted += 1
-            kept = {host: self._states[host] for host in vanished}
-            self._replace({**kept, **listed}, self._gone - set(listed))
-        else:
-            self._replace(dict(listed), (self._gone | vanished) - set(listed))
+        believed = self._believed({host for host in self._states if host not in listed}, now)
+        if not listed:
+            believed = set()
+        kept = {h: s for h, s in self._states.items() if h not in listed and h not in believed}
+        self._doubted += bool(kept)
+        self._replace({**kept, **listed}, (self._gone | believed) - set(listed))
         self._read_at = now
         return self._digest != before
 
@@ -95,6 +96,14 @@
         """Note that a parent's table is still equal to this one."""
         self._read_at = now
 
+    def _believed(self, vanished: set[str], now: float) -> set[str]:
+        """Return the vanished hosts that are believed gone: few at once, or missing for long."""
+        self._missing_since = {host: self._missing_since.get(host, now) for host in vanished}
+        limit = max(ALWAYS_BELIEVED, MAX_VANISHED_SHARE * len(self._states))
+        if len(vanished) <= limit:
+            return vanished
+        return {host for host in vanished if now - self._missing_since[host] >= HELD_S}
+
     def _replace(self, states: dict[str, str], gone: set[str]) -> None:
         """Replace the table."""
         self._states, self._gone = states, gone
--- a/bluebellrun/membership/_table.py
+++ b/bluebellrun/membership/_table.py
@@ -20,7 +20,9 @@
     """Times of the life of a suspicion, in seconds, and the share that is believed at once.
 
     When more than ``max_share`` of the members are suspect together, this process may itself be
-    cut off: suspicions then wait for ``held_s`` before they are believed.
+    cut off: suspicions then wait for ``held_s`` before they are believed. A later life of this
+    process's own name is answered once in ``conflict_s``, so that two processes of one name do
+    not talk without end.
     """
 
     suspect_s: float = 5.0
@@ -28,6 +30,7 @@
     max_share: float = 0.25
     always_believed: int = 2
     forget_s: float = 900.0
+    conflict_s: float = 5.0
 
 
 class MemberTable:
@@ -39,6 +42,8 @@
         self._rows: dict[str, MemberRow] = {own.name: own}
         self._changed_at: dict[str, float] = {}
         self._digest = _row_digest(own)
+        self._renamed_at = float("-inf")
+        self._conflicts = 0
 
     @property
     def own(self) -> MemberRow:
@@ -55,6 +60,11 @@
         """Return all rows."""
         return list(self._rows.values())
 
+    @property
+    def conflicts(self) -> int:
+        """Return how often another life of this process's name was heard of."""
+        return self._conflicts
+
     def get(self, name: str) -> MemberRow | None:
         """Return a member's row, or none."""
         return self._rows.get(name)
@@ -123,6 +133,10 @@
         if not row.supersedes(own):
             return []
         if row.epoch > own.epoch:
+            if now - self._renamed_at < self._timing.conflict_s:
+                return []
+            self._renamed_at = now
+            self._conflicts += 1
             return [self._speak(row.epoch + 1, 0, own.leaving, now)]
         return [self._speak(own.epoch, row.counter + 1, own.leaving, now)]
 
--- a/tests/distribution/cluster.py
+++ b/tests/distribution/cluster.py
@@ -1,5 +1,6 @@
 """Several nodes in one loop, over loopback, with one store in memory."""
 
+import contextlib
 import json
 from dataclasses import replace
 from random import Random
@@ -47,7 +48,8 @@
         await self.listener.close()
         await self.node.close()
         for sock in list(self.sockets):
-            await sock.shutdown(SHUT_RDWR)
+            with contextlib.suppress(OSError):
+                await sock.shutdown(SHUT_RDWR)
 
 
 class Cluster:
--- a/tests/distribution/test_node.py
+++ b/tests/distribution/test_node.py
@@ -275,3 +275,44 @@
         assert Slow.calls_made <= 6 * len(names)
 
     run_cluster(main)
+
+
+def test_a_process_cut_off_from_store_and_peers_serves_on_and_says_how_old_its_news_is():
+    async def main(cluster) -> None:
+        version = await cluster.declare("service", "one")
+        cut_off = apart(cluster)
+        member = await cluster.start("a", store=cut_off)
+        await cluster.until_version(version)
+        cut_off.faults.down = True
+        await cut_off.wake()
+        later = await cluster.declare("service", "one", "two")
+        await curio.sleep(0.3)
+        status = member.node.status()
+        assert status.ready
+        assert status.version == version
+        assert status.store_age_s >= 0.2
+        cut_off.faults.down = False
+        await cluster.until_version(later)
+
+    run_cluster(main)
+
+
+def test_a_failing_listener_keeps_no_later_version_from_coming_into_force():
+    async def main(cluster) -> None:
+        version = await cluster.declare("service", "one")
+        member = await cluster.start("a")
+        heard = []
+
+        async def fail(configuration) -> None:
+            raise RuntimeError("a fault")
+
+        async def hear(configuration) -> None:
+            heard.append(configuration.version)
+
+        member.node.follower.add_listener(fail)
+        member.node.follower.add_listener(hear)
+        await cluster.until_version(version)
+        later = await cluster.declare("service", "one", "two")
+        await cluster.until(lambda: heard[-1:] == [later])
+
+    run_cluster(main)
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -71,6 +71,19 @@
     assert a.get("b").epoch == 101
 
 
+def test_two_processes_of_one_name_do_not_answer_each_other_without_end():
+    a, b = table("x"), MemberTable(row("x", epoch=2), TIMING)
+    rows, now = a.rows, 0.0
+    messages = 0
+    while rows and messages < 100:
+        now += 0.01
+        rows = b.merge(rows, now) or a.merge(b.rows, now)
+        rows = a.merge(b.rows, now)
+        messages += 1
+    assert messages < 5
+    assert a.conflicts + b.conflicts >= 1
+
+
 def test_half_the_domain_silent_at_once_is_not_taken_for_deaths():
     others = [f"m-{number}" for number in range(100)]
     a = table("a", *others)
@@ -178,6 +191,26 @@
     assert hosts.doubted == 2
 
 
+def test_hosts_missing_for_long_are_gone_however_many_but_not_by_an_empty_list():
+    hosts = HostTable()
+    hosts.read({f"h-{n}": "live" for n in range(10)}, 0.0)
+    for now in (1.0, 300.0, 700.0):
+        hosts.read({f"h-{n}": "live" for n in range(5)}, now)
+    assert len(hosts.gone) == 5
+    for now in (800.0, 2_000.0):
+        hosts.read({}, now)
+    assert len(hosts.states) == 5
+
+
+def test_the_last_hosts_of_a_small_fleet_are_not_lost_together():
+    hosts = HostTable()
+    hosts.read({"h-1": "live", "h-2": "live"}, 0.0)
+    hosts.read({}, 1.0)
+    assert not hosts.departures.includes("h-1")
+    hosts.read({"h-2": "live"}, 2.0)
+    assert hosts.gone == {"h-1"}
+
+
 def test_a_child_takes_its_parents_table():
     parent, child = HostTable(), HostTable()
     parent.read({"h-1": "live", "h-2": "leaving"}, 0.0)
