--- a/bench/_registry.py
+++ b/bench/_registry.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 
-from bench import dissemination, flood, relay
+from bench import dissemination, dissemination_size, flood, relay
 from bench._results import Measure
 
 SCENARIOS: dict[str, Callable[[int], list[Measure]]] = {
     "dissemination": dissemination.measure,
+    "dissemination-size": dissemination_size.measure,
     "flood-low": flood.flood_low,
     "flood-urgent": flood.flood_urgent,
     "large-customers": flood.large_customers,
--- a/bluebellrun/core/_identifiers.py
+++ b/bluebellrun/core/_identifiers.py
@@ -1,6 +1,7 @@
 """Identifiers of requests, attempts and process incarnations, and network addresses."""
 
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import NewType
 
 from ulid import ULID
@@ -10,6 +11,7 @@
 Incarnation = NewType("Incarnation", str)
 
 MAX_PORT = 65_535
+ADDRESSES_KEPT = 8_192
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -24,6 +26,7 @@
         return f"{self.ip}:{self.port}"
 
 
+@lru_cache(maxsize=ADDRESSES_KEPT)
 def parse_address(text: str) -> Address:
     """Read ``IP:PORT``; raise ``ValueError`` that names the bad value."""
     ip, separator, port = text.rpartition(":")
--- a/bluebellrun/entry/_fleet.py
+++ b/bluebellrun/entry/_fleet.py
@@ -20,6 +20,7 @@
         self._departures = Departures()
         self._entries: frozenset[str] = frozenset()
         self._subset: frozenset[str] = frozenset()
+        self._subset_of: tuple[frozenset[str], frozenset[str]] = (frozenset(), frozenset())
         self._timing = LinkTiming(
             settings.link_connect_timeout_s,
             settings.link_ping_interval_s,
@@ -88,7 +89,10 @@
         settings = self._settings
         upstreams = [channel.upstream for channel in self._channels.values()]
         near = [item.name for item in upstreams if item.region == settings.region]
-        names = near or [item.name for item in upstreams]
+        names = frozenset(near or [item.name for item in upstreams])
+        if (names, self._entries) == self._subset_of:
+            return
+        self._subset_of = (names, self._entries)
         self._subset = choose_subset(
             settings.name, self._entries, names, settings.entries_per_upstream
         )
