Wait for the log lines that follow the answers

Cause: the entry logs an attempt's end after the caller has its answer, so that the test counted 19 of 20 lines at times. The check of the count stays.

--- a/tests/integration/test_departures.py
+++ b/tests/integration/test_departures.py
@@ -53,6 +53,17 @@
     return [line for line in fleet[name].log_lines() if line.get("event") == event]
 
 
+def new_attempts(fleet: LocalFleet, before: int, count: int) -> list[dict[str, object]]:
+    """Return the attempts logged since, once there are so many: a line follows its answer."""
+    deadline = time.monotonic() + 15
+    while time.monotonic() < deadline:
+        attempts = lines(fleet, "entry-1", "attempt ended")[before:]
+        if len(attempts) >= count:
+            return attempts
+        time.sleep(0.05)
+    raise AssertionError(f"fewer than {count} attempts were logged")
+
+
 def wait_for(fleet: LocalFleet, name: str, event: str) -> None:
     deadline = time.monotonic() + 15
     while time.monotonic() < deadline:
@@ -75,7 +86,7 @@
     before = len(lines(fleet, "entry-1", "attempt ended"))
     for _ in range(20):
         ask(fleet)
-    attempts = lines(fleet, "entry-1", "attempt ended")[before:]
+    attempts = new_attempts(fleet, before, 20)
     assert {line["upstream"] for line in attempts} == {"jobs-2"}
     assert len(attempts) == 20
     assert set(fleet.stop_all().values()) == {0}
