--- a/bluebellrun/distribution/_bootstrap.py
+++ b/bluebellrun/distribution/_bootstrap.py
@@ -18,6 +18,7 @@
 from bluebellrun.distribution._exceptions import DistributionError
 from bluebellrun.distribution._parents import ParentTarget
 from bluebellrun.distribution._state import NodeState
+from bluebellrun.membership import rank_by_weight
 from bluebellrun.messages import (
     GATHER_PATH,
     GatherReply,
@@ -53,10 +54,14 @@
 
     @property
     def foreign(self) -> list[ParentTarget]:
-        """Return contacts of other failure domains, as the directory had them last."""
-        own = self._state.settings.failure_domain
-        others = [contact for contact in self._contacts if contact.failure_domain != own]
-        return [replace(_target(contact), foreign=True) for contact in others]
+        """Return contacts of other failure domains, those that weigh most for this process first.
+
+        So watchers spread over the contacts of other domains.
+        """
+        own = self._state.settings
+        others = {c.name: c for c in self._contacts if c.failure_domain != own.failure_domain}
+        ranked = rank_by_weight(own.name, others)
+        return [replace(_target(others[name]), foreign=True) for name in ranked]
 
     async def run(self) -> None:
         """Try until this process has joined, at a pace that all processes together can keep."""
--- a/bluebellrun/distribution/_node.py
+++ b/bluebellrun/distribution/_node.py
@@ -242,8 +242,7 @@
         targets = [parent_target(row) for row in rows if row is not None]
         if not state.watching:
             return targets
-        foreign = self._bootstrap.foreign[:1]
-        return [*targets[: PARENTS - len(foreign)], *foreign]
+        return [*targets[:1], *self._bootstrap.foreign, *targets[1:]]
 
     async def _settle_duty(self) -> None:
         """Start or stop to watch the store."""
--- a/tests/distribution/test_node.py
+++ b/tests/distribution/test_node.py
@@ -316,3 +316,47 @@
         await cluster.until(lambda: heard[-1:] == [later])
 
     run_cluster(main)
+
+
+def test_a_failure_domain_gone_and_started_again_finds_itself_and_the_newest():
+    async def main(cluster) -> None:
+        version = await cluster.declare("service", "one")
+        for number in range(4):
+            await cluster.start(f"a-{number}", "d-1")
+            await cluster.start(f"b-{number}", "d-2")
+        await cluster.until_version(version)
+        await cluster.until(lambda: len(cluster.watchers()) == 6)
+        lost = [name for name in cluster.members if name.startswith("b-")]
+        for name in lost:
+            cluster.members[name].node.state.stopping = True
+        for name in lost:
+            await cluster.members.pop(name).kill()
+        later = await cluster.declare("service", "one", "two")
+        await cluster.until_version(later)
+        assert all(len(m.node.state.members.relays()) == 4 for m in cluster.members.values())
+        for name in lost:
+            await cluster.start(name, "d-2")
+        await cluster.until_version(later)
+        await cluster.until(
+            lambda: all(len(m.node.state.members.relays()) == 4 for m in cluster.members.values())
+        )
+
+    run_cluster(main)
+
+
+def test_a_new_process_without_peers_of_its_domain_hears_from_another_domain():
+    async def main(cluster) -> None:
+        version = await cluster.declare("service", "one")
+        first = await cluster.start("a", "d-1")
+        await cluster.until_version(version)
+        await cluster.set_down(True)
+        seeds = [parse_address(first.node.state.members.own.address)]
+        newcomer = await cluster.start("b", "d-2", seeds=seeds)
+        await cluster.until_version(version, "b")
+        assert not newcomer.node.state.joined
+        await cluster.set_down(False)
+        later = await cluster.declare("service", "one", "two")
+        await cluster.until_version(later)
+        await cluster.until(lambda: newcomer.node.state.joined)
+
+    run_cluster(main)
