--- a/bluebellrun/agent/_settings.py
+++ b/bluebellrun/agent/_settings.py
@@ -19,11 +19,15 @@
     protocol: Literal["model", "plain"] = Field(
         default="model", description="What the upstream speaks."
     )
-    admission_policy: str = Field(default="fifo", description="Policy that picks the next work.")
+    admission_policy: str = Field(default="fair", description="Policy that picks the next work.")
     concurrency: int = Field(
         default=32, gt=0, description="Requests at the upstream at once, at first."
     )
     max_waiting: int = Field(default=4_096, gt=0, description="Most requests that wait.")
+    engine_preempts: bool = Field(
+        default=False,
+        description="Whether the engine pauses less urgent work for more urgent work.",
+    )
     max_answers: int = Field(default=1_024, gt=0, description="Most requests held at once.")
     upstream_connect_timeout_s: float = Field(
         default=1.0, gt=0, description="Deadline for connecting to the upstream, in s."
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -44,7 +44,12 @@
 
 def _make_agent(settings: AgentSettings) -> Agent:
     """Return the agent that settings describe."""
-    bounds = AdmissionSettings(settings.concurrency, settings.max_waiting)
+    bounds = AdmissionSettings(
+        concurrency=settings.concurrency,
+        max_waiting=settings.max_waiting,
+        engine_preempts=settings.engine_preempts,
+        learn_concurrency=settings.protocol == "model",
+    )
     return Agent(
         settings=settings,
         incarnation=new_incarnation(),
@@ -82,7 +87,7 @@
     await _watch_load(settings)
     _log.info("ready", listen=str(listener.address), upstream=str(settings.upstream))
     await signals.next()
-    await node.leave()
+    await spawn_background(node.leave)
     status = await _stop(agent, signals, settings.stop_grace_s)
     await node.close()
     return status
--- a/bluebellrun/entry/_settings.py
+++ b/bluebellrun/entry/_settings.py
@@ -21,7 +21,7 @@
         description="Entries of a failure domain that keep a link to each upstream.",
     )
     routing_policy: str = Field(
-        default="least-requests", description="Policy that chooses an upstream."
+        default="expected-finish", description="Policy that chooses an upstream."
     )
     max_attempts: int = Field(
         default=4, gt=0, description="Most upstreams that one request is offered to."
