--- a/bench/dissemination.py
+++ b/bench/dissemination.py
@@ -1,8 +1,8 @@
 """Time and cost of bringing a change of configuration to every process.
 
-Bare nodes, one process each, in three failure domains. A change is accepted when the store has
-answered the compare-and-swap; it is in force in a process when its listeners are told. All
-processes of one machine read the same monotonic clock.
+Bare nodes, one process each, in ``BENCH_DOMAINS`` failure domains (three by default). A change
+is accepted when the store has answered the compare-and-swap; it is in force in a process when its
+listeners are told. All processes of one machine read the same monotonic clock.
 """
 
 import json
@@ -25,7 +25,7 @@
 from bluebellrun.transport import LinkTiming
 from standins.fleet import LocalFleet
 
-DOMAINS = 3
+DOMAINS = int(os.environ.get("BENCH_DOMAINS", "3"))
 DOCUMENTS = 200
 STARTS_AT_ONCE = 3
 CHANGES = 15
