--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -87,7 +87,7 @@
     await _watch_load(settings)
     _log.info("ready", listen=str(listener.address), upstream=str(settings.upstream))
     await signals.next()
-    await node.leave()
+    await spawn_background(node.leave)
     status = await _stop(agent, signals, settings.stop_grace_s)
     await node.close()
     return status
