--- a/bench/_registry.py
+++ b/bench/_registry.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable
 
-from bench import flood, relay
+from bench import flood, rebalance, relay
 from bench._results import Measure
 
 SCENARIOS: dict[str, Callable[[int], list[Measure]]] = {
     "flood-low": flood.flood_low,
     "flood-urgent": flood.flood_urgent,
     "large-customers": flood.large_customers,
+    "rebalance": rebalance.measure,
     "relay": relay.measure,
     "steady": flood.steady,
 }
--- a/bluebellrun/groups/__init__.py
+++ b/bluebellrun/groups/__init__.py
@@ -67,6 +67,7 @@
     PopularityEstimator,
     PopularitySettings,
 )
+from bluebellrun.groups._rebalance import Rebalancer, RebalanceSettings
 from bluebellrun.groups._record import (
     ChangePhase,
     GroupRecord,
@@ -127,6 +128,8 @@
     "Rank",
     "RankConditions",
     "ReadRecord",
+    "RebalanceSettings",
+    "Rebalancer",
     "Refusal",
     "ReleaseHold",
     "Role",
--- a/bluebellrun/groups/_layer.py
+++ b/bluebellrun/groups/_layer.py
@@ -29,7 +29,22 @@
     slot: int
 
 
-Move = Exchange | Replication
+@dataclass(frozen=True, slots=True)
+class Share:
+    """An expert gets a replica on another rank, whose expert there comes to ``slot`` instead.
+
+    This is what relieves a rank that holds one very heavy expert: no other rank has room for
+    half of it unless it gives something back.
+    """
+
+    expert: int
+    rank: int
+    slot: int
+    other_rank: int
+    other_slot: int
+
+
+Move = Exchange | Replication | Share
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +105,9 @@
         """Return the move that shortens the slowest rank's time most for each weight loaded."""
         slowest = int(self._times.argmax())
         options = [self._best_exchange(slowest)]
-        options += [self._best_replication(int(e)) for e in self._replicable(slowest)]
+        for expert in self._replicable(slowest):
+            options.append(self._best_replication(int(expert)))
+            options.append(self._best_share(int(expert), slowest))
         found = [option for option in options if option is not None]
         if not found:
             return None
@@ -108,6 +125,10 @@
                 self._put(other_rank, other_slot, int(expert))
             case Replication(expert, rank, slot):
                 self._put(rank, slot, expert)
+            case Share(expert, rank, slot, other_rank, other_slot):
+                other = int(self.placement[other_rank, other_slot])
+                self._put(other_rank, other_slot, expert)
+                self._put(rank, slot, other)
         self._refresh()
 
     def evacuate(self, rank: int) -> int:
@@ -207,6 +228,45 @@
         move = Replication(expert, int(ranks[best]), int(slots[best]))
         return Candidate(move, float(longest[best]), 1)
 
+    def _best_share(self, expert: int, rank: int) -> Candidate | None:
+        """Return the best way to give another rank a replica in return for one of its experts."""
+        slot = self._lightest_spare_slot(expert, rank)
+        if slot is None:
+            return None
+        given = self.placement[rank, slot]
+        smaller = self.load[expert] / (self.replicas[expert] + 1)
+        kept = self._loads[rank] - self._padded[expert] + smaller - self._padded[given]
+        mine = (kept + self._slot_loads) * self._slowness[rank]
+        theirs = (self._loads[:, None] - self._slot_loads + smaller) * self._slowness[:, None]
+        longest = np.maximum(np.maximum(mine, theirs), self._others_longest(given, rank))
+        allowed = (self._open & ~self._held[expert])[:, None] & (self.placement != EMPTY)
+        allowed &= ~self._held[self.placement, rank] & (self.placement != given)
+        allowed &= self._may_leave(
+            self.placement, self._domains[:, None], np.asarray(self._domains[rank])
+        )
+        limit = -(-(int(self.replicas[expert]) + 1) // self._domain_count)
+        allowed &= (self._in_domain[expert, self._domains] < limit)[:, None]
+        longest = np.where(allowed, longest, np.inf)
+        other, other_slot = np.unravel_index(int(longest.argmin()), longest.shape)
+        if not np.isfinite(longest[other, other_slot]):
+            return None
+        move = Share(expert, rank, slot, int(other), int(other_slot))
+        return Candidate(move, float(longest[other, other_slot]), 2)
+
+    def _lightest_spare_slot(self, expert: int, rank: int) -> int | None:
+        """Return the slot of a rank that can best be spared, but not that of an expert."""
+        held = self.placement[rank]
+        spare = (np.append(self.replicas, 2)[held] > 1) & (held != expert)
+        if not spare.any():
+            return None
+        return int(np.where(spare, self._slot_loads[rank], np.inf).argmin())
+
+    def _others_longest(self, given: IntArray, rank: int) -> float:
+        """Return the longest time of the other holders of a replica that a rank gives up."""
+        if given == EMPTY:
+            return 0.0
+        return float(self._others_after(np.array([given]), np.array([rank]))[0])
+
     def _spare(self) -> IntArray:
         """Return which slots could take another expert."""
         counts = np.append(self.replicas, 2)[self.placement]
--- a/bluebellrun/groups/_planner.py
+++ b/bluebellrun/groups/_planner.py
@@ -7,7 +7,7 @@
 
 from bluebellrun.core import invariants
 from bluebellrun.groups._expert_map import ExpertMap, FloatArray, IntArray, weights_to_load
-from bluebellrun.groups._layer import LayerState, Move
+from bluebellrun.groups._layer import Exchange, LayerState, Move, Replication, Share
 
 MOVES_BETWEEN_PAUSES = 4
 
@@ -78,13 +78,6 @@
         gain = saved * ranks * settings.seconds_per_unit * settings.horizon_s
         return gain, self.weights[count] * settings.weight_cost_s
 
-    def best_count(self, settings: PlannerSettings, ranks: int) -> int:
-        """Return how many moves bring the most; 0 when they do not repay their cost."""
-        longest = np.array(self.longest)
-        gains = (longest[0] - longest) * ranks * settings.seconds_per_unit * settings.horizon_s
-        costs = np.array(self.weights) * settings.weight_cost_s
-        return int((gains - settings.repay * costs).argmax())
-
 
 def plan_map(
     current: ExpertMap,
@@ -192,52 +185,88 @@
 def _choose(
     found: Sequence[_LayerMoves], settings: PlannerSettings, ranks: int, emptied: int
 ) -> Generator[None, None, list[tuple[_LayerMoves, int]]]:
-    """Choose layers by gain for each weight until the change is as large as it may be."""
-    worthy = [(moves, moves.best_count(settings, ranks)) for moves in found]
-    worthy = [(moves, count) for moves, count in worthy if count]
+    """Choose how many moves of each layer to make, by the gain of each further weight."""
+    segments = []
+    for moves in found:
+        segments += _segments(moves, settings, ranks)
+        yield
+    segments.sort(key=lambda segment: -segment.gain_per_weight)
+    budget = _Budget(settings.max_weights - emptied, settings.max_weights_per_rank, ranks)
+    counts: dict[int, int] = {}
+    for segment in segments:
+        begun = counts.get(segment.moves.layer, 0)
+        if begun == segment.start:
+            counts[segment.moves.layer] = budget.take(segment)
     yield
-    worthy.sort(key=lambda item: -_gain_per_weight(item[0], item[1], settings, ranks))
-    room = settings.max_weights - emptied
-    incoming = np.zeros(ranks, dtype=np.int64)
     chosen = []
-    for moves, count in worthy:
-        fitting = _fit(moves, count, room, incoming, settings)
-        if not fitting:
-            continue
-        gain, cost = moves.worth(fitting, settings, ranks)
-        if gain > settings.repay * cost:
-            chosen.append((moves, fitting))
-            room -= moves.weights[fitting]
-            for move in moves.moves[:fitting]:
-                _count_incoming(move, incoming)
-        yield
+    for moves in found:
+        count = counts.get(moves.layer, 0)
+        gain, cost = moves.worth(count, settings, ranks)
+        if count and gain > settings.repay * cost:
+            chosen.append((moves, count))
     return chosen
 
 
-def _gain_per_weight(
-    moves: _LayerMoves, count: int, settings: PlannerSettings, ranks: int
-) -> float:
-    """Return the gain of a layer's moves for each weight."""
-    return moves.worth(count, settings, ranks)[0] / moves.weights[count]
+@dataclass(frozen=True, slots=True)
+class _Segment:
+    """Moves of a layer, from ``start`` to before ``end``, that are worth most together."""
+
+    moves: _LayerMoves
+    start: int
+    end: int
+    gain_per_weight: float
+
+
+def _segments(moves: _LayerMoves, settings: PlannerSettings, ranks: int) -> list[_Segment]:
+    """Cut a layer's moves where the gain of each further weight falls.
+
+    These are the sides of the upper hull of gain over weights; only those that repay are kept.
+    """
+    longest = np.array(moves.longest)
+    weights = np.array(moves.weights, dtype=np.float64)
+    gains = (longest[0] - longest) * ranks * settings.seconds_per_unit * settings.horizon_s
+    least = settings.repay * settings.weight_cost_s
+    result = []
+    start = 0
+    while start < len(moves.moves):
+        slopes = (gains[start + 1 :] - gains[start]) / (weights[start + 1 :] - weights[start])
+        best = int(slopes.argmax())
+        if slopes[best] <= least:
+            break
+        result.append(_Segment(moves, start, start + 1 + best, float(slopes[best])))
+        start += 1 + best
+    return result
+
+
+class _Budget:
+    """What may still be loaded, in all and by each rank."""
 
+    def __init__(self, room: int, room_per_rank: int, ranks: int) -> None:
+        self._room = room
+        self._room_per_rank = room_per_rank
+        self._incoming = np.zeros(ranks, dtype=np.int64)
 
-def _fit(
-    moves: _LayerMoves, count: int, room: int, incoming: IntArray, settings: PlannerSettings
-) -> int:
-    """Return how many of a layer's first moves stay within both bounds."""
-    incoming = incoming.copy()
-    for number in range(count):
-        _count_incoming(moves.moves[number], incoming)
-        if moves.weights[number + 1] > room or incoming.max() > settings.max_weights_per_rank:
-            return number
-    return count
+    def take(self, segment: _Segment) -> int:
+        """Take as many moves of a segment as fit; return how many of the layer's are taken."""
+        for number in range(segment.start, segment.end):
+            weights = segment.moves.weights[number + 1] - segment.moves.weights[number]
+            incoming = self._incoming.copy()
+            _count_incoming(segment.moves.moves[number], incoming)
+            if weights > self._room or incoming.max() > self._room_per_rank:
+                return number
+            self._room -= weights
+            self._incoming = incoming
+        return segment.end
 
 
 def _count_incoming(move: Move, incoming: IntArray) -> None:
     """Count the weights that each rank loads for a move."""
-    incoming[move.rank] += 1
-    if hasattr(move, "other_rank"):
-        incoming[move.other_rank] += 1
+    match move:
+        case Exchange() | Share():
+            incoming[move.rank] += 1
+            incoming[move.other_rank] += 1
+        case Replication():
+            incoming[move.rank] += 1
 
 
 def _apply(
