--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -8,6 +8,7 @@
 from bluebellrun.admission import AdmissionSettings, make_admission
 from bluebellrun.agent._agent import Agent
 from bluebellrun.agent._engine_load import EngineLoadWatcher
+from bluebellrun.agent._orders import EngineOrders
 from bluebellrun.agent._settings import AgentSettings
 from bluebellrun.conf import settings_command
 from bluebellrun.core import MonotonicClock, new_incarnation
@@ -15,12 +16,13 @@
 from bluebellrun.engines import (
     LoadClient,
     ModelEngine,
+    OrderClient,
     PlainService,
     UpstreamClient,
     UpstreamKind,
     UpstreamTimeouts,
 )
-from bluebellrun.messages import EXCHANGE_PATH
+from bluebellrun.messages import EXCHANGE_PATH, ORDER_PATH
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.runtime import StopSignals, spawn_background
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
@@ -46,7 +48,12 @@
 
 def _make_agent(settings: AgentSettings) -> Agent:
     """Return the agent that settings describe."""
-    bounds = AdmissionSettings(settings.concurrency, settings.max_waiting)
+    bounds = AdmissionSettings(
+        concurrency=settings.concurrency,
+        max_waiting=settings.max_waiting,
+        engine_preempts=settings.engine_preempts,
+        learn_concurrency=settings.protocol == "model",
+    )
     return Agent(
         settings=settings,
         incarnation=new_incarnation(),
@@ -57,6 +64,14 @@
     )
 
 
+def _make_orders(settings: AgentSettings, store: EtcdStore) -> EngineOrders:
+    """Return the gate in front of the engine."""
+    client = OrderClient(settings.upstream, settings.order_timeout_s)
+    return EngineOrders(
+        settings.name, settings.group, settings.store_prefix, client, store, MonotonicClock()
+    )
+
+
 async def _serve(settings: AgentSettings) -> int:
     """Run the agent until it is told to stop; return the exit status."""
     signals = StopSignals()
@@ -71,7 +86,12 @@
         settings.link_ping_timeout_s,
     )
 
+    orders = _make_orders(settings, store)
+
     async def handle_call(call: Call) -> None:
+        if call.path == ORDER_PATH:
+            await orders.serve(call)
+            return
         if call.path != EXCHANGE_PATH:
             raise CallError(STATUS_UNIMPLEMENTED, f"no method {call.path}")
         await agent.serve_session(call)
@@ -83,6 +103,7 @@
     await spawn_background(listener.run)
     await spawn_background(follower.run)
     await spawn_background(agent.run)
+    await spawn_background(orders.run)
     await _watch_load(settings)
     _log.info("ready", listen=str(listener.address), upstream=str(settings.upstream))
     await signals.next()
--- a/bluebellrun/messages/__init__.py
+++ b/bluebellrun/messages/__init__.py
@@ -21,10 +21,19 @@
     decode_entry_batch,
     encode_message,
 )
+from bluebellrun.messages._orders import (
+    ORDER_PATH,
+    OrderReply,
+    OrderRequest,
+    decode_order_reply,
+    decode_order_request,
+    encode_order,
+)
 from bluebellrun.messages._stream import BatchSender
 
 __all__ = [
     "EXCHANGE_PATH",
+    "ORDER_PATH",
     "AgentBatch",
     "AgentEvent",
     "BatchSender",
@@ -38,10 +47,15 @@
     "Head",
     "Hello",
     "Load",
+    "OrderReply",
+    "OrderRequest",
     "Refused",
     "Started",
     "Submit",
     "decode_agent_batch",
     "decode_entry_batch",
+    "decode_order_reply",
+    "decode_order_request",
     "encode_message",
+    "encode_order",
 ]
