--- a/bluebellrun/groups/__init__.py
+++ b/bluebellrun/groups/__init__.py
@@ -1,5 +1,11 @@
 """Model groups: ranks in lock-step on one expert map, and the decisions about them."""
 
+from bluebellrun.groups._actions import (
+    ActionRecord,
+    ActionState,
+    decode_action,
+    encode_action,
+)
 from bluebellrun.groups._baselines import greedy_map
 from bluebellrun.groups._exceptions import (
     GroupError,
@@ -24,6 +30,7 @@
     Tell,
     has_effect,
 )
+from bluebellrun.groups._keys import action_key, coordinator_role, map_key, record_key
 from bluebellrun.groups._map_change import (
     Effect,
     MapChangeSettings,
@@ -67,6 +74,7 @@
     PopularityEstimator,
     PopularitySettings,
 )
+from bluebellrun.groups._rebalance import Rebalancer, RebalanceSettings
 from bluebellrun.groups._record import (
     ChangePhase,
     GroupRecord,
@@ -88,6 +96,8 @@
 __all__ = [
     "EMPTY",
     "AbortChange",
+    "ActionRecord",
+    "ActionState",
     "ActivateMap",
     "Adapter",
     "AdoptMap",
@@ -127,6 +137,8 @@
     "Rank",
     "RankConditions",
     "ReadRecord",
+    "RebalanceSettings",
+    "Rebalancer",
     "Refusal",
     "ReleaseHold",
     "Role",
@@ -138,15 +150,21 @@
     "StragglerSettings",
     "Tell",
     "WriteRecord",
+    "action_key",
+    "coordinator_role",
     "count_replicas",
+    "decode_action",
     "decode_record",
+    "encode_action",
     "encode_record",
     "greedy_map",
     "group_weight",
     "has_effect",
+    "map_key",
     "plan_in_steps",
     "plan_map",
     "rank_loads",
+    "record_key",
     "routing_weight",
     "static_map",
     "weights_to_load",
--- /dev/null
+++ b/bluebellrun/groups/_actions.py
@@ -0,0 +1,58 @@
+"""The record of an engine's latest action, written before its order is sent."""
+
+from enum import StrEnum
+
+import msgspec
+
+from bluebellrun.groups._exceptions import GroupError
+from bluebellrun.groups._gate import has_effect
+from bluebellrun.groups._orders import EngineState, Order
+
+
+class ActionState(StrEnum):
+    """How far an action has come."""
+
+    SENT = "sent"
+    DONE = "done"
+    FAILED = "failed"
+
+
+class ActionRecord(msgspec.Struct, frozen=True):
+    """The latest action of one engine. ``SENT`` means that the order may be on its way."""
+
+    order: Order
+    state: ActionState = ActionState.SENT
+    reason: str = ""
+
+    @property
+    def settled(self) -> bool:
+        """Return whether another action may begin."""
+        return self.state is not ActionState.SENT
+
+    def taken_over(self, fencing: int) -> "ActionRecord":
+        """Return the record with a newer coordinator's fencing number; the action stays."""
+        order = msgspec.structs.replace(self.order, fencing=fencing)
+        return msgspec.structs.replace(self, order=order)
+
+    def after(self, state: EngineState | None, failure: str) -> "ActionRecord":
+        """Return the record after a look at the engine."""
+        shown = state.actions.get(self.order.action) if state is not None else None
+        if shown == "failed" or (failure and shown is None):
+            reason = failure or "the engine says that it failed"
+            return msgspec.structs.replace(self, state=ActionState.FAILED, reason=reason)
+        if shown == "done" or (shown is None and state and not has_effect(self.order, state)):
+            return msgspec.structs.replace(self, state=ActionState.DONE)
+        return self
+
+
+def encode_action(record: ActionRecord) -> bytes:
+    """Return a record as JSON."""
+    return msgspec.json.encode(record)
+
+
+def decode_action(data: bytes) -> ActionRecord:
+    """Read a record; raise ``GroupError`` when it is malformed."""
+    try:
+        return msgspec.json.decode(data, type=ActionRecord)
+    except msgspec.MsgspecError as error:
+        raise GroupError(f"the record of an action is malformed: {error}") from error
--- a/tests/groups/_world.py
+++ b/tests/groups/_world.py
@@ -2,7 +2,7 @@
 
 import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bluebellrun.core import InvariantError
 from bluebellrun.groups import (
@@ -72,7 +72,8 @@
 class World:
     """Everything that a change of map touches."""
 
-    def __init__(self, fenced: list[bool]) -> None:
+    def __init__(self, fenced: list[bool], margin: int = 2) -> None:
+        self.settings = replace(SETTINGS, step_margin=margin)
         self.now = 0.0
         self.store = Store()
         self.group = LockStepGroup(fenced)
@@ -82,7 +83,7 @@
         self.asked = 0
 
     def add_coordinator(self) -> None:
-        self.coordinators.append(MapCoordinator(len(self.coordinators) + 1, RANKS, SETTINGS))
+        self.coordinators.append(MapCoordinator(len(self.coordinators) + 1, RANKS, self.settings))
 
     def request(self, number: int) -> None:
         self.asked += 1
@@ -231,6 +232,11 @@
             message.deliver()
         self.agents[rank] = Agent()
 
+    def deliver_pending(self) -> None:
+        pending, self.messages = self.messages, []
+        for message in pending:
+            message.deliver()
+
     def step(self) -> bool:
         return self.group.try_step()
 
@@ -255,9 +261,7 @@
         for rank in range(RANKS):
             self.settle(rank)
         for _ in range(6):
-            pending, self.messages = self.messages, []
-            for message in pending:
-                message.deliver()
+            self.deliver_pending()
             for rank in range(RANKS):
                 self.settle_act(rank)
             for number in range(len(self.coordinators)):
