--- a/bluebellrun/admission/_fair.py
+++ b/bluebellrun/admission/_fair.py
@@ -202,7 +202,7 @@
         rate = self._rate.per_request * self.limit
         urgent = [p for p in self._queues if p < work.priority]
         lower = [p for p in self._backlogged() if p > work.priority]
-        ahead = self._queue_of(work.priority).cost_ahead(work.customer, work.share)
+        ahead = self._queue_of(work.priority).cost_ahead(work)
         outlook = Outlook(
             rate=rate,
             own_cost=ahead + work.cost / 2,
--- a/bluebellrun/admission/_fair_queue.py
+++ b/bluebellrun/admission/_fair_queue.py
@@ -44,22 +44,23 @@
         """Return the cost in tokens of all that waits."""
         return self._cost
 
-    def cost_ahead(self, customer: str, share: float) -> float:
+    def cost_ahead(self, work: Work) -> float:
         """Return the tokens that run before a new request of a customer would."""
-        known = self._backlogged.get(customer)
-        if known is None:
-            return min(self._cost, self._head_cost())
-        shares = sum(item.share for item in self._backlogged.values())
-        return min(self._cost, known.cost * shares / share)
+        customer = self._customers.get(work.customer)
+        own_cost, start = 0.0, self._virtual_time
+        if customer is not None:
+            own_cost = customer.cost
+            start = max(start, customer.next_start + own_cost / work.share)
+        others = (item for item in self._backlogged.values() if item is not customer)
+        return own_cost + sum(_cost_before(item, start) for item in others)
 
     def note_elsewhere(self, work: Work) -> None:
         """Move a customer back by what it used elsewhere, whether its work is taken or not.
 
-        It is kept from falling behind the others by more than it can make good.
+        What it used counts from where its last work here ended, not from the present virtual time:
+        the others moved on by as much meanwhile.
         """
-        customer = self._customer(work)
-        start = max(customer.next_start, self._virtual_time)
-        customer.next_start = start + work.served_elsewhere / work.share
+        self._customer(work).next_start += work.served_elsewhere / work.share
 
     def add(self, work: Work) -> None:
         """Queue work behind its customer's other work."""
@@ -122,14 +123,6 @@
             return None
         return min(self._backlogged.values(), key=lambda item: item.next_start)
 
-    def _head_cost(self) -> float:
-        """Return the cost of the first work of each customer that is behind."""
-        return sum(
-            next(iter(item.works.values())).cost
-            for item in self._backlogged.values()
-            if item.next_start <= self._virtual_time
-        )
-
     def _drop(self, customer: _Customer, work: Work) -> None:
         """Take work out of its customer's queue."""
         del customer.works[work.attempt]
@@ -154,3 +147,11 @@
             if not customer.works:
                 del self._customers[name]
                 return
+
+
+def _cost_before(customer: _Customer, start: float) -> float:
+    """Return the tokens of a backlogged customer that run before a virtual start."""
+    if customer.next_start > start:
+        return 0.0
+    head = next(iter(customer.works.values())).cost
+    return min(customer.cost, (start - customer.next_start) * customer.share + head)
