Let a customer that keeps within its share have bursts

Cause: a small customer that asks for 86% of its fair part is refused in its bursts, since an idle customer started at the present virtual time. Change: it may start up to 32 usual requests before it; what goes beyond is still lent.

--- a/bluebellrun/admission/_fair_queue.py
+++ b/bluebellrun/admission/_fair_queue.py
@@ -12,6 +12,8 @@
 from bluebellrun.admission._models import Work
 
 MAX_IDLE_CUSTOMERS = 4_096
+BURST_REQUESTS = 32.0
+COST_LEARNING_RATE = 0.05
 
 
 @dataclass(slots=True)
@@ -34,6 +36,7 @@
         self._virtual_time = 0.0
         self._cost = 0.0
         self._waiting = 0
+        self._usual_cost = 0.0
 
     def __len__(self) -> int:
         """Return how many requests wait."""
@@ -44,13 +47,19 @@
         """Return the cost in tokens of all that waits."""
         return self._cost
 
+    @property
+    def _burst(self) -> float:
+        """Return how far before the present virtual time an idle customer may start, in tokens."""
+        return BURST_REQUESTS * self._usual_cost
+
     def cost_ahead(self, work: Work) -> float:
         """Return the tokens that run before a new request of a customer would."""
         customer = self._customers.get(work.customer)
         own_cost, start = 0.0, self._virtual_time
         if customer is not None:
             own_cost = customer.cost
-            start = max(start, customer.next_start + own_cost / work.share)
+            earliest = start - self._burst
+            start = max(earliest, customer.next_start) + own_cost / work.share
         others = (item for item in self._backlogged.values() if item is not customer)
         return own_cost + sum(_cost_before(item, start) for item in others)
 
@@ -66,9 +75,12 @@
         """Queue work behind its customer's other work."""
         customer = self._customer(work)
         if not customer.works:
-            customer.next_start = max(customer.next_start, self._virtual_time)
+            earliest = self._virtual_time - self._burst
+            customer.next_start = max(customer.next_start, earliest)
             self._backlogged[work.customer] = customer
         customer.works[work.attempt] = work
+        self._usual_cost = self._usual_cost or work.cost
+        self._usual_cost += COST_LEARNING_RATE * (work.cost - self._usual_cost)
         self._count(customer, work.cost, 1)
 
     def head(self) -> Work | None:
