Take for stragglers only what is clearly slower than its history and its service

Change: the average starts at the first time seen; a straggler is slow for 0.25 s, after 1 s of history, and 1.5 times the median of its service.

--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -8,6 +8,7 @@
 from bluebellrun.agent._execution import Execution, ExecutionState
 from bluebellrun.agent._session import Session
 from bluebellrun.agent._settings import AgentSettings
+from bluebellrun.agent._steps import StepTime
 from bluebellrun.agent._work import make_targets, make_work
 from bluebellrun.core import Clock, Incarnation, invariants
 from bluebellrun.declarations import Configuration
@@ -54,7 +55,7 @@
         self._open_sessions: set[Session] = set()
         self._stopping = False
         self._told_to_drain = False
-        self._step_s = 0.0
+        self._step_time = StepTime()
         self._idle = curio.Event()
 
     @property
@@ -84,7 +85,7 @@
             running=self._admission.running,
             waiting_tokens=self._admission.waiting_cost,
             limit=self._admission.limit,
-            step_s=round(self._step_s, 4),
+            step_s=round(self._step_time.seconds, 4),
             draining=self.draining,
         )
 
@@ -232,7 +233,7 @@
             if last is None:
                 self._admission.observe_first_token(execution.work, now - sent, now)
             else:
-                self._step_s += 0.1 * ((now - last) - self._step_s)
+                self._step_time.observe(now - last)
                 self._admission.observe_step(now - last, now)
             last = now
             await execution.append(data)
--- /dev/null
+++ b/bluebellrun/agent/_steps.py
@@ -0,0 +1,20 @@
+"""The usual time between two tokens of running requests."""
+
+MEMORY = 0.9
+
+
+class StepTime:
+    """A moving average that starts at the first time seen."""
+
+    def __init__(self) -> None:
+        self._seconds = 0.0
+
+    @property
+    def seconds(self) -> float:
+        """Return the average in seconds, 0 while none has been seen."""
+        return self._seconds
+
+    def observe(self, seconds: float) -> None:
+        """Note a time between two tokens."""
+        self._seconds = self._seconds or seconds
+        self._seconds += (1 - MEMORY) * (seconds - self._seconds)
--- a/bluebellrun/routing/_expected_finish.py
+++ b/bluebellrun/routing/_expected_finish.py
@@ -39,7 +39,7 @@
         self._region = ""
         self._subset_seed = random.getrandbits(32)
         self._loads = LoadView()
-        self._detector = StragglerDetector()
+        self._detectors: dict[str, StragglerDetector] = {}
         self._outliers = OutlierEjection()
         self._prefixes = PrefixMap()
         self._refused: dict[str, float] = {}
@@ -50,7 +50,8 @@
     @property
     def stragglers(self) -> frozenset[str]:
         """Return the upstreams whose steps are far slower than their own history."""
-        return self._detector.stragglers
+        found = (detector.stragglers for detector in self._detectors.values())
+        return frozenset().union(*found)
 
     @property
     def ejected(self) -> frozenset[str]:
@@ -63,7 +64,7 @@
         """Return the candidate to offer the request to, or none when there is none."""
         if not candidates:
             return None
-        self._learn(candidates, now)
+        self._learn(work.service, candidates, now)
         usable = self._usable(self._subset(work.service, candidates), now)
         chosen = (
             self._straggler_to_probe(work, usable, now)
@@ -93,11 +94,12 @@
         else:
             self._outliers.note_success(name, now)
 
-    def _learn(self, candidates: Sequence[Candidate], now: float) -> None:
+    def _learn(self, service: str, candidates: Sequence[Candidate], now: float) -> None:
         """Take in the reports."""
         self._loads.meet(candidates, now)
+        detector = self._detectors.setdefault(service, StragglerDetector())
         for candidate in candidates:
-            self._detector.observe(candidate.name, candidate.load.step_s, candidate.load.reported)
+            detector.observe(candidate.name, candidate.load.step_s, candidate.load.reported)
         if now - self._tidied > TIDY_INTERVAL_S:
             self._tidied = now
             self._forget_gone(now)
@@ -105,7 +107,8 @@
     def _forget_gone(self, now: float) -> None:
         """Forget upstreams that are gone, so that replacements do not fill the memory."""
         names = self._loads.forget_gone(now)
-        self._detector.keep(names)
+        for detector in self._detectors.values():
+            detector.keep(names)
         self._outliers.keep(names)
         self._probed = {name: at for name, at in self._probed.items() if name in names}
         self._refused = {name: at for name, at in self._refused.items() if name in names}
--- a/bluebellrun/routing/_straggler.py
+++ b/bluebellrun/routing/_straggler.py
@@ -1,17 +1,22 @@
 """Find an upstream whose steps became far slower than its own history.
 
 The history moves slowly and stands still while the upstream straggles, so that a long fault does
-not become the norm. A rise that most upstreams of the service share is load, not a straggler.
+not become the norm. A rise that most upstreams of the service share is load, and one that leaves an
+upstream as fast as the median does no harm; neither makes a straggler.
 """
 
 from collections.abc import Collection
 from dataclasses import dataclass
+from statistics import median
 
 SLOW_FACTOR = 2.0
 RECOVERED_FACTOR = 1.4
-REPORTS_TO_SUSPECT = 2
+BESIDE_MEDIAN = 1.5
+REPORTS_TO_SUSPECT = 3
+SLOW_FOR_S = 0.25
 HISTORY_MEMORY_S = 30.0
 WARM_UP_REPORTS = 5
+WARM_UP_S = 1.0
 SHARED_RISE_PART = 0.5
 
 
@@ -20,10 +25,12 @@
     """Step times of one upstream, in seconds."""
 
     usual_s: float
+    first_seen: float
     seen: float
     reports: int = 1
     latest_s: float = 0.0
     slow_reports: int = 0
+    slow_since: float = 0.0
     straggles: bool = False
 
     @property
@@ -49,12 +56,12 @@
             return
         history = self._histories.get(name)
         if history is None:
-            self._histories[name] = _History(step_s, reported, latest_s=step_s)
+            self._histories[name] = _History(step_s, reported, reported, latest_s=step_s)
             return
         if reported <= history.seen:
             return
         history.latest_s = step_s
-        self._judge(history)
+        self._judge(history, reported)
         self._learn(history, reported)
 
     def keep(self, names: Collection[str]) -> None:
@@ -62,15 +69,27 @@
         for name in [name for name in self._histories if name not in names]:
             del self._histories[name]
 
-    def _judge(self, history: _History) -> None:
+    def _judge(self, history: _History, now: float) -> None:
         """Decide whether an upstream straggles now."""
         if history.straggles:
-            history.straggles = history.ratio > RECOVERED_FACTOR
+            slow = history.ratio > RECOVERED_FACTOR and self._slower_than_median(history)
+            history.straggles = slow
             return
-        slow = history.ratio > SLOW_FACTOR and history.reports >= WARM_UP_REPORTS
-        history.slow_reports = history.slow_reports + 1 if slow else 0
-        if history.slow_reports >= REPORTS_TO_SUSPECT and not self._rise_is_shared():
-            history.straggles = True
+        warm = history.reports >= WARM_UP_REPORTS and now - history.first_seen >= WARM_UP_S
+        if not warm or history.ratio <= SLOW_FACTOR or not self._slower_than_median(history):
+            history.slow_reports = 0
+            return
+        if history.slow_reports == 0:
+            history.slow_since = now
+        history.slow_reports += 1
+        long_enough = now - history.slow_since >= SLOW_FOR_S
+        if history.slow_reports >= REPORTS_TO_SUSPECT and long_enough:
+            history.straggles = not self._rise_is_shared()
+
+    def _slower_than_median(self, history: _History) -> bool:
+        """Return whether an upstream is clearly slower than most of its service."""
+        latest = median(item.latest_s for item in self._histories.values())
+        return len(self._histories) == 1 or history.latest_s > BESIDE_MEDIAN * latest
 
     def _rise_is_shared(self) -> bool:
         """Return whether most upstreams are slower than usual."""
--- a/tests/routing/test_straggler.py
+++ b/tests/routing/test_straggler.py
@@ -53,3 +53,10 @@
     report(detector, {"u1": 5 * USUAL_S}, now, 5)
     detector.keep({"u0"})
     assert detector.stragglers == frozenset()
+
+
+def test_first_reports_that_are_too_low_make_no_straggler():
+    detector = StragglerDetector()
+    now = report(detector, usual() | {"u1": USUAL_S / 5}, 0.0, 15)
+    report(detector, usual(), now, 50)
+    assert detector.stragglers == frozenset()
