Send a customer's new prefixes to the home all entries agree on

Cause: each entry placed a prefix it had not seen by load, so that one prefix was computed once for each entry and then again at its home. Change: how many blocks a customer's shared prefixes have is learned and used for the home of a new one.

--- a/bluebellrun/routing/_expected_finish.py
+++ b/bluebellrun/routing/_expected_finish.py
@@ -72,7 +72,7 @@
             or self._best_sampled(usable, now)
         )
         self._loads.note_sent(chosen.name, now)
-        self._prefixes.note(work.prompt, chosen.name)
+        self._prefixes.note(work.customer, work.prompt, chosen.name)
         return chosen
 
     def on_refused(self, name: str, now: float) -> None:
@@ -149,7 +149,7 @@
     ) -> Candidate | None:
         """Return the first home of the prompt's prefix that is not overloaded."""
         by_name = {candidate.name: candidate for candidate in candidates}
-        homes = self._prefixes.homes(work.prompt, list(by_name))
+        homes = self._prefixes.homes(work.customer, work.prompt, list(by_name))
         if not homes:
             return None
         usual = usual_occupied(candidates)
--- a/bluebellrun/routing/_prefixes.py
+++ b/bluebellrun/routing/_prefixes.py
@@ -2,7 +2,8 @@
 
 Nothing here waits for cache events, which come late and with gaps. Entries need not talk to agree:
 a prefix that is seen again and again belongs to the first upstream by rendezvous hash, and one
-seen once follows the request that brought it.
+seen once follows the request that brought it. How long a customer's shared prefixes are is learned,
+so that an entry sends a new one to the same home as the others.
 """
 
 from collections import OrderedDict
@@ -15,6 +16,7 @@
 MAX_BLOCKS = 16
 MAX_PREFIXES = 65_536
 SHARED_USES = 2
+MAX_CUSTOMERS = 4_096
 
 
 @dataclass(slots=True)
@@ -30,26 +32,33 @@
 
     def __init__(self) -> None:
         self._prefixes: OrderedDict[int, _Prefix] = OrderedDict()
+        self._shared_blocks: OrderedDict[str, int] = OrderedDict()
 
     def __len__(self) -> int:
         """Return how many prefixes are remembered."""
         return len(self._prefixes)
 
-    def homes(self, prompt: bytes, names: Sequence[str]) -> list[str]:
-        """Return the upstreams likely to hold the longest known prefix, best first."""
-        known = self._longest_known(prompt)
-        if known is None:
-            return []
-        digest, prefix = known
-        ranked = sorted(names, key=lambda name: _rank(digest, name), reverse=True)
+    def homes(self, customer: str, prompt: bytes, names: Sequence[str]) -> list[str]:
+        """Return the upstreams likely to hold a prompt's prefix, best first, or none."""
+        digests = _digests(prompt)
+        known = self._known_blocks(digests)
+        if known == 0:
+            blocks = self._shared_blocks.get(customer, 0)
+            return _ranked(digests[blocks - 1], names) if 0 < blocks <= len(digests) else []
+        prefix = self._prefixes[digests[known - 1]]
+        ranked = _ranked(digests[known - 1], names)
         if prefix.uses < SHARED_USES and prefix.upstream in ranked:
             ranked.remove(prefix.upstream)
             ranked.insert(0, prefix.upstream)
         return ranked
 
-    def note(self, prompt: bytes, upstream: str) -> None:
-        """Note that a prompt was sent to an upstream."""
-        for digest in _digests(prompt):
+    def note(self, customer: str, prompt: bytes, upstream: str) -> None:
+        """Note that a customer's prompt was sent to an upstream."""
+        digests = _digests(prompt)
+        known = self._known_blocks(digests)
+        if known and self._prefixes[digests[known - 1]].uses >= SHARED_USES:
+            self._learn_length(customer, known)
+        for digest in digests:
             prefix = self._prefixes.pop(digest, None) or _Prefix(0, upstream)
             prefix.uses += 1
             prefix.upstream = upstream
@@ -57,15 +66,19 @@
         while len(self._prefixes) > MAX_PREFIXES:
             self._prefixes.popitem(last=False)
 
-    def _longest_known(self, prompt: bytes) -> tuple[int, _Prefix] | None:
-        """Return the longest prefix that has been routed before."""
-        longest: tuple[int, _Prefix] | None = None
-        for digest in _digests(prompt):
-            prefix = self._prefixes.get(digest)
-            if prefix is None:
-                break
-            longest = digest, prefix
-        return longest
+    def _known_blocks(self, digests: Sequence[int]) -> int:
+        """Return of how many blocks the longest prefix is that has been routed before."""
+        known = 0
+        while known < len(digests) and digests[known] in self._prefixes:
+            known += 1
+        return known
+
+    def _learn_length(self, customer: str, blocks: int) -> None:
+        """Note how long a prefix is that a customer's prompts share."""
+        self._shared_blocks.pop(customer, None)
+        self._shared_blocks[customer] = blocks
+        if len(self._shared_blocks) > MAX_CUSTOMERS:
+            self._shared_blocks.popitem(last=False)
 
 
 def _digests(prompt: bytes) -> list[int]:
@@ -81,6 +94,11 @@
     return digests
 
 
+def _ranked(digest: int, names: Sequence[str]) -> list[str]:
+    """Return upstreams by their rank for a prefix, the same at every entry."""
+    return sorted(names, key=lambda name: _rank(digest, name), reverse=True)
+
+
 def _rank(digest: int, name: str) -> int:
     """Return an upstream's rank for a prefix, the same at every entry."""
     return xxhash.xxh3_64_intdigest(name.encode(), seed=digest)
--- a/tests/routing/test_prefixes.py
+++ b/tests/routing/test_prefixes.py
@@ -66,5 +66,16 @@
     prefixes = PrefixMap()
     random = Random(1)
     for _ in range(MAX_PREFIXES + 100):
-        prefixes.note(random.randbytes(256), "u0")
+        prefixes.note("c", random.randbytes(256), "u0")
     assert len(prefixes) == MAX_PREFIXES
+
+
+def test_entries_agree_on_a_new_prefix_of_a_customer_whose_prefixes_are_alike():
+    new = Random(9).randbytes(1_024)
+    homes = set()
+    for seed in range(4):
+        routing = ExpectedFinishRouting(Random(seed), "near")
+        for number in range(4):
+            route(routing, SHARED + Random(number).randbytes(300), 0.6 + 10 * number)
+        homes.add(route(routing, new + Random(seed).randbytes(300), 60.0))
+    assert len(homes) == 1
