Keep messages of one call apart, whatever their senders do

Cause: two tasks that sent on one call beyond the peer's window could mix their parts; a sender that was cancelled between two parts left half a message; a window that opened while frames were handed over went unnoticed, so that the sender waited for ever; and a call given up by this side took messages still. The call has its own module. Tests: both cases failed before (one by waiting for ever) and pass now.

--- a/bluebellrun/transport/__init__.py
+++ b/bluebellrun/transport/__init__.py
@@ -1,5 +1,6 @@
 """Network transport: HTTP/1.1 by h11 and links between processes by h2, both on curio."""
 
+from bluebellrun.transport._call import Call
 from bluebellrun.transport._exceptions import (
     BadResponseError,
     CallError,
@@ -24,7 +25,7 @@
     HttpHandler,
     HttpServer,
 )
-from bluebellrun.transport._link import Call, Link, LinkTiming, dial, serve_link
+from bluebellrun.transport._link import Link, LinkTiming, dial, serve_link
 from bluebellrun.transport._listener import Listener
 
 __all__ = [
--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -5,9 +5,7 @@
 """
 
 import contextlib
-import struct
 import time
-from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -21,15 +19,14 @@
 from curio.socket import SHUT_RDWR
 
 from bluebellrun.core import Address
+from bluebellrun.transport._call import Call
 from bluebellrun.transport._exceptions import CallError, LinkLostError
 from bluebellrun.transport._http_client import connect
 
 READ_SIZE = 262_144
 STREAM_WINDOW_BYTES = 16_777_216
 CONNECTION_WINDOW_BYTES = 67_108_864
-MAX_MESSAGE_BYTES = 16_777_216
 MAX_CALLS = 1_000
-PREFIX = struct.Struct(">BI")
 PING_DATA = b"bluebell"
 CONTENT_TYPE = "application/grpc+msgpack"
 STATUS_OK = 0
@@ -45,88 +42,6 @@
     ping_timeout_s: float = 2.0
 
 
-class Call:
-    """One call on a link: messages in both directions until each side ends."""
-
-    def __init__(self, link: "Link", stream_id: int, path: str) -> None:
-        self._link = link
-        self._stream_id = stream_id
-        self._path = path
-        self._partial = bytearray()
-        self._inbox: deque[bytes] = deque()
-        self._arrived = curio.Event()
-        self._ended = False
-        self._error: Exception | None = None
-        self._window_opened = curio.Event()
-
-    @property
-    def path(self) -> str:
-        """Return the method's path, such as ``/bluebellrun.Agent/Fate``."""
-        return self._path
-
-    @property
-    def stream_id(self) -> int:
-        """Return the HTTP/2 stream the call runs on."""
-        return self._stream_id
-
-    async def send(self, message: bytes) -> None:
-        """Send one message; wait while the peer's window is full."""
-        await self._link.send_data(self, PREFIX.pack(0, len(message)) + message)
-
-    async def receive(self) -> bytes | None:
-        """Return the next message, or none when the peer has ended its side."""
-        while not self._inbox:
-            if self._error is not None:
-                raise self._error
-            if self._ended:
-                return None
-            self._arrived.clear()
-            await self._arrived.wait()
-        message = self._inbox.popleft()
-        await self._link.acknowledge(self, len(message) + PREFIX.size)
-        return message
-
-    async def end(self) -> None:
-        """End this side of a call made by this process."""
-        await self._link.end_stream(self)
-
-    async def reset(self) -> None:
-        """Give up the call in both directions."""
-        await self._link.reset_stream(self)
-
-    async def feed(self, data: bytes) -> None:
-        """Take bytes that arrived on the stream."""
-        self._partial += data
-        while len(self._partial) >= PREFIX.size:
-            _, length = PREFIX.unpack_from(self._partial)
-            if length > MAX_MESSAGE_BYTES:
-                raise LinkLostError(f"a message of {length} bytes is over the limit")
-            if len(self._partial) < PREFIX.size + length:
-                return
-            self._inbox.append(bytes(self._partial[PREFIX.size : PREFIX.size + length]))
-            del self._partial[: PREFIX.size + length]
-            await self._arrived.set()
-
-    async def close(self, error: Exception | None) -> None:
-        """Mark the peer's side as ended, with an error or in peace."""
-        self._ended = True
-        if self._error is None:
-            self._error = error
-        await self._arrived.set()
-        await self._window_opened.set()
-
-    async def wait_for_window(self) -> None:
-        """Wait until the peer allows more bytes."""
-        if self._error is not None:
-            raise self._error
-        self._window_opened.clear()
-        await self._window_opened.wait()
-
-    async def open_window(self) -> None:
-        """Wake a sender that waits for the peer's window."""
-        await self._window_opened.set()
-
-
 CallHandler = Callable[[Call], Awaitable[None]]
 
 
@@ -236,18 +151,29 @@
         return answer
 
     async def send_data(self, call: Call, data: bytes) -> None:
-        """Send bytes on a call's stream within the peer's window."""
+        """Send bytes on a call's stream within the peer's window.
+
+        A caller that is cancelled between two parts has its call reset: half a message would
+        garble those after it.
+        """
         view = memoryview(data)
-        while view:
-            if self._error is not None:
-                raise self._error
-            allowed = self._allowance(call)
-            if allowed <= 0:
+        try:
+            while view:
+                error = self._error or call.error
+                if error is not None:
+                    raise error
+                allowed = self._allowance(call)
+                if allowed > 0:
+                    self._protocol.send_data(call.stream_id, bytes(view[:allowed]))
+                    view = view[allowed:]
+                    continue
+                call.shut_window()
                 await self._flush()
                 await call.wait_for_window()
-                continue
-            self._protocol.send_data(call.stream_id, bytes(view[:allowed]))
-            view = view[allowed:]
+        except curio.CancelledError:
+            if len(view) < len(data):
+                await self.reset_stream(call)
+            raise
         await self._flush()
 
     async def end_stream(self, call: Call) -> None:
@@ -258,6 +184,7 @@
 
     async def reset_stream(self, call: Call) -> None:
         """Give up a call."""
+        await call.close(LinkLostError("this process gave up the call"))
         if self._error is None and self._calls.pop(call.stream_id, None) is not None:
             try:
                 self._protocol.reset_stream(call.stream_id)
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -90,6 +90,42 @@
         again = await listen()
         link = await dial(again.address, TIMING)
         assert await link.ask("/echo", b"y", 1.0) == b"y"
+
+
+def test_messages_of_several_tasks_do_not_mix_beyond_the_window():
+    async def main() -> None:
+        link = await dial((await listen()).address, TIMING)
+        call = await link.call("/echo")
+        sizes = [5_000_000, 6_000_000, 7_000_000]
+        tasks = [await curio.spawn(call.send, bytes([n]) * size) for n, size in enumerate(sizes)]
+        received = [await call.receive() for _ in sizes]
+        for task in tasks:
+            await task.join()
+        assert received == [bytes([n]) * size for n, size in enumerate(sizes)]
+        await link.close()
+
+    curio.run(main)
+
+
+def test_a_cancelled_send_resets_its_call_and_spares_the_link():
+    async def main() -> None:
+        async def never_reads(call: Call) -> None:
+            if call.path == "/stuck":
+                await curio.sleep(30)
+            await echo(call)
+
+        listener = Listener(
+            Address("127.0.0.1", 0), lambda sock: serve_link(sock, never_reads, LinkTiming())
+        )
+        await curio.spawn(listener.run, daemon=True)
+        link = await dial(listener.address, LinkTiming())
+        stuck = await link.call("/stuck")
+        async with curio.ignore_after(0.3):
+            for _ in range(3):
+                await stuck.send(b"x" * 10_000_000)
+        with pytest.raises(LinkLostError):
+            await stuck.send(b"more")
+        assert await link.ask("/echo", b"alive", 5.0) == b"alive"
         await link.close()
 
     curio.run(main)
