--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -5,23 +5,25 @@
 import curio
 
 from bluebellrun.admission import AdmissionPolicy, Work
+from bluebellrun.agent._claims import ClaimDesk
 from bluebellrun.agent._execution import Execution, ExecutionState
+from bluebellrun.agent._fates import FateBook
+from bluebellrun.agent._outcomes import claim_state_of, fate_of, follow_verdict
 from bluebellrun.agent._session import Session
 from bluebellrun.agent._settings import AgentSettings
+from bluebellrun.agent._upstream_relay import UpstreamRelay
 from bluebellrun.core import Clock, Incarnation, invariants
 from bluebellrun.declarations import Configuration
 from bluebellrun.engines import (
     EngineError,
     NothingSentError,
     RequestDeclinedError,
-    UpstreamAnswer,
     UpstreamClient,
-    UpstreamRequest,
 )
-from bluebellrun.messages import Hello, Load, Submit
+from bluebellrun.ledger import ClaimState
+from bluebellrun.messages import Fate, FateAnswer, FateQuery, Hello, Load, Resume, Submit
 from bluebellrun.runtime import spawn_background
 from bluebellrun.telemetry import Metrics, get_logger
-from bluebellrun.transport import Headers, end_to_end
 
 BYTES_PER_TOKEN = 4
 DEFAULT_ANSWER_TOKENS = 256
@@ -40,6 +42,7 @@
         incarnation: Incarnation,
         admission: AdmissionPolicy,
         client: UpstreamClient,
+        claims: ClaimDesk,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -47,6 +50,11 @@
         self._incarnation = incarnation
         self._admission = admission
         self._client = client
+        self._claims = claims
+        self._claims.use_fates(self.fate)
+        self._fates = FateBook(settings.fate_horizon_s, settings.max_fates)
+        self._orphans: dict[str, float] = {}
+        self._piece_times: dict[str, float] = {}
         self._clock = clock
         self._metrics = metrics
         self._executions: dict[str, Execution] = {}
@@ -73,6 +81,11 @@
         """Return the id of this life of the process."""
         return self._incarnation
 
+    @property
+    def claims(self) -> ClaimDesk:
+        """Return the agent's side of the ledger."""
+        return self._claims
+
     def hello(self) -> Hello:
         """Return the event that introduces this agent."""
         window = self._settings.answer_window_bytes
@@ -98,15 +111,21 @@
         finally:
             self._open_sessions.discard(session)
 
-    async def submit(self, submit: Submit, session: Session) -> Execution:
-        """Take a request: queue it or refuse it."""
+    async def submit(self, submit: Submit, session: Session) -> Execution | None:
+        """Take a request: queue it or refuse it; none for one that was taken already."""
+        known = self._fates.recall(submit.attempt)
+        ran = known is not None and known.fate is not Fate.NOT_RUN
+        if ran or submit.attempt in self._executions:
+            return None
         now = self._clock.now()
         work = self._work(submit, now)
-        execution = Execution(submit, work, self._settings.answer_window_bytes)
+        keep_bytes = self._settings.ledger_result_bytes if submit.idempotency_key else 0
+        execution = Execution(submit, work, self._settings.answer_window_bytes, keep_bytes)
         reason = self._reason_to_refuse(submit)
         if reason is not None:
             self._metrics.count("agent.refused")
             execution.refuse(reason, None)
+            self.forget(execution)
             return execution
         self._executions[submit.attempt] = execution
         self._sessions[submit.attempt] = session
@@ -118,30 +137,73 @@
         await self._start_work()
         return execution
 
+    async def resume(self, resume: Resume, session: Session) -> Execution | FateAnswer:
+        """Go on with an attempt on a new session, or tell what became of it."""
+        execution = self._executions.get(resume.attempt)
+        if execution is None or resume.incarnation != self._incarnation:
+            return self.fate(FateQuery(resume.attempt, resume.incarnation, resume.age_s))
+        if not await execution.resume(resume.offset):
+            return FateAnswer(Fate.UNKNOWN, f"its answer is gone before offset {resume.offset}")
+        former = self._sessions.get(resume.attempt)
+        if former is not None and former is not session:
+            former.let_go(resume.attempt)
+        self._sessions[resume.attempt] = session
+        self._orphans.pop(resume.attempt, None)
+        return execution
+
+    def fate(self, query: FateQuery) -> FateAnswer:
+        """Return what became of an attempt; one never seen will be refused."""
+        if query.incarnation != self._incarnation:
+            return FateAnswer(Fate.UNKNOWN, "the agent has been restarted since")
+        execution = self._executions.get(query.attempt)
+        if execution is None:
+            return self._fates.ask(query.attempt, query.age_s)
+        return fate_of(execution)
+
+    async def answer_fate(self, query: FateQuery) -> FateAnswer:
+        """Return what became of an attempt, after withdrawing it if asked and possible."""
+        execution = self._executions.get(query.attempt)
+        if query.withdraw and execution is not None and not execution.ended:
+            await self.cancel(execution, "the entry asked to withdraw it")
+        return self.fate(query)
+
     async def cancel(self, execution: Execution, reason: str) -> None:
-        """Stop an attempt whose answer is no longer wanted."""
+        """Stop an attempt whose answer is no longer wanted.
+
+        A request that may not be repeated goes on once it has been sent: its effect cannot be
+        taken back, and its end is worth knowing.
+        """
+        if execution.ended:
+            return
         if self._admission.withdraw(execution.attempt):
             execution.refuse(f"cancelled: {reason}", None)
             return
+        if execution.sent and not execution.submit.repeatable:
+            await execution.detach()
+            return
         task = self._tasks.get(execution.attempt)
         if task is not None and execution.state is ExecutionState.RUNNING:
-            execution.fail(f"cancelled: {reason}")
+            if execution.sent:
+                execution.fail(f"cancelled: {reason}")
             await task.cancel(blocking=False)
 
     def forget(self, execution: Execution) -> None:
-        """Drop a settled attempt."""
+        """Drop an attempt that is over, and remember its fate."""
+        invariants.check(execution.ended, "only what ended is forgotten", attempt=execution.attempt)
+        self._fates.note(execution.attempt, fate_of(execution))
         self._executions.pop(execution.attempt, None)
         self._sessions.pop(execution.attempt, None)
+        self._orphans.pop(execution.attempt, None)
 
-    async def forget_session(self, executions: list[Execution]) -> None:
-        """Stop the attempts of an entry whose link is gone."""
+    def leave_session(self, executions: list[Execution]) -> None:
+        """Keep the attempts of a lost link for a while, so that the entry can resume them."""
         for execution in executions:
-            if not execution.ended:
-                await self.cancel(execution, "the link to the entry is gone")
-            self.forget(execution)
+            self._sessions.pop(execution.attempt, None)
+            self._orphans[execution.attempt] = self._clock.now()
 
     async def apply_configuration(self, configuration: Configuration) -> None:
         """Follow a new configuration: drain when it says so."""
+        self._claims.follow(configuration)
         upstream = configuration.upstream(self._settings.name)
         draining = upstream is not None and not upstream.takes_work
         if draining != self._told_to_drain:
@@ -155,8 +217,11 @@
         """Refuse waiting work that can no longer be on time, for ever."""
         while True:
             await curio.sleep(EXPIRE_INTERVAL_S)
-            for refusal in self._admission.expire(self._clock.now()):
+            now = self._clock.now()
+            self._fates.tick(now)
+            for refusal in self._admission.expire(now):
                 await self._refuse_waiting(refusal.work, refusal.reason, refusal.retry_after_s)
+            await self._reap_orphans(now)
 
     async def stop(self) -> None:
         """Refuse new work, hand back what waits and wait for what runs."""
@@ -164,17 +229,43 @@
         _log.info("stopping", running=self._admission.running, waiting=self._admission.waiting)
         await self._hand_back("the agent is stopping")
         await self._wake_sessions()
-        while self._executions:
+        while self._executions or self._claims.unwritten:
             await curio.sleep(EXPIRE_INTERVAL_S)
 
+    def describe_held(self) -> list[dict[str, str]]:
+        """Return the attempts that are not settled, with their customers and states."""
+        return [
+            {
+                "attempt": execution.attempt,
+                "customer": execution.submit.customer,
+                "state": str(execution.state),
+            }
+            for execution in self._executions.values()
+        ]
+
+    async def _reap_orphans(self, now: float) -> None:
+        """Stop the attempts whose entry did not come back in time."""
+        for attempt, since in list(self._orphans.items()):
+            execution = self._executions.get(attempt)
+            if execution is None:
+                del self._orphans[attempt]
+                continue
+            if now - since < self._settings.resume_grace_s:
+                continue
+            if not execution.ended:
+                await self.cancel(execution, "its entry did not come back")
+            if execution.ended:
+                self.forget(execution)
+
     def _reason_to_refuse(self, submit: Submit) -> str | None:
         """Return why a request cannot be taken, or none."""
         if submit.incarnation != self._incarnation:
             return "sent to an earlier life of this agent"
         if self.draining:
             return "the upstream is draining"
-        if submit.attempt in self._executions:
-            return "this attempt has been taken already"
+        known = self._fates.recall(submit.attempt)
+        if known is not None:
+            return f"this attempt is over: {known.reason}"
         if len(self._executions) >= self._settings.max_answers:
             return "the agent holds as many requests as it may"
         return None
@@ -209,44 +300,61 @@
         try:
             remaining_s = max(0.0, work.deadline - self._clock.now())
             async with curio.timeout_after(remaining_s):
-                tokens = await self._relay(execution)
+                tokens = await self._claim_and_relay(execution)
         except curio.TaskTimeout:
-            execution.fail("its deadline passed while it ran")
+            self._end_unfinished(execution, "its deadline passed while it ran")
         except (NothingSentError, RequestDeclinedError) as error:
+            await self._claims.release(work.attempt)
             execution.refuse(str(error), DECLINED_RETRY_S)
         except EngineError as error:
-            execution.fail(str(error))
+            self._end_unfinished(execution, str(error))
         finally:
-            if not execution.ended:
-                execution.fail("the agent failed while it ran")
-            self._tasks.pop(work.attempt, None)
-            self._admission.finish(work, tokens, self._clock.now())
-            self._metrics.count(f"agent.{execution.state}")
-            await self._start_work()
-            await self._wake(execution)
+            self._end_unfinished(execution, "it was cancelled")
+            await self._end_work(execution, tokens)
+
+    async def _claim_and_relay(self, execution: Execution) -> int:
+        """Claim the key of a request that has one, then send it; return its tokens."""
+        if execution.submit.idempotency_key:
+            verdict = await self._claims.claim(execution.submit)
+            if not await follow_verdict(execution, verdict):
+                return 0
+        return await UpstreamRelay(self._client, execution, self._on_piece, self._metrics).run()
+
+    def _end_unfinished(self, execution: Execution, reason: str) -> None:
+        """End an attempt that did not end by itself: not run if it was never sent."""
+        if execution.ended:
+            return
+        if execution.sent:
+            execution.fail(reason)
+        else:
+            execution.refuse(reason, None)
 
-    async def _relay(self, execution: Execution) -> int:
-        """Send the request and collect its answer; return the tokens that passed."""
-        answer = await self._client.open(_upstream_request(execution.submit))
-        try:
-            execution.head(answer.status, end_to_end(answer.headers))
-            await self._relay_body(execution, answer)
-        finally:
-            await answer.close()
-        execution.complete()
-        return answer.tokens
-
-    async def _relay_body(self, execution: Execution, answer: UpstreamAnswer) -> None:
-        """Collect the body piece by piece and learn the time between pieces."""
-        last: float | None = None
-        while data := await answer.read():
-            now = self._clock.now()
-            if last is not None:
-                self._step_s += 0.1 * ((now - last) - self._step_s)
-                self._admission.observe_step(now - last, now)
-            last = now
-            await execution.append(data)
-            await self._wake(execution)
+    async def _end_work(self, execution: Execution, tokens: int) -> None:
+        """Make room for other work and let the ledger and the entry know."""
+        work = execution.work
+        self._tasks.pop(work.attempt, None)
+        self._piece_times.pop(work.attempt, None)
+        if execution.state is ExecutionState.REFUSED:
+            await self._claims.settle(work.attempt, ClaimState.RELEASED, None)
+        else:
+            state = claim_state_of(execution)
+            await self._claims.settle(work.attempt, state, execution.result())
+        self._admission.finish(work, tokens, self._clock.now())
+        self._metrics.count(f"agent.{execution.state}")
+        await self._start_work()
+        await self._wake(execution)
+        if execution.detached and work.attempt in self._orphans:
+            self.forget(execution)
+
+    async def _on_piece(self, execution: Execution) -> None:
+        """Learn the time between two pieces of an answer and tell its entry."""
+        now = self._clock.now()
+        last = self._piece_times.get(execution.attempt)
+        self._piece_times[execution.attempt] = now
+        if last is not None:
+            self._step_s += 0.1 * ((now - last) - self._step_s)
+            self._admission.observe_step(now - last, now)
+        await self._wake(execution)
 
     async def _refuse_waiting(self, work: Work, reason: str, retry_after_s: float | None) -> None:
         """Tell an entry that waiting work will not run."""
@@ -271,20 +379,3 @@
         """Let all sessions tell the load."""
         for session in list(self._open_sessions):
             await session.wake()
-
-
-def _upstream_request(submit: Submit) -> UpstreamRequest:
-    """Return the request as the upstream gets it."""
-    headers: Headers = [
-        (name, value)
-        for name, value in end_to_end(submit.headers)
-        if name not in ("host", "content-length", "authorization", "x-request-id", "priority")
-    ]
-    return UpstreamRequest(
-        attempt=submit.attempt,
-        method=submit.method,
-        target=submit.target,
-        headers=headers,
-        body=submit.body,
-        priority=submit.priority,
-    )
--- /dev/null
+++ b/bluebellrun/agent/_calls.py
@@ -0,0 +1,56 @@
+"""The calls that entries and other agents make to an agent."""
+
+from typing import Any
+
+import msgspec
+
+from bluebellrun.agent._agent import Agent
+from bluebellrun.agent._claims import ClaimDesk
+from bluebellrun.messages import (
+    CLAIM_PATH,
+    EXCHANGE_PATH,
+    FATE_PATH,
+    SETTLE_PATH,
+    SettleAnswer,
+    decode_fate_query,
+    decode_ledger_record,
+    encode_message,
+)
+from bluebellrun.transport import Call, CallError
+
+STATUS_INVALID_ARGUMENT = 3
+STATUS_UNIMPLEMENTED = 12
+STATUS_UNAVAILABLE = 14
+
+
+class AgentCalls:
+    """Hand each call to what serves it."""
+
+    def __init__(self, agent: Agent, claims: ClaimDesk) -> None:
+        self._agent = agent
+        self._claims = claims
+
+    async def handle(self, call: Call) -> None:
+        """Serve one call by its path."""
+        if call.path == EXCHANGE_PATH:
+            await self._agent.serve_session(call)
+            return
+        message = await call.receive()
+        if message is None:
+            raise CallError(STATUS_INVALID_ARGUMENT, f"{call.path} takes one message")
+        try:
+            await call.send(encode_message(await self._answer(call.path, message)))
+        except msgspec.MsgspecError as error:
+            raise CallError(STATUS_INVALID_ARGUMENT, str(error)) from error
+
+    async def _answer(self, path: str, message: bytes) -> Any:
+        """Return the answer to a call with one message each way."""
+        if path == FATE_PATH:
+            return await self._agent.answer_fate(decode_fate_query(message))
+        if path == CLAIM_PATH:
+            return await self._claims.serve_claim(decode_ledger_record(message))
+        if path == SETTLE_PATH:
+            if await self._claims.serve_settle(decode_ledger_record(message)):
+                return SettleAnswer()
+            raise CallError(STATUS_UNAVAILABLE, "the settlement is not durable yet")
+        raise CallError(STATUS_UNIMPLEMENTED, f"no method {path}")
--- /dev/null
+++ b/bluebellrun/agent/_claim_wiring.py
@@ -0,0 +1,36 @@
+"""Build the agent's side of the ledger from its settings."""
+
+from bluebellrun.agent._claims import ClaimDesk, ClaimSettings
+from bluebellrun.agent._peers import PeerLinks
+from bluebellrun.agent._settings import AgentSettings
+from bluebellrun.core import Clock, Incarnation
+from bluebellrun.ledger import Ledger, LedgerLimits, LedgerSettings
+from bluebellrun.platform import KeyValueStore
+from bluebellrun.transport import LinkTiming
+
+MS_PER_S = 1_000
+
+
+def make_claims(
+    settings: AgentSettings, incarnation: Incarnation, store: KeyValueStore, clock: Clock
+) -> ClaimDesk:
+    """Return the claim desk that settings describe."""
+    ledger_settings = LedgerSettings(
+        shards=settings.ledger_shards,
+        writes_per_s=settings.ledger_writes_per_s,
+        limits=LedgerLimits(retention_ms=int(settings.ledger_retention_s * MS_PER_S)),
+    )
+    prefix = f"{settings.store_prefix}/ledger/{settings.service}"
+    ledger = Ledger(store, prefix, ledger_settings, clock)
+    timing = LinkTiming(
+        settings.link_connect_timeout_s,
+        settings.link_ping_interval_s,
+        settings.link_ping_timeout_s,
+    )
+    claim_settings = ClaimSettings(
+        name=settings.name,
+        service=settings.service,
+        timeout_s=settings.claim_timeout_s,
+        retention_s=settings.ledger_retention_s,
+    )
+    return ClaimDesk(claim_settings, incarnation, ledger, PeerLinks(timing, clock))
--- /dev/null
+++ b/bluebellrun/agent/_claims.py
@@ -0,0 +1,245 @@
+"""Claim idempotency keys for an agent's work, and own shards of the ledger for its peers.
+
+Each shard of a service's ledger has an owner among the service's agents, found by rendezvous,
+so that claims share writes. Ownership is only a habit: the store decides, so an agent whose
+owner is silent claims by itself.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import curio
+import msgspec
+
+from bluebellrun.agent._peers import PeerError, PeerLinks
+from bluebellrun.core import Address, Incarnation
+from bluebellrun.declarations import Configuration
+from bluebellrun.ledger import (
+    ClaimState,
+    Declined,
+    Finished,
+    Granted,
+    KeptResult,
+    Ledger,
+    LedgerRecord,
+    OtherRequest,
+    Replay,
+    Unsettled,
+    key_digest,
+    key_time_ms,
+    owner_of,
+    request_fingerprint,
+    shard_of,
+    wall_clock_ms,
+)
+from bluebellrun.messages import (
+    CLAIM_PATH,
+    FATE_PATH,
+    SETTLE_PATH,
+    ClaimAnswer,
+    ClaimVerdict,
+    Fate,
+    FateAnswer,
+    FateQuery,
+    Submit,
+    decode_claim_answer,
+    decode_fate_answer,
+    encode_message,
+)
+from bluebellrun.runtime import spawn_background
+from bluebellrun.telemetry import get_logger
+
+MS_PER_S = 1_000
+RESOLVE_ROUNDS = 3
+SETTLE_RETRY_S = 0.2
+OWNER_SLACK_S = 0.5
+CLOCK_SLACK_S = 1.0
+
+_log = get_logger("agent.claims")
+
+FateSource = Callable[[FateQuery], FateAnswer]
+
+
+def _no_fates(query: FateQuery) -> FateAnswer:
+    """Answer before the agent has said where its fates are."""
+    return FateAnswer(Fate.UNKNOWN, "the agent is starting")
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimSettings:
+    """Who claims, and how long a claim may take, in seconds."""
+
+    name: str
+    service: str
+    timeout_s: float
+    retention_s: float
+
+
+class ClaimDesk:
+    """Claims of one agent, and the shards that it owns."""
+
+    def __init__(
+        self, settings: ClaimSettings, incarnation: Incarnation, ledger: Ledger, peers: PeerLinks
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._ledger = ledger
+        self._peers = peers
+        self._agents: dict[str, Address] = {}
+        self._owners: list[str] = [settings.name]
+        self._claimed: dict[str, LedgerRecord] = {}
+        self._unwritten = 0
+        self._fate_source: FateSource = _no_fates
+
+    @property
+    def unwritten(self) -> int:
+        """Return how many settlements are not durable yet."""
+        return self._unwritten
+
+    def use_fates(self, source: FateSource) -> None:
+        """Learn the fates of this agent's own attempts from a function."""
+        self._fate_source = source
+
+    def follow(self, configuration: Configuration) -> None:
+        """Take the agents of the service from a new configuration."""
+        upstreams = configuration.services.upstreams_of(self._settings.service)
+        self._agents = {upstream.name: upstream.agent for upstream in upstreams}
+        active = [upstream.name for upstream in upstreams if upstream.takes_work]
+        self._owners = active or list(self._agents) or [self._settings.name]
+
+    async def claim(self, submit: Submit) -> ClaimAnswer:
+        """Claim the key of a request that is about to run."""
+        now_ms = wall_clock_ms()
+        made_ms = key_time_ms(submit.idempotency_key, now_ms)
+        if made_ms is not None and made_ms + self._settings.retention_s * MS_PER_S < now_ms:
+            reason = (
+                f"the key is older than the {self._settings.retention_s:g} s that keys are kept"
+            )
+            return ClaimAnswer(ClaimVerdict.EXPIRED, None, reason)
+        record = self._record(submit, now_ms)
+        answer = await self._ask_owner(record)
+        if answer is None:
+            answer = await self.serve_claim(record)
+        if answer.verdict is ClaimVerdict.GRANTED:
+            self._claimed[submit.attempt] = record
+        return answer
+
+    async def settle(self, attempt: str, state: ClaimState, result: KeptResult | None) -> None:
+        """Note what became of a granted claim; written in the background until durable."""
+        record = self._claimed.pop(attempt, None)
+        if record is not None:
+            self._unwritten += 1
+            settled = replace(record, state=state, result=result)
+            await spawn_background(self._settle, settled)
+
+    async def release(self, attempt: str) -> None:
+        """Give a granted key back, durably if the store answers in time."""
+        record = self._claimed.pop(attempt, None)
+        if record is None:
+            return
+        self._unwritten += 1
+        task = await spawn_background(self._settle, replace(record, state=ClaimState.RELEASED))
+        async with curio.ignore_after(self._settings.timeout_s):
+            await task.wait()
+
+    async def serve_claim(self, record: LedgerRecord) -> ClaimAnswer:
+        """Decide a claim as owner; ask after an earlier attempt that is not settled."""
+        for _ in range(RESOLVE_ROUNDS):
+            decision = await self._ledger.claim(record, self._settings.timeout_s)
+            match decision:
+                case Granted():
+                    return ClaimAnswer(ClaimVerdict.GRANTED)
+                case Replay(known, _):
+                    return ClaimAnswer(ClaimVerdict.REPLAY, known)
+                case Finished(known):
+                    return ClaimAnswer(ClaimVerdict.FINISHED, known)
+                case OtherRequest(known):
+                    return ClaimAnswer(ClaimVerdict.OTHER_REQUEST, known)
+                case Declined(reason):
+                    return ClaimAnswer(ClaimVerdict.DECLINED, None, reason)
+                case Unsettled(known):
+                    answer = await self._ask_fate(known)
+                    if answer.fate is not Fate.NOT_RUN:
+                        return ClaimAnswer(ClaimVerdict.UNSETTLED, known, answer.reason)
+                    released = replace(known, state=ClaimState.RELEASED)
+                    await self._ledger.settle(released, self._settings.timeout_s)
+        return ClaimAnswer(ClaimVerdict.DECLINED, None, "others claim the same key at this moment")
+
+    async def serve_settle(self, record: LedgerRecord) -> bool:
+        """Write a peer's settlement as owner; return whether it is durable."""
+        return await self._ledger.settle(record, self._settings.timeout_s)
+
+    async def _settle(self, record: LedgerRecord) -> None:
+        """Hand a settlement to the owner, or write it here, until it is durable."""
+        try:
+            while not await self._settle_once(record):
+                await curio.sleep(SETTLE_RETRY_S)
+        finally:
+            self._unwritten -= 1
+
+    async def _settle_once(self, record: LedgerRecord) -> bool:
+        """Try to settle once; return whether it is durable."""
+        owner = self._peer_owner(record.key)
+        if owner is not None:
+            try:
+                await self._peers.ask(owner, SETTLE_PATH, encode_message(record), self._patience_s)
+            except PeerError as error:
+                _log.info("owner did not settle", attempt=record.attempt, error=str(error))
+            else:
+                return True
+        return await self.serve_settle(record)
+
+    async def _ask_owner(self, record: LedgerRecord) -> ClaimAnswer | None:
+        """Let the owner decide; none when that is this agent, or when it does not answer."""
+        owner = self._peer_owner(record.key)
+        if owner is None:
+            return None
+        try:
+            data = await self._peers.ask(
+                owner, CLAIM_PATH, encode_message(record), self._patience_s
+            )
+            return decode_claim_answer(data)
+        except (PeerError, msgspec.MsgspecError) as error:
+            _log.info("owner did not answer a claim", attempt=record.attempt, error=str(error))
+            return None
+
+    async def _ask_fate(self, known: LedgerRecord) -> FateAnswer:
+        """Ask the agent of an earlier attempt what became of it."""
+        age_s = max(0.0, (wall_clock_ms() - known.claimed_ms) / MS_PER_S) + CLOCK_SLACK_S
+        query = FateQuery(known.attempt, known.incarnation, age_s)
+        if known.upstream == self._settings.name:
+            return self._fate_source(query)
+        address = self._agents.get(known.upstream)
+        if address is None:
+            return FateAnswer(Fate.UNKNOWN, f"{known.upstream} is no longer declared")
+        try:
+            data = await self._peers.ask(
+                address, FATE_PATH, encode_message(query), self._settings.timeout_s
+            )
+            return decode_fate_answer(data)
+        except (PeerError, msgspec.MsgspecError) as error:
+            return FateAnswer(Fate.UNKNOWN, f"{known.upstream} does not answer: {error}")
+
+    @property
+    def _patience_s(self) -> float:
+        """Return how long an owner may take, which asks the store and perhaps another agent."""
+        return self._settings.timeout_s + OWNER_SLACK_S
+
+    def _peer_owner(self, key: str) -> Address | None:
+        """Return the address of the owner of a key's shard, none when that is this agent."""
+        owner = owner_of(shard_of(key, self._ledger.shards), self._owners)
+        if owner is None or owner == self._settings.name:
+            return None
+        return self._agents.get(owner)
+
+    def _record(self, submit: Submit, now_ms: int) -> LedgerRecord:
+        """Return the claim of a request."""
+        return LedgerRecord(
+            key=key_digest(submit.customer, submit.service, submit.idempotency_key),
+            fingerprint=request_fingerprint(submit.method, submit.target, submit.body),
+            request=submit.request,
+            attempt=submit.attempt,
+            upstream=self._settings.name,
+            incarnation=self._incarnation,
+            claimed_ms=now_ms,
+        )
--- /dev/null
+++ b/bluebellrun/agent/_peers.py
@@ -0,0 +1,53 @@
+"""Links from an agent to other agents, for short questions."""
+
+import curio
+
+from bluebellrun.core import Address, Clock
+from bluebellrun.transport import (
+    CallError,
+    ConnectError,
+    Link,
+    LinkLostError,
+    LinkTiming,
+    dial,
+)
+
+SUSPECT_S = 5.0
+
+
+class PeerError(Exception):
+    """A peer did not answer; the question may have reached it."""
+
+
+class PeerLinks:
+    """Kept links by address; a peer that did not answer is left alone for a while."""
+
+    def __init__(self, timing: LinkTiming, clock: Clock) -> None:
+        self._timing = timing
+        self._clock = clock
+        self._links: dict[Address, Link] = {}
+        self._suspect_until: dict[Address, float] = {}
+        self._dialing = curio.Lock()
+
+    async def ask(self, address: Address, path: str, message: bytes, timeout_s: float) -> bytes:
+        """Ask a peer; raise ``PeerError`` when there is no answer in time."""
+        if self._suspect_until.get(address, 0.0) > self._clock.now():
+            raise PeerError(f"{address} did not answer a moment ago")
+        try:
+            link = await self._link(address)
+            answer = await link.ask(path, message, timeout_s)
+        except (ConnectError, LinkLostError) as error:
+            self._suspect_until[address] = self._clock.now() + SUSPECT_S
+            raise PeerError(f"{address}: {error}") from error
+        except CallError as error:
+            raise PeerError(f"{address}: {error}") from error
+        self._suspect_until.pop(address, None)
+        return answer
+
+    async def _link(self, address: Address) -> Link:
+        """Return an open link to a peer."""
+        async with self._dialing:
+            link = self._links.get(address)
+            if link is None or link.closed:
+                link = self._links[address] = await dial(address, self._timing)
+            return link
--- a/bluebellrun/agent/_session.py
+++ b/bluebellrun/agent/_session.py
@@ -12,8 +12,12 @@
     Cancel,
     Delivered,
     EntryEvent,
-    Hello,
+    Failed,
+    Fate,
+    FateAnswer,
     Load,
+    Refused,
+    Resume,
     Submit,
     decode_entry_batch,
 )
@@ -51,9 +55,13 @@
             raise CallError(STATUS_INVALID_ARGUMENT, str(error)) from error
         finally:
             await sender.cancel(blocking=False)
-            await self._agent.forget_session(list(self._executions.values()))
+            self._agent.leave_session(list(self._executions.values()))
 
-    async def tell(self, event: Hello) -> None:
+    def let_go(self, attempt: str) -> None:
+        """Leave an attempt to another session."""
+        self._executions.pop(attempt, None)
+
+    async def tell(self, event: AgentEvent) -> None:
         """Send an event that belongs to no attempt."""
         await self._sender.post(event)
 
@@ -79,8 +87,11 @@
         match event:
             case Submit():
                 execution = await self._agent.submit(event, self)
-                self._executions[event.attempt] = execution
-                await self._sender.wake()
+                if execution is not None:
+                    self._executions[event.attempt] = execution
+                    await self._sender.wake()
+            case Resume():
+                await self._resume(event)
             case Delivered():
                 if (known := self._executions.get(event.attempt)) is not None:
                     await known.confirm(event.offset)
@@ -89,6 +100,20 @@
                 if (known := self._executions.get(event.attempt)) is not None:
                     await self._agent.cancel(known, event.reason)
 
+    async def _resume(self, event: Resume) -> None:
+        """Go on with an attempt of a lost link, or tell what became of it."""
+        resumed = await self._agent.resume(event, self)
+        match resumed:
+            case Execution():
+                self._executions[event.attempt] = resumed
+                await self._sender.wake()
+            case FateAnswer(fate=Fate.NOT_RUN):
+                await self._sender.post(Refused(event.attempt, resumed.reason))
+            case FateAnswer(fate=Fate.RAN):
+                await self._sender.post(Failed(event.attempt, "it ran; its answer is gone"))
+            case FateAnswer():
+                await self._sender.post(Failed(event.attempt, resumed.reason))
+
     def _collect(self) -> list[AgentEvent]:
         """Return all that can be told now, with the load if it changed."""
         events: list[AgentEvent] = []
--- a/bluebellrun/agent/_settings.py
+++ b/bluebellrun/agent/_settings.py
@@ -40,3 +40,27 @@
     flush_interval_s: float = Field(
         default=0.002, ge=0, description="Time in which pieces of answers are collected, in s."
     )
+    resume_grace_s: float = Field(
+        default=5.0, ge=0, description="Time kept for an entry to resume after a lost link, in s."
+    )
+    fate_horizon_s: float = Field(
+        default=600.0, gt=0, description="Time for which fates of attempts are remembered, in s."
+    )
+    max_fates: int = Field(
+        default=100_000, gt=0, description="Most fates of attempts that are remembered."
+    )
+    ledger_shards: int = Field(
+        default=4, gt=0, description="Shards of the service's ledger; the same at all its agents."
+    )
+    ledger_writes_per_s: float = Field(
+        default=100.0, gt=0, description="Most writes a second of this agent to the ledger."
+    )
+    ledger_retention_s: float = Field(
+        default=86_400.0, gt=0, description="Time for which idempotency keys are kept, in s."
+    )
+    ledger_result_bytes: int = Field(
+        default=2_048, ge=0, description="Largest answer that is kept for a repeated key."
+    )
+    claim_timeout_s: float = Field(
+        default=1.0, gt=0, description="Longest wait for the ledger before a request, in s."
+    )
--- /dev/null
+++ b/bluebellrun/agent/_upstream_relay.py
@@ -0,0 +1,125 @@
+"""Run one request at the upstream and collect its answer, over new connections if need be."""
+
+from collections.abc import Awaitable, Callable
+
+from bluebellrun.agent._execution import Execution
+from bluebellrun.engines import (
+    AnswerBrokenError,
+    EngineError,
+    NothingSentError,
+    UpstreamAnswer,
+    UpstreamClient,
+    UpstreamRequest,
+    UpstreamSilentError,
+)
+from bluebellrun.messages import Submit
+from bluebellrun.runtime import spawn_background
+from bluebellrun.telemetry import Metrics, get_logger
+from bluebellrun.transport import Headers, end_to_end
+
+MAX_RESUMES_WITHOUT_PROGRESS = 3
+NOT_FORWARDED = frozenset({"host", "content-length", "authorization", "x-request-id", "priority"})
+
+_log = get_logger("agent.relay")
+
+OnPiece = Callable[[Execution], Awaitable[None]]
+
+
+class UpstreamRelay:
+    """Relay one execution from its upstream.
+
+    A model engine's stream that breaks or goes silent is resumed at the offset reached, on a new
+    connection; an engine that cannot resume it leaves the answer failed.
+    """
+
+    def __init__(
+        self, client: UpstreamClient, execution: Execution, on_piece: OnPiece, metrics: Metrics
+    ) -> None:
+        self._client = client
+        self._execution = execution
+        self._on_piece = on_piece
+        self._metrics = metrics
+        self._resumes = 0
+        self._resumed_at = -1
+
+    async def run(self) -> int:
+        """Send the request and collect its answer; return the tokens that passed.
+
+        Raises ``NothingSentError`` and ``RequestDeclinedError`` when it did not run, and other
+        errors of ``EngineError`` when its answer cannot be completed.
+        """
+        execution = self._execution
+        execution.mark_sent()
+        done = False
+        try:
+            answer = await self._open()
+            while not await self._collect(answer):
+                answer = await self._resume(answer)
+            execution.complete()
+            done = True
+        finally:
+            if not done:
+                await spawn_background(self._client.cancel, execution.attempt)
+        return answer.tokens
+
+    async def _open(self) -> UpstreamAnswer:
+        """Send the request; a silent connection is given up for a resumed one."""
+        try:
+            return await self._client.open(upstream_request(self._execution.submit))
+        except (UpstreamSilentError, AnswerBrokenError) as error:
+            return await self._resume_after(error, None)
+
+    async def _collect(self, answer: UpstreamAnswer) -> bool:
+        """Collect an answer; return false when its connection failed before the end."""
+        execution = self._execution
+        try:
+            if not execution.head_known:
+                execution.head(answer.status, end_to_end(answer.headers))
+            while data := await answer.read():
+                await execution.append(data)
+                await self._on_piece(execution)
+        except (UpstreamSilentError, AnswerBrokenError) as error:
+            self._error: EngineError = error
+            return False
+        finally:
+            await answer.close()
+        return True
+
+    async def _resume(self, answer: UpstreamAnswer) -> UpstreamAnswer:
+        """Return the rest of an answer whose connection failed."""
+        return await self._resume_after(self._error, answer)
+
+    async def _resume_after(
+        self, error: EngineError, broken: UpstreamAnswer | None
+    ) -> UpstreamAnswer:
+        """Open the rest of an answer; raise the first error when it cannot be had."""
+        offset = self._execution.collected
+        self._resumes = self._resumes + 1 if offset == self._resumed_at else 1
+        self._resumed_at = offset
+        if self._resumes > MAX_RESUMES_WITHOUT_PROGRESS:
+            raise error
+        attempt = self._execution.attempt
+        _log.warning("resuming an answer", attempt=attempt, offset=offset, error=str(error))
+        self._metrics.count("agent.resumes")
+        try:
+            resumed = await self._client.resume(attempt, offset, broken)
+        except NothingSentError as refused:
+            raise AnswerBrokenError(f"{error}; and no new connection: {refused}") from error
+        if resumed is None:
+            raise error
+        return resumed
+
+
+def upstream_request(submit: Submit) -> UpstreamRequest:
+    """Return the request as the upstream gets it."""
+    headers: Headers = [
+        (name, value) for name, value in end_to_end(submit.headers) if name not in NOT_FORWARDED
+    ]
+    return UpstreamRequest(
+        attempt=submit.attempt,
+        method=submit.method,
+        target=submit.target,
+        headers=headers,
+        body=submit.body,
+        priority=submit.priority,
+    )
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -7,6 +7,8 @@
 
 from bluebellrun.admission import AdmissionSettings, make_admission
 from bluebellrun.agent._agent import Agent
+from bluebellrun.agent._calls import AgentCalls
+from bluebellrun.agent._claim_wiring import make_claims
 from bluebellrun.agent._engine_load import EngineLoadWatcher
 from bluebellrun.agent._settings import AgentSettings
 from bluebellrun.conf import settings_command
@@ -20,13 +22,11 @@
     UpstreamKind,
     UpstreamTimeouts,
 )
-from bluebellrun.messages import EXCHANGE_PATH
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.runtime import StopSignals, spawn_background
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import Call, CallError, LinkTiming, Listener, serve_link
+from bluebellrun.transport import LinkTiming, Listener, serve_link
 
-STATUS_UNIMPLEMENTED = 12
 EXIT_CUT_OFF = 3
 LAST_FLUSH_S = 0.05
 
@@ -44,14 +44,16 @@
     return UpstreamClient(settings.upstream, kind, timeouts)
 
 
-def _make_agent(settings: AgentSettings) -> Agent:
+def _make_agent(settings: AgentSettings, store: EtcdStore) -> Agent:
     """Return the agent that settings describe."""
+    incarnation = new_incarnation()
     bounds = AdmissionSettings(settings.concurrency, settings.max_waiting)
     return Agent(
         settings=settings,
-        incarnation=new_incarnation(),
+        incarnation=incarnation,
         admission=make_admission(settings.admission_policy, bounds),
         client=_make_client(settings),
+        claims=make_claims(settings, incarnation, store, MonotonicClock()),
         clock=MonotonicClock(),
         metrics=Metrics(settings.statsd, "bluebellrun"),
     )
@@ -60,9 +62,9 @@
 async def _serve(settings: AgentSettings) -> int:
     """Run the agent until it is told to stop; return the exit status."""
     signals = StopSignals()
-    agent = _make_agent(settings)
-    configure_logs(settings, process=settings.name, incarnation=agent.incarnation)
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
+    agent = _make_agent(settings, store)
+    configure_logs(settings, process=settings.name, incarnation=agent.incarnation)
     follower = ConfigurationFollower(store, settings.store_prefix, MonotonicClock(), Random())
     follower.add_listener(agent.apply_configuration)
     timing = LinkTiming(
@@ -71,13 +73,10 @@
         settings.link_ping_timeout_s,
     )
 
-    async def handle_call(call: Call) -> None:
-        if call.path != EXCHANGE_PATH:
-            raise CallError(STATUS_UNIMPLEMENTED, f"no method {call.path}")
-        await agent.serve_session(call)
+    calls = AgentCalls(agent, agent.claims)
 
     async def handle_connection(sock: Any) -> None:
-        await serve_link(sock, handle_call, timing)
+        await serve_link(sock, calls.handle, timing)
 
     listener = Listener(settings.listen, handle_connection)
     await spawn_background(listener.run)
@@ -105,7 +104,7 @@
         await group.spawn(agent.stop)
         await group.spawn(signals.next)
     if agent.held:
-        _log.error("stopped with work in progress", cut_off=agent.held)
+        _log.error("stopped with work in progress", cut_off=agent.describe_held())
         return EXIT_CUT_OFF
     await curio.sleep(LAST_FLUSH_S)
     _log.info("stopped")
--- a/bluebellrun/core/_outcomes.py
+++ b/bluebellrun/core/_outcomes.py
@@ -12,17 +12,25 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The request did not run and never will under this attempt."""
+    """The request did not run and never will under this attempt.
+
+    With ``conflict`` it must not be offered again: its idempotency key belongs to another.
+    """
 
     reason: str
     retry_after_s: float | None = None
+    conflict: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
-    """The request may or may not have run; it cannot be known."""
+    """The request may or may not have run; it cannot be known yet, or ever.
+
+    With ``retry_after_s`` asking again with the same idempotency key may tell.
+    """
 
     reason: str
+    retry_after_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellrun/engines/_client.py
+++ b/bluebellrun/engines/_client.py
@@ -29,6 +29,8 @@
 
 DECLINED_STATUSES = frozenset({429, 503})
 EVENT_STREAM = "text/event-stream"
+STREAMS_PATH = "/v1/streams/"
+OK = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,10 +48,17 @@
 class UpstreamAnswer:
     """An answer being read."""
 
-    def __init__(self, response: HttpResponse, gap_s: float, stream: bool) -> None:
+    def __init__(
+        self, response: HttpResponse, gap_s: float, watcher: DoneWatcher | None = None
+    ) -> None:
         self._response = response
         self._gap_s = gap_s
-        self._watcher = DoneWatcher() if stream else None
+        self._watcher = watcher
+
+    @property
+    def watcher(self) -> DoneWatcher | None:
+        """Return what follows the event stream, none for any other answer."""
+        return self._watcher
 
     @property
     def status(self) -> int:
@@ -121,6 +130,41 @@
             raise AnswerBrokenError(str(error)) from error
         return await self._accept(response)
 
+    async def resume(
+        self, attempt: str, offset: int, broken: UpstreamAnswer | None
+    ) -> UpstreamAnswer | None:
+        """Return the rest of an event stream from a byte offset, over a new connection.
+
+        ``GET /v1/streams/ATTEMPT?offset=N`` answers 200 with the bytes from ``N`` on while the
+        engine has the stream, and 404 when it has not. Returns none when the upstream cannot
+        resume this answer. Raises ``NothingSentError`` when there is no connection.
+        """
+        if not isinstance(self._kind, ModelEngine):
+            return None
+        await self._client.close()
+        target = f"{STREAMS_PATH}{attempt}?offset={offset}"
+        try:
+            response = await self._client.open("GET", target, [], b"", self._timeouts.connect_s)
+        except ConnectError as error:
+            raise NothingSentError(str(error)) from error
+        except TransportError:
+            return None
+        content_type = header_value(response.headers, "content-type") or ""
+        if response.status != OK or not content_type.startswith(EVENT_STREAM):
+            await response.close()
+            return None
+        watcher = (broken.watcher if broken is not None else None) or DoneWatcher()
+        return UpstreamAnswer(response, self._timeouts.gap_s, watcher)
+
+    async def cancel(self, attempt: str) -> None:
+        """Tell a model engine that a stream is not wanted any more; failures do not matter."""
+        if not isinstance(self._kind, ModelEngine):
+            return
+        try:
+            await self._client.fetch("DELETE", f"{STREAMS_PATH}{attempt}", [])
+        except TransportError:
+            return
+
     async def close(self) -> None:
         """Close the connections."""
         await self._client.close()
@@ -134,6 +178,7 @@
                     raise RequestDeclinedError(response.status)
                 content_type = header_value(response.headers, "content-type") or ""
                 stream = content_type.startswith(EVENT_STREAM)
-                return UpstreamAnswer(response, self._timeouts.gap_s, stream)
+                watcher = DoneWatcher() if stream else None
+                return UpstreamAnswer(response, self._timeouts.gap_s, watcher)
             case PlainService():
-                return UpstreamAnswer(response, self._timeouts.gap_s, stream=False)
+                return UpstreamAnswer(response, self._timeouts.gap_s)
--- a/bluebellrun/ledger/_ledger.py
+++ b/bluebellrun/ledger/_ledger.py
@@ -82,6 +82,7 @@
         self._budget = CallBudget(settings.writes_per_s, settings.write_burst, clock)
         self._shards: dict[int, _Shard] = {}
         self._waiters: dict[str, _Waiter] = {}
+        self._settled: dict[str, curio.Event] = {}
 
     @property
     def shards(self) -> int:
@@ -112,11 +113,15 @@
             return Declined(f"the key-value service did not answer within {timeout_s:g} s")
         return waiter.decision
 
-    async def settle(self, record: LedgerRecord) -> None:
-        """Note what became of a claim; it is written soon, together with others."""
+    async def settle(self, record: LedgerRecord, timeout_s: float) -> bool:
+        """Note what became of a claim; return whether that is durable within the timeout."""
         shard = await self._shard(record.key)
+        settled = self._settled.setdefault(record.attempt, curio.Event())
         shard.log.settle(record)
         await shard.wake.set()
+        async with curio.ignore_after(timeout_s):
+            await settled.wait()
+        return settled.is_set()
 
     async def _shard(self, key: str) -> _Shard:
         """Return the shard of a key, with its task running."""
@@ -186,7 +191,11 @@
             shard.log.on_conflict()
 
     async def _deliver(self, shard: _Shard) -> None:
-        """Hand decisions to the claims that wait for them."""
+        """Hand decisions and settlements to those who wait for them."""
+        for attempt in shard.log.take_settled():
+            event = self._settled.pop(attempt, None)
+            if event is not None:
+                await event.set()
         for attempt, decision in shard.log.take_answers():
             waiter = self._waiters.get(attempt)
             if waiter is not None:
--- a/bluebellrun/ledger/_log.py
+++ b/bluebellrun/ledger/_log.py
@@ -73,6 +73,7 @@
         self._commit: Commit | None = None
         self._in_doubt = False
         self._answers: list[tuple[str, Decision]] = []
+        self._settled: list[str] = []
 
     @property
     def book(self) -> ShardBook:
@@ -109,6 +110,11 @@
         answers, self._answers = self._answers, []
         return answers
 
+    def take_settled(self) -> list[str]:
+        """Return the attempts whose settlements need no more writing since the last call."""
+        settled, self._settled = self._settled, []
+        return settled
+
     def next_action(self, now_ms: int) -> Action | None:
         """Return what to do at the store next, or none while nothing waits."""
         if self._commit is not None:
@@ -146,6 +152,7 @@
         self._recent += commit.records
         self._recent_bytes += sum(len(put.value or b"") for put in commit.puts)
         self._book.apply(commit.records)
+        self._drop_settlements()
         self._answer_waiting(now_ms)
 
     def on_conflict(self) -> None:
@@ -173,12 +180,8 @@
         if self._must_compact():
             return self._compaction(now_ms)
         self._release_abandoned()
+        self._drop_settlements()
         self._answer_waiting(now_ms)
-        self._settlements = {
-            attempt: record
-            for attempt, record in self._settlements.items()
-            if self._book.accepts(record)
-        }
         records = self._batch()
         if not records:
             return None
@@ -190,6 +193,13 @@
             records=tuple(records),
         )
 
+    def _drop_settlements(self) -> None:
+        """Drop the settlements that are in the book, or that it no longer accepts."""
+        for attempt, record in list(self._settlements.items()):
+            if not self._book.accepts(record):
+                del self._settlements[attempt]
+                self._settled.append(attempt)
+
     def _batch(self) -> list[LedgerRecord]:
         """Return the records of the next segment: settlements, and one claim for each key."""
         records: list[LedgerRecord] = []
@@ -209,8 +219,11 @@
         return records
 
     def _answer_waiting(self, now_ms: int) -> None:
-        """Answer the claims that the book decides."""
+        """Answer the claims that the book decides, but for keys about to be settled."""
+        settling = {record.key for record in self._settlements.values()}
         for attempt, record in list(self._waiting.items()):
+            if record.key in settling:
+                continue
             decision = self._book.decide(record, now_ms)
             if decision is None and len(self._book) >= self._limits.max_records:
                 decision = Declined("the ledger of this service is full")
--- a/bluebellrun/messages/__init__.py
+++ b/bluebellrun/messages/__init__.py
@@ -1,5 +1,14 @@
 """Messages between processes, as msgspec structures in msgpack."""
 
+from bluebellrun.messages._claims import (
+    CLAIM_PATH,
+    SETTLE_PATH,
+    ClaimAnswer,
+    ClaimVerdict,
+    SettleAnswer,
+    decode_claim_answer,
+    decode_ledger_record,
+)
 from bluebellrun.messages._exchange import (
     EXCHANGE_PATH,
     AgentBatch,
@@ -15,33 +24,58 @@
     Hello,
     Load,
     Refused,
+    Repeated,
+    Resume,
     Started,
     Submit,
     decode_agent_batch,
     decode_entry_batch,
     encode_message,
 )
+from bluebellrun.messages._fate import (
+    FATE_PATH,
+    Fate,
+    FateAnswer,
+    FateQuery,
+    decode_fate_answer,
+    decode_fate_query,
+)
 from bluebellrun.messages._stream import BatchSender
 
 __all__ = [
+    "CLAIM_PATH",
     "EXCHANGE_PATH",
+    "FATE_PATH",
+    "SETTLE_PATH",
     "AgentBatch",
     "AgentEvent",
     "BatchSender",
     "Cancel",
     "Chunk",
+    "ClaimAnswer",
+    "ClaimVerdict",
     "Delivered",
     "End",
     "EntryBatch",
     "EntryEvent",
     "Failed",
+    "Fate",
+    "FateAnswer",
+    "FateQuery",
     "Head",
     "Hello",
     "Load",
     "Refused",
+    "Repeated",
+    "Resume",
+    "SettleAnswer",
     "Started",
     "Submit",
     "decode_agent_batch",
+    "decode_claim_answer",
     "decode_entry_batch",
+    "decode_fate_answer",
+    "decode_fate_query",
+    "decode_ledger_record",
     "encode_message",
 ]
--- a/bluebellrun/messages/_exchange.py
+++ b/bluebellrun/messages/_exchange.py
@@ -59,6 +59,19 @@
     reason: str
 
 
+class Resume(msgspec.Struct, frozen=True, tag="resume"):
+    """Go on with an attempt whose link was lost, from an offset of its answer.
+
+    ``age_s`` is at least the time since the attempt was sent. An attempt that the agent does not
+    know is refused, also if it still comes.
+    """
+
+    attempt: str
+    incarnation: str
+    offset: int
+    age_s: float
+
+
 class Started(msgspec.Struct, frozen=True, tag="started"):
     """The request has been sent to the upstream; it may have run from now on."""
 
@@ -90,11 +103,27 @@
 
 
 class Refused(msgspec.Struct, frozen=True, tag="refused"):
-    """The request was not run and will not be under this attempt."""
+    """The request was not run and will not be under this attempt.
+
+    With ``conflict`` no upstream will take it: its key was used for another request.
+    """
 
     attempt: str
     reason: str
     retry_after_s: float | None = None
+    conflict: bool = False
+
+
+class Repeated(msgspec.Struct, frozen=True, tag="repeated"):
+    """The request was not run: another with the same idempotency key came first.
+
+    ``finished`` tells whether that one is known to have run; otherwise it may have.
+    """
+
+    attempt: str
+    request: str
+    reason: str
+    finished: bool
 
 
 class Failed(msgspec.Struct, frozen=True, tag="failed"):
@@ -115,8 +144,8 @@
     draining: bool
 
 
-EntryEvent = Submit | Delivered | Cancel
-AgentEvent = Hello | Started | Head | Chunk | End | Refused | Failed | Load
+EntryEvent = Submit | Delivered | Cancel | Resume
+AgentEvent = Hello | Started | Head | Chunk | End | Refused | Repeated | Failed | Load
 
 
 class EntryBatch(msgspec.Struct, frozen=True):
--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -14,6 +14,7 @@
 async def _main(app: EngineApp, address: Address) -> None:
     """Serve the engine until told to stop."""
     await curio.spawn(app.batcher.run, daemon=True)
+    await curio.spawn(app.streams.run, daemon=True)
     await serve_until_signal(address, app.handle, app.name)
 
 
--- a/standins/engine/_app.py
+++ b/standins/engine/_app.py
@@ -3,7 +3,6 @@
 import hashlib
 import json
 import time
-from dataclasses import dataclass
 from typing import Any
 
 import curio
@@ -12,18 +11,7 @@
 from standins._serving import not_found
 from standins.engine._batching import Batcher, EngineSettings, Sequence
 from standins.engine._faults import EngineFaults
-
-FOREVER_S = 3600.0
-
-
-@dataclass(slots=True)
-class AnswerRecord:
-    """What the engine sent for one request."""
-
-    runs: int = 0
-    sha256: str = ""
-    length: int = 0
-    complete: bool = False
+from standins.engine._streams import STREAMS_PATH, AnswerRecord, StreamTable
 
 
 class EngineApp:
@@ -35,6 +23,7 @@
         self.settings = settings
         self.faults = EngineFaults()
         self.batcher = Batcher(settings, self.faults)
+        self.streams = StreamTable(self.faults)
         self.records: dict[str, AnswerRecord] = {}
 
     async def handle(self, exchange: HttpExchange) -> None:
@@ -54,6 +43,8 @@
             case "/standin/records":
                 records = {key: self._record(value) for key, value in self.records.items()}
                 await exchange.answer_json(200, records)
+            case path if path.startswith(STREAMS_PATH):
+                await self.streams.handle(exchange, path.removeprefix(STREAMS_PATH))
             case _:
                 await not_found(exchange)
 
@@ -100,11 +91,12 @@
         await self.batcher.add(sequence)
         try:
             if body.get("stream"):
-                await self._stream(exchange, sequence, record)
-            else:
-                await self._whole(exchange, sequence, record)
+                await self.streams.send(exchange, self.streams.open(sequence, record), 0)
+                return
+            await self._whole(exchange, sequence, record)
         finally:
-            sequence.cancelled = True
+            if not body.get("stream"):
+                sequence.cancelled = True
 
     def _sequence(self, exchange: HttpExchange, body: dict[str, Any]) -> Sequence:
         """Return the sequence that a request asks for."""
@@ -117,33 +109,6 @@
             priority=int(field.partition("u=")[2][:1] or 3),
         )
 
-    async def _stream(
-        self, exchange: HttpExchange, sequence: Sequence, record: AnswerRecord
-    ) -> None:
-        """Send the answer as server-sent events."""
-        digest = hashlib.sha256()
-        silence = self.faults.silence
-        index = 0
-        await exchange.send_head(200, [("content-type", "text/event-stream")])
-        while index < sequence.max_tokens:
-            await self._wait(sequence, index)
-            if self.faults.silence != silence:
-                await curio.sleep(FOREVER_S)
-            if self.faults.break_after and index >= self.faults.break_after:
-                exchange.abort()
-                return
-            events = b"".join(self._event(sequence, i) for i in range(index, sequence.produced))
-            index = sequence.produced
-            digest.update(events)
-            record.length += len(events)
-            await exchange.send_body(events)
-        digest.update(b"data: [DONE]\n\n")
-        record.length += len(b"data: [DONE]\n\n")
-        record.sha256 = digest.hexdigest()
-        await exchange.send_body(b"data: [DONE]\n\n")
-        await exchange.finish()
-        record.complete = True
-
     async def _whole(
         self, exchange: HttpExchange, sequence: Sequence, record: AnswerRecord
     ) -> None:
@@ -168,8 +133,3 @@
         while sequence.produced <= seen:
             sequence.changed.clear()
             await sequence.changed.wait()
-
-    def _event(self, sequence: Sequence, index: int) -> bytes:
-        """Return one token as an event."""
-        choice = {"index": 0, "delta": {"content": sequence.token(index)}}
-        return b"data: " + json.dumps({"id": "cmpl", "choices": [choice]}).encode() + b"\n\n"
--- a/standins/engine/_faults.py
+++ b/standins/engine/_faults.py
@@ -8,8 +8,8 @@
     """What goes wrong now.
 
     ``stall_until`` is a monotonic time in seconds; ``silence`` is raised by one to make all
-    streams that are open at that moment go silent for good; ``break_after`` cuts each stream
-    after so many tokens; ``decline`` answers 503 to new requests.
+    connections with an open stream go silent for good; ``break_after`` cuts each connection after
+    so many tokens of a stream; ``decline`` answers 503 to new requests.
     """
 
     stall_until: float = 0.0
