--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -232,6 +232,12 @@
         while self._executions or self._claims.unwritten:
             await curio.sleep(EXPIRE_INTERVAL_S)
 
+    async def cut_off(self) -> None:
+        """Stop everything at once; entries are told what they can still be told."""
+        for task in list(self._tasks.values()):
+            await task.cancel()
+        await self._wake_sessions()
+
     def describe_held(self) -> list[dict[str, str]]:
         """Return the attempts that are not settled, with their customers and states."""
         return [
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -29,6 +29,7 @@
 
 EXIT_CUT_OFF = 3
 LAST_FLUSH_S = 0.05
+CUT_OFF_S = 0.5
 
 _log = get_logger("agent")
 
@@ -105,6 +106,9 @@
         await group.spawn(signals.next)
     if agent.held:
         _log.error("stopped with work in progress", cut_off=agent.describe_held())
+        async with curio.ignore_after(CUT_OFF_S):
+            await agent.cut_off()
+            await curio.sleep(LAST_FLUSH_S)
         return EXIT_CUT_OFF
     await curio.sleep(LAST_FLUSH_S)
     _log.info("stopped")
--- a/bluebellrun/entry/_entry.py
+++ b/bluebellrun/entry/_entry.py
@@ -43,13 +43,20 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._metrics = metrics
-        self._in_progress = 0
+        self._in_progress: dict[RequestId, str] = {}
         self._stopping = False
 
     @property
     def in_progress(self) -> int:
         """Return how many requests are being served."""
-        return self._in_progress
+        return len(self._in_progress)
+
+    def describe_in_progress(self) -> list[dict[str, str]]:
+        """Return the requests being served, with their customers."""
+        return [
+            {"request": request, "customer": customer}
+            for request, customer in self._in_progress.items()
+        ]
 
     def stop(self) -> None:
         """Say that this entry is not ready any more."""
@@ -61,7 +68,7 @@
             await self._answer_health(exchange)
             return
         request_id = new_request_id()
-        self._in_progress += 1
+        self._in_progress[request_id] = ""
         started = self._clock.now()
         try:
             await self._answer(exchange, request_id)
@@ -73,7 +80,7 @@
             _log.exception("request failed", request=request_id)
             await self._answer_failure(exchange, request_id)
         finally:
-            self._in_progress -= 1
+            del self._in_progress[request_id]
             self._metrics.timing("entry.request", self._clock.now() - started)
 
     async def _answer_failure(self, exchange: HttpExchange, request_id: RequestId) -> None:
@@ -115,6 +122,7 @@
             self._clock.now(),
             self._settings.default_deadline_s,
         )
+        self._in_progress[request_id] = request.customer.name
         outcome = await self._dispatcher.serve(exchange, request)
         self._metrics.count(f"entry.outcome.{outcome_name(outcome)}")
         if exchange.started:
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -72,7 +72,7 @@
         await group.spawn(_finish_requests, entry)
         await group.spawn(signals.next)
     if entry.in_progress:
-        _log.error("stopped with requests in progress", cut_off=entry.in_progress)
+        _log.error("stopped with requests in progress", cut_off=entry.describe_in_progress())
         return EXIT_CUT_OFF
     _log.info("stopped")
     return 0
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -65,6 +65,11 @@
         """Return a process by name."""
         return self._processes[name]
 
+    @property
+    def names(self) -> list[str]:
+        """Return the names of the processes that were not killed."""
+        return list(self._processes)
+
     @property
     def folder(self) -> Path:
         """Return the folder of logs and declarations."""
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -68,6 +68,23 @@
     curio.run(main)
 
 
+def test_new_links_work_after_silent_ones_were_given_up():
+    async def main() -> None:
+        async def never_answers(sock) -> None:
+            await curio.sleep(10)
+
+        silent = Listener(Address("127.0.0.1", 0), never_answers)
+        await curio.spawn(silent.run, daemon=True)
+        working = await listen()
+        for _ in range(3):
+            lost = await dial(silent.address, TIMING)
+            await lost.wait_closed()
+            link = await dial(working.address, TIMING)
+            assert await link.ask("/echo", b"new", 1.0) == b"new"
+
+    curio.run(main)
+
+
 def test_an_idle_link_stays_open():
     async def main() -> None:
         link = await dial((await listen()).address, TIMING)
