--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -11,7 +11,8 @@
 import sys
 import time
 import urllib.request
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -37,6 +38,8 @@
     process: "subprocess.Popen[bytes]"
     output: Path
     address: Address
+    module: str = ""
+    arguments: tuple[str, ...] = ()
 
     def log_lines(self) -> list[dict[str, object]]:
         """Return the structured lines of its log."""
@@ -87,8 +90,27 @@
         with output.open("wb") as stream:
             process = subprocess.Popen(command, stdout=stream, stderr=subprocess.STDOUT)
         address = self._wait_for_address(name, process, output)
-        self._processes[name] = FleetProcess(name, process, output, address)
-        return self._processes[name]
+        started = FleetProcess(name, process, output, address, module, arguments)
+        self._processes[name] = started
+        return started
+
+    def start_together(self, *starts: Callable[[], object]) -> None:
+        """Run several calls that start processes at the same time."""
+        with ThreadPoolExecutor(len(starts)) as pool:
+            for done in [pool.submit(start) for start in starts]:
+                done.result()
+
+    def restart(self, name: str) -> FleetProcess:
+        """Start a process again that has ended, at the address it had; keep its old log."""
+        old = self._processes[name]
+        old.process.wait(STOP_TIMEOUT_S)
+        kept = old.output.with_suffix(f".{time.monotonic_ns()}.log")
+        old.output.rename(kept)
+        arguments = [item for item in old.arguments if item != "--listen"]
+        if "--listen" in old.arguments:
+            arguments.remove(str(old.address))
+        listen = ("--listen", str(old.address))
+        return self.start(name, old.module, *arguments, *listen)
 
     def start_platform(self) -> FleetProcess:
         """Start the platform's stand-in."""
@@ -172,6 +194,12 @@
         with urllib.request.urlopen(url, timeout=5) as response:
             return dict(json.load(response))
 
+    def crash(self, name: str) -> None:
+        """Kill a process at once, but remember it so that it can be restarted."""
+        process = self._processes[name].process
+        process.kill()
+        process.wait()
+
     def kill(self, name: str) -> None:
         """Kill a process at once."""
         process = self._processes.pop(name).process
