--- a/bluebellrun/agent/_claim_wiring.py
+++ b/bluebellrun/agent/_claim_wiring.py
@@ -32,5 +32,6 @@
         service=settings.service,
         timeout_s=settings.claim_timeout_s,
         retention_s=settings.ledger_retention_s,
+        wait_s=settings.claim_wait_s,
     )
     return ClaimDesk(claim_settings, incarnation, ledger, PeerLinks(timing, clock))
--- a/bluebellrun/agent/_claims.py
+++ b/bluebellrun/agent/_claims.py
@@ -54,6 +54,7 @@
 SETTLE_RETRY_S = 0.2
 OWNER_SLACK_S = 0.5
 CLOCK_SLACK_S = 1.0
+IN_PROGRESS_POLL_S = 0.1
 
 _log = get_logger("agent.claims")
 
@@ -67,12 +68,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimSettings:
-    """Who claims, and how long a claim may take, in seconds."""
+    """Who claims, and how long a claim may take, in seconds.
+
+    ``wait_s`` is how long a request waits for an earlier one with its key to end.
+    """
 
     name: str
     service: str
     timeout_s: float
     retention_s: float
+    wait_s: float
 
 
 class ClaimDesk:
@@ -117,9 +122,12 @@
             )
             return ClaimAnswer(ClaimVerdict.EXPIRED, None, reason)
         record = self._record(submit, now_ms)
-        answer = await self._ask_owner(record)
-        if answer is None:
-            answer = await self.serve_claim(record)
+        answer = await self._claim_once(record)
+        waited_s = 0.0
+        while answer.in_progress and waited_s < self._settings.wait_s:
+            await curio.sleep(IN_PROGRESS_POLL_S)
+            waited_s += IN_PROGRESS_POLL_S
+            answer = await self._claim_once(record)
         if answer.verdict is ClaimVerdict.GRANTED:
             self._claimed[submit.attempt] = record
         return answer
@@ -160,7 +168,9 @@
                 case Unsettled(known):
                     answer = await self._ask_fate(known)
                     if answer.fate is not Fate.NOT_RUN:
-                        return ClaimAnswer(ClaimVerdict.UNSETTLED, known, answer.reason)
+                        in_progress = answer.fate is not Fate.UNKNOWN
+                        verdict = ClaimVerdict.UNSETTLED
+                        return ClaimAnswer(verdict, known, answer.reason, in_progress)
                     released = replace(known, state=ClaimState.RELEASED)
                     await self._ledger.settle(released, self._settings.timeout_s)
         return ClaimAnswer(ClaimVerdict.DECLINED, None, "others claim the same key at this moment")
@@ -169,6 +179,11 @@
         """Write a peer's settlement as owner; return whether it is durable."""
         return await self._ledger.settle(record, self._settings.timeout_s)
 
+    async def _claim_once(self, record: LedgerRecord) -> ClaimAnswer:
+        """Let the owner decide a claim, or decide it here when the owner is silent."""
+        answer = await self._ask_owner(record)
+        return await self.serve_claim(record) if answer is None else answer
+
     async def _settle(self, record: LedgerRecord) -> None:
         """Hand a settlement to the owner, or write it here, until it is durable."""
         try:
--- a/bluebellrun/agent/_settings.py
+++ b/bluebellrun/agent/_settings.py
@@ -64,3 +64,6 @@
     claim_timeout_s: float = Field(
         default=1.0, gt=0, description="Longest wait for the ledger before a request, in s."
     )
+    claim_wait_s: float = Field(
+        default=5.0, ge=0, description="Longest wait for an earlier request with the key, in s."
+    )
--- a/bluebellrun/entry/_channel.py
+++ b/bluebellrun/entry/_channel.py
@@ -196,9 +196,12 @@
             await spawn_background(self._receive, connection)
             async with curio.timeout_after(self._timing.connect_s):
                 await connection.greeted.wait()
-        except (LinkLostError, curio.TaskTimeout) as error:
+        except LinkLostError as error:
             await link.close()
             raise ConnectError(f"no greeting from {self._upstream.name}: {error}") from None
+        except curio.TaskTimeout:
+            await link.close()
+            raise ConnectError(f"no greeting from {self._upstream.name} in time") from None
         if link.closed:
             raise ConnectError(f"{self._upstream.name} closed the link at once")
         return connection
--- a/bluebellrun/messages/_claims.py
+++ b/bluebellrun/messages/_claims.py
@@ -23,11 +23,15 @@
 
 
 class ClaimAnswer(msgspec.Struct, frozen=True):
-    """A decision, with the earlier record of the key where there is one."""
+    """A decision, with the earlier record of the key where there is one.
+
+    ``in_progress`` tells of an unsettled claim that its end will be known soon.
+    """
 
     verdict: ClaimVerdict
     record: LedgerRecord | None = None
     reason: str = ""
+    in_progress: bool = False
 
 
 class SettleAnswer(msgspec.Struct, frozen=True):
--- a/bluebellrun/transport/_http_client.py
+++ b/bluebellrun/transport/_http_client.py
@@ -187,17 +187,21 @@
                 raise ConnectionLostError("closed before the response")
 
     async def next_event(self, timeout_s: float) -> Any:
-        """Return the next event of the response."""
+        """Return the next event of the response.
+
+        What arrived while this process was paused past the deadline is still read.
+        """
         event = self._parse()
-        if event is not h11.NEED_DATA:
-            return event
-        try:
-            async with curio.timeout_after(timeout_s):
-                return await self._read_event()
-        except curio.TaskTimeout:
-            raise PeerTimeoutError(f"nothing arrived for {timeout_s:.3f} s") from None
-        except OSError as error:
-            raise ConnectionLostError(str(error)) from error
+        while event is h11.NEED_DATA:
+            try:
+                async with curio.timeout_after(timeout_s):
+                    event = await self._read_event()
+            except curio.TaskTimeout:
+                if self.fresh():
+                    raise PeerTimeoutError(f"nothing arrived for {timeout_s:.3f} s") from None
+            except OSError as error:
+                raise ConnectionLostError(str(error)) from error
+        return event
 
     async def _read_event(self) -> Any:
         """Read from the socket until an event is complete."""
--- a/bluebellrun/transport/_http_server.py
+++ b/bluebellrun/transport/_http_server.py
@@ -258,7 +258,10 @@
         """Return when the caller closes its side while an answer is being made."""
         held = 0
         while True:
-            data = await self._socket.recv(READ_SIZE)
+            try:
+                data = await self._socket.recv(READ_SIZE)
+            except OSError:
+                return
             if not data:
                 return
             held += len(data)
--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -32,6 +32,7 @@
 PREFIX = struct.Struct(">BI")
 PING_DATA = b"bluebell"
 CONTENT_TYPE = "application/grpc+msgpack"
+PAUSED_INTERVALS = 2
 STATUS_OK = 0
 STATUS_INTERNAL = 13
 
@@ -392,9 +393,15 @@
             self._calls.pop(stream_id, None)
 
     async def _keep_alive(self) -> None:
-        """Send pings and give up the link when the peer is silent too long."""
+        """Send pings and give up the link when the peer is silent too long.
+
+        A pause of this process is no silence of the peer.
+        """
         while not self._closed.is_set():
+            slept_at = time.monotonic()
             await curio.sleep(self._timing.ping_interval_s)
+            if time.monotonic() - slept_at > PAUSED_INTERVALS * self._timing.ping_interval_s:
+                self._last_heard = time.monotonic()
             silence = time.monotonic() - self._last_heard
             if silence > self._timing.ping_timeout_s:
                 await self._shut(LinkLostError(f"the peer was silent for {silence:.2f} s"))
