--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -12,6 +12,7 @@
 from bluebellrun.agent._session import Session
 from bluebellrun.agent._settings import AgentSettings
 from bluebellrun.agent._upstream_relay import UpstreamRelay
+from bluebellrun.agent._work import make_targets, make_work
 from bluebellrun.core import Clock, Incarnation, invariants
 from bluebellrun.declarations import Configuration
 from bluebellrun.engines import (
@@ -25,8 +26,6 @@
 from bluebellrun.runtime import spawn_background
 from bluebellrun.telemetry import Metrics, get_logger
 
-BYTES_PER_TOKEN = 4
-DEFAULT_ANSWER_TOKENS = 256
 EXPIRE_INTERVAL_S = 0.02
 DECLINED_RETRY_S = 0.5
 
@@ -54,6 +53,7 @@
         self._claims.use_fates(self.fate)
         self._fates = FateBook(settings.fate_horizon_s, settings.max_fates)
         self._orphans: dict[str, float] = {}
+        self._sent_times: dict[str, float] = {}
         self._piece_times: dict[str, float] = {}
         self._clock = clock
         self._metrics = metrics
@@ -118,7 +118,7 @@
         if ran or submit.attempt in self._executions:
             return None
         now = self._clock.now()
-        work = self._work(submit, now)
+        work = make_work(submit, now)
         keep_bytes = self._settings.ledger_result_bytes if submit.idempotency_key else 0
         execution = Execution(submit, work, self._settings.answer_window_bytes, keep_bytes)
         reason = self._reason_to_refuse(submit)
@@ -134,6 +134,7 @@
             self._metrics.count("agent.refused")
             execution.refuse(refusal.reason, refusal.retry_after_s)
             return execution
+        await self._refuse_hopeless()
         await self._start_work()
         return execution
 
@@ -204,6 +205,7 @@
     async def apply_configuration(self, configuration: Configuration) -> None:
         """Follow a new configuration: drain when it says so."""
         self._claims.follow(configuration)
+        self._admission.follow_targets(make_targets(configuration))
         upstream = configuration.upstream(self._settings.name)
         draining = upstream is not None and not upstream.takes_work
         if draining != self._told_to_drain:
@@ -219,8 +221,7 @@
             await curio.sleep(EXPIRE_INTERVAL_S)
             now = self._clock.now()
             self._fates.tick(now)
-            for refusal in self._admission.expire(now):
-                await self._refuse_waiting(refusal.work, refusal.reason, refusal.retry_after_s)
+            await self._refuse_hopeless()
             await self._reap_orphans(now)
 
     async def stop(self) -> None:
@@ -276,20 +277,6 @@
             return "the agent holds as many requests as it may"
         return None
 
-    def _work(self, submit: Submit, now: float) -> Work:
-        """Return the request as admission sees it."""
-        prompt_tokens = len(submit.body) // BYTES_PER_TOKEN
-        return Work(
-            attempt=submit.attempt,
-            customer=submit.customer,
-            priority=submit.priority,
-            arrived=now,
-            deadline=now + submit.budget_s,
-            cost=float(prompt_tokens + DEFAULT_ANSWER_TOKENS),
-            share=submit.share,
-            prompt_tokens=prompt_tokens,
-        )
-
     async def _start_work(self) -> None:
         """Start as much work as admission allows."""
         while (work := self._admission.start_next(self._clock.now())) is not None:
@@ -297,6 +284,7 @@
             waiting = execution.state is ExecutionState.WAITING
             invariants.check(waiting, "work starts once", attempt=work.attempt)
             execution.start()
+            execution.work = work
             self._tasks[work.attempt] = await spawn_background(self._run, execution)
 
     async def _run(self, execution: Execution) -> None:
@@ -324,6 +312,7 @@
             verdict = await self._claims.claim(execution.submit)
             if not await follow_verdict(execution, verdict):
                 return 0
+        self._sent_times[execution.attempt] = self._clock.now()
         return await UpstreamRelay(self._client, execution, self._on_piece, self._metrics).run()
 
     def _end_unfinished(self, execution: Execution, reason: str) -> None:
@@ -340,6 +329,7 @@
         work = execution.work
         self._tasks.pop(work.attempt, None)
         self._piece_times.pop(work.attempt, None)
+        self._sent_times.pop(work.attempt, None)
         if execution.state is ExecutionState.REFUSED:
             await self._claims.settle(work.attempt, ClaimState.RELEASED, None)
         else:
@@ -357,11 +347,19 @@
         now = self._clock.now()
         last = self._piece_times.get(execution.attempt)
         self._piece_times[execution.attempt] = now
-        if last is not None:
+        if last is None:
+            waited_s = now - self._sent_times.get(execution.attempt, now)
+            self._admission.observe_first_token(execution.work, waited_s, now)
+        else:
             self._step_s += 0.1 * ((now - last) - self._step_s)
             self._admission.observe_step(now - last, now)
         await self._wake(execution)
 
+    async def _refuse_hopeless(self) -> None:
+        """Refuse waiting work that can no longer be on time or has lost its place."""
+        for refusal in self._admission.expire(self._clock.now()):
+            await self._refuse_waiting(refusal.work, refusal.reason, refusal.retry_after_s)
+
     async def _refuse_waiting(self, work: Work, reason: str, retry_after_s: float | None) -> None:
         """Tell an entry that waiting work will not run."""
         execution = self._executions.get(work.attempt)
--- a/bluebellrun/agent/_upstream_relay.py
+++ b/bluebellrun/agent/_upstream_relay.py
@@ -12,7 +12,6 @@
     UpstreamRequest,
     UpstreamSilentError,
 )
-from bluebellrun.messages import Submit
 from bluebellrun.runtime import spawn_background
 from bluebellrun.telemetry import Metrics, get_logger
 from bluebellrun.transport import Headers, end_to_end
@@ -65,7 +64,7 @@
     async def _open(self) -> UpstreamAnswer:
         """Send the request; a silent connection is given up for a resumed one."""
         try:
-            return await self._client.open(upstream_request(self._execution.submit))
+            return await self._client.open(upstream_request(self._execution))
         except (UpstreamSilentError, AnswerBrokenError) as error:
             return await self._resume_after(error, None)
 
@@ -110,8 +109,9 @@
         return resumed
 
 
-def upstream_request(submit: Submit) -> UpstreamRequest:
+def upstream_request(execution: Execution) -> UpstreamRequest:
     """Return the request as the upstream gets it."""
+    submit, told = execution.submit, execution.work.engine_priority
     headers: Headers = [
         (name, value) for name, value in end_to_end(submit.headers) if name not in NOT_FORWARDED
     ]
@@ -121,5 +121,5 @@
         target=submit.target,
         headers=headers,
         body=submit.body,
-        priority=submit.priority,
+        priority=submit.priority if told is None else told,
     )
--- a/bluebellrun/entry/_attempts.py
+++ b/bluebellrun/entry/_attempts.py
@@ -17,11 +17,11 @@
 from bluebellrun.entry._fate import ask_fate
 from bluebellrun.entry._relay import AnswerRelay
 from bluebellrun.entry._settings import EntrySettings
+from bluebellrun.entry._spread import CustomerSpread
 from bluebellrun.messages import Fate, FateQuery, Resume, Submit
 from bluebellrun.telemetry import Metrics, get_logger
 from bluebellrun.transport import ConnectError, HttpExchange, LinkLostError, LinkTiming
 
-UNREACHABLE_RETRY_S = 1.0
 RESUME_FIRST_S = 0.02
 RESUME_LONGEST_S = 0.5
 AGE_SLACK_S = 0.5
@@ -38,11 +38,18 @@
     sent_at: float
 
 
+class UnreachableError(Exception):
+    """An upstream cannot be reached, so that the request did not leave this entry."""
+
+
 class AttemptRunner:
     """Run attempts, resume them over new links, and ask for the fate of late ones."""
 
-    def __init__(self, settings: EntrySettings, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, settings: EntrySettings, spread: CustomerSpread, clock: Clock, metrics: Metrics
+    ) -> None:
         self._settings = settings
+        self._spread = spread
         self._clock = clock
         self._metrics = metrics
         self._open: dict[str, _Sent] = {}
@@ -59,17 +66,20 @@
         channel: AgentChannel,
         attempt: AttemptId,
     ) -> Outcome:
-        """Make one attempt and return what became of it."""
+        """Make one attempt and return what became of it.
+
+        Raises ``UnreachableError`` when nothing was sent.
+        """
         name = channel.upstream.name
         self.forget(request)
         try:
             incarnation = await channel.open()
-            submit = self._message(request, attempt, incarnation)
+            submit = self._message(request, attempt, incarnation, name)
             self._open[request.request_id] = _Sent(channel, submit, self._clock.now())
             inbox = await channel.submit(submit)
         except (ConnectError, LinkLostError) as error:
             self.forget(request)
-            return NotRun(f"{name} cannot be reached: {error}", UNREACHABLE_RETRY_S)
+            raise UnreachableError(f"{name} cannot be reached: {error}") from error
         relay = AnswerRelay(exchange, request, channel, attempt)
         outcome = await self._relay(relay, inbox, exchange, request)
         if isinstance(outcome, Unknown) and exchange.started:
@@ -158,7 +168,9 @@
         age_s = self._clock.now() - sent.sent_at + AGE_SLACK_S
         return FateQuery(sent.submit.attempt, sent.submit.incarnation, age_s, withdraw)
 
-    def _message(self, request: CallerRequest, attempt: AttemptId, incarnation: str) -> Submit:
+    def _message(
+        self, request: CallerRequest, attempt: AttemptId, incarnation: str, upstream: str
+    ) -> Submit:
         """Return the request as the agent gets it."""
         return Submit(
             attempt=attempt,
@@ -176,4 +188,6 @@
             share=request.customer.share_of(request.service.name),
             model=request.model,
             idempotency_key=request.idempotency_key,
+            age_s=self._clock.now() - request.arrived,
+            served_elsewhere=self._spread.take(request, upstream),
         )
--- a/bluebellrun/entry/_dispatcher.py
+++ b/bluebellrun/entry/_dispatcher.py
@@ -1,6 +1,7 @@
 """Offer a request to upstreams until one answers it or trying again is not allowed."""
 
 from dataclasses import dataclass, field
+from random import Random
 
 import curio
 
@@ -9,14 +10,18 @@
     Clock,
     NotRun,
     Outcome,
+    Ran,
     Unknown,
     attempt_id,
 )
-from bluebellrun.entry._attempts import AttemptRunner
+from bluebellrun.entry._attempts import AttemptRunner, UnreachableError
 from bluebellrun.entry._callers import CallerRequest
 from bluebellrun.entry._channel import AgentChannel
 from bluebellrun.entry._fleet import Fleet
+from bluebellrun.entry._health import HealthReporter
+from bluebellrun.entry._retries import Retries
 from bluebellrun.entry._settings import EntrySettings
+from bluebellrun.entry._spread import CustomerSpread
 from bluebellrun.routing import RoutedWork, RoutingPolicy
 from bluebellrun.telemetry import Metrics, get_logger
 from bluebellrun.transport import HttpExchange
@@ -52,7 +57,10 @@
         self._routing = routing
         self._clock = clock
         self._metrics = metrics
-        self._attempts = AttemptRunner(settings, clock, metrics)
+        self._retries = Retries(settings, Random())
+        self._spread = CustomerSpread()
+        self._health = HealthReporter(routing, metrics)
+        self._attempts = AttemptRunner(settings, self._spread, clock, metrics)
 
     async def serve(self, exchange: HttpExchange, request: CallerRequest) -> Outcome:
         """Serve a request; the answer has been sent if the outcome is ``Ran``."""
@@ -74,6 +82,7 @@
     ) -> Outcome:
         """Make attempts until one settles the request."""
         outcome: Outcome = NotRun("no upstream takes new work", NO_UPSTREAM_RETRY_S)
+        self._retries.note_first(request)
         while progress.attempts < self._settings.max_attempts:
             channel = self._choose(request, progress)
             if channel is None:
@@ -81,13 +90,19 @@
             progress.attempts += 1
             attempt = attempt_id(request.request_id, progress.attempts)
             outcome = await self._attempt(exchange, request, channel, attempt)
-            if not self._may_retry(exchange, request, outcome):
-                return outcome
             if isinstance(outcome, Unknown):
                 progress.may_have_run = outcome.reason
+            now = self._clock.now()
             progress.refused_by.add(channel.upstream.name)
-            self._routing.on_refused(channel.upstream.name, self._clock.now())
+            if isinstance(outcome, NotRun):
+                self._routing.on_refused(channel.upstream.name, now)
+            pause_s = self._retries.pause_s(
+                request, outcome, exchange.started, progress.attempts, now
+            )
+            if pause_s is None:
+                return outcome
             self._metrics.count("entry.retries")
+            await curio.sleep(pause_s)
         return outcome
 
     def _choose(self, request: CallerRequest, progress: _Progress) -> AgentChannel | None:
@@ -101,17 +116,9 @@
         )
         candidates = self._fleet.candidates(request.service.name, progress.refused_by)
         chosen = self._routing.choose(work, candidates, self._clock.now())
+        self._health.report()
         return None if chosen is None else self._fleet.channel(chosen.name)
 
-    def _may_retry(self, exchange: HttpExchange, request: CallerRequest, outcome: Outcome) -> bool:
-        """Return whether the request may be offered to another upstream."""
-        match outcome:
-            case NotRun(conflict=conflict):
-                return not conflict and not exchange.started
-            case Unknown():
-                return request.repeatable and not exchange.started
-        return False
-
     async def _attempt(
         self,
         exchange: HttpExchange,
@@ -122,8 +129,14 @@
         """Make one attempt and return what became of it."""
         name = channel.upstream.name
         started = self._clock.now()
-        outcome = await self._attempts.run(exchange, request, channel, attempt)
+        try:
+            outcome = await self._attempts.run(exchange, request, channel, attempt)
+        except UnreachableError as error:
+            self._routing.on_unreachable(name, self._clock.now())
+            return NotRun(str(error), NO_UPSTREAM_RETRY_S)
         failed = isinstance(outcome, Unknown)
+        if isinstance(outcome, Ran):
+            self._spread.note_ran(request, name)
         now = self._clock.now()
         self._routing.on_finished(name, now - started, failed, now)
         _log.info("attempt ended", attempt=attempt, upstream=name, outcome=repr(outcome))
--- a/standins/engine/_faults.py
+++ b/standins/engine/_faults.py
@@ -9,7 +9,8 @@
 
     ``stall_until`` is a monotonic time in seconds; ``silence`` is raised by one to make all
     connections with an open stream go silent for good; ``break_after`` cuts each connection after
-    so many tokens of a stream; ``decline`` answers 503 to new requests.
+    so many tokens of a stream; ``decline`` answers 503 to new requests; ``slow_factor`` lengthens
+    steps.
     """
 
     stall_until: float = 0.0
@@ -17,3 +18,4 @@
     silence: int = 0
     break_after: int = 0
     decline: bool = False
+    slow_factor: float = 1.0
