--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from dataclasses import dataclass
 from random import Random
 
 import curio
@@ -27,7 +28,7 @@
 from bluebellrun.transport import ClientTimeouts, HttpClient
 
 ROUND_TRIP_S = 0.01
-CLAIMS_PER_S = 5_000
+TARGET_CLAIMS_PER_S = 5_000
 WRITES_PER_S = 100.0
 DURATION_S = 3.0
 BASELINE_CLAIMS = 200
@@ -35,6 +36,14 @@
 PATIENCE_S = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class Load:
+    """How many shards one owner has, and how many claims a second arrive."""
+
+    shards: int
+    claims_per_s: int
+
+
 def _record(random: Random, number: int) -> LedgerRecord:
     """Return a claim of a new key."""
     key = key_digest("customer", "service", f"{random.random()}-{number}")
@@ -58,19 +67,19 @@
         delays.append(time.monotonic() - started)
 
 
-async def _grouped(address: str, seed: int, shards: int) -> tuple[list[float], float, float]:
+async def _grouped(address: str, seed: int, load: Load) -> tuple[list[float], float, float]:
     """Return the delays of claims, the time it took and the calls made to the store."""
     store = await _slow_store(address)
     limits = LedgerLimits(max_records=1_000_000)
-    settings = LedgerSettings(shards=shards, writes_per_s=WRITES_PER_S, limits=limits)
-    ledger = Ledger(store, f"/bench/{shards}", settings, MonotonicClock())
+    settings = LedgerSettings(shards=load.shards, writes_per_s=WRITES_PER_S, limits=limits)
+    ledger = Ledger(store, f"/bench/{load.shards}-{load.claims_per_s}", settings, MonotonicClock())
     random = Random(seed)
     delays: list[float] = []
     await _claim(ledger, _record(random, 0), [])
     before, started, sent = store.calls, time.monotonic(), 0
     tasks = []
     while (elapsed := time.monotonic() - started) < DURATION_S:
-        while sent < elapsed * CLAIMS_PER_S:
+        while sent < elapsed * load.claims_per_s:
             sent += 1
             tasks.append(await curio.spawn(_claim, ledger, _record(random, sent), delays))
         await curio.sleep(TICK_S)
@@ -110,23 +119,38 @@
     """Return claims and writes a second, and delays in round trips, by number of shards."""
     process, address = _store_process()
     try:
-        measures = []
-        for shards in (1, 4):
-            delays, took_s, calls = curio.run(_grouped, address, seed, shards)
-            measures += _measures(f"{shards} shard(s)", delays, took_s, calls, seed)
         took_s, calls = curio.run(_single, address, seed)
+        round_trip_s = took_s / calls
+        measures = _single_measures(took_s, calls, seed)
+        for shards, rate in ((1, 5_000), (4, 5_000), (4, 500)):
+            load = Load(shards, rate)
+            delays, spent_s, writes = curio.run(_grouped, address, seed, load)
+            measures += _measures(load, delays, spent_s, writes, round_trip_s, seed)
     finally:
         process.terminate()
         process.wait()
-    rate, writes = BASELINE_CLAIMS / took_s, calls / took_s
-    measures.append(Measure("ledger", "single", "claims per write", rate / writes, "", None, seed))
     return measures
 
 
+def _single_measures(took_s: float, calls: float, seed: int) -> list[Measure]:
+    """Return the measures of the baseline."""
+    return [
+        Measure("ledger", "single", "claims per 100 writes", 100.0, "claims", None, seed),
+        Measure("ledger", "single", "round trip", took_s / calls, "s", None, seed),
+    ]
+
+
 def _measures(
-    policy: str, delays: list[float], took_s: float, calls: float, seed: int
+    load: Load,
+    delays: list[float],
+    took_s: float,
+    calls: float,
+    round_trip_s: float,
+    seed: int,
 ) -> list[Measure]:
-    """Return the measures of one run of group commit."""
+    """Return the measures of one run of group commit; delays in the baseline's round trips."""
+    policy = f"{load.shards} shard(s), {load.claims_per_s}/s"
+    per_writes = ">= 5000" if load.claims_per_s == TARGET_CLAIMS_PER_S else None
 
     def of(name: str, value: float, unit: str, bound: str | None) -> Measure:
         return Measure("ledger", policy, name, value, unit, bound, seed)
@@ -134,7 +158,7 @@
     return [
         of("claims per second", len(delays) / took_s, "claims/s", None),
         of("store calls per second", calls / took_s, "calls/s", f"<= {WRITES_PER_S * 1.1:g}"),
-        of("claims per 100 writes", 100 * len(delays) / calls, "claims", ">= 5000"),
-        of("delay, half", _percentile(delays, 0.5) / ROUND_TRIP_S, "round trips", "<= 2"),
-        of("delay, 95 in 100", _percentile(delays, 0.95) / ROUND_TRIP_S, "round trips", None),
+        of("claims per 100 writes", 100 * len(delays) / calls, "claims", per_writes),
+        of("delay, half", _percentile(delays, 0.5) / round_trip_s, "round trips", "<= 2"),
+        of("delay, 95 in 100", _percentile(delays, 0.95) / round_trip_s, "round trips", None),
     ]
--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -51,7 +51,7 @@
         self._client = client
         self._claims = claims
         self._claims.use_fates(self.fate)
-        self._fates = FateBook(settings.fate_horizon_s, settings.max_fates)
+        self._fates = FateBook(settings.fate_horizon_s, settings.max_fates, settings.max_fates)
         self._orphans: dict[str, float] = {}
         self._sent_times: dict[str, float] = {}
         self._piece_times: dict[str, float] = {}
--- a/bluebellrun/agent/_fates.py
+++ b/bluebellrun/agent/_fates.py
@@ -9,6 +9,7 @@
 AGE_SLACK_S = 1.0
 
 UNSEEN = FateAnswer(Fate.NOT_RUN, "the agent had not seen it and will refuse it")
+FULL = FateAnswer(Fate.UNKNOWN, "the agent cannot remember to refuse more attempts now")
 FORGOTTEN = FateAnswer(Fate.UNKNOWN, "the agent no longer remembers attempts of that age")
 
 
@@ -25,12 +26,15 @@
 
     Time counts only while the agent's loop runs: what waited in a socket during a pause is read
     before the memory of it lapses. Asking after an attempt that was never seen leaves a
-    tombstone, so that the attempt is refused if it still arrives.
+    tombstone, so that the attempt is refused if it still arrives. Tombstones are kept for the
+    whole horizon; with too many of them the answer is unknown.
     """
 
-    def __init__(self, horizon_s: float, max_entries: int) -> None:
+    def __init__(self, horizon_s: float, max_entries: int, max_tombstones: int) -> None:
         self._horizon_s = horizon_s
         self._max_entries = max_entries
+        self._max_tombstones = max_tombstones
+        self._tombstones: OrderedDict[str, float] = OrderedDict()
         self._memories: OrderedDict[str, _Memory] = OrderedDict()
         self._active = 0.0
         self._last_tick: float | None = None
@@ -38,18 +42,18 @@
 
     def __len__(self) -> int:
         """Return how many attempts are remembered."""
-        return len(self._memories)
+        return len(self._memories) + len(self._tombstones)
 
     def tick(self, now: float) -> None:
         """Let active time pass and forget what is older than the horizon."""
         if self._last_tick is not None:
             self._active += min(LONGEST_TICK_S, now - self._last_tick)
         self._last_tick = now
-        while self._memories:
-            oldest = next(iter(self._memories.values()))
-            if self._active - oldest.noted <= self._horizon_s:
-                return
+        limit = self._active - self._horizon_s
+        while self._memories and next(iter(self._memories.values())).noted < limit:
             self._forget_oldest()
+        while self._tombstones and next(iter(self._tombstones.values())) < limit:
+            self._tombstones.popitem(last=False)
 
     def note(self, attempt: str, answer: FateAnswer) -> None:
         """Remember what became of an attempt."""
@@ -60,6 +64,8 @@
 
     def recall(self, attempt: str) -> FateAnswer | None:
         """Return what is remembered of an attempt, or none."""
+        if attempt in self._tombstones:
+            return UNSEEN
         memory = self._memories.get(attempt)
         return None if memory is None else memory.answer
 
@@ -70,7 +76,9 @@
             return known
         if self._active - age_s - AGE_SLACK_S < self._complete_from:
             return FORGOTTEN
-        self.note(attempt, UNSEEN)
+        if len(self._tombstones) >= self._max_tombstones:
+            return FULL
+        self._tombstones[attempt] = self._active
         return UNSEEN
 
     def _forget_oldest(self) -> None:
--- a/bluebellrun/ledger/_ledger.py
+++ b/bluebellrun/ledger/_ledger.py
@@ -23,6 +23,7 @@
 RETRY_FIRST_S = 0.02
 RETRY_LONGEST_S = 1.0
 MS_PER_S = 1_000
+MAX_SHARDS_IN_WRITE = 32
 
 _log = get_logger("ledger")
 
@@ -48,12 +49,20 @@
 
 @dataclass(slots=True)
 class _Shard:
-    """A shard's log and the task that writes it."""
+    """A shard's log, and when it may be tried again after a failure of the store."""
 
     log: ShardLog
-    wake: curio.Event = field(default_factory=curio.Event)
-    urgent: curio.Event = field(default_factory=curio.Event)
-    task: Any = None
+    retry_at: float = 0.0
+    pause_s: float = RETRY_FIRST_S
+
+    def fail(self, now: float) -> None:
+        """Put the next try off, longer after each failure."""
+        self.retry_at = now + self.pause_s
+        self.pause_s = min(RETRY_LONGEST_S, self.pause_s * 2)
+
+    def succeed(self) -> None:
+        """Forget earlier failures."""
+        self.pause_s = RETRY_FIRST_S
 
 
 class _Waiter:
@@ -79,7 +88,11 @@
         self._prefix = prefix
         self._settings = settings
         self._now_ms = now_ms
+        self._clock = clock
         self._budget = CallBudget(settings.writes_per_s, settings.write_burst, clock)
+        self._wake = curio.Event()
+        self._urgent = curio.Event()
+        self._task: Any = None
         self._shards: dict[int, _Shard] = {}
         self._waiters: dict[str, _Waiter] = {}
         self._settled: dict[str, curio.Event] = {}
@@ -99,8 +112,8 @@
         shard = await self._shard(record.key)
         waiter = self._waiters.setdefault(record.attempt, _Waiter())
         shard.log.claim(record)
-        await shard.wake.set()
-        await shard.urgent.set()
+        await self._urgent.set()
+        await self._wake.set()
         try:
             async with curio.ignore_after(timeout_s):
                 await waiter.decided.wait()
@@ -108,7 +121,7 @@
             self._waiters.pop(record.attempt, None)
             if waiter.decision is None:
                 shard.log.abandon(record.attempt)
-                await shard.wake.set()
+                await self._wake.set()
         if waiter.decision is None:
             return Declined(f"the key-value service did not answer within {timeout_s:g} s")
         return waiter.decision
@@ -118,77 +131,103 @@
         shard = await self._shard(record.key)
         settled = self._settled.setdefault(record.attempt, curio.Event())
         shard.log.settle(record)
-        await shard.wake.set()
+        await self._wake.set()
         async with curio.ignore_after(timeout_s):
             await settled.wait()
         return settled.is_set()
 
     async def _shard(self, key: str) -> _Shard:
-        """Return the shard of a key, with its task running."""
+        """Return the shard of a key; the first one starts the task that writes."""
         number = shard_of(key, self._settings.shards)
         shard = self._shards.get(number)
         if shard is None:
             log = ShardLog(f"{self._prefix}/{number:02d}", self._settings.limits)
             shard = self._shards[number] = _Shard(log)
-            shard.task = await curio.spawn(self._run, shard, daemon=True)
+        if self._task is None:
+            self._task = await curio.spawn(self._run, daemon=True)
         return shard
 
-    async def _run(self, shard: _Shard) -> None:
-        """Write a shard's log for ever."""
-        pause_s = RETRY_FIRST_S
+    async def _run(self) -> None:
+        """Write the shards' logs for ever, all that are ready in one transaction."""
         while True:
-            await shard.wake.wait()
-            shard.wake.clear()
-            await self._collect(shard)
-            while shard.log.busy:
-                await curio.sleep(self._budget.take())
-                if await self._step(shard):
-                    pause_s = RETRY_FIRST_S
-                    continue
-                await curio.sleep(pause_s)
-                pause_s = min(RETRY_LONGEST_S, pause_s * 2)
-
-    async def _collect(self, shard: _Shard) -> None:
+            await self._wake.wait()
+            self._wake.clear()
+            await self._collect()
+            while busy := [shard for shard in self._shards.values() if shard.log.busy]:
+                await self._pace()
+                now = self._clock.now()
+                due = [shard for shard in busy if shard.retry_at <= now]
+                await self._step(due)
+                if not due:
+                    await curio.sleep(min(shard.retry_at for shard in busy) - now)
+
+    async def _collect(self) -> None:
         """Let settlements gather unless a claim waits."""
-        if not shard.log.urgent:
+        if not any(shard.log.urgent for shard in self._shards.values()):
             async with curio.ignore_after(self._settings.settle_delay_s):
-                await shard.urgent.wait()
-        shard.urgent.clear()
-
-    async def _step(self, shard: _Shard) -> bool:
-        """Do the next action; return false when the store could not be reached."""
-        action = shard.log.next_action(self._now_ms())
-        await self._deliver(shard)
-        reached = True
-        try:
+                await self._urgent.wait()
+        self._urgent.clear()
+
+    async def _pace(self) -> None:
+        """Wait until the budget allows another call to the store."""
+        await curio.sleep(self._budget.take())
+
+    async def _step(self, due: list[_Shard]) -> None:
+        """Do the next action of each shard; segments of several shards share a transaction."""
+        segments: list[tuple[_Shard, Commit]] = []
+        for shard in due:
+            action = shard.log.next_action(self._now_ms())
+            await self._deliver(shard)
             match action:
                 case ReadShard(prefix):
-                    snapshot = await self._store.read_prefix(f"{prefix}/")
-                    shard.log.on_read(snapshot, self._now_ms())
+                    await self._read(shard, prefix)
+                case Commit(head=None):
+                    segments.append((shard, action))
                 case Commit():
-                    await self._commit(shard, action)
+                    await self._commit([(shard, action)])
+        for start in range(0, len(segments), MAX_SHARDS_IN_WRITE):
+            await self._commit(segments[start : start + MAX_SHARDS_IN_WRITE])
+
+    async def _read(self, shard: _Shard, prefix: str) -> None:
+        """Read a shard."""
+        try:
+            snapshot = await self._store.read_prefix(f"{prefix}/")
+            shard.log.on_read(snapshot, self._now_ms())
+        except PlatformError as error:
+            _log.warning("store unavailable", error=str(error))
+            shard.fail(self._clock.now())
+        except (msgspec.MsgspecError, KeyError) as error:
+            _log.error("a shard cannot be read", prefix=prefix, error=repr(error))
+            shard.fail(self._clock.now())
+        else:
+            shard.succeed()
+
+    async def _commit(self, writes: list[tuple[_Shard, Commit]]) -> None:
+        """Do the conditional writes of several shards, all or none."""
+        compares = [compare for _, commit in writes for compare in commit.compares]
+        puts = [put for _, commit in writes for put in commit.puts]
+        shards = [shard for shard, _ in writes]
+        try:
+            result = await self._store.transact(compares, puts)
         except StoreAnswerLostError as error:
             _log.warning("answer of the store lost", error=str(error))
-            shard.log.on_answer_lost()
-            reached = False
+            for shard in shards:
+                shard.log.on_answer_lost()
+                shard.fail(self._clock.now())
+            return
         except PlatformError as error:
             _log.warning("store unavailable", error=str(error))
-            if isinstance(action, Commit):
+            for shard in shards:
                 shard.log.on_unavailable()
-            reached = False
-        except msgspec.MsgspecError as error:
-            _log.error("a shard cannot be read", error=str(error))
-            reached = False
-        await self._deliver(shard)
-        return reached
-
-    async def _commit(self, shard: _Shard, commit: Commit) -> None:
-        """Do one conditional write."""
-        result = await self._store.transact(commit.compares, commit.puts)
-        if result.succeeded:
-            shard.log.on_committed(self._now_ms())
-        else:
-            shard.log.on_conflict()
+                shard.fail(self._clock.now())
+            return
+        for shard in shards:
+            shard.succeed()
+            if result.succeeded:
+                shard.log.on_committed(result.revision, self._now_ms())
+            else:
+                shard.log.on_conflict()
+            await self._deliver(shard)
 
     async def _deliver(self, shard: _Shard) -> None:
         """Hand decisions and settlements to those who wait for them."""
--- a/bluebellrun/ledger/_log.py
+++ b/bluebellrun/ledger/_log.py
@@ -42,7 +42,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Commit:
-    """Do a conditional write; ``records`` take effect with it."""
+    """Do a conditional write.
+
+    It adds ``records`` as a segment or, with a ``head``, moves them from segments into a page.
+    """
 
     compares: tuple[Compare, ...]
     puts: tuple[Put, ...]
@@ -101,7 +104,9 @@
     def abandon(self, attempt: str) -> None:
         """Give up a claim whose attempt will not run; release it if it is being written."""
         self._waiting.pop(attempt, None)
-        for record in self._commit.records if self._commit is not None else ():
+        commit = self._commit
+        writing = () if commit is None or commit.head is not None else commit.records
+        for record in writing:
             if record.attempt == attempt and record.state is ClaimState.CLAIMED:
                 self._abandoned[attempt] = record
 
@@ -140,13 +145,13 @@
         self._book.expire(now_ms)
         self._loaded = True
 
-    def on_committed(self, now_ms: int) -> None:
-        """Take a write that is known to have taken effect."""
+    def on_committed(self, revision: int, now_ms: int) -> None:
+        """Take a write that is known to have taken effect at a revision of the store."""
         commit = self._commit
         assert commit is not None
         self._commit, self._in_doubt = None, False
         if commit.head is not None:
-            self._loaded = False
+            self._take_compaction(commit.head, commit.records, revision, now_ms)
             return
         self._segments += 1
         self._recent += commit.records
@@ -175,6 +180,15 @@
             self._answers.append((attempt, Declined(reason)))
             self.abandon(attempt)
 
+    def _take_compaction(
+        self, head: Head, page: tuple[LedgerRecord, ...], revision: int, now_ms: int
+    ) -> None:
+        """Go on after a compaction as if the shard had been read again."""
+        self._head, self._head_revision = head, revision
+        self._last_page = list(page)
+        self._segments, self._recent, self._recent_bytes = 0, [], 0
+        self._book.expire(now_ms)
+
     def _next_commit(self, now_ms: int) -> Commit | None:
         """Return the next write, or none when the book answers everything."""
         if self._must_compact():
@@ -277,4 +291,4 @@
             Compare(head_key(self._prefix), self._head_revision),
             Compare(segment_key(self._prefix, last + 1), 0),
         )
-        return Commit(compares, tuple(puts), head=head)
+        return Commit(compares, tuple(puts), tuple(newest.values()), head)
--- a/tests/ledger/fakes.py
+++ b/tests/ledger/fakes.py
@@ -72,7 +72,7 @@
         if not isinstance(action, Commit):
             log.on_read(store.snapshot(f"{action.prefix}/"), now_ms)
         elif store.apply(action.compares, action.puts):
-            log.on_committed(now_ms)
+            log.on_committed(store.revision, now_ms)
         else:
             log.on_conflict()
         answers += log.take_answers()
--- /dev/null
+++ b/tests/ledger/test_ledger.py
@@ -0,0 +1,126 @@
+from dataclasses import replace
+
+import curio
+
+from bluebellrun.core import MonotonicClock
+from bluebellrun.ledger import (
+    ClaimState,
+    Declined,
+    Finished,
+    Granted,
+    Ledger,
+    LedgerSettings,
+    Unsettled,
+    key_digest,
+)
+from tests.ledger.fakes import FakeStore, record
+
+QUICK = LedgerSettings(settle_delay_s=0.001)
+
+
+def make_ledger(store: FakeStore, settings: LedgerSettings = QUICK) -> Ledger:
+    return Ledger(store, "/l/s", settings, MonotonicClock(), lambda: 0)
+
+
+def key(number: int) -> str:
+    return key_digest("c", "s", f"k{number}")
+
+
+async def claim_all(ledger: Ledger, records) -> list:
+    async with curio.TaskGroup() as group:
+        tasks = [await group.spawn(ledger.claim, item, 2.0) for item in records]
+    return [task.result for task in tasks]
+
+
+def test_claims_of_many_shards_share_a_write():
+    store = FakeStore()
+
+    async def main() -> list:
+        ledger = make_ledger(store)
+        await claim_all(ledger, [record(key(n), f"warm{n}") for n in range(50)])
+        store.writes = 0
+        return await claim_all(ledger, [record(key(n), f"a{n}") for n in range(100, 150)])
+
+    assert set(curio.run(main)) == {Granted()}
+    assert store.writes == 1
+
+
+def test_two_processes_grant_each_key_once():
+    store = FakeStore()
+
+    async def main() -> list:
+        first, second = make_ledger(store), make_ledger(store)
+        async with curio.TaskGroup() as group:
+            mine = [record(key(n), f"a{n}") for n in range(40)]
+            theirs = [record(key(n), f"b{n}") for n in range(40)]
+            ones = await group.spawn(claim_all, first, mine)
+            twos = await group.spawn(claim_all, second, theirs)
+        return list(zip(ones.result, twos.result, strict=True))
+
+    for pair in curio.run(main):
+        assert [isinstance(item, Granted) for item in pair].count(True) == 1
+        assert any(isinstance(item, Unsettled) for item in pair)
+
+
+def test_with_the_store_down_a_claim_is_declined_and_the_key_stays_free():
+    store = FakeStore(down=True)
+
+    async def main() -> tuple:
+        ledger = make_ledger(store)
+        declined = await ledger.claim(record(key(1), "a"), 0.05)
+        store.down = False
+        return declined, await ledger.claim(record(key(1), "b"), 2.0)
+
+    declined, granted = curio.run(main)
+    assert isinstance(declined, Declined)
+    assert granted == Granted()
+
+
+def test_a_claim_given_up_after_its_write_took_effect_is_released():
+    store = FakeStore()
+
+    async def main() -> tuple:
+        ledger = make_ledger(store)
+        await ledger.claim(record(key(1), "warm"), 2.0)
+        store.lose_next = 1_000
+        given_up = await ledger.claim(record(key(2), "a"), 0.05)
+        store.lose_next = 0
+        while ledger.busy:
+            await curio.sleep(0.01)
+        return given_up, await make_ledger(store).claim(record(key(2), "b"), 2.0)
+
+    given_up, granted = curio.run(main)
+    assert isinstance(given_up, Declined)
+    assert granted == Granted()
+
+
+def test_a_settlement_is_durable_when_settle_says_so():
+    store = FakeStore()
+
+    async def main() -> object:
+        ledger = make_ledger(store)
+        claim = record(key(1), "a")
+        await ledger.claim(claim, 2.0)
+        assert await ledger.settle(replace(claim, state=ClaimState.RAN), 2.0)
+        return await make_ledger(store).claim(record(key(1), "b"), 2.0)
+
+    assert isinstance(curio.run(main), Finished)
+
+
+def test_a_shard_that_cannot_be_read_does_not_hold_up_the_others():
+    store = FakeStore()
+
+    async def main() -> tuple:
+        ledger = make_ledger(store)
+        bad = record(key(1), "a")
+        await ledger.claim(bad, 2.0)
+        head = next(iter(store.values))
+        store.values[head] = replace(store.values[head], value=b"\xff")
+        fresh = make_ledger(store)
+        good = [record(key(n), f"g{n}") for n in range(2, 30)]
+        answers = await claim_all(fresh, good)
+        return answers, await fresh.claim(record(key(1), "b"), 0.05)
+
+    answers, declined = curio.run(main)
+    assert Granted() in answers
+    assert isinstance(declined, Declined)
--- a/tests/ledger/test_log_machine.py
+++ b/tests/ledger/test_log_machine.py
@@ -66,7 +66,7 @@
         match answer:
             case "arrives":
                 done = self.store.apply(action.compares, action.puts)
-                log.on_committed(0) if done else log.on_conflict()
+                log.on_committed(self.store.revision, 0) if done else log.on_conflict()
             case "lost":
                 self.store.apply(action.compares, action.puts)
                 log.on_answer_lost()
