--- a/bluebellrun/agent/_fates.py
+++ b/bluebellrun/agent/_fates.py
@@ -1,5 +1,6 @@
 """What an agent remembers of attempts that are over, and of attempts it will never run."""
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 
@@ -38,7 +39,7 @@
         self._memories: OrderedDict[str, _Memory] = OrderedDict()
         self._active = 0.0
         self._last_tick: float | None = None
-        self._complete_from = 0.0
+        self._complete_from = -math.inf
 
     def __len__(self) -> int:
         """Return how many attempts are remembered."""
--- a/tests/agent/test_fates.py
+++ b/tests/agent/test_fates.py
@@ -60,3 +60,9 @@
     fates = [book.ask(f"a{number}", age_s=1.0).fate for number in range(3)]
     assert fates == [Fate.NOT_RUN, Fate.NOT_RUN, Fate.UNKNOWN]
     assert book.recall("a0").fate is Fate.NOT_RUN
+
+
+def test_a_young_agent_knows_that_it_has_not_seen_an_attempt():
+    book = FateBook(10.0, 100, 100)
+    book.tick(0.0)
+    assert book.ask("a", age_s=5.0).fate is Fate.NOT_RUN
