Bound the batches in which answers are told

Cause: after a lost link, all buffered answers of an entry were told in one message, which with many answers is over the link's limit, so that the new link was lost as well. Change: a batch holds at most 1 MiB of answers; the rest follows at once.

--- a/bluebellrun/agent/_execution.py
+++ b/bluebellrun/agent/_execution.py
@@ -22,6 +22,7 @@
 from bluebellrun.transport import Headers
 
 CHUNK_BYTES = 65_536
+MAX_TAKEN_BYTES = 16_777_216
 
 
 class ExecutionState(StrEnum):
@@ -169,12 +170,18 @@
         self._ending_told = False
         return True
 
-    def take_events(self) -> list[AgentEvent]:
-        """Return what can be told now: the ending comes after all the bytes."""
+    def take_events(self, limit: int = MAX_TAKEN_BYTES) -> list[AgentEvent]:
+        """Return what can be told now, with at most so many bytes of the answer.
+
+        The ending comes after all the bytes.
+        """
         events, self._events = self._events, []
-        while not self.buffer.exhausted:
-            offset, data = self.buffer.take(CHUNK_BYTES)
+        while limit > 0 and not self.buffer.exhausted:
+            offset, data = self.buffer.take(min(limit, CHUNK_BYTES))
+            limit -= len(data)
             events.append(Chunk(self.attempt, offset, data))
+        if not self.buffer.exhausted:
+            return events
         if self._ending is not None and not self._ending_told:
             self._ending_told = True
             events.append(self._ending)
--- a/bluebellrun/agent/_session.py
+++ b/bluebellrun/agent/_session.py
@@ -10,6 +10,7 @@
     AgentEvent,
     BatchSender,
     Cancel,
+    Chunk,
     Delivered,
     EntryEvent,
     Failed,
@@ -29,6 +30,7 @@
     from bluebellrun.agent._agent import Agent
 
 STATUS_INVALID_ARGUMENT = 3
+MAX_BATCH_BYTES = 1_048_576
 
 _log = get_logger("agent.session")
 
@@ -41,9 +43,10 @@
         self._call = call
         self._executions: dict[str, Execution] = {}
         self._sender: BatchSender[AgentEvent] = BatchSender(
-            call, AgentBatch, flush_interval_s, self._collect
+            call, AgentBatch, flush_interval_s, self._collect, self._has_more
         )
         self._last_load: Load | None = None
+        self._more = False
 
     async def run(self) -> None:
         """Exchange events until the entry ends the call or the link is lost."""
@@ -117,15 +120,25 @@
     def _collect(self) -> list[AgentEvent]:
         """Return all that can be told now, with the load if it changed."""
         events: list[AgentEvent] = []
+        room = MAX_BATCH_BYTES
         for execution in list(self._executions.values()):
-            events += execution.take_events()
+            if room <= 0:
+                break
+            told = execution.take_events(room)
+            room -= sum(len(event.data) for event in told if isinstance(event, Chunk))
+            events += told
             self._drop_settled(execution)
+        self._more = room <= 0
         load = self._agent.load()
         if events or load != self._last_load:
             self._last_load = load
             events.append(load)
         return events
 
+    def _has_more(self) -> bool:
+        """Return whether the last batch was full, so that there may be more to tell."""
+        return self._more
+
     def _drop_settled(self, execution: Execution) -> None:
         """Forget an attempt of which nothing remains to be told."""
         if execution.settled:
--- a/bluebellrun/messages/_stream.py
+++ b/bluebellrun/messages/_stream.py
@@ -14,6 +14,8 @@
 class BatchSender(Generic[EventT]):
     """Send events in order; only its own task writes to the call.
 
+    ``collect`` adds events to a batch; it is called again at once while ``has_more`` says so.
+
     A caller that is cancelled after ``post`` leaves its event queued and the call intact.
     """
 
@@ -23,11 +25,13 @@
         make_batch: Callable[[list[EventT]], Any],
         flush_interval_s: float,
         collect: Callable[[], list[EventT]] | None = None,
+        has_more: Callable[[], bool] = lambda: False,
     ) -> None:
         self._call = call
         self._make_batch = make_batch
         self._flush_interval_s = flush_interval_s
         self._collect = collect
+        self._has_more = has_more
         self._events: list[EventT] = []
         self._wake = curio.Event()
 
@@ -52,8 +56,14 @@
             if self._flush_interval_s > 0:
                 await curio.sleep(self._flush_interval_s)
             self._wake.clear()
-            events, self._events = self._events, []
-            if self._collect is not None:
-                events += self._collect()
-            if events:
+            while events := self._next_events():
                 await self._call.send(encode_message(self._make_batch(events)))
+                if self._collect is None or not self._has_more():
+                    break
+
+    def _next_events(self) -> list[EventT]:
+        """Return the events of the next batch."""
+        events, self._events = self._events, []
+        if self._collect is not None:
+            events += self._collect()
+        return events
--- a/tests/agent/test_execution.py
+++ b/tests/agent/test_execution.py
@@ -84,3 +84,13 @@
 
     curio.run(run)
     assert execution.result().body == b"abcdef"
+
+
+def test_the_ending_comes_after_the_last_byte_of_a_limited_batch():
+    execution = make_execution()
+    curio.run(completed, execution, b"abcdef")
+    first = execution.take_events(4)
+    second = execution.take_events(4)
+    assert [type(event) for event in first] == [Started, Head, Chunk]
+    assert [type(event) for event in second] == [Chunk, End]
+    assert first[-1].data + second[0].data == b"abcdef"
