--- a/bluebellrun/agent/_settings.py
+++ b/bluebellrun/agent/_settings.py
@@ -45,7 +45,7 @@
         default=0.0, ge=0, description="Time in which pieces of answers are collected, in s."
     )
     resume_grace_s: float = Field(
-        default=5.0, ge=0, description="Time kept for an entry to resume after a lost link, in s."
+        default=10.0, ge=0, description="Time kept for an entry to resume after a lost link, in s."
     )
     fate_horizon_s: float = Field(
         default=600.0, gt=0, description="Time for which fates of attempts are remembered, in s."
