Never release a claim that its attempt asked for again; end on a fatal invariant

Cause: a claim given up while its write was on the way and asked for again was granted and then released, so that the key could run twice; a violated invariant in a task that curio reports by itself did not end the process. Change: asking again forgets that the claim was given up; a fatal violation ends the process from whichever task.

--- a/bluebellrun/ledger/_log.py
+++ b/bluebellrun/ledger/_log.py
@@ -95,6 +95,10 @@
 
     def claim(self, record: LedgerRecord) -> None:
         """Ask for a key; the decision comes out of ``take_answers``."""
+        self._abandoned.pop(record.attempt, None)
+        pending = self._settlements.get(record.attempt)
+        if pending is not None and pending.state is ClaimState.RELEASED:
+            del self._settlements[record.attempt]
         self._waiting[record.attempt] = record
 
     def settle(self, record: LedgerRecord) -> None:
--- a/bluebellrun/telemetry/_logs.py
+++ b/bluebellrun/telemetry/_logs.py
@@ -1,6 +1,7 @@
 """Logs by structlog, as JSON lines or for a console, on standard error."""
 
 import logging
+import os
 import sys
 from typing import Any
 
@@ -8,6 +9,7 @@
 
 from bluebellrun.core import invariants
 
+EXIT_VIOLATED = 4
 SECRET_FIELDS = frozenset({"authorization", "token", "key", "api_key", "password", "secret"})
 
 
@@ -23,6 +25,13 @@
     structlog.get_logger().error("invariant violated", invariant=name, **trace)
 
 
+def _end_on_violation(name: str, trace: dict[str, object]) -> None:
+    """Log a violated invariant and end the process, whichever task found it."""
+    _report_violation(name, trace)
+    sys.stderr.flush()
+    os._exit(EXIT_VIOLATED)
+
+
 def configure_logs(settings: Any, **fixed: str) -> None:
     """Set the format and level of logs from settings; bind fields to every line.
 
@@ -48,7 +57,8 @@
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(**fixed)
-    invariants.configure(settings.fatal_invariants, _report_violation)
+    reporter = _end_on_violation if settings.fatal_invariants else _report_violation
+    invariants.configure(settings.fatal_invariants, reporter)
 
 
 def get_logger(name: str) -> Any:
--- a/tests/ledger/test_log.py
+++ b/tests/ledger/test_log.py
@@ -145,6 +145,19 @@
     assert claim(ShardLog("s", LIMITS), store, "k", "b") == Granted()
 
 
+def test_a_claim_given_up_and_asked_for_again_is_not_released():
+    store, log = FakeStore(), ShardLog("s", LIMITS)
+    claim(log, store, "other", "x")
+    log.claim(record("k", "a"))
+    action = log.next_action(0)
+    log.abandon("a")
+    log.claim(record("k", "a"))
+    assert store.apply(action.compares, action.puts)
+    log.on_committed(store.revision, 0)
+    assert dict(drive(log, store))["a"] == Granted()
+    assert isinstance(claim(ShardLog("s", LIMITS), store, "k", "b"), Unsettled)
+
+
 def test_compaction_keeps_every_key_and_few_stored_values():
     store, log = FakeStore(), ShardLog("s", LIMITS)
     for number in range(50):
