Agree on a ledger's shards in the store; wait for the silent agent of a key

Change: the first process stores the number of shards; a silent agent's attempt counts as running until the wait for it is over.

--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -204,7 +204,7 @@
 
     async def apply_configuration(self, configuration: Configuration) -> None:
         """Follow a new configuration: drain when it says so."""
-        self._claims.follow(configuration)
+        await self._claims.follow(configuration)
         self._admission.follow_targets(make_targets(configuration))
         upstream = configuration.upstream(self._settings.name)
         draining = upstream is not None and not upstream.takes_work
--- a/bluebellrun/agent/_claims.py
+++ b/bluebellrun/agent/_claims.py
@@ -105,12 +105,13 @@
         """Learn the fates of this agent's own attempts from a function."""
         self._fate_source = source
 
-    def follow(self, configuration: Configuration) -> None:
+    async def follow(self, configuration: Configuration) -> None:
         """Take the agents of the service from a new configuration."""
         upstreams = configuration.services.upstreams_of(self._settings.service)
         self._agents = {upstream.name: upstream.agent for upstream in upstreams}
         active = [upstream.name for upstream in upstreams if upstream.takes_work]
         self._owners = active or list(self._agents) or [self._settings.name]
+        await self._peers.keep(set(self._agents.values()))
 
     async def claim(self, submit: Submit) -> ClaimAnswer:
         """Claim the key of a request that is about to run."""
@@ -219,7 +220,10 @@
             return None
 
     async def _ask_fate(self, known: LedgerRecord) -> FateAnswer:
-        """Ask the agent of an earlier attempt what became of it."""
+        """Ask the agent of an earlier attempt what became of it.
+
+        An agent that is silent may be paused, so that its attempt counts as running.
+        """
         age_s = max(0.0, (wall_clock_ms() - known.claimed_ms) / MS_PER_S) + CLOCK_SLACK_S
         query = FateQuery(known.attempt, known.incarnation, age_s)
         if known.upstream == self._settings.name:
@@ -232,8 +236,11 @@
                 address, FATE_PATH, encode_message(query), self._settings.timeout_s
             )
             return decode_fate_answer(data)
-        except (PeerError, msgspec.MsgspecError) as error:
-            return FateAnswer(Fate.UNKNOWN, f"{known.upstream} does not answer: {error}")
+        except PeerError as error:
+            fate = Fate.UNKNOWN if error.gone else Fate.RUNNING
+            return FateAnswer(fate, f"{known.upstream} does not answer: {error}")
+        except msgspec.MsgspecError as error:
+            return FateAnswer(Fate.UNKNOWN, f"{known.upstream} answers wrongly: {error}")
 
     @property
     def _patience_s(self) -> float:
--- a/bluebellrun/agent/_peers.py
+++ b/bluebellrun/agent/_peers.py
@@ -1,5 +1,7 @@
 """Links from an agent to other agents, for short questions."""
 
+from typing import Any
+
 import curio
 
 from bluebellrun.core import Address, Clock
@@ -12,11 +14,18 @@
     dial,
 )
 
-SUSPECT_S = 5.0
+SUSPECT_S = 2.0
 
 
 class PeerError(Exception):
-    """A peer did not answer; the question may have reached it."""
+    """A peer did not answer; the question may have reached it.
+
+    ``gone`` tells that no process listens at its address.
+    """
+
+    def __init__(self, message: str, gone: bool = False) -> None:
+        super().__init__(message)
+        self.gone = gone
 
 
 class PeerLinks:
@@ -27,7 +36,7 @@
         self._clock = clock
         self._links: dict[Address, Link] = {}
         self._suspect_until: dict[Address, float] = {}
-        self._dialing = curio.Lock()
+        self._dialing: dict[Address, Any] = {}
 
     async def ask(self, address: Address, path: str, message: bytes, timeout_s: float) -> bytes:
         """Ask a peer; raise ``PeerError`` when there is no answer in time."""
@@ -38,15 +47,23 @@
             answer = await link.ask(path, message, timeout_s)
         except (ConnectError, LinkLostError) as error:
             self._suspect_until[address] = self._clock.now() + SUSPECT_S
-            raise PeerError(f"{address}: {error}") from error
+            gone = isinstance(error.__cause__, ConnectionRefusedError)
+            raise PeerError(f"{address}: {error}", gone) from error
         except CallError as error:
             raise PeerError(f"{address}: {error}") from error
         self._suspect_until.pop(address, None)
         return answer
 
+    async def keep(self, addresses: set[Address]) -> None:
+        """Close the links to all other addresses."""
+        for address in [known for known in self._links if known not in addresses]:
+            self._suspect_until.pop(address, None)
+            self._dialing.pop(address, None)
+            await self._links.pop(address).close()
+
     async def _link(self, address: Address) -> Link:
-        """Return an open link to a peer."""
-        async with self._dialing:
+        """Return an open link to a peer; a slow peer holds up only those who ask it."""
+        async with self._dialing.setdefault(address, curio.Lock()):
             link = self._links.get(address)
             if link is None or link.closed:
                 link = self._links[address] = await dial(address, self._timing)
--- a/bluebellrun/agent/_settings.py
+++ b/bluebellrun/agent/_settings.py
@@ -69,5 +69,5 @@
         default=1.0, gt=0, description="Longest wait for the ledger before a request, in s."
     )
     claim_wait_s: float = Field(
-        default=5.0, ge=0, description="Longest wait for an earlier request with the key, in s."
+        default=10.0, ge=0, description="Longest wait for an earlier request with the key, in s."
     )
--- a/bluebellrun/ledger/_ledger.py
+++ b/bluebellrun/ledger/_ledger.py
@@ -14,8 +14,10 @@
 from bluebellrun.ledger._models import Decision, Declined, LedgerLimits, LedgerRecord
 from bluebellrun.ledger._pacing import CallBudget
 from bluebellrun.platform import (
+    Compare,
     KeyValueStore,
     PlatformError,
+    Put,
     StoreAnswerLostError,
 )
 from bluebellrun.telemetry import get_logger
@@ -93,14 +95,17 @@
         self._wake = curio.Event()
         self._urgent = curio.Event()
         self._task: Any = None
+        self._agreed_shards = 0
+        self._warned = False
+        self._agreeing = curio.Lock()
         self._shards: dict[int, _Shard] = {}
         self._waiters: dict[str, _Waiter] = {}
         self._settled: dict[str, curio.Event] = {}
 
     @property
     def shards(self) -> int:
-        """Return how many shards the keys are spread over."""
-        return self._settings.shards
+        """Return how many shards the keys are spread over, as far as is known."""
+        return self._agreed_shards or self._settings.shards
 
     @property
     def busy(self) -> bool:
@@ -109,6 +114,10 @@
 
     async def claim(self, record: LedgerRecord, timeout_s: float) -> Decision:
         """Claim a key for an attempt; ``Granted`` means that the claim is durable."""
+        async with curio.ignore_after(timeout_s):
+            await self._agree_on_shards()
+        if not self._agreed_shards:
+            return Declined(f"the key-value service did not answer within {timeout_s:g} s")
         shard = await self._shard(record.key)
         waiter = self._waiters.setdefault(record.attempt, _Waiter())
         shard.log.claim(record)
@@ -128,6 +137,10 @@
 
     async def settle(self, record: LedgerRecord, timeout_s: float) -> bool:
         """Note what became of a claim; return whether that is durable within the timeout."""
+        async with curio.ignore_after(timeout_s):
+            await self._agree_on_shards()
+        if not self._agreed_shards:
+            return False
         shard = await self._shard(record.key)
         settled = self._settled.setdefault(record.attempt, curio.Event())
         shard.log.settle(record)
@@ -136,9 +149,37 @@
             await settled.wait()
         return settled.is_set()
 
+    async def _agree_on_shards(self) -> None:
+        """Use the number of shards that the first process of the service stored.
+
+        Two processes with different numbers would look for a key in different shards.
+        """
+        pause_s = RETRY_FIRST_S
+        async with self._agreeing:
+            while not self._agreed_shards:
+                try:
+                    self._agreed_shards = await self._read_shards()
+                except (PlatformError, ValueError) as error:
+                    _log.warning("the number of shards is not known yet", error=repr(error))
+                    await curio.sleep(pause_s)
+                    pause_s = min(RETRY_LONGEST_S, pause_s * 2)
+        if self._agreed_shards != self._settings.shards and not self._warned:
+            self._warned = True
+            _log.warning("stored number of shards used", stored=self._agreed_shards)
+
+    async def _read_shards(self) -> int:
+        """Return the stored number of shards, after storing this process's where none is."""
+        key = f"{self._prefix}/shards"
+        stored = (await self._store.get(key)).get(key)
+        if stored is None:
+            wanted = str(self._settings.shards).encode()
+            await self._store.transact([Compare(key, 0)], [Put(key, wanted)])
+            stored = (await self._store.get(key)).get(key)
+        return 0 if stored is None else int(stored.value)
+
     async def _shard(self, key: str) -> _Shard:
         """Return the shard of a key; the first one starts the task that writes."""
-        number = shard_of(key, self._settings.shards)
+        number = shard_of(key, self.shards)
         shard = self._shards.get(number)
         if shard is None:
             log = ShardLog(f"{self._prefix}/{number:02d}", self._settings.limits)
--- a/tests/ledger/fakes.py
+++ b/tests/ledger/fakes.py
@@ -41,6 +41,12 @@
             self.values[put.key] = KeyValue(put.key, put.value, self.revision)
         return True
 
+    async def get(self, key: str) -> Snapshot:
+        if self.down:
+            raise StoreUnavailableError("down")
+        found = (self.values[key],) if key in self.values else ()
+        return Snapshot(found, self.revision)
+
     async def read_prefix(self, prefix: str) -> Snapshot:
         if self.down:
             raise StoreUnavailableError("down")
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -114,7 +114,7 @@
         ledger = make_ledger(store)
         bad = record(key(1), "a")
         await ledger.claim(bad, 2.0)
-        head = next(iter(store.values))
+        head = next(key for key in store.values if "/seg/" in key)
         store.values[head] = replace(store.values[head], value=b"\xff")
         fresh = make_ledger(store)
         good = [record(key(n), f"g{n}") for n in range(2, 30)]
@@ -124,3 +124,18 @@
     answers, declined = curio.run(main)
     assert Granted() in answers
     assert isinstance(declined, Declined)
+
+
+def test_processes_with_other_settings_use_the_number_of_shards_that_is_stored():
+    store = FakeStore()
+
+    async def main() -> list:
+        first = make_ledger(store)
+        second = make_ledger(store, LedgerSettings(shards=7))
+        answers = []
+        for number in range(20):
+            answers.append(await first.claim(record(key(number), f"a{number}"), 2.0))
+            answers.append(await second.claim(record(key(number), f"b{number}"), 2.0))
+        return answers
+
+    assert curio.run(main).count(Granted()) == 20
