--- a/bluebellrun/agent/_calls.py
+++ b/bluebellrun/agent/_calls.py
@@ -1,5 +1,6 @@
 """The calls that entries and other agents make to an agent."""
 
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -19,22 +20,28 @@
 from bluebellrun.transport import Call, CallError
 
 STATUS_INVALID_ARGUMENT = 3
-STATUS_UNIMPLEMENTED = 12
 STATUS_UNAVAILABLE = 14
+OWN_PATHS = frozenset({CLAIM_PATH, FATE_PATH, SETTLE_PATH})
+
+CallHandler = Callable[[Call], Awaitable[None]]
 
 
 class AgentCalls:
-    """Hand each call to what serves it."""
+    """Hand each call to what serves it; ``others`` takes the calls of other parts."""
 
-    def __init__(self, agent: Agent, claims: ClaimDesk) -> None:
+    def __init__(self, agent: Agent, claims: ClaimDesk, others: CallHandler) -> None:
         self._agent = agent
         self._claims = claims
+        self._others = others
 
     async def handle(self, call: Call) -> None:
         """Serve one call by its path."""
         if call.path == EXCHANGE_PATH:
             await self._agent.serve_session(call)
             return
+        if call.path not in OWN_PATHS:
+            await self._others(call)
+            return
         message = await call.receive()
         if message is None:
             raise CallError(STATUS_INVALID_ARGUMENT, f"{call.path} takes one message")
@@ -49,8 +56,6 @@
             return await self._agent.answer_fate(decode_fate_query(message))
         if path == CLAIM_PATH:
             return await self._claims.serve_claim(decode_ledger_record(message))
-        if path == SETTLE_PATH:
-            if await self._claims.serve_settle(decode_ledger_record(message)):
-                return SettleAnswer()
-            raise CallError(STATUS_UNAVAILABLE, "the settlement is not durable yet")
-        raise CallError(STATUS_UNIMPLEMENTED, f"no method {path}")
+        if await self._claims.serve_settle(decode_ledger_record(message)):
+            return SettleAnswer()
+        raise CallError(STATUS_UNAVAILABLE, "the settlement is not durable yet")
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -1,6 +1,5 @@
 """The ``bluebellrun-agent`` program: wiring only."""
 
-from random import Random
 from typing import Any
 
 import curio
@@ -13,7 +12,7 @@
 from bluebellrun.agent._settings import AgentSettings
 from bluebellrun.conf import settings_command
 from bluebellrun.core import MonotonicClock, new_incarnation
-from bluebellrun.distribution import ConfigurationFollower
+from bluebellrun.distribution import link_timing, make_node
 from bluebellrun.engines import (
     LoadClient,
     ModelEngine,
@@ -25,7 +24,7 @@
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.runtime import StopSignals, spawn_background
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import LinkTiming, Listener, serve_link
+from bluebellrun.transport import Listener, serve_link
 
 EXIT_CUT_OFF = 3
 LAST_FLUSH_S = 0.05
@@ -71,27 +70,26 @@
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
     agent = _make_agent(settings, store)
     configure_logs(settings, process=settings.name, incarnation=agent.incarnation)
-    follower = ConfigurationFollower(store, settings.store_prefix, MonotonicClock(), Random())
-    follower.add_listener(agent.apply_configuration)
-    timing = LinkTiming(
-        settings.link_connect_timeout_s,
-        settings.link_ping_interval_s,
-        settings.link_ping_timeout_s,
-    )
-
-    calls = AgentCalls(agent, agent.claims)
+    timing = link_timing(settings)
 
     async def handle_connection(sock: Any) -> None:
         await serve_link(sock, calls.handle, timing)
 
     listener = Listener(settings.listen, handle_connection)
+    node = make_node(settings, "agent", listener.address, store, MonotonicClock())
+    calls = AgentCalls(agent, agent.claims, node.serve_call)
+    node.follower.add_listener(agent.apply_configuration)
+    node.add_departure_listener(agent.apply_departures)
     await spawn_background(listener.run)
-    await spawn_background(follower.run)
+    await node.run()
     await spawn_background(agent.run)
     await _watch_load(settings)
     _log.info("ready", listen=str(listener.address), upstream=str(settings.upstream))
     await signals.next()
-    return await _stop(agent, signals, settings.stop_grace_s)
+    await node.leave()
+    status = await _stop(agent, signals, settings.stop_grace_s)
+    await node.close()
+    return status
 
 
 async def _watch_load(settings: AgentSettings) -> None:
