--- a/bench/_registry.py
+++ b/bench/_registry.py
@@ -11,6 +11,7 @@
     ledger,
     prefix,
     pure,
+    rebalance,
     relay,
 )
 from bench._results import Measure
@@ -26,6 +27,7 @@
     "prefix": prefix.measure,
     "pure": pure.measure,
     "ledger": ledger.measure,
+    "rebalance": rebalance.measure,
     "relay": relay.measure,
     "silent": faults.silent,
     "steady": flood.steady,
--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -11,6 +11,7 @@
 from bluebellrun.agent._outcomes import claim_state_of, fate_of, follow_verdict
 from bluebellrun.agent._session import Session
 from bluebellrun.agent._settings import AgentSettings
+from bluebellrun.agent._steps import StepTime
 from bluebellrun.agent._upstream_relay import UpstreamRelay
 from bluebellrun.agent._work import make_targets, make_work
 from bluebellrun.core import Clock, Incarnation, invariants
@@ -65,7 +66,7 @@
         self._stopping = False
         self._told_to_drain = False
         self._host_leaving = False
-        self._step_s = 0.0
+        self._step_time = StepTime()
         self._idle = curio.Event()
 
     @property
@@ -100,7 +101,7 @@
             running=self._admission.running,
             waiting_tokens=self._admission.waiting_cost,
             limit=self._admission.limit,
-            step_s=round(self._step_s, 4),
+            step_s=round(self._step_time.seconds, 4),
             draining=self.draining,
         )
 
@@ -364,7 +365,7 @@
             waited_s = now - self._sent_times.get(execution.attempt, now)
             self._admission.observe_first_token(execution.work, waited_s, now)
         else:
-            self._step_s += 0.1 * ((now - last) - self._step_s)
+            self._step_time.observe(now - last)
             self._admission.observe_step(now - last, now)
         await self._wake(execution)
 
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -9,6 +9,7 @@
 from bluebellrun.agent._calls import AgentCalls
 from bluebellrun.agent._claim_wiring import make_claims
 from bluebellrun.agent._engine_load import EngineLoadWatcher
+from bluebellrun.agent._orders import EngineOrders
 from bluebellrun.agent._settings import AgentSettings
 from bluebellrun.conf import settings_command
 from bluebellrun.core import MonotonicClock, new_incarnation
@@ -16,15 +17,17 @@
 from bluebellrun.engines import (
     LoadClient,
     ModelEngine,
+    OrderClient,
     PlainService,
     UpstreamClient,
     UpstreamKind,
     UpstreamTimeouts,
 )
+from bluebellrun.messages import ORDER_PATH
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.runtime import StopSignals, spawn_background
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import Listener, serve_link
+from bluebellrun.transport import Call, Listener, serve_link
 
 EXIT_CUT_OFF = 3
 LAST_FLUSH_S = 0.05
@@ -64,6 +67,14 @@
     )
 
 
+def _make_orders(settings: AgentSettings, store: EtcdStore) -> EngineOrders:
+    """Return the gate in front of the engine."""
+    client = OrderClient(settings.upstream, settings.order_timeout_s)
+    return EngineOrders(
+        settings.name, settings.group, settings.store_prefix, client, store, MonotonicClock()
+    )
+
+
 async def _serve(settings: AgentSettings) -> int:
     """Run the agent until it is told to stop; return the exit status."""
     signals = StopSignals()
@@ -72,21 +83,30 @@
     configure_logs(settings, process=settings.name, incarnation=agent.incarnation)
     timing = link_timing(settings)
 
+    orders = _make_orders(settings, store)
+
+    async def handle_other(call: Call) -> None:
+        if call.path == ORDER_PATH:
+            await orders.serve(call)
+        else:
+            await node.serve_call(call)
+
     async def handle_connection(sock: Any) -> None:
         await serve_link(sock, calls.handle, timing)
 
     listener = Listener(settings.listen, handle_connection)
     node = make_node(settings, "agent", listener.address, store, MonotonicClock())
-    calls = AgentCalls(agent, agent.claims, node.serve_call)
+    calls = AgentCalls(agent, agent.claims, handle_other)
     node.follower.add_listener(agent.apply_configuration)
     node.add_departure_listener(agent.apply_departures)
     await spawn_background(listener.run)
     await node.run()
     await spawn_background(agent.run)
+    await spawn_background(orders.run)
     await _watch_load(settings)
     _log.info("ready", listen=str(listener.address), upstream=str(settings.upstream))
     await signals.next()
-    await node.leave()
+    await spawn_background(node.leave)
     status = await _stop(agent, signals, settings.stop_grace_s)
     await node.close()
     return status
--- a/bluebellrun/groups/_gate.py
+++ b/bluebellrun/groups/_gate.py
@@ -103,14 +103,21 @@
     def begin(self, order: Order) -> Refusal | None:
         """Check an order at the moment of sending and note that it is in flight."""
         refusal = self.check(order)
+        if self._started:
+            self._fencing = max(self._fencing, order.fencing)
         if refusal is None:
-            self._fencing = order.fencing
             self._change = max(self._change, _change_of(order.content))
             if isinstance(order.content, ReleaseHold):
                 self._closed = max(self._closed, order.content.version)
             self._in_flight = order.action
         return refusal
 
+    def check_again(self, order: Order) -> Refusal | None:
+        """Return why an order that was begun may no longer be sent, or none."""
+        if order.fencing < self._fencing:
+            return self._refuse(f"fencing number {order.fencing} is older than {self._fencing}")
+        return None
+
     def end(self) -> None:
         """Note that no order is in flight any more."""
         self._in_flight = None
--- a/bluebellrun/groups/_map_change.py
+++ b/bluebellrun/groups/_map_change.py
@@ -32,6 +32,7 @@
     prepare_timeout_s: float = 60.0
     order_timeout_s: float = 2.0
     step_margin: int = 8
+    poll_interval_s: float = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,7 +234,10 @@
             self._margin = min(2 * self._margin, MOST_MARGIN_STEPS)
 
     def _activate(self, record: GroupRecord, change: MapChange, now: float) -> list[Effect]:
-        """Tell all ranks; finish when all have confirmed."""
+        """Tell all ranks; finish when all use the map.
+
+        Until then the record says from which step on, for a rank that joins before that step.
+        """
         unaware = [
             rank
             for rank, view in enumerate(self._views)
@@ -241,6 +245,14 @@
         ]
         if unaware:
             return self._send(unaware, ActivateMap(change.version, change.step), now)
+        inactive = [
+            rank
+            for rank in range(len(self._views))
+            if self._state(rank).active != change.version
+            and now - self._views[rank].sent_at >= self._settings.poll_interval_s
+        ]
+        if any(self._state(rank).active != change.version for rank in range(len(self._views))):
+            return self._send(inactive, ActivateMap(change.version, change.step), now)
         invariants.check(
             all(self._state(rank).hold is None for rank in range(len(self._views))),
             "a rank that knows its next map holds no step",
--- a/bluebellrun/messages/__init__.py
+++ b/bluebellrun/messages/__init__.py
@@ -68,7 +68,17 @@
     decode_fate_answer,
     decode_fate_query,
 )
-from bluebellrun.messages._stream import BatchSender
+from bluebellrun.messages._orders import (
+    ORDER_PATH,
+    OrderReply,
+    OrderRequest,
+    decode_order_reply,
+    decode_order_request,
+    encode_order,
+)
+from bluebellrun.messages._stream import (
+    BatchSender,
+)
 
 __all__ = [
     "CLAIM_PATH",
@@ -76,6 +86,7 @@
     "FATE_PATH",
     "FOLLOW_PATH",
     "GATHER_PATH",
+    "ORDER_PATH",
     "SETTLE_PATH",
     "STATUS_PATH",
     "AgentBatch",
@@ -105,6 +116,8 @@
     "Load",
     "News",
     "NodeStatus",
+    "OrderReply",
+    "OrderRequest",
     "ParentStatus",
     "Redirect",
     "Refused",
@@ -129,7 +142,10 @@
     "decode_gather_reply",
     "decode_gather_request",
     "decode_ledger_record",
+    "decode_order_reply",
+    "decode_order_request",
     "decode_status",
     "decode_status_request",
     "encode_message",
+    "encode_order",
 ]
