--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -11,6 +11,7 @@
 from bluebellrun.agent._outcomes import claim_state_of, fate_of, follow_verdict
 from bluebellrun.agent._session import Session
 from bluebellrun.agent._settings import AgentSettings
+from bluebellrun.agent._silence import silence_limit_s
 from bluebellrun.agent._steps import StepTime
 from bluebellrun.agent._upstream_relay import UpstreamRelay
 from bluebellrun.agent._work import make_targets, make_work
@@ -65,6 +66,7 @@
         self._open_sessions: set[Session] = set()
         self._stopping = False
         self._told_to_drain = False
+        self._configuration: Configuration | None = None
         self._host_leaving = False
         self._step_time = StepTime()
         self._idle = curio.Event()
@@ -207,6 +209,7 @@
 
     async def apply_configuration(self, configuration: Configuration) -> None:
         """Follow a new configuration: drain when it says so."""
+        self._configuration = configuration
         await self._claims.follow(configuration)
         self._admission.follow_targets(make_targets(configuration))
         upstream = configuration.upstream(self._settings.name)
@@ -327,7 +330,10 @@
             if not await follow_verdict(execution, verdict):
                 return 0
         self._sent_times[execution.attempt] = self._clock.now()
-        return await UpstreamRelay(self._client, execution, self._on_piece, self._metrics).run()
+        priority, longest_s = execution.submit.priority, self._settings.gap_timeout_s
+        silence_s = silence_limit_s(self._configuration, priority, longest_s)
+        relay = UpstreamRelay(self._client, execution, silence_s, self._on_piece, self._metrics)
+        return await relay.run()
 
     def _end_unfinished(self, execution: Execution, reason: str) -> None:
         """End an attempt that did not end by itself: not run if it was never sent."""
--- a/bluebellrun/agent/_upstream_relay.py
+++ b/bluebellrun/agent/_upstream_relay.py
@@ -16,7 +16,7 @@
 from bluebellrun.telemetry import Metrics, get_logger
 from bluebellrun.transport import Headers, end_to_end
 
-MAX_RESUMES_WITHOUT_PROGRESS = 3
+MAX_RESUMES_WITHOUT_PROGRESS = 20
 NOT_FORWARDED = frozenset({"host", "content-length", "authorization", "x-request-id", "priority"})
 
 _log = get_logger("agent.relay")
@@ -32,10 +32,16 @@
     """
 
     def __init__(
-        self, client: UpstreamClient, execution: Execution, on_piece: OnPiece, metrics: Metrics
+        self,
+        client: UpstreamClient,
+        execution: Execution,
+        silence_s: float,
+        on_piece: OnPiece,
+        metrics: Metrics,
     ) -> None:
         self._client = client
         self._execution = execution
+        self._silence_s = silence_s
         self._on_piece = on_piece
         self._metrics = metrics
         self._resumes = 0
@@ -64,7 +70,7 @@
     async def _open(self) -> UpstreamAnswer:
         """Send the request; a silent connection is given up for a resumed one."""
         try:
-            return await self._client.open(upstream_request(self._execution))
+            return await self._client.open(upstream_request(self._execution, self._silence_s))
         except (UpstreamSilentError, AnswerBrokenError) as error:
             return await self._resume_after(error, None)
 
@@ -109,7 +115,7 @@
         return resumed
 
 
-def upstream_request(execution: Execution) -> UpstreamRequest:
+def upstream_request(execution: Execution, silence_s: float) -> UpstreamRequest:
     """Return the request as the upstream gets it."""
     submit, told = execution.submit, execution.work.engine_priority
     headers: Headers = [
@@ -122,4 +128,5 @@
         headers=headers,
         body=submit.body,
         priority=submit.priority if told is None else told,
+        silence_s=silence_s,
     )
--- a/bluebellrun/engines/_client.py
+++ b/bluebellrun/engines/_client.py
@@ -35,7 +35,10 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamRequest:
-    """A request as the upstream gets it; ``attempt`` names it in the engine's records."""
+    """A request as the upstream gets it; ``attempt`` names it in the engine's records.
+
+    ``silence_s`` is the longest silence inside a stream, none for the upstream's usual one.
+    """
 
     attempt: str
     method: str
@@ -43,6 +46,7 @@
     headers: Headers
     body: bytes
     priority: int
+    silence_s: float | None = None
 
 
 class UpstreamAnswer:
@@ -60,6 +64,11 @@
         """Return what follows the event stream, none for any other answer."""
         return self._watcher
 
+    @property
+    def gap_s(self) -> float:
+        """Return the longest silence between two pieces, in seconds."""
+        return self._gap_s
+
     @property
     def status(self) -> int:
         """Return the HTTP status."""
@@ -128,7 +137,7 @@
             raise UpstreamSilentError(str(error)) from error
         except TransportError as error:
             raise AnswerBrokenError(str(error)) from error
-        return await self._accept(response)
+        return await self._accept(response, request.silence_s or self._timeouts.gap_s)
 
     async def resume(
         self, attempt: str, offset: int, broken: UpstreamAnswer | None
@@ -154,7 +163,8 @@
             await response.close()
             return None
         watcher = (broken.watcher if broken is not None else None) or DoneWatcher()
-        return UpstreamAnswer(response, self._timeouts.gap_s, watcher)
+        gap_s = self._timeouts.gap_s if broken is None else broken.gap_s
+        return UpstreamAnswer(response, gap_s, watcher)
 
     async def cancel(self, attempt: str) -> None:
         """Tell a model engine that a stream is not wanted any more; failures do not matter."""
@@ -169,7 +179,7 @@
         """Close the connections."""
         await self._client.close()
 
-    async def _accept(self, response: HttpResponse) -> UpstreamAnswer:
+    async def _accept(self, response: HttpResponse, silence_s: float) -> UpstreamAnswer:
         """Return the answer, by the contract of this kind of upstream."""
         match self._kind:
             case ModelEngine():
@@ -179,6 +189,7 @@
                 content_type = header_value(response.headers, "content-type") or ""
                 stream = content_type.startswith(EVENT_STREAM)
                 watcher = DoneWatcher() if stream else None
-                return UpstreamAnswer(response, self._timeouts.gap_s, watcher)
+                gap_s = self._timeouts.gap_s if watcher is None else silence_s
+                return UpstreamAnswer(response, gap_s, watcher)
             case PlainService():
                 return UpstreamAnswer(response, self._timeouts.gap_s)
