--- a/bluebellrun/messages/__init__.py
+++ b/bluebellrun/messages/__init__.py
@@ -1,5 +1,14 @@
 """Messages between processes, as msgspec structures in msgpack."""
 
+from bluebellrun.messages._claims import (
+    CLAIM_PATH,
+    SETTLE_PATH,
+    ClaimAnswer,
+    ClaimVerdict,
+    SettleAnswer,
+    decode_claim_answer,
+    decode_ledger_record,
+)
 from bluebellrun.messages._control import (
     FOLLOW_PATH,
     GATHER_PATH,
@@ -43,12 +52,22 @@
     Hello,
     Load,
     Refused,
+    Repeated,
+    Resume,
     Started,
     Submit,
     decode_agent_batch,
     decode_entry_batch,
     encode_message,
 )
+from bluebellrun.messages._fate import (
+    FATE_PATH,
+    Fate,
+    FateAnswer,
+    FateQuery,
+    decode_fate_answer,
+    decode_fate_query,
+)
 from bluebellrun.messages._orders import (
     ORDER_PATH,
     OrderReply,
@@ -57,13 +76,18 @@
     decode_order_request,
     encode_order,
 )
-from bluebellrun.messages._stream import BatchSender
+from bluebellrun.messages._stream import (
+    BatchSender,
+)
 
 __all__ = [
+    "CLAIM_PATH",
     "EXCHANGE_PATH",
+    "FATE_PATH",
     "FOLLOW_PATH",
     "GATHER_PATH",
     "ORDER_PATH",
+    "SETTLE_PATH",
     "STATUS_PATH",
     "AgentBatch",
     "AgentEvent",
@@ -72,12 +96,17 @@
     "Behind",
     "Cancel",
     "Chunk",
+    "ClaimAnswer",
+    "ClaimVerdict",
     "ControlMessage",
     "Delivered",
     "End",
     "EntryBatch",
     "EntryEvent",
     "Failed",
+    "Fate",
+    "FateAnswer",
+    "FateQuery",
     "GatherReply",
     "GatherRequest",
     "Head",
@@ -92,8 +121,11 @@
     "ParentStatus",
     "Redirect",
     "Refused",
+    "Repeated",
     "Report",
+    "Resume",
     "Rows",
+    "SettleAnswer",
     "Started",
     "StatusRequest",
     "StoreCalls",
@@ -102,10 +134,14 @@
     "Want",
     "WantHosts",
     "decode_agent_batch",
+    "decode_claim_answer",
     "decode_control",
     "decode_entry_batch",
+    "decode_fate_answer",
+    "decode_fate_query",
     "decode_gather_reply",
     "decode_gather_request",
+    "decode_ledger_record",
     "decode_order_reply",
     "decode_order_request",
     "decode_status",
