--- a/bench/_registry.py
+++ b/bench/_registry.py
@@ -4,6 +4,7 @@
 
 from bench import (
     dissemination,
+    dissemination_restart,
     dissemination_size,
     fairness,
     faults,
@@ -17,6 +18,7 @@
 SCENARIOS: dict[str, Callable[[int], list[Measure]]] = {
     "churn": faults.churn,
     "dissemination": dissemination.measure,
+    "dissemination-restart": dissemination_restart.measure,
     "dissemination-size": dissemination_size.measure,
     "fairness": fairness.measure,
     "flood-low": flood.flood_low,
--- a/bench/dissemination.py
+++ b/bench/dissemination.py
@@ -222,6 +222,8 @@
     policy = f"{count} processes"
     calls = _calls_a_change(resting, changing, len(accepted), watchers)
     measures.append(_measure(policy, "store calls a change", calls, "calls", None, seed))
+    to_start = before.calls / count
+    measures.append(_measure(policy, "store calls to start, each", to_start, "calls", None, seed))
     measures.append(_measure(policy, "watchers", watchers, "processes", None, seed))
     measures.append(_measure(policy, "hops, most", hops, "hops", None, seed))
     measures.append(_measure(policy, "memory, most", max(memory) / 1e6, "MB", "<= 256", seed))
