Plan shifts of versions and roles that keep a floor of capacity

Cause: nothing planned which groups may be changed at once. Change: steps that leave the declared floors in service, each with its reverse, and a driver that gives the orders by recorded actions.

--- a/bluebellrun/coordinator/__init__.py
+++ b/bluebellrun/coordinator/__init__.py
@@ -4,12 +4,16 @@
 from bluebellrun.coordinator._agents import AgentLinks
 from bluebellrun.coordinator._exceptions import CoordinatorError, DeposedError
 from bluebellrun.coordinator._maps import MapDriver, RoleSource
+from bluebellrun.coordinator._shift import GroupService, RankAgent, ShiftDriver
 
 __all__ = [
     "ActionRunner",
     "AgentLinks",
     "CoordinatorError",
     "DeposedError",
+    "GroupService",
     "MapDriver",
+    "RankAgent",
     "RoleSource",
+    "ShiftDriver",
 ]
