--- a/bench/_registry.py
+++ b/bench/_registry.py
@@ -2,11 +2,23 @@
 
 from collections.abc import Callable
 
-from bench import fairness, faults, flood, prefix, pure, rebalance, relay
+from bench import (
+    dissemination,
+    dissemination_size,
+    fairness,
+    faults,
+    flood,
+    prefix,
+    pure,
+    rebalance,
+    relay,
+)
 from bench._results import Measure
 
 SCENARIOS: dict[str, Callable[[int], list[Measure]]] = {
     "churn": faults.churn,
+    "dissemination": dissemination.measure,
+    "dissemination-size": dissemination_size.measure,
     "fairness": fairness.measure,
     "flood-low": flood.flood_low,
     "flood-urgent": flood.flood_urgent,
