--- a/bluebellrun/groups/_layer.py
+++ b/bluebellrun/groups/_layer.py
@@ -8,6 +8,8 @@
 from bluebellrun.groups._expert_map import EMPTY, FloatArray, IntArray, count_replicas
 
 NO_TIME = 1e-12
+SMALL_GAIN = 0.003
+RANKS_TO_DEDICATE = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,17 @@
     other_slot: int
 
 
-Move = Exchange | Replication | Share
+@dataclass(frozen=True, slots=True)
+class Dedication:
+    """A rank gives all its experts away and takes a replica of a very heavy one instead.
+
+    ``settings`` gives slots their experts in order, as (rank, slot, expert).
+    """
+
+    settings: tuple[tuple[int, int, int], ...]
+
+
+Move = Exchange | Replication | Share | Dedication
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,12 +120,20 @@
         for expert in self._replicable(slowest):
             options.append(self._best_replication(int(expert)))
             options.append(self._best_share(int(expert), slowest))
+        best = self._most_useful(options)
+        if best is None or best.longest > self.longest * (1 - SMALL_GAIN):
+            dedicated = self._best_dedication(slowest)
+            best = self._most_useful([best, dedicated])
+        return best
+
+    def _most_useful(self, options: Sequence[Candidate | None]) -> Candidate | None:
+        """Return the option that saves most for each weight, if one saves anything."""
+        longest = self.longest
         found = [option for option in options if option is not None]
+        found = [option for option in found if option.longest < longest * (1 - 1e-9)]
         if not found:
             return None
-        longest = self.longest
-        best = max(found, key=lambda option: (longest - option.longest) / option.weights)
-        return best if best.longest < longest * (1 - 1e-9) else None
+        return max(found, key=lambda option: (longest - option.longest) / option.weights)
 
     def apply(self, move: Move) -> None:
         """Make a move."""
@@ -129,6 +149,9 @@
                 other = int(self.placement[other_rank, other_slot])
                 self._put(other_rank, other_slot, expert)
                 self._put(rank, slot, other)
+            case Dedication(settings):
+                for rank, slot, held in settings:
+                    self._put(rank, slot, held)
         self._refresh()
 
     def evacuate(self, rank: int) -> int:
@@ -209,21 +232,22 @@
         limit = -(-np.append(self.replicas, 0)[expert] // self._domain_count)
         return (expert == EMPTY) | (after <= np.maximum(limit, self._in_domain[expert, source]))
 
-    def _best_replication(self, expert: int) -> Candidate | None:
-        """Return the best place for one more replica of an expert."""
+    def _best_replication(self, expert: int, moves: bool = False) -> Candidate | None:
+        """Return the best place for one more replica of an expert, or for its only one to go."""
         ranks, slots = np.nonzero(self._spare() & ~self._held[expert][:, None])
         limit = -(-(int(self.replicas[expert]) + 1) // self._domain_count)
         fits = self._in_domain[expert, self._domains[ranks]] < limit
         ranks, slots = ranks[fits], slots[fits]
         if not len(ranks):
             return None
-        smaller = self.load[expert] / (self.replicas[expert] + 1)
+        smaller = self.load[expert] / (self.replicas[expert] + (0 if moves else 1))
         replaced = self.placement[ranks, slots]
         kept = (self._loads[ranks] - self._slot_loads[ranks, slots] + smaller) * self._slowness[
             ranks
         ]
         longest = np.maximum(kept, self._others_after(replaced, ranks))
-        longest = np.maximum(longest, self._holders_after(expert))
+        if not moves:
+            longest = np.maximum(longest, self._holders_after(expert))
         best = int(longest.argmin())
         move = Replication(expert, int(ranks[best]), int(slots[best]))
         return Candidate(move, float(longest[best]), 1)
@@ -253,6 +277,63 @@
         move = Share(expert, rank, slot, int(other), int(other_slot))
         return Candidate(move, float(longest[other, other_slot]), 2)
 
+    def _best_dedication(self, slowest: int) -> Candidate | None:
+        """Return the best way to give the slowest rank's heaviest expert a rank of its own."""
+        expert = int(self.placement[slowest][self._slot_loads[slowest].argmax()])
+        if expert == EMPTY:
+            return None
+        times = np.where(self._open & ~self._held[expert], self._times, np.inf)
+        lightest = np.argsort(times, kind="stable")[:RANKS_TO_DEDICATE]
+        options = [
+            self._dedicate(expert, int(rank)) for rank in lightest if np.isfinite(times[rank])
+        ]
+        found = [option for option in options if option is not None]
+        return min(found, key=lambda option: option.longest, default=None)
+
+    def _dedicate(self, expert: int, rank: int) -> Candidate | None:
+        """Try to clear a rank for an expert; return the outcome, and leave all as it was."""
+        before = self.placement.copy()
+        settings = self._clear(rank)
+        candidate = None
+        if settings is not None:
+            settings.append((rank, 0, expert))
+            self._put(rank, 0, expert)
+            self._refresh()
+            touched = {rank, *(item[0] for item in settings)}
+            touched |= set(np.flatnonzero(self._held[expert]))
+            longest = float(self._times[sorted(touched)].max())
+            weights = sum(1 for item in settings if item[2] != EMPTY)
+            candidate = Candidate(Dedication(tuple(settings)), longest, weights)
+        self._restore(before)
+        return candidate
+
+    def _clear(self, rank: int) -> list[tuple[int, int, int]] | None:
+        """Empty a rank, heaviest expert first; return what was set, or none when it cannot be."""
+        settings = []
+        for slot in np.argsort(-self._slot_loads[rank], kind="stable"):
+            expert = int(self.placement[rank, slot])
+            if expert == EMPTY:
+                continue
+            if self.replicas[expert] == 1:
+                place = self._best_replication(expert, moves=True)
+                if place is None or not isinstance(place.move, Replication):
+                    return None
+                settings.append((place.move.rank, place.move.slot, expert))
+                self._put(place.move.rank, place.move.slot, expert)
+            settings.append((rank, int(slot), EMPTY))
+            self._put(rank, int(slot), EMPTY)
+            self._refresh()
+        return settings
+
+    def _restore(self, placement: IntArray) -> None:
+        """Set the slots that differ back."""
+        changed = np.argwhere(self.placement != placement)
+        for rank, slot in changed:
+            self._put(int(rank), int(slot), EMPTY)
+        for rank, slot in changed:
+            self._put(int(rank), int(slot), int(placement[rank, slot]))
+        self._refresh()
+
     def _lightest_spare_slot(self, expert: int, rank: int) -> int | None:
         """Return the slot of a rank that can best be spared, but not that of an expert."""
         held = self.placement[rank]
--- a/bluebellrun/groups/_planner.py
+++ b/bluebellrun/groups/_planner.py
@@ -6,8 +6,8 @@
 import numpy as np
 
 from bluebellrun.core import invariants
-from bluebellrun.groups._expert_map import ExpertMap, FloatArray, IntArray, weights_to_load
-from bluebellrun.groups._layer import Exchange, LayerState, Move, Replication, Share
+from bluebellrun.groups._expert_map import EMPTY, ExpertMap, FloatArray, IntArray, weights_to_load
+from bluebellrun.groups._layer import Dedication, Exchange, LayerState, Move, Replication, Share
 
 MOVES_BETWEEN_PAUSES = 4
 
@@ -265,6 +265,9 @@
         case Exchange() | Share():
             incoming[move.rank] += 1
             incoming[move.other_rank] += 1
+        case Dedication(settings):
+            for rank, _, expert in settings:
+                incoming[rank] += expert != EMPTY
         case Replication():
             incoming[move.rank] += 1
 
