--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -97,3 +97,12 @@
         assert plan.weights <= bound
         assert plan.skew_after <= plan.skew_before + 1e-9
         assert plan.gain_s >= plan.cost_s
+
+
+def test_an_expert_heavier_than_a_rank_gets_as_many_ranks_as_it_needs():
+    load = np.full((2, 24), 1.0)
+    load[0, 3] = 60.0
+    plan = plan_map(static_map(SHAPE), load, SOUND, EAGER)
+    holders = (plan.expert_map.placement[0] == 3).any(axis=1).sum()
+    assert holders >= 5
+    assert plan.skew_after < 1.35
--- /dev/null
+++ b/tests/groups/test_rebalance.py
@@ -0,0 +1,88 @@
+import numpy as np
+import pytest
+
+from bluebellrun.groups import (
+    ExpertReport,
+    GroupShape,
+    PlannerSettings,
+    Rebalancer,
+    RebalanceSettings,
+    greedy_map,
+    static_map,
+)
+
+SHAPE = GroupShape(ranks=16, layers=2, experts=64, slots=5)
+PLANNER = PlannerSettings(weight_cost_s=0.001, max_weights=60, max_weights_per_rank=60)
+
+
+def finish(steps):
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            return done.value
+
+
+def report(number: int, shares: np.ndarray) -> ExpertReport:
+    return ExpertReport("engine", number, 5.0 * number, 5.0 * number + 5.0, 1e6 * shares)
+
+
+def mild(seed: int) -> np.ndarray:
+    return np.random.default_rng(seed).normal(1.0, 0.1, (2, 64))
+
+
+def rebalancer(shares: np.ndarray, **settings) -> Rebalancer:
+    built = Rebalancer(SHAPE, RebalanceSettings(planner=PLANNER, **settings))
+    built.observe_report(report(0, shares))
+    return built
+
+
+def test_nothing_is_planned_before_the_first_report():
+    built = Rebalancer(SHAPE, RebalanceSettings())
+    assert not built.is_due(0.0, static_map(SHAPE))
+
+
+def test_in_calm_times_no_more_weights_move_than_the_hour_allows():
+    built = rebalancer(mild(1), calm_skew=1.0, urgent_skew=2.0)
+    current = static_map(SHAPE)
+    moved = []
+    for number in range(80):
+        now = 60.0 * number
+        built.observe_report(report(number + 1, mild(number // 10)))
+        plan = finish(built.plan(now, current))
+        if plan.expert_map is not None:
+            current = plan.expert_map
+            moved.append((now, plan.weights))
+    hours = [sum(w for t, w in moved if start <= t < start + 3_600.0) for start, _ in moved]
+    assert moved
+    assert max(hours) <= 0.05 * SHAPE.weights
+
+
+def test_a_jump_is_planned_for_soon_and_until_a_plan_is_not_cut_short():
+    shares = np.ones((2, 64))
+    shares[:, :6] = 20.0
+    built = rebalancer(shares)
+    current = static_map(SHAPE)
+    assert built.is_urgent(current)
+    now = 0.0
+    plans = 0
+    while built.is_due(now, current) and plans < 10:
+        plan = finish(built.plan(now, current))
+        current = plan.expert_map or current
+        assert plan.weights <= PLANNER.max_weights
+        plans += 1
+        now += 5.0
+    fresh = greedy_map(SHAPE, 2, shares)
+    assert built.skew(current) < 1.05 * built.skew(fresh)
+
+
+def test_a_straggler_lowers_the_weight_at_once_and_is_emptied_by_the_next_plan():
+    built = rebalancer(np.ones((2, 64)))
+    times = np.full(16, 0.02)
+    times[4] = 0.05
+    for _ in range(3):
+        built.observe_times(times, np.full(16, 100.0))
+    assert built.weight == pytest.approx(0.4)
+    assert built.is_urgent(static_map(SHAPE))
+    plan = finish(built.plan(100.0, static_map(SHAPE)))
+    assert (plan.expert_map.placement[:, 4] == -1).all()
