Coordinate and rebalance declared groups from the agents

Cause: planner and map changes had no process that ran them. Change: the agents of a declared group contend for its role; the holder asks all ranks for their experts' counts each 5 s, plans in short steps and changes the map. Planning yields after two moves, and a rank is dedicated only to an expert of 0.7 of the mean load.

--- a/bluebellrun/agent/_orders.py
+++ b/bluebellrun/agent/_orders.py
@@ -13,6 +13,7 @@
 )
 from bluebellrun.groups import (
     AbortChange,
+    AdoptMap,
     EngineState,
     GroupError,
     GroupRecord,
@@ -24,6 +25,7 @@
     decode_record,
     encode_record,
     has_effect,
+    map_key,
     record_key,
 )
 from bluebellrun.messages import (
@@ -61,6 +63,8 @@
     ) -> None:
         self._action_key = action_key(prefix, upstream)
         self._record_key = record_key(prefix, group) if group else ""
+        self._prefix = prefix
+        self._group = group
         self._client = client
         self._store = store
         self._clock = clock
@@ -79,6 +83,8 @@
     async def answer(self, request: OrderRequest) -> OrderReply:
         """Send an order if it may be sent, and return what the engine shows afterwards."""
         try:
+            if request.experts:
+                return OrderReply(experts=await self._client.read_experts())
             await self._start()
             if request.order is None:
                 return OrderReply(await self._client.read_state(), fencing=self._gate.fencing)
@@ -162,7 +168,20 @@
                 await self._store.transact([compare], [put])
             case Tell(content):
                 action = f"settle-{new_request_id()}"
-                await self._carry_out(Order(action, self._gate.fencing, content))
+                data = await self._maps(record) if isinstance(content, AdoptMap) else b""
+                await self._carry_out(Order(action, self._gate.fencing, content, data))
+
+    async def _maps(self, record: GroupRecord) -> bytes:
+        """Return the content of the map in force and of the one that a change brings."""
+        digests = [record.digest, record.change.digest if record.change is not None else ""]
+        data = b""
+        for digest in filter(None, digests):
+            key = map_key(self._prefix, self._group, digest)
+            item = (await self._store.get(key)).get(key)
+            if item is None:
+                raise GroupError(f"the store has no map {digest} of group {self._group!r}")
+            data += item.value
+        return data
 
     def _is_impatient(self, state: EngineState) -> bool:
         """Return whether a hold has lasted too long."""
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -10,6 +10,7 @@
 from bluebellrun.agent._orders import EngineOrders
 from bluebellrun.agent._settings import AgentSettings
 from bluebellrun.conf import settings_command
+from bluebellrun.coordinator import AgentLinks, GroupCoordinator
 from bluebellrun.core import MonotonicClock, new_incarnation
 from bluebellrun.distribution import link_timing, make_node
 from bluebellrun.engines import (
@@ -21,6 +22,7 @@
     UpstreamKind,
     UpstreamTimeouts,
 )
+from bluebellrun.groups import RebalanceSettings
 from bluebellrun.messages import EXCHANGE_PATH, ORDER_PATH
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.runtime import StopSignals, spawn_background
@@ -29,6 +31,7 @@
 
 EXIT_CUT_OFF = 3
 LAST_FLUSH_S = 0.05
+ORDER_CALL_TIMEOUTS = 3
 
 _log = get_logger("agent")
 
@@ -70,6 +73,19 @@
     )
 
 
+def _make_coordinator(settings: AgentSettings, store: EtcdStore) -> GroupCoordinator:
+    """Return the coordinator of the engine's group."""
+    return GroupCoordinator(
+        settings.group,
+        settings.name,
+        settings.store_prefix,
+        store,
+        AgentLinks(link_timing(settings), settings.order_timeout_s * ORDER_CALL_TIMEOUTS),
+        MonotonicClock(),
+        RebalanceSettings(),
+    )
+
+
 async def _serve(settings: AgentSettings) -> int:
     """Run the agent until it is told to stop; return the exit status."""
     signals = StopSignals()
@@ -94,10 +110,15 @@
     node.follower.add_listener(agent.apply_configuration)
     node.add_departure_listener(agent.apply_departures)
     orders = _make_orders(settings, store)
+    coordinator = _make_coordinator(settings, store)
+    if settings.group:
+        node.follower.add_listener(coordinator.apply_configuration)
     await spawn_background(listener.run)
     await node.run()
     await spawn_background(agent.run)
     await spawn_background(orders.run)
+    if settings.group:
+        await spawn_background(coordinator.run)
     await _watch_load(settings)
     _log.info("ready", listen=str(listener.address), upstream=str(settings.upstream))
     await signals.next()
--- a/bluebellrun/coordinator/__init__.py
+++ b/bluebellrun/coordinator/__init__.py
@@ -4,6 +4,7 @@
 from bluebellrun.coordinator._agents import AgentLinks
 from bluebellrun.coordinator._exceptions import CoordinatorError, DeposedError
 from bluebellrun.coordinator._maps import MapDriver, RoleSource
+from bluebellrun.coordinator._service import GroupCoordinator
 from bluebellrun.coordinator._shift import GroupService, RankAgent, ShiftDriver
 
 __all__ = [
@@ -11,6 +12,7 @@
     "AgentLinks",
     "CoordinatorError",
     "DeposedError",
+    "GroupCoordinator",
     "GroupService",
     "MapDriver",
     "RankAgent",
--- a/bluebellrun/coordinator/_agents.py
+++ b/bluebellrun/coordinator/_agents.py
@@ -4,7 +4,7 @@
 
 from bluebellrun.coordinator._exceptions import AgentUnreachableError
 from bluebellrun.core import Address
-from bluebellrun.groups import Order
+from bluebellrun.groups import ExpertCounts, Order
 from bluebellrun.messages import (
     ORDER_PATH,
     OrderReply,
@@ -25,9 +25,20 @@
 
     async def ask(self, agent: Address, order: Order | None) -> OrderReply:
         """Return an agent's reply; raise ``AgentUnreachableError`` when there is none."""
+        return await self._ask(agent, OrderRequest(order))
+
+    async def read_experts(self, agent: Address) -> ExpertCounts | None:
+        """Return a rank's report of its experts, or none when there is none now."""
+        try:
+            return (await self._ask(agent, OrderRequest(experts=True))).experts
+        except AgentUnreachableError:
+            return None
+
+    async def _ask(self, agent: Address, request: OrderRequest) -> OrderReply:
+        """Make one order call."""
         try:
             link = await self._link(agent)
-            data = await link.ask(ORDER_PATH, encode_order(OrderRequest(order)), self._timeout_s)
+            data = await link.ask(ORDER_PATH, encode_order(request), self._timeout_s)
             return decode_order_reply(data)
         except (TransportError, msgspec.MsgspecError) as error:
             raise AgentUnreachableError(f"agent {agent}: {error}") from error
--- a/bluebellrun/coordinator/_maps.py
+++ b/bluebellrun/coordinator/_maps.py
@@ -93,10 +93,15 @@
         """Return how many writes to the store were made."""
         return self._writes
 
+    async def content(self, digest: str) -> bytes:
+        """Return a map's content, empty when it is not known."""
+        return await self._map(digest)
+
     def request(self, digest: str, content: bytes) -> bool:
         """Ask for a change to a map; return false while the role is not held."""
         if self._core is None:
             return False
+        self._maps.clear()
         self._maps[digest] = content
         self._core.request(digest)
         return True
--- a/bluebellrun/engines/_orders.py
+++ b/bluebellrun/engines/_orders.py
@@ -4,11 +4,12 @@
 
 from bluebellrun.core import Address
 from bluebellrun.engines._exceptions import EngineError
-from bluebellrun.groups import EngineState, Order
+from bluebellrun.groups import EngineState, ExpertCounts, Order
 from bluebellrun.transport import ClientTimeouts, ConnectError, HttpClient, TransportError
 
 ORDERS_PATH = "/orders"
 STATE_PATH = "/orders/state"
+EXPERTS_PATH = "/experts"
 JSON_HEADERS = [("content-type", "application/json")]
 OK = 200
 ACCEPTED = 202
@@ -54,6 +55,19 @@
         except msgspec.MsgspecError as error:
             raise EngineStateError(f"the engine's state is malformed: {error}") from error
 
+    async def read_experts(self) -> ExpertCounts:
+        """Return the rank's report of experts; raise ``EngineStateError`` if there is none."""
+        try:
+            status, data = await self._client.fetch("GET", EXPERTS_PATH, [])
+        except TransportError as error:
+            raise EngineStateError(str(error)) from error
+        if status != OK:
+            raise EngineStateError(f"the engine answered {status} for its experts")
+        try:
+            return msgspec.json.decode(data, type=ExpertCounts)
+        except msgspec.MsgspecError as error:
+            raise EngineStateError(f"the report of experts is malformed: {error}") from error
+
     async def send(self, order: Order) -> None:
         """Send an order; an engine answers 202 when it has begun what takes long.
 
--- a/bluebellrun/groups/_layer.py
+++ b/bluebellrun/groups/_layer.py
@@ -10,6 +10,7 @@
 NO_TIME = 1e-12
 SMALL_GAIN = 0.003
 RANKS_TO_DEDICATE = 2
+HEAVY_SHARE = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -279,8 +280,9 @@
 
     def _best_dedication(self, slowest: int) -> Candidate | None:
         """Return the best way to give the slowest rank's heaviest expert a rank of its own."""
-        expert = int(self.placement[slowest][self._slot_loads[slowest].argmax()])
-        if expert == EMPTY:
+        heaviest = int(self._slot_loads[slowest].argmax())
+        expert = int(self.placement[slowest, heaviest])
+        if self._slot_loads[slowest, heaviest] < HEAVY_SHARE * float(self._loads.mean()):
             return None
         times = np.where(self._open & ~self._held[expert], self._times, np.inf)
         lightest = np.argsort(times, kind="stable")[:RANKS_TO_DEDICATE]
--- a/bluebellrun/groups/_orders.py
+++ b/bluebellrun/groups/_orders.py
@@ -70,7 +70,8 @@
 class Order(msgspec.Struct, frozen=True):
     """An order with the id of its action and the fencing number of the role that gives it.
 
-    ``data`` is the encoded expert map of a ``PrepareMap``.
+    ``data`` is the encoded expert map of a ``PrepareMap``; for an ``AdoptMap`` it is that in force,
+    then the following one, each empty where it is the first map of its group.
     """
 
     action: str
@@ -79,6 +80,26 @@
     data: bytes = b""
 
 
+class ExpertCounts(msgspec.Struct, frozen=True):
+    """What a rank tells of its own tokens and its own time.
+
+    ``tokens`` holds ``layers`` times ``experts`` 32-bit floats: how many of the rank's tokens chose
+    each expert between ``started`` and ``ended``, in s of the engine's clock. ``step_s`` is the
+    rank's own time in a step, waits left out; ``processed`` the tokens that its experts worked on
+    in the interval. ``slots`` is how many experts of a layer the rank has room for.
+    """
+
+    number: int
+    started: float
+    ended: float
+    layers: int
+    experts: int
+    slots: int
+    tokens: bytes
+    step_s: float
+    processed: float
+
+
 class EngineState(msgspec.Struct, frozen=True):
     """What an engine tells of itself.
 
--- a/bluebellrun/groups/_planner.py
+++ b/bluebellrun/groups/_planner.py
@@ -9,7 +9,7 @@
 from bluebellrun.groups._expert_map import EMPTY, ExpertMap, FloatArray, IntArray, weights_to_load
 from bluebellrun.groups._layer import Dedication, Exchange, LayerState, Move, Replication, Share
 
-MOVES_BETWEEN_PAUSES = 4
+MOVES_BETWEEN_PAUSES = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,8 +22,8 @@
     are all in flight at once, and ``max_weights_per_rank`` those of one rank.
     """
 
-    seconds_per_unit: float = 1.0
-    weight_cost_s: float = 1.0
+    seconds_per_unit: float = 2.5e-6
+    weight_cost_s: float = 0.3
     horizon_s: float = 600.0
     repay: float = 1.5
     target_skew: float = 1.02
@@ -197,6 +197,7 @@
         begun = counts.get(segment.moves.layer, 0)
         if begun == segment.start:
             counts[segment.moves.layer] = budget.take(segment)
+            yield
     yield
     chosen = []
     for moves in found:
@@ -287,7 +288,7 @@
     )
     for number, move in enumerate(moves.moves[:count], start=1):
         state.apply(move)
-        if number % (MOVES_BETWEEN_PAUSES * 4) == 0:
+        if number % (MOVES_BETWEEN_PAUSES * 8) == 0:
             yield
     placement[layer] = state.placement
     yield
--- a/bluebellrun/groups/_record.py
+++ b/bluebellrun/groups/_record.py
@@ -33,13 +33,15 @@
 class GroupRecord:
     """The map in force, the number for the next one, and the change in progress.
 
-    ``fencing`` is that of the coordinator that last took the record over.
+    ``fencing`` is that of the coordinator that last took the record over; ``digest`` is that of
+    the map in force, empty for the first one, which deals the experts out in order.
     """
 
     active: int
     next_version: int
     fencing: int = 0
     change: MapChange | None = None
+    digest: str = ""
 
     @property
     def preparing(self) -> bool:
@@ -79,7 +81,7 @@
         """Return the record after all ranks have confirmed a committed change."""
         if self.change is None or self.change.phase is not ChangePhase.COMMITTED:
             raise InvalidTransitionError("no committed change to finish")
-        return replace(self, active=self.change.version, change=None)
+        return replace(self, active=self.change.version, change=None, digest=self.change.digest)
 
     def _preparing(self) -> MapChange:
         """Return the change, which must not be decided yet."""
--- a/bluebellrun/messages/_orders.py
+++ b/bluebellrun/messages/_orders.py
@@ -2,15 +2,19 @@
 
 import msgspec
 
-from bluebellrun.groups import EngineState, Order
+from bluebellrun.groups import EngineState, ExpertCounts, Order
 
 ORDER_PATH = "/bluebellrun.Agent/Order"
 
 
 class OrderRequest(msgspec.Struct, frozen=True):
-    """An order for the engine of the agent that is asked; without one only its state is."""
+    """An order for the engine of the agent that is asked; without one only its state is told.
+
+    ``experts`` asks for the rank's report of its experts instead.
+    """
 
     order: Order | None = None
+    experts: bool = False
 
 
 class OrderReply(msgspec.Struct, frozen=True):
@@ -25,6 +29,7 @@
     fencing: int = 0
     passing: bool = False
     failure: str = ""
+    experts: ExpertCounts | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/standins/engine/_group.py
+++ b/standins/engine/_group.py
@@ -66,6 +66,7 @@
         self.step = 0
         self.epoch = 0
         self.history: list[int] = []
+        self.maps: dict[int, bytes] = {}
 
     def try_step(self) -> bool:
         """Make one step if all ranks are ready; return whether it was made."""
@@ -127,6 +128,7 @@
         content = order.content
         match content:
             case PrepareMap(version, digest):
+                self.maps[version] = order.data
                 rank.prepared, rank.prepared_digest = version, digest
             case HoldStep(_, step):
                 if self.step > step:
--- a/standins/engine/_group_app.py
+++ b/standins/engine/_group_app.py
@@ -1,6 +1,7 @@
 """The order API of the ranks of one group, each on its own port, and faults to order."""
 
 import json
+import time
 from typing import Any
 
 import curio
@@ -9,6 +10,7 @@
 from bluebellrun.groups import Order
 from bluebellrun.transport import HttpExchange
 from standins._serving import not_found
+from standins.engine._experts import ExpertTraffic
 from standins.engine._group import LockStepGroup, MixedMapsError, OrderRejectedError
 
 CONFLICT = 409
@@ -19,12 +21,13 @@
 class GroupApp:
     """Serve the orders of a group whose ranks step together."""
 
-    def __init__(self, group: LockStepGroup, step_s: float) -> None:
+    def __init__(self, group: LockStepGroup, experts: ExpertTraffic, step_s: float) -> None:
         self.group = group
         self._step_s = step_s
         self._mixed = ""
         self._lose_next = [0] * len(group.ranks)
         self._delay_s = 0.0
+        self._experts = experts
 
     async def run(self) -> None:
         """Make steps for as long as no step would mix maps."""
@@ -45,6 +48,9 @@
                 await self._order(number, exchange)
             case "/orders/state" | "/orders":
                 await exchange.answer_json(UNAVAILABLE, {"error": "the engine is dead"})
+            case "/experts" if self.group.ranks[number].alive:
+                data = msgspec.json.encode(self._experts.counts(number, time.monotonic()))
+                await exchange.answer(200, [("content-type", "application/json")], data)
             case "/standin/faults":
                 self._order_fault(number, json.loads(exchange.request.body))
                 await exchange.answer_json(200, {})
@@ -80,6 +86,10 @@
             self.group.replace(number)
         self._lose_next[number] += int(body.get("lose_next", 0))
         self._delay_s = float(body.get("delay_s", self._delay_s))
+        if "hot_expert" in body:
+            self._experts.heat(int(body["hot_expert"]), float(body.get("times", 10.0)))
+        if "slowness" in body:
+            self._experts.slow(number, float(body["slowness"]))
 
     def _report(self) -> dict[str, object]:
         """Return what the group did, for tests."""
@@ -87,6 +97,7 @@
             "step": self.group.step,
             "epoch": self.group.epoch,
             "mixed": self._mixed,
+            "skew": self._experts.skew(),
             "versions": sorted(set(self.group.history)),
             "runs": [rank.runs for rank in self.group.ranks],
         }
--- a/standins/engine/group.py
+++ b/standins/engine/group.py
@@ -11,8 +11,10 @@
 import typer
 
 from bluebellrun.core import Address
+from bluebellrun.groups import GroupShape
 from bluebellrun.runtime import StopSignals
 from standins._serving import serve
+from standins.engine._experts import ExpertTraffic
 from standins.engine._group import LockStepGroup
 from standins.engine._group_app import GroupApp
 
@@ -36,10 +38,16 @@
     ranks: Annotated[int, typer.Option(help="Ranks of the group.")] = 3,
     unfenced: Annotated[int, typer.Option(help="First ranks that ignore fencing numbers.")] = 0,
     step_s: Annotated[float, typer.Option(help="Duration of a step, in s.")] = 0.01,
+    layers: Annotated[int, typer.Option(help="Layers with experts.")] = 2,
+    experts: Annotated[int, typer.Option(help="Experts of a layer.")] = 6,
+    slots: Annotated[int, typer.Option(help="Experts of a layer that a rank holds.")] = 4,
+    seed: Annotated[int, typer.Option(help="Seed of the traffic.")] = 1,
 ) -> None:
     """Serve ranks in lock-step."""
     fenced = [number >= unfenced for number in range(ranks)]
-    curio.run(_main, GroupApp(LockStepGroup(fenced), step_s))
+    group = LockStepGroup(fenced)
+    traffic = ExpertTraffic(GroupShape(ranks, layers, experts, slots), group, seed)
+    curio.run(_main, GroupApp(group, traffic, step_s))
 
 
 if __name__ == "__main__":
--- a/tests/integration/test_group_orders.py
+++ b/tests/integration/test_group_orders.py
@@ -157,3 +157,50 @@
 
     curio.run(main)
     assert report(fleet)["runs"][0]["load-v2"] == 1
+
+
+def test_agents_rebalance_their_declared_group_after_a_jump(fleet):
+    agents = start_group(fleet)
+    fleet.declare(
+        [
+            {"kind": "service", "name": "pool", "protocol": "model", "models": ["draft-large"]},
+            {
+                "kind": "model-version",
+                "name": "draft-large-1",
+                "model": "draft-large",
+                "weights": "draft-large/1",
+                "weights_bytes": 1_000_000,
+                "layers": 2,
+                "experts_per_layer": 6,
+            },
+            {
+                "kind": "model-group",
+                "name": "g",
+                "service": "pool",
+                "ranks": RANKS,
+                "version": "draft-large-1",
+            },
+            *(
+                {
+                    "kind": "upstream",
+                    "name": f"rank-{number}",
+                    "service": "pool",
+                    "agent": str(agent),
+                    "group": "g",
+                    "rank": number,
+                }
+                for number, agent in enumerate(agents)
+            ),
+        ]
+    )
+    fleet.order("group", "/standin/faults", {"hot_expert": 4, "times": 30.0})
+    before = report(fleet)["skew"]
+
+    async def main() -> None:
+        await wait_until(lambda: 2 in report(fleet)["versions"], timeout_s=40.0)
+
+    curio.run(main)
+    seen = report(fleet)
+    assert seen["mixed"] == ""
+    assert before > 1.3
+    assert seen["skew"] < 1.15
