Keep an emptied straggler out until its probation is over

Cause: an emptied rank has no load to judge it by, so noise cleared it, its experts came back, and it straggled again. Change: ranks with little load keep their state; a straggler is tried again after 900 s, then twice as long.

--- a/bluebellrun/groups/_rebalance.py
+++ b/bluebellrun/groups/_rebalance.py
@@ -32,6 +32,7 @@
     skew reaches ``urgent_skew`` or the stragglers change. In calm times at most ``hourly_share``
     of the group's weights move in an hour, counted in windows of ``window_s``; an urgent plan is
     bound by the planner's own limit only, and followed by more until one is not cut short by it.
+    A straggler that was emptied is tried again after ``probation_s``, twice as long each time.
     In calm times a layer is left alone below ``calm_skew``.
     """
 
@@ -44,6 +45,7 @@
     calm_skew: float = 1.05
     hourly_share: float = 0.05
     window_s: float = 1_200.0
+    probation_s: float = 900.0
 
 
 class Rebalancer:
@@ -61,6 +63,8 @@
         self._planned_at = float("-inf")
         self._closed: tuple[int, ...] = ()
         self._unfinished = False
+        self._closed_since: dict[int, float] = {}
+        self._probations: dict[int, float] = {}
         self._times: FloatArray | None = None
 
     @property
@@ -103,6 +107,7 @@
         """Return whether a plan is to be made now."""
         if not self._popularity.ready:
             return False
+        self._try_again(now)
         since = now - self._planned_at
         if self._unfinished:
             return since >= self._settings.urgent_interval_s
@@ -126,6 +131,17 @@
             self._moved.append((now, result.weights))
         return result
 
+    def _try_again(self, now: float) -> None:
+        """Take emptied ranks for sound once their probation is over; they show at once if not."""
+        for rank in self._closed:
+            since = self._closed_since.setdefault(rank, now)
+            probation_s = self._probations.get(rank, self._settings.probation_s)
+            if rank in self._stragglers.stragglers and now - since >= probation_s:
+                self._probations[rank] = 2 * probation_s
+                self._stragglers.forget(rank)
+        for rank in set(self._closed_since) - set(self._stragglers.stragglers):
+            del self._closed_since[rank]
+
     def _economical(self, planner: PlannerSettings, now: float) -> PlannerSettings:
         """Return the planner's settings for calm times: what the window leaves room for."""
         window_s = self._settings.window_s
--- a/bluebellrun/groups/_stragglers.py
+++ b/bluebellrun/groups/_stragglers.py
@@ -8,6 +8,7 @@
 from bluebellrun.groups._expert_map import FloatArray
 
 LEAST_RATIO = 1e-9
+LOADED_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +49,8 @@
     """Compare each rank's own time with what its load explains.
 
     Time is taken as ``fixed + rate * load`` with both fitted to the group by medians, which a
-    minority of slow ranks cannot bend.
+    minority of slow ranks cannot bend. A rank with little load, such as one that was emptied, keeps
+    its state: the fit says nothing of so light a load.
     """
 
     def __init__(self, ranks: int, settings: StragglerSettings) -> None:
@@ -82,7 +84,8 @@
         weight = np.where(known, self._settings.smoothing, 0.0)
         self._ratios += weight * (ratio - self._ratios)
         self._loads = np.where(known, loads, self._loads)
-        self._judge(ratio, known)
+        loaded = self._loads >= LOADED_SHARE * float(np.median(self._loads))
+        self._judge(ratio, known & loaded)
 
     def findings(self) -> list[Finding]:
         """Return the stragglers, then the ranks that are hot."""
--- a/tests/groups/test_rebalance.py
+++ b/tests/groups/test_rebalance.py
@@ -86,3 +86,19 @@
     assert built.is_urgent(static_map(SHAPE))
     plan = finish(built.plan(100.0, static_map(SHAPE)))
     assert (plan.expert_map.placement[:, 4] == -1).all()
+
+
+def test_an_emptied_rank_stays_so_until_its_probation_is_over():
+    built = rebalancer(np.ones((2, 64)))
+    times, loads = np.full(16, 0.02), np.full(16, 100.0)
+    times[4] = 0.05
+    for _ in range(3):
+        built.observe_times(times, loads)
+    plan = finish(built.plan(0.0, static_map(SHAPE)))
+    times[4], loads[4] = 0.001, 0.0
+    for number in range(80):
+        built.observe_times(times, loads)
+        built.is_due(10.0 * number, plan.expert_map)
+    assert built.stragglers == (4,)
+    built.is_due(1_000.0, plan.expert_map)
+    assert built.stragglers == ()
