Ask a rank that loads for long only after a pause

Cause: each answer to an order led to the same order at the next turn, 50 a second for a rank that loads weights. Change: a rank that answered is asked again after 0.2 s.

--- a/bluebellrun/agent/_orders.py
+++ b/bluebellrun/agent/_orders.py
@@ -94,12 +94,16 @@
 
     async def run(self) -> None:
         """Settle what a rank that joined, or holds a step too long, cannot know; for ever."""
+        trouble = ""
         while self._record_key:
             try:
                 await self._start()
                 await self._settle()
+                trouble = ""
             except (EngineStateError, PlatformError, GroupError) as error:
-                _log.info("engine not settled", error=str(error))
+                if str(error) != trouble:
+                    _log.info("engine not settled", error=str(error))
+                trouble = str(error)
             await curio.sleep(SETTLE_INTERVAL_S)
 
     async def _start(self) -> None:
--- a/bluebellrun/groups/_map_change.py
+++ b/bluebellrun/groups/_map_change.py
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MapChangeSettings:
-    """Deadlines in seconds.
+    """Deadlines in seconds; a rank that answered is asked again after ``poll_interval_s``.
 
     ``step_margin`` is how many steps ahead a map is activated at first.
 
@@ -66,6 +66,7 @@
     state: EngineState | None = None
     sent: MapOrder | None = None
     sent_at: float = 0.0
+    answered: bool = False
     failed: bool = False
 
 
@@ -152,11 +153,11 @@
         """Take a rank's state, as told in answer to an order."""
         view = self._views[rank]
         view.state = state
-        view.sent = None
+        view.answered = True
 
     def on_refused(self, rank: int, passing: bool) -> None:
         """Note that a rank's agent did not send an order; look again why unless it passes."""
-        self._views[rank].sent = None
+        self._views[rank].answered = True
         if not passing and not self._store_busy:
             self._record = None
 
@@ -246,12 +247,9 @@
         if unaware:
             return self._send(unaware, ActivateMap(change.version, change.step), now)
         inactive = [
-            rank
-            for rank in range(len(self._views))
-            if self._state(rank).active != change.version
-            and now - self._views[rank].sent_at >= self._settings.poll_interval_s
+            rank for rank in range(len(self._views)) if self._state(rank).active != change.version
         ]
-        if any(self._state(rank).active != change.version for rank in range(len(self._views))):
+        if inactive:
             return self._send(inactive, ActivateMap(change.version, change.step), now)
         invariants.check(
             all(self._state(rank).hold is None for rank in range(len(self._views))),
@@ -266,14 +264,16 @@
         return [SendOrder(rank, ReleaseHold(record.latest)) for rank in ranks]
 
     def _send(self, ranks: list[int], order: MapOrder, now: float) -> list[Effect]:
-        """Send an order to ranks that have none on its way."""
+        """Send an order to ranks; again when it was answered a while ago, or not in time."""
         effects: list[Effect] = []
         for rank in ranks:
             view = self._views[rank]
-            waited = now - view.sent_at
-            if view.sent == order and waited < self._settings.order_timeout_s:
+            pause_s = self._settings.poll_interval_s
+            if not view.answered:
+                pause_s = self._settings.order_timeout_s
+            if view.sent == order and now - view.sent_at < pause_s:
                 continue
-            view.sent, view.sent_at = order, now
+            view.sent, view.sent_at, view.answered = order, now, False
             effects.append(SendOrder(rank, order))
         return effects
 
--- a/tests/groups/test_gate.py
+++ b/tests/groups/test_gate.py
@@ -184,3 +184,12 @@
     built.on_record(RECORD, 1)
     assert built.decide(0.0) == []
     assert built.deposed
+
+
+def test_a_rank_that_loads_for_long_is_asked_again_only_after_a_pause():
+    built = coordinator([EngineState(), prepared(1)])
+    asked = built.decide(0.25)
+    assert asked == [SendOrder(0, PrepareMap(2, "d"))]
+    built.on_state(0, EngineState(actions={"load": "running"}))
+    assert built.decide(0.3) == []
+    assert built.decide(0.5) == asked
