Route by what waits before work of the same urgency

Change: a report tells for each urgency how many requests wait before new work of it; routing goes by that, a refusal of low work keeps no urgent work away, and an agent tells all entries when its step time changes much.

--- a/bench/_fakes.py
+++ b/bench/_fakes.py
@@ -31,6 +31,7 @@
 NETWORK_S = 0.001
 SERVICE = "pool"
 EXPIRE_S = 0.02
+URGENCIES = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,6 +184,7 @@
             limit=self.admission.limit,
             step_s=self._step_time.seconds,
             reported=self._fleet.now + NETWORK_S,
+            waiting_before=tuple(self.admission.waiting_before(p) for p in range(URGENCIES)),
         )
 
         def arrive() -> None:
@@ -271,7 +273,7 @@
         """Offer a refused request elsewhere if that is allowed."""
         entry = self._entries[request.entry]
         entry.in_flight[upstream] -= 1
-        entry.routing.on_refused(upstream, self.now)
+        entry.routing.on_refused(upstream, request.priority, self.now)
         request.tried.add(upstream)
         pause_s = entry.budget.pause_s(request.attempts)
         late = self.now + pause_s >= request.at_s + request.deadline_s
--- a/bluebellrun/admission/_fair.py
+++ b/bluebellrun/admission/_fair.py
@@ -64,6 +64,10 @@
         """Return how many requests may run at once."""
         return self._limit.limit
 
+    def waiting_before(self, priority: int) -> int:
+        """Return how many waiting requests are at least as urgent."""
+        return sum(len(queue) for p, queue in self._queues.items() if p <= priority)
+
     def follow_targets(self, targets: Sequence[PriorityTarget]) -> None:
         """Take the targets and floors that are in force now."""
         self._targets = {target.urgency: target for target in targets}
--- a/bluebellrun/admission/_fifo.py
+++ b/bluebellrun/admission/_fifo.py
@@ -34,6 +34,10 @@
         """Return how many requests may run at once."""
         return self._settings.concurrency
 
+    def waiting_before(self, priority: int) -> int:
+        """Return all that wait: priorities make no difference."""
+        return self.waiting
+
     def follow_targets(self, targets: Sequence[PriorityTarget]) -> None:
         """Ignore targets."""
 
--- a/bluebellrun/admission/_models.py
+++ b/bluebellrun/admission/_models.py
@@ -84,6 +84,9 @@
     def limit(self) -> int:
         """Return how many requests may run at once."""
 
+    def waiting_before(self, priority: int) -> int:
+        """Return how many waiting requests new work of a priority would come after at most."""
+
     def follow_targets(self, targets: Sequence[PriorityTarget]) -> None:
         """Take the targets and floors that are in force now."""
 
--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -26,6 +26,7 @@
 from bluebellrun.transport import Headers, end_to_end
 
 EXPIRE_INTERVAL_S = 0.02
+URGENCIES = 8
 DECLINED_RETRY_S = 0.5
 
 _log = get_logger("agent")
@@ -87,6 +88,7 @@
             limit=self._admission.limit,
             step_s=round(self._step_time.seconds, 4),
             draining=self.draining,
+            waiting_before=tuple(self._admission.waiting_before(p) for p in range(URGENCIES)),
         )
 
     async def serve_session(self, call: Any) -> None:
@@ -234,6 +236,8 @@
                 self._admission.observe_first_token(execution.work, now - sent, now)
             else:
                 self._step_time.observe(now - last)
+                if self._step_time.take_change():
+                    await self._wake_sessions()
                 self._admission.observe_step(now - last, now)
             last = now
             await execution.append(data)
--- a/bluebellrun/agent/_steps.py
+++ b/bluebellrun/agent/_steps.py
@@ -1,6 +1,7 @@
 """The usual time between two tokens of running requests."""
 
 MEMORY = 0.9
+MUCH = 1.4
 
 
 class StepTime:
@@ -8,6 +9,7 @@
 
     def __init__(self) -> None:
         self._seconds = 0.0
+        self._told = 0.0
 
     @property
     def seconds(self) -> float:
@@ -18,3 +20,10 @@
         """Note a time between two tokens."""
         self._seconds = self._seconds or seconds
         self._seconds += (1 - MEMORY) * (seconds - self._seconds)
+
+    def take_change(self) -> bool:
+        """Return whether the average has changed much since this was last true."""
+        if self._told / MUCH <= self._seconds <= self._told * MUCH:
+            return False
+        self._told = self._seconds
+        return True
--- a/bluebellrun/entry/_channel.py
+++ b/bluebellrun/entry/_channel.py
@@ -205,4 +205,5 @@
             limit=event.limit,
             step_s=event.step_s,
             reported=self._clock.now(),
+            waiting_before=event.waiting_before,
         )
--- a/bluebellrun/entry/_dispatcher.py
+++ b/bluebellrun/entry/_dispatcher.py
@@ -89,7 +89,7 @@
             now = self._clock.now()
             progress.refused_by.add(channel.upstream.name)
             if isinstance(outcome, NotRun):
-                self._routing.on_refused(channel.upstream.name, now)
+                self._routing.on_refused(channel.upstream.name, request.priority, now)
             pause_s = self._retries.pause_s(
                 request, outcome, exchange.started, progress.attempts, now
             )
--- a/bluebellrun/messages/_exchange.py
+++ b/bluebellrun/messages/_exchange.py
@@ -111,7 +111,10 @@
 
 
 class Load(msgspec.Struct, frozen=True, tag="load"):
-    """The agent's load: work waiting and running, in requests and tokens, and the step time."""
+    """The agent's load: work waiting and running, in requests and tokens, and the step time.
+
+    ``waiting_before`` has a number for each urgency: how many wait before new work of it.
+    """
 
     waiting: int
     running: int
@@ -119,6 +122,7 @@
     limit: int
     step_s: float
     draining: bool
+    waiting_before: tuple[int, ...] = ()
 
 
 EntryEvent = Submit | Delivered | Cancel
--- a/bluebellrun/routing/_baselines.py
+++ b/bluebellrun/routing/_baselines.py
@@ -19,7 +19,7 @@
         """Return none: no upstream is ejected."""
         return frozenset()
 
-    def on_refused(self, name: str, now: float) -> None:
+    def on_refused(self, name: str, priority: int, now: float) -> None:
         """Ignore a refusal."""
 
     def on_unreachable(self, name: str, now: float) -> None:
--- a/bluebellrun/routing/_expected_finish.py
+++ b/bluebellrun/routing/_expected_finish.py
@@ -25,6 +25,7 @@
 HOME_EXCESS = 1.2
 HOME_SLACK = 1.0
 REFUSED_S = 0.25
+NEVER = -1e9
 TIDY_INTERVAL_S = 60.0
 PROBE_INTERVAL_S = 2.0
 MOST_URGENT_PROBE = 3
@@ -42,7 +43,7 @@
         self._detectors: dict[str, StragglerDetector] = {}
         self._outliers = OutlierEjection()
         self._prefixes = PrefixMap()
-        self._refused: dict[str, float] = {}
+        self._refused: dict[tuple[str, int], float] = {}
         self._ejected: frozenset[str] = frozenset()
         self._tidied = 0.0
         self._probed: dict[str, float] = {}
@@ -65,19 +66,19 @@
         if not candidates:
             return None
         self._learn(work.service, candidates, now)
-        usable = self._usable(self._subset(work.service, candidates), now)
+        usable = self._usable(work, self._subset(work.service, candidates), now)
         chosen = (
             self._straggler_to_probe(work, usable, now)
             or self._home(work, usable, now)
-            or self._best_sampled(usable, now)
+            or self._best_sampled(work, usable, now)
         )
-        self._loads.note_sent(chosen.name, now)
+        self._loads.note_sent(chosen.name, work.priority, now)
         self._prefixes.note(work.customer, work.prompt, chosen.name)
         return chosen
 
-    def on_refused(self, name: str, now: float) -> None:
-        """Avoid an upstream for a moment after it refused a request."""
-        self._refused[name] = now
+    def on_refused(self, name: str, priority: int, now: float) -> None:
+        """Avoid an upstream for a moment for work no more urgent than what it refused."""
+        self._refused[name, priority] = now
 
     def on_unreachable(self, name: str, now: float) -> None:
         """Count a failure against an upstream whose agent cannot be reached."""
@@ -111,7 +112,7 @@
             detector.keep(names)
         self._outliers.keep(names)
         self._probed = {name: at for name, at in self._probed.items() if name in names}
-        self._refused = {name: at for name, at in self._refused.items() if name in names}
+        self._refused = {key: at for key, at in self._refused.items() if key[0] in names}
 
     def _subset(self, service: str, candidates: Sequence[Candidate]) -> Sequence[Candidate]:
         """Return this entry's stable part of a large service."""
@@ -123,13 +124,20 @@
         )
         return ranked[:SUBSET_SIZE]
 
-    def _usable(self, candidates: Sequence[Candidate], now: float) -> list[Candidate]:
+    def _usable(
+        self, work: RoutedWork, candidates: Sequence[Candidate], now: float
+    ) -> list[Candidate]:
         """Return the candidates that are not ejected, and not just refused where others exist."""
         self._ejected = self._outliers.ejected([c.name for c in candidates], now)
         healthy = [c for c in candidates if c.name not in self._ejected] or list(candidates)
-        willing = [c for c in healthy if now - self._refused.get(c.name, -1e9) > REFUSED_S]
+        willing = [c for c in healthy if not self._just_refused(c.name, work.priority, now)]
         return willing or healthy
 
+    def _just_refused(self, name: str, priority: int, now: float) -> bool:
+        """Return whether an upstream just refused work at least as urgent."""
+        recent = (self._refused.get((name, p), NEVER) for p in range(priority + 1))
+        return now - max(recent) <= REFUSED_S
+
     def _straggler_to_probe(
         self, work: RoutedWork, candidates: Sequence[Candidate], now: float
     ) -> Candidate | None:
@@ -152,21 +160,27 @@
         homes = self._prefixes.homes(work.customer, work.prompt, list(by_name))
         if not homes:
             return None
-        usual = usual_occupied(candidates)
+        usual = usual_occupied(candidates, work.priority)
         most = HOME_EXCESS * usual + HOME_SLACK
         for name in homes:
             candidate = by_name[name]
-            occupied = self._loads.occupied(candidate, usual, now)
+            occupied = self._loads.occupied(candidate, work.priority, usual, now)
             if name not in self.stragglers and occupied <= most * self._loads.weight(name, now):
                 return candidate
         return None
 
-    def _best_sampled(self, candidates: Sequence[Candidate], now: float) -> Candidate:
+    def _best_sampled(
+        self, work: RoutedWork, candidates: Sequence[Candidate], now: float
+    ) -> Candidate:
         """Return the sampled candidate with the least expected finish."""
-        usual = usual_occupied(candidates)
+        usual = usual_occupied(candidates, work.priority)
         region = self._own_region(candidates)
-        sampled = self._sample(candidates)
-        return min(sampled, key=lambda item: self._finish_s(item, usual, region, now))
+
+        def finish_s(candidate: Candidate) -> float:
+            occupied = self._loads.occupied(candidate, work.priority, usual, now)
+            return self._finish_s(candidate, occupied, region, now)
+
+        return min(self._sample(candidates), key=finish_s)
 
     def _sample(self, candidates: Sequence[Candidate]) -> list[Candidate]:
         """Return a few candidates of the own failure domain and a few others, at random."""
@@ -184,11 +198,10 @@
                 break
         return self._region
 
-    def _finish_s(self, candidate: Candidate, usual: float, region: str, now: float) -> float:
+    def _finish_s(self, candidate: Candidate, occupied: float, region: str, now: float) -> float:
         """Return how long a request is expected to take there, in seconds."""
         run_s = step_s(candidate) * ASSUMED_TOKENS
         places = max(1.0, candidate.load.limit * self._loads.weight(candidate.name, now))
-        occupied = self._loads.occupied(candidate, usual, now)
         queued = max(0.0, occupied + 1 - places)
         wait_s = queued * run_s / places
         balance_s = step_s(candidate) * occupied / places
--- a/bluebellrun/routing/_models.py
+++ b/bluebellrun/routing/_models.py
@@ -7,7 +7,10 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamLoad:
-    """An agent's report of its load and when it came, in seconds; 0 when none has come."""
+    """An agent's report of its load and when it came, in seconds; 0 when none has come.
+
+    ``waiting_before`` tells for each urgency how many requests wait before new work of it.
+    """
 
     waiting: int = 0
     running: int = 0
@@ -15,6 +18,14 @@
     limit: int = 1
     step_s: float = 0.0
     reported: float = 0.0
+    waiting_before: tuple[int, ...] = ()
+
+    def ahead_of(self, priority: int) -> int:
+        """Return how many requests wait or run before new work of a priority."""
+        waiting = self.waiting
+        if priority < len(self.waiting_before):
+            waiting = self.waiting_before[priority]
+        return waiting + self.running
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,8 +69,8 @@
     ) -> Candidate | None:
         """Return the candidate to offer the request to, or none when there is none."""
 
-    def on_refused(self, name: str, now: float) -> None:
-        """Note that an upstream refused a request."""
+    def on_refused(self, name: str, priority: int, now: float) -> None:
+        """Note that an upstream refused a request of a priority."""
 
     def on_unreachable(self, name: str, now: float) -> None:
         """Note that an upstream's agent could not be reached."""
--- a/bluebellrun/routing/_outlook.py
+++ b/bluebellrun/routing/_outlook.py
@@ -21,7 +21,7 @@
     first_seen: float
     newcomer: bool
     last_seen: float
-    sent: deque[float] = field(default_factory=deque)
+    sent: deque[tuple[float, int]] = field(default_factory=deque)
 
 
 class LoadView:
@@ -42,11 +42,11 @@
                 known = self._known[candidate.name] = _Known(now, newcomer, now)
             known.last_seen = now
 
-    def note_sent(self, name: str, now: float) -> None:
+    def note_sent(self, name: str, priority: int, now: float) -> None:
         """Note that a request is sent to an upstream."""
         sent = self._known[name].sent
-        sent.append(now)
-        while sent and now - sent[0] > OLDEST_SENT_S:
+        sent.append((now, priority))
+        while sent and now - sent[0][0] > OLDEST_SENT_S:
             sent.popleft()
 
     def forget_gone(self, now: float) -> Collection[str]:
@@ -55,16 +55,16 @@
             del self._known[name]
         return self._known.keys()
 
-    def occupied(self, candidate: Candidate, usual: float, now: float) -> float:
-        """Return the requests that wait or run there, from the report as far as it is fresh.
+    def occupied(self, candidate: Candidate, priority: int, usual: float, now: float) -> float:
+        """Return the requests that wait or run there before new work of a priority.
 
         ``usual`` is what the other upstreams have on average; an old report fades into it.
         """
-        reported = candidate.load.waiting + candidate.load.running
-        since = sum(1 for at in self._known[candidate.name].sent if at > candidate.load.reported)
+        sent = self._known[candidate.name].sent
+        since = sum(at > candidate.load.reported and p <= priority for at, p in sent)
         fresh = self.freshness(candidate, now)
-        believed = fresh * reported + (1 - fresh) * max(usual, candidate.in_flight)
-        return max(believed + since * fresh, float(candidate.in_flight))
+        guess = max(usual, candidate.in_flight)
+        return fresh * (candidate.load.ahead_of(priority) + since) + (1 - fresh) * guess
 
     def freshness(self, candidate: Candidate, now: float) -> float:
         """Return from 1 to 0 how far a report still counts; an idle upstream sends none."""
@@ -84,9 +84,9 @@
         return min(1.0, FIRST_WEIGHT + (1 - FIRST_WEIGHT) * grown)
 
 
-def usual_occupied(candidates: Sequence[Candidate]) -> float:
-    """Return the mean of the requests that upstreams reported."""
-    total = sum(item.load.waiting + item.load.running for item in candidates)
+def usual_occupied(candidates: Sequence[Candidate], priority: int) -> float:
+    """Return the mean of the requests before new work of a priority that upstreams reported."""
+    total = sum(item.load.ahead_of(priority) for item in candidates)
     return total / len(candidates) if candidates else 0.0
 
 
--- a/tests/routing/test_expected_finish.py
+++ b/tests/routing/test_expected_finish.py
@@ -104,7 +104,7 @@
 
 def test_an_upstream_that_just_refused_is_passed_over_while_others_exist():
     routing = ExpectedFinishRouting(Random(1), "near")
-    routing.on_refused("u0", 1.0)
+    routing.on_refused("u0", 3, 1.0)
     pair = [candidate("u0"), candidate("u1", running=3)]
     chosen = routing.choose(work(), pair, 1.1)
     assert chosen is not None
@@ -112,6 +112,15 @@
     assert routing.choose(work(), pair[:1], 1.1) is not None
 
 
+def test_a_refusal_of_low_work_keeps_no_urgent_work_away():
+    routing = ExpectedFinishRouting(Random(1), "near")
+    routing.on_refused("u0", 6, 1.0)
+    pair = [candidate("u0"), candidate("u1", running=3)]
+    chosen = routing.choose(replace(work(), priority=1), pair, 1.1)
+    assert chosen is not None
+    assert chosen.name == "u0"
+
+
 def test_no_candidate_gives_no_choice():
     assert ExpectedFinishRouting(Random(1), "near").choose(work(), [], 1.0) is None
 
@@ -121,7 +130,7 @@
     for number in range(100):
         routing.choose(work(), [candidate(f"u{number}")], 100.0 * number)
         routing.on_unreachable(f"u{number}", 100.0 * number)
-        routing.on_refused(f"u{number}", 100.0 * number)
+        routing.on_refused(f"u{number}", 3, 100.0 * number)
     assert len(routing._loads._known) < 10
     assert len(routing._outliers._records) < 10
     assert len(routing._refused) < 10
