--- a/bench/_results.py
+++ b/bench/_results.py
@@ -59,7 +59,20 @@
 
 
 def write_results(measures: Sequence[Measure], path: Path = RESULTS) -> None:
-    """Write the measures as JSON; each has a field ``met``."""
+    """Write the measures as JSON; each has a field ``met``.
+
+    Results of scenarios that were not measured this time are kept.
+    """
     path.parent.mkdir(exist_ok=True)
     rows = [asdict(item) | {"met": item.met} for item in measures]
-    path.write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
+    measured = {item.scenario for item in measures}
+    kept = [row for row in _read_rows(path) if row["scenario"] not in measured]
+    path.write_text(json.dumps(kept + rows, indent=1) + "\n", encoding="utf-8")
+
+
+def _read_rows(path: Path) -> list[dict[str, object]]:
+    """Return the rows of an earlier run, none where there is no such file."""
+    if not path.exists():
+        return []
+    rows: list[dict[str, object]] = json.loads(path.read_text(encoding="utf-8"))
+    return rows
