--- a/bluebellrun/admission/_fair.py
+++ b/bluebellrun/admission/_fair.py
@@ -221,12 +221,17 @@
         """Return the last moment at which work may start and still be on time."""
         run_s = work.cost / self._rate.per_request
         latest = work.deadline - run_s * (1 + MARGIN)
-        target = self._targets.get(work.priority)
+        target = self._target(work.priority)
         if target is None:
             return latest
         first_token_s = target.first_token_s * (1 - MARGIN) - self._limit.first_token_s
         return min(latest, work.arrived + first_token_s)
 
+    def _target(self, priority: int) -> PriorityTarget | None:
+        """Return the target of the nearest declared priority that is not more urgent, or none."""
+        nearest = min((p for p in self._targets if p >= priority), default=None)
+        return None if nearest is None else self._targets[nearest]
+
     def _make_room(self, work: Work) -> bool:
         """Displace waiting work that is less urgent, or of a customer with more waiting."""
         lowest = self._backlogged()[-1]
--- a/tests/admission/test_fair.py
+++ b/tests/admission/test_fair.py
@@ -174,3 +174,12 @@
         admission.offer(work(f"wide{number}", "wide"), 0.0)
     served = serve(admission, 40)
     assert all(item.customer == "here" for item in served)
+
+
+def test_an_urgency_without_a_document_has_the_targets_of_the_next_less_urgent_one():
+    admission = make()
+    admission.follow_targets([PriorityTarget(6, 2.0, 1.0)])
+    admission.offer(work("runs"), 0.0)
+    admission.start_next(0.0)
+    admission.offer(work("waits", priority=4), 0.0)
+    assert [item.work.attempt for item in admission.expire(2.0)] == ["waits"]
