--- a/bluebellrun/admission/_concurrency.py
+++ b/bluebellrun/admission/_concurrency.py
@@ -5,7 +5,7 @@
 or steps exceed the tightest gap target, and rises by one after a run of prompt starts at the limit.
 """
 
-LATE_STEPS = 1.5
+LATE_STEPS = 2.0
 MEMORY = 0.9
 MANY_LATE = 0.5
 FEW_LATE = 0.1
--- a/bluebellrun/admission/_fair_queue.py
+++ b/bluebellrun/admission/_fair_queue.py
@@ -1,9 +1,11 @@
 """Shares between the customers of one priority, by virtual time.
 
 Start-time fair queueing: a customer's next request starts, in virtual time, where its last one
-ended, and the least start goes first. A customer that was idle starts at the present virtual
-time, so that what it did not use is lent and not saved up. Tokens that an entry sent to other
-upstreams for the customer move its start forward, which keeps its share over all of them.
+ended, and the least start goes first. A customer that was idle starts a bounded burst before the
+present virtual time: enough for the bursts of one that keeps within its share, while the rest of
+what it did not use is lent and not saved up. When nothing waits, all customers are level: what was
+used while there was enough is held against nobody. Tokens that an entry sent to other upstreams
+for the customer move its start forward, which keeps its share over all of them.
 """
 
 from collections import OrderedDict
@@ -37,6 +39,8 @@
         self._cost = 0.0
         self._waiting = 0
         self._usual_cost = 0.0
+        self._level = 0.0
+        self._furthest = 0.0
 
     def __len__(self) -> int:
         """Return how many requests wait."""
@@ -48,9 +52,9 @@
         return self._cost
 
     @property
-    def _burst(self) -> float:
-        """Return how far before the present virtual time an idle customer may start, in tokens."""
-        return BURST_REQUESTS * self._usual_cost
+    def _earliest(self) -> float:
+        """Return the virtual time at which a customer that was idle starts."""
+        return max(self._level, self._virtual_time - BURST_REQUESTS * self._usual_cost)
 
     def cost_ahead(self, work: Work) -> float:
         """Return the tokens that run before a new request of a customer would."""
@@ -58,8 +62,7 @@
         own_cost, start = 0.0, self._virtual_time
         if customer is not None:
             own_cost = customer.cost
-            earliest = start - self._burst
-            start = max(earliest, customer.next_start) + own_cost / work.share
+            start = max(self._earliest, customer.next_start) + own_cost / work.share
         others = (item for item in self._backlogged.values() if item is not customer)
         return own_cost + sum(_cost_before(item, start) for item in others)
 
@@ -69,14 +72,16 @@
         What it used counts from where its last work here ended, not from the present virtual time:
         the others moved on by as much meanwhile.
         """
-        self._customer(work).next_start += work.served_elsewhere / work.share
+        customer = self._customer(work)
+        start = max(customer.next_start, self._level)
+        customer.next_start = start + work.served_elsewhere / work.share
+        self._furthest = max(self._furthest, customer.next_start)
 
     def add(self, work: Work) -> None:
         """Queue work behind its customer's other work."""
         customer = self._customer(work)
         if not customer.works:
-            earliest = self._virtual_time - self._burst
-            customer.next_start = max(customer.next_start, earliest)
+            customer.next_start = max(customer.next_start, self._earliest)
             self._backlogged[work.customer] = customer
         customer.works[work.attempt] = work
         self._usual_cost = self._usual_cost or work.cost
@@ -96,6 +101,7 @@
         work = next(iter(customer.works.values()))
         self._virtual_time = max(self._virtual_time, customer.next_start)
         customer.next_start += work.cost / work.share
+        self._furthest = max(self._furthest, customer.next_start)
         self._drop(customer, work)
         return work
 
@@ -144,6 +150,11 @@
             del self._backlogged[customer.name]
         if not self._backlogged:
             self._cost = 0.0
+            self._make_level()
+
+    def _make_level(self) -> None:
+        """Let all customers start anew at the same virtual time."""
+        self._virtual_time = self._level = max(self._virtual_time, self._furthest)
 
     def _count(self, customer: _Customer, cost: float, number: int) -> None:
         """Change the sums of what waits."""
--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -59,6 +59,7 @@
         self._told_to_drain = False
         self._host_leaving = False
         self._step_time = StepTime()
+        self._told_limit = admission.limit
         self._idle = curio.Event()
 
     @property
@@ -173,6 +174,7 @@
         while True:
             await curio.sleep(EXPIRE_INTERVAL_S)
             await self._refuse_hopeless()
+            self._report_limit()
 
     async def stop(self) -> None:
         """Refuse new work, hand back what waits and wait for what runs."""
@@ -256,6 +258,13 @@
             await execution.append(data)
             await self._wake(execution)
 
+    def _report_limit(self) -> None:
+        """Log a change of how many requests may run at once."""
+        limit = self._admission.limit
+        if limit != self._told_limit:
+            _log.info("limit changed", limit=limit, before=self._told_limit)
+            self._told_limit = limit
+
     async def _refuse_hopeless(self) -> None:
         """Refuse waiting work that can no longer be on time or has lost its place."""
         for refusal in self._admission.expire(self._clock.now()):
--- a/bluebellrun/agent/_steps.py
+++ b/bluebellrun/agent/_steps.py
@@ -1,7 +1,7 @@
 """The usual time between two tokens of running requests."""
 
 MEMORY = 0.9
-MUCH = 1.4
+MUCH = 1.15
 
 
 class StepTime:
--- a/tests/admission/test_fair.py
+++ b/tests/admission/test_fair.py
@@ -183,3 +183,15 @@
     admission.start_next(0.0)
     admission.offer(work("waits", priority=4), 0.0)
     assert [item.work.attempt for item in admission.expire(2.0)] == ["waits"]
+
+
+def test_what_was_used_while_there_was_enough_is_held_against_nobody():
+    admission = make()
+    for number in range(100):
+        admission.offer(work(f"alone{number}", "large"), 0.0)
+        serve(admission, 1)
+    for number in range(40):
+        admission.offer(work(f"large{number}", "large"), 0.0)
+        admission.offer(work(f"small{number}", "small"), 0.0)
+    small = sum(item.customer == "small" for item in serve(admission, 40))
+    assert small == pytest.approx(20, abs=1)
