--- a/bluebellrun/admission/_fair.py
+++ b/bluebellrun/admission/_fair.py
@@ -64,6 +64,10 @@
         """Return how many requests may run at once."""
         return self._limit.limit
 
+    def waiting_before(self, priority: int) -> int:
+        """Return how many waiting requests are at least as urgent."""
+        return sum(len(queue) for p, queue in self._queues.items() if p <= priority)
+
     def follow_targets(self, targets: Sequence[PriorityTarget]) -> None:
         """Take the targets and floors that are in force now."""
         self._targets = {target.urgency: target for target in targets}
@@ -217,12 +221,17 @@
         """Return the last moment at which work may start and still be on time."""
         run_s = work.cost / self._rate.per_request
         latest = work.deadline - run_s * (1 + MARGIN)
-        target = self._targets.get(work.priority)
+        target = self._target(work.priority)
         if target is None:
             return latest
         first_token_s = target.first_token_s * (1 - MARGIN) - self._limit.first_token_s
         return min(latest, work.arrived + first_token_s)
 
+    def _target(self, priority: int) -> PriorityTarget | None:
+        """Return the target of the nearest declared priority that is not more urgent, or none."""
+        nearest = min((p for p in self._targets if p >= priority), default=None)
+        return None if nearest is None else self._targets[nearest]
+
     def _make_room(self, work: Work) -> bool:
         """Displace waiting work that is less urgent, or of a customer with more waiting."""
         lowest = self._backlogged()[-1]
--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -30,6 +30,7 @@
 from bluebellrun.telemetry import Metrics, get_logger
 
 EXPIRE_INTERVAL_S = 0.02
+URGENCIES = 8
 DECLINED_RETRY_S = 0.5
 
 _log = get_logger("agent")
@@ -69,6 +70,7 @@
         self._configuration: Configuration | None = None
         self._host_leaving = False
         self._step_time = StepTime()
+        self._told_limit = admission.limit
         self._idle = curio.Event()
 
     @property
@@ -105,6 +107,7 @@
             limit=self._admission.limit,
             step_s=round(self._step_time.seconds, 4),
             draining=self.draining,
+            waiting_before=tuple(self._admission.waiting_before(p) for p in range(URGENCIES)),
         )
 
     async def serve_session(self, call: Any) -> None:
@@ -240,6 +243,7 @@
             self._fates.tick(now)
             await self._refuse_hopeless()
             await self._reap_orphans(now)
+            self._report_limit()
 
     async def stop(self) -> None:
         """Refuse new work, hand back what waits and wait for what runs."""
@@ -372,9 +376,18 @@
             self._admission.observe_first_token(execution.work, waited_s, now)
         else:
             self._step_time.observe(now - last)
+            if self._step_time.take_change():
+                await self._wake_sessions()
             self._admission.observe_step(now - last, now)
         await self._wake(execution)
 
+    def _report_limit(self) -> None:
+        """Log a change of how many requests may run at once."""
+        limit = self._admission.limit
+        if limit != self._told_limit:
+            _log.info("limit changed", limit=limit, before=self._told_limit)
+            self._told_limit = limit
+
     async def _refuse_hopeless(self) -> None:
         """Refuse waiting work that can no longer be on time or has lost its place."""
         for refusal in self._admission.expire(self._clock.now()):
