Plan every intent with its cost, confirm against what it rests on, record service levels

It now rests on the documents it changes and names, and for a service that shrinks on the set of upstreams that remain.

--- a/bluebellrun/core/__init__.py
+++ b/bluebellrun/core/__init__.py
@@ -1,6 +1,6 @@
 """Identifiers, clocks, outcomes and runtime invariants shared by every layer."""
 
-from bluebellrun.core._clock import Clock, ManualClock, MonotonicClock
+from bluebellrun.core._clock import Clock, ManualClock, MonotonicClock, UnixClock
 from bluebellrun.core._identifiers import (
     Address,
     AttemptId,
@@ -28,6 +28,7 @@
     "Outcome",
     "Ran",
     "RequestId",
+    "UnixClock",
     "Unknown",
     "attempt_id",
     "invariants",
--- a/bluebellrun/core/_clock.py
+++ b/bluebellrun/core/_clock.py
@@ -19,6 +19,20 @@
         return time.monotonic()
 
 
+class UnixClock:
+    """Read Unix time, taken once at the start and carried on by the monotonic clock.
+
+    Its readings never go back when the operating system's time is set.
+    """
+
+    def __init__(self) -> None:
+        self._offset = time.time() - time.monotonic()
+
+    def now(self) -> float:
+        """Return the current reading in Unix seconds."""
+        return self._offset + time.monotonic()
+
+
 class ManualClock:
     """Hold a reading that only moves when told to."""
 
--- a/bluebellrun/entry/_entry.py
+++ b/bluebellrun/entry/_entry.py
@@ -14,7 +14,9 @@
 from bluebellrun.distribution import ConfigurationFollower
 from bluebellrun.entry._callers import find_customer, read_request, refuse
 from bluebellrun.entry._dispatcher import Dispatcher
+from bluebellrun.entry._operators import OPERATORS_PREFIX, OperatorPaths
 from bluebellrun.entry._problems import CallerError, Problem, problem_body, problem_headers
+from bluebellrun.entry._service_levels import Delivery, ServiceLevels
 from bluebellrun.entry._settings import EntrySettings
 from bluebellrun.telemetry import Metrics, get_logger
 from bluebellrun.transport import HttpExchange
@@ -34,12 +36,15 @@
         dispatcher: Dispatcher,
         clock: Clock,
         metrics: Metrics,
+        levels: ServiceLevels,
     ) -> None:
         self._settings = settings
         self._follower = follower
         self._dispatcher = dispatcher
         self._clock = clock
         self._metrics = metrics
+        self._levels = levels
+        self._operators = OperatorPaths(levels)
         self._in_progress = 0
         self._stopping = False
 
@@ -82,26 +87,44 @@
         configuration = self._follower.current
         if configuration is None:
             raise refuse(503, "this entry has no configuration yet")
+        if exchange.request.path.startswith(OPERATORS_PREFIX):
+            await self._operators.answer(exchange, configuration)
+            return
         if exchange.request.path == "/v1/models" and exchange.request.method == "GET":
             find_customer(configuration, exchange.request)
             listed = [{"id": m, "object": "model"} for m in configuration.services.models]
             await exchange.answer_json(200, {"object": "list", "data": listed})
             return
+        arrived = self._clock.now()
         request = read_request(
             configuration,
             exchange.request,
             request_id,
-            self._clock.now(),
+            arrived,
             self._settings.default_deadline_s,
         )
         outcome = await self._dispatcher.serve(exchange, request)
         self._metrics.count(f"entry.outcome.{outcome_name(outcome)}")
+        delivery = self._delivery(exchange, arrived)
+        verdict = self._levels.observe(configuration, request, outcome, delivery)
+        self._metrics.count(f"entry.verdict.{verdict}.{request.priority}")
         if exchange.started:
             if not isinstance(outcome, Ran):
                 exchange.abort()
             return
         await self._answer_problem(exchange, request_id, _problem_for(outcome))
 
+    def _delivery(self, exchange: HttpExchange, arrived: float) -> Delivery:
+        """Return how an answer left."""
+        total_s = self._clock.now() - arrived
+        first = exchange.first_body_at
+        return Delivery(
+            status=exchange.status,
+            started=exchange.started,
+            first_byte_s=total_s if first is None else first - arrived,
+            total_s=total_s,
+        )
+
     async def _answer_problem(
         self, exchange: HttpExchange, request_id: RequestId, problem: Problem
     ) -> None:
--- a/bluebellrun/entry/_fleet.py
+++ b/bluebellrun/entry/_fleet.py
@@ -31,6 +31,10 @@
             if self._channels[name].in_flight == 0:
                 await self._channels.pop(name).close()
 
+    def channels(self) -> list[AgentChannel]:
+        """Return the channels to all upstreams."""
+        return list(self._channels.values())
+
     def channel(self, name: str) -> AgentChannel:
         """Return the channel to an upstream."""
         channel = self._channels[name]
--- /dev/null
+++ b/bluebellrun/entry/_service_levels.py
@@ -0,0 +1,142 @@
+"""Judge each request against its priority's deadlines and count it."""
+
+from dataclasses import dataclass
+
+from bluebellrun.core import (
+    AlreadyRan,
+    Incarnation,
+    NotRun,
+    Outcome,
+    Ran,
+    UnixClock,
+    Unknown,
+    invariants,
+)
+from bluebellrun.declarations import Configuration, PriorityRule
+from bluebellrun.entry._callers import CallerRequest
+from bluebellrun.entry._fleet import Fleet
+from bluebellrun.reports import (
+    ObjectiveReading,
+    Observation,
+    Recorder,
+    Snapshot,
+    Status,
+    UpstreamReading,
+    Verdict,
+)
+
+SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Delivery:
+    """How an answer left: its status, and durations from the request's arrival in seconds."""
+
+    status: int
+    started: bool
+    first_byte_s: float
+    total_s: float
+
+
+def judge(outcome: Outcome, delivery: Delivery, rule: PriorityRule, streamed: bool) -> Verdict:
+    """Return how a request ended in the eyes of its caller."""
+    match outcome:
+        case NotRun():
+            return Verdict.REFUSED
+        case Unknown():
+            return Verdict.FAILED if delivery.started else Verdict.UNKNOWN
+        case Ran() if delivery.status >= SERVER_ERROR:
+            return Verdict.FAILED
+        case Ran() | AlreadyRan():
+            late_start = streamed and delivery.first_byte_s > rule.first_token_s
+            late = late_start or delivery.total_s > rule.deadline_s
+            return Verdict.LATE if late else Verdict.GOOD
+
+
+class ServiceLevels:
+    """Count the requests of one entry and tell operators of them."""
+
+    def __init__(self, name: str, incarnation: Incarnation, fleet: Fleet, clock: UnixClock) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._fleet = fleet
+        self._clock = clock
+        self._recorder = Recorder(clock.now())
+
+    def observe(
+        self,
+        configuration: Configuration,
+        request: CallerRequest,
+        outcome: Outcome,
+        delivery: Delivery,
+    ) -> Verdict:
+        """Count a request that has ended; return how it is judged."""
+        rule = configuration.priority_rule(request.priority)
+        verdict = judge(outcome, delivery, rule, request.stream)
+        seen = Observation(
+            urgency=rule.urgency,
+            customer=request.customer.name,
+            verdict=verdict,
+            first_byte_s=delivery.first_byte_s,
+            total_s=delivery.total_s,
+        )
+        self._recorder.record(seen, self._clock.now())
+        return verdict
+
+    def status(self, version: int) -> Status:
+        """Return the version in force and the requests in progress at each upstream."""
+        in_progress = {item.name: item.in_progress for item in self._readings()}
+        return Status(
+            process=self._name,
+            incarnation=self._incarnation,
+            version=version,
+            in_progress=in_progress,
+        )
+
+    def snapshot(self, configuration: Configuration) -> Snapshot:
+        """Return all that this entry knows of service levels."""
+        now = self._clock.now()
+        return Snapshot(
+            process=self._name,
+            incarnation=self._incarnation,
+            version=configuration.version,
+            taken_at=now,
+            memory_s=self._recorder.memory_s(now),
+            rows=self._recorder.rows(now),
+            series=self._recorder.series(now),
+            latencies=self._recorder.latencies(now),
+            upstreams=self._readings(),
+            objectives=_objectives(configuration),
+            priorities={rule.urgency: rule.name for rule in configuration.priorities},
+            violations=dict(invariants.violations),
+        )
+
+    def _readings(self) -> list[UpstreamReading]:
+        """Return what is known of each upstream."""
+        return [
+            UpstreamReading(
+                name=channel.upstream.name,
+                service=channel.upstream.service,
+                group=channel.upstream.group,
+                rank=channel.upstream.rank,
+                step_s=channel.load.step_s,
+                in_progress=channel.in_flight,
+                waiting=channel.load.waiting,
+            )
+            for channel in self._fleet.channels()
+        ]
+
+
+def _objectives(configuration: Configuration) -> list[ObjectiveReading]:
+    """Return the objectives in force."""
+    return [
+        ObjectiveReading(
+            name=item.name,
+            priority=item.priority,
+            urgency=item.urgency,
+            customer=item.customer,
+            on_time=item.on_time,
+            whole=item.whole,
+        )
+        for item in configuration.objectives
+    ]
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -5,11 +5,12 @@
 import curio
 
 from bluebellrun.conf import settings_command
-from bluebellrun.core import MonotonicClock, new_incarnation
+from bluebellrun.core import MonotonicClock, UnixClock, new_incarnation
 from bluebellrun.distribution import ConfigurationFollower
 from bluebellrun.entry._dispatcher import Dispatcher
 from bluebellrun.entry._entry import Entry
 from bluebellrun.entry._fleet import Fleet
+from bluebellrun.entry._service_levels import ServiceLevels
 from bluebellrun.entry._settings import EntrySettings
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.routing import make_routing
@@ -39,7 +40,8 @@
 async def _serve(settings: EntrySettings) -> int:
     """Run the entry until it is told to stop; return the exit status."""
     signals = StopSignals()
-    configure_logs(settings, process=settings.name, incarnation=new_incarnation())
+    incarnation = new_incarnation()
+    configure_logs(settings, process=settings.name, incarnation=incarnation)
     clock = MonotonicClock()
     metrics = Metrics(settings.statsd, "bluebellrun")
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
@@ -48,7 +50,8 @@
     follower.add_listener(fleet.apply_configuration)
     routing = make_routing(settings.routing_policy, Random(), settings.failure_domain)
     dispatcher = Dispatcher(settings, fleet, routing, clock, metrics)
-    entry = Entry(settings, follower, dispatcher, clock, metrics)
+    levels = ServiceLevels(settings.name, incarnation, fleet, UnixClock())
+    entry = Entry(settings, follower, dispatcher, clock, metrics, levels)
     server = HttpServer(settings.listen, entry.handle, _limits(settings))
     await spawn_background(server.run)
     await spawn_background(follower.run)
--- a/bluebellrun/plans/__init__.py
+++ b/bluebellrun/plans/__init__.py
@@ -1,27 +1,80 @@
 """Intent, plan and confirmation: nothing changes before an operator confirms a plan."""
 
 from bluebellrun.plans._exceptions import (
+    IntentError,
     PlanConflictError,
     PlanError,
     PlanExpiredError,
     PlanNotFoundError,
+    PlanTooLargeError,
+    PlanUnknownError,
 )
-from bluebellrun.plans._models import Change, ChangeKind, Plan, decode_plan, encode_plan
-from bluebellrun.plans._planner import apply_changes, compare_documents
-from bluebellrun.plans._repository import PlanRepository, StoredConfiguration
+from bluebellrun.plans._intents import (
+    Declare,
+    Drain,
+    Hold,
+    Intent,
+    Rebalance,
+    SetShare,
+    Shift,
+    Undrain,
+    describe_intent,
+    wanted_documents,
+)
+from bluebellrun.plans._models import (
+    Basis,
+    Change,
+    ChangeKind,
+    Cost,
+    Plan,
+    ServiceCapacity,
+    decode_plan,
+    encode_plan,
+)
+from bluebellrun.plans._planner import apply_changes, carry_over, compare_documents, invert
+from bluebellrun.plans._progress import (
+    GroupProgress,
+    decode_progress,
+    progress_key,
+    read_progress,
+)
+from bluebellrun.plans._repository import PlanRepository, RetrySettings, StoredConfiguration
 
 __all__ = [
+    "Basis",
     "Change",
     "ChangeKind",
+    "Cost",
+    "Declare",
+    "Drain",
+    "GroupProgress",
+    "Hold",
+    "Intent",
+    "IntentError",
     "Plan",
     "PlanConflictError",
     "PlanError",
     "PlanExpiredError",
     "PlanNotFoundError",
     "PlanRepository",
+    "PlanTooLargeError",
+    "PlanUnknownError",
+    "Rebalance",
+    "RetrySettings",
+    "ServiceCapacity",
+    "SetShare",
+    "Shift",
     "StoredConfiguration",
+    "Undrain",
     "apply_changes",
+    "carry_over",
     "compare_documents",
     "decode_plan",
+    "decode_progress",
+    "describe_intent",
     "encode_plan",
+    "invert",
+    "progress_key",
+    "read_progress",
+    "wanted_documents",
 ]
--- a/bluebellrun/plans/_models.py
+++ b/bluebellrun/plans/_models.py
@@ -4,7 +4,8 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from bluebellrun.plans._exceptions import PlanError
+from bluebellrun.declarations import MAX_VALUE_BYTES, pack, unpack
+from bluebellrun.plans._exceptions import PlanError, PlanTooLargeError
 
 PLAN_GOOD_FOR_S = 3_600.0
 
@@ -28,23 +29,63 @@
     before: dict[str, object] | None = None
     after: dict[str, object] | None = None
 
+    def changed_fields(self) -> dict[str, object]:
+        """Return the fields that differ, with their new values."""
+        before = self.before or {}
+        after = self.after or {}
+        return {key: value for key, value in after.items() if before.get(key) != value}
+
     def describe(self) -> str:
         """Return the change in one line."""
         head = f"{self.action} {self.kind} {self.name}"
-        if self.action is not ChangeKind.CHANGE or self.before is None or self.after is None:
+        if self.action is not ChangeKind.CHANGE or self.before is None:
             return head
         fields = [
             f"{key}: {self.before.get(key)!r} -> {value!r}"
-            for key, value in self.after.items()
-            if self.before.get(key) != value
+            for key, value in self.changed_fields().items()
         ]
         return f"{head}: {', '.join(fields)}"
 
 
+class Basis(BaseModel):
+    """A document, or a service's set of active upstreams, that a plan rests on unchanged.
+
+    ``digest`` is empty where it did not exist.
+    """
+
+    model_config = ConfigDict(frozen=True)
+
+    kind: str
+    name: str
+    digest: str
+
+
+class ServiceCapacity(BaseModel):
+    """The upstreams of a service that take work before, meanwhile and after."""
+
+    model_config = ConfigDict(frozen=True)
+
+    service: str
+    before: int
+    meanwhile: int
+    after: int
+
+
+class Cost(BaseModel):
+    """What a plan costs. ``requests_affected`` is none where it is not known."""
+
+    model_config = ConfigDict(frozen=True)
+
+    capacity: list[ServiceCapacity] = []
+    requests_affected: int | None = None
+    weights_moved_bytes: int = 0
+
+
 class Plan(BaseModel):
-    """What an intent would change and what that rests on.
+    """What an intent would change, in which order, at what cost, and what that rests on.
 
-    ``base`` holds the revision of each kind's documents; times are Unix seconds.
+    ``base`` holds the revision of each kind's documents when the plan was made; times are Unix
+    seconds. ``confirmed_revision`` is the version that put it in force.
     """
 
     model_config = ConfigDict(frozen=True)
@@ -55,9 +96,17 @@
     changes: list[Change]
     created_at: float
     good_for_s: float = PLAN_GOOD_FOR_S
+    steps: list[str] = []
+    cost: Cost = Cost()
+    rests_on: list[Basis] = []
+    notes: list[str] = []
+    made_by: str = ""
     confirmed: bool = False
+    confirmed_by: str = ""
     confirmed_revision: int = 0
-    notes: list[str] = []
+    withdrawn: bool = False
+    undoes: str = ""
+    lease: int = 0
 
     @property
     def kinds(self) -> list[str]:
@@ -66,17 +115,23 @@
 
     def expired(self, unix_time: float) -> bool:
         """Return whether the plan is no longer good."""
-        return unix_time > self.created_at + self.good_for_s
+        return self.withdrawn or unix_time > self.created_at + self.good_for_s
 
 
 def encode_plan(plan: Plan) -> bytes:
-    """Return a plan as JSON."""
-    return plan.model_dump_json().encode()
+    """Return a plan as JSON, packed when large; raise ``PlanTooLargeError`` beyond a value."""
+    data = pack(plan.model_dump_json().encode())
+    if len(data) > MAX_VALUE_BYTES:
+        raise PlanTooLargeError(
+            f"the plan changes {len(plan.changes)} documents and takes {len(data)} bytes; the "
+            f"key-value service keeps {MAX_VALUE_BYTES}: declare the change in smaller parts"
+        )
+    return data
 
 
 def decode_plan(data: bytes) -> Plan:
     """Read a plan; raise ``PlanError`` if it is malformed."""
     try:
-        return Plan.model_validate_json(data)
-    except ValidationError as error:
+        return Plan.model_validate_json(unpack(data))
+    except (ValidationError, ValueError) as error:
         raise PlanError(f"the stored plan is malformed: {error}") from error
--- a/bluebellrun/plans/_planner.py
+++ b/bluebellrun/plans/_planner.py
@@ -1,4 +1,4 @@
-"""Compare documents and apply changes."""
+"""Compare documents, apply changes, and carry changes over to newer documents."""
 
 from collections.abc import Iterable
 
@@ -8,14 +8,14 @@
 Identity = tuple[str, str]
 
 
-def _by_identity(documents: Iterable[Document]) -> dict[Identity, Document]:
+def by_identity(documents: Iterable[Document]) -> dict[Identity, Document]:
     """Return documents by kind and name."""
     return {(document.kind, document.name): document for document in documents}
 
 
 def compare_documents(current: Iterable[Document], wanted: Iterable[Document]) -> list[Change]:
     """Return the changes that turn the current documents into the wanted ones."""
-    before, after = _by_identity(current), _by_identity(wanted)
+    before, after = by_identity(current), by_identity(wanted)
     changes = []
     for identity in sorted(before.keys() | after.keys()):
         change = _compare(identity, before.get(identity), after.get(identity))
@@ -45,7 +45,7 @@
 
 def apply_changes(current: Iterable[Document], changes: Iterable[Change]) -> list[Document]:
     """Return the documents after the changes."""
-    documents = _by_identity(current)
+    documents = by_identity(current)
     for change in changes:
         identity = (change.kind, change.name)
         if change.after is None:
@@ -53,3 +53,37 @@
         else:
             documents[identity] = KINDS[change.kind].model_validate(change.after)
     return list(documents.values())
+
+
+def carry_over(changes: Iterable[Change], current: Iterable[Document]) -> list[Document]:
+    """Return newer documents with the fields that changes set, and no other field, applied.
+
+    A document that was removed meanwhile stays removed.
+    """
+    documents = by_identity(current)
+    for change in changes:
+        identity = (change.kind, change.name)
+        present = documents.get(identity)
+        if change.after is None:
+            documents.pop(identity, None)
+        elif change.action is ChangeKind.ADD:
+            documents[identity] = KINDS[change.kind].model_validate(change.after)
+        elif present is not None:
+            merged = present.model_dump(mode="json") | change.changed_fields()
+            documents[identity] = KINDS[change.kind].model_validate(merged)
+    return list(documents.values())
+
+
+def invert(changes: Iterable[Change]) -> list[Change]:
+    """Return the changes that take others back."""
+    opposite = {ChangeKind.ADD: ChangeKind.REMOVE, ChangeKind.REMOVE: ChangeKind.ADD}
+    return [
+        Change(
+            kind=change.kind,
+            name=change.name,
+            action=opposite.get(change.action, ChangeKind.CHANGE),
+            before=change.after,
+            after=change.before,
+        )
+        for change in changes
+    ]
--- a/bluebellrun/transport/_http_client.py
+++ b/bluebellrun/transport/_http_client.py
@@ -73,8 +73,11 @@
 class HttpClient:
     """Send requests to one address over kept connections."""
 
-    def __init__(self, address: Address, timeouts: ClientTimeouts, max_idle: int = 32) -> None:
+    def __init__(
+        self, address: Address, timeouts: ClientTimeouts, max_idle: int = 32, tls: Any = None
+    ) -> None:
         self._address = address
+        self._tls = tls
         self._timeouts = timeouts
         self._max_idle = max_idle
         self._idle: list[_ClientConnection] = []
@@ -140,7 +143,8 @@
             if connection.fresh():
                 return connection
             await connection.close()
-        return _ClientConnection(await connect(self._address, self._timeouts.connect_s))
+        sock = await connect(self._address, self._timeouts.connect_s, self._tls)
+        return _ClientConnection(sock)
 
 
 class _ClientConnection:
--- a/bluebellrun/transport/_http_server.py
+++ b/bluebellrun/transport/_http_server.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -46,6 +47,8 @@
         self._started = False
         self._finished = False
         self._aborted = False
+        self._status = 0
+        self._first_body_at: float | None = None
 
     @property
     def request(self) -> HttpRequest:
@@ -67,15 +70,28 @@
         """Return whether the answer was broken off."""
         return self._aborted
 
+    @property
+    def status(self) -> int:
+        """Return the status that was sent, 0 before the head."""
+        return self._status
+
+    @property
+    def first_body_at(self) -> float | None:
+        """Return when the first byte of the body was sent, by the monotonic clock in seconds."""
+        return self._first_body_at
+
     async def send_head(self, status: int, headers: Headers) -> None:
         """Send the status and headers; without a length, the body is chunked."""
         self._started = True
+        self._status = status
         await self._connection.send(h11.Response(status_code=status, headers=headers))
 
     async def send_body(self, data: bytes) -> None:
         """Send a part of the body."""
         if data:
             await self._connection.send(h11.Data(data=data))
+            if self._first_body_at is None:
+                self._first_body_at = time.monotonic()
 
     async def finish(self) -> None:
         """End the answer."""
