--- a/bluebellrun/load/_results.py
+++ b/bluebellrun/load/_results.py
@@ -1,7 +1,7 @@
 """Summaries of a run, one for each stream."""
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
 
@@ -10,11 +10,17 @@
 
 MICROSECONDS = 1_000_000
 LONGEST_US = 600 * MICROSECONDS
+SIGNIFICANT_DIGITS = 3
+PERCENTS = (50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 100.0)
 
 
 @dataclass(frozen=True, slots=True)
 class GroupSummary:
-    """What became of one stream's requests; times in seconds, shares from 0 to 1."""
+    """What became of one stream's requests; times in seconds, shares from 0 to 1.
+
+    ``verified`` answers carried a digest that fits; ``wrong`` ones carried another.
+    ``first_byte_percentiles`` and ``total_percentiles`` go by percent, as text.
+    """
 
     stream: str
     requests: int
@@ -25,6 +31,10 @@
     first_byte_p50_s: float
     first_byte_p95_s: float
     gap_p95_s: float
+    verified: int = 0
+    wrong: int = 0
+    first_byte_percentiles: dict[str, float] = field(default_factory=dict)
+    total_percentiles: dict[str, float] = field(default_factory=dict)
 
     @property
     def on_time_share(self) -> float:
@@ -32,14 +42,30 @@
         return self.on_time / self.requests if self.requests else 1.0
 
 
+def make_histogram(values: list[float]) -> HdrHistogram:
+    """Return an HDR histogram in microseconds of values in seconds."""
+    histogram = HdrHistogram(1, LONGEST_US, SIGNIFICANT_DIGITS)
+    for value in values:
+        histogram.record_value(min(LONGEST_US, max(1, round(value * MICROSECONDS))))
+    return histogram
+
+
+def percentiles(values: list[float]) -> dict[str, float]:
+    """Return percentiles of values in seconds; empty without values."""
+    if not values:
+        return {}
+    histogram = make_histogram(values)
+    return {
+        f"{percent:g}": histogram.get_value_at_percentile(percent) / MICROSECONDS
+        for percent in PERCENTS
+    }
+
+
 def _percentile(values: list[float], percent: float) -> float:
-    """Return a percentile of values in seconds by an HDR histogram."""
+    """Return a percentile of values in seconds, 0 without values."""
     if not values:
         return 0.0
-    histogram = HdrHistogram(1, LONGEST_US, 3)
-    for value in values:
-        histogram.record_value(max(1, round(value * MICROSECONDS)))
-    return float(histogram.get_value_at_percentile(percent)) / MICROSECONDS
+    return float(make_histogram(values).get_value_at_percentile(percent)) / MICROSECONDS
 
 
 def summarize(arrivals: list[Arrival], samples: list[Sample]) -> list[GroupSummary]:
@@ -65,4 +91,8 @@
         first_byte_p50_s=_percentile(first, 50),
         first_byte_p95_s=_percentile(first, 95),
         gap_p95_s=_percentile(gaps, 95),
+        verified=sum(sample.verified is True for _, sample in pairs),
+        wrong=sum(sample.verified is False for _, sample in pairs),
+        first_byte_percentiles=percentiles(first),
+        total_percentiles=percentiles([sample.total_s for sample in whole]),
     )
--- a/bluebellrun/reports/_plot.py
+++ b/bluebellrun/reports/_plot.py
@@ -6,12 +6,15 @@
 from matplotlib import colormaps
 from matplotlib.backends.backend_agg import FigureCanvasAgg
 from matplotlib.figure import Figure
+from matplotlib.ticker import FuncFormatter
 
 from bluebellrun.reports._models import WINDOW_NAMES, WINDOWS_S
 from bluebellrun.reports._report import Report
 
 SIZE_INCHES = (13.0, 9.0)
 DOTS_PER_INCH = 110
+LEGEND_BELOW = -0.13
+LEGEND_COLUMNS = 5
 MAX_OBJECTIVES = 8
 MAX_CUSTOMERS = 8
 LEAST_RATE = 0.01
@@ -75,14 +78,18 @@
     axes.set_yticks(range(len(shown)), [_objective_label(item) for item in shown])
     axes.invert_yaxis()
     axes.set_xlabel("times the rate that uses the budget exactly up (dashed: 1, dotted: 14.4)")
-    axes.legend(title="window", fontsize=8, loc="lower right")
+    axes.xaxis.set_major_formatter(FuncFormatter(lambda value, _: f"{value:g}"))
+    _legend_below(axes)
     axes.grid(axis="x", alpha=0.3, zorder=0)
 
 
 def _objective_label(item: Any) -> str:
     """Return an objective's name with its target and the budget left."""
-    name, target = item.objective.name, item.objective.on_time
-    return f"{name}\n{target:.1%}, left {item.on_time_budget_left:.0%}"
+    left = item.on_time_budget_left
+    budget = f"{left:.0%} left" if left >= 0 else f"overspent {1 - left:.0f}x"
+    if not item.windows[-1].requests:
+        budget = "no requests"
+    return f"{item.objective.name}\n{item.objective.on_time:.1%}, {budget}"
 
 
 def _plot_reasons(report: Report, axes: Any) -> None:
@@ -104,7 +111,7 @@
     for place, total in enumerate(left):
         axes.text(total, place, f" {total:.1f}%", va="center", fontsize=9)
     axes.set_xlabel("% of the priority's requests")
-    axes.legend(fontsize=8, loc="lower right")
+    _legend_below(axes)
     axes.grid(axis="x", alpha=0.3, zorder=0)
 
 
@@ -117,7 +124,8 @@
     width_s = report.series[0].width_s
     newest = max(point.start for point in report.series)
     starts = list(range(min(p.start for p in report.series), newest + width_s, width_s))
-    times = [(start - newest) / 60 for start in starts]
+    unit_s, unit = (60, "minutes") if newest - starts[0] > 600 else (1, "seconds")
+    times = [(start - newest) / unit_s for start in starts]
     colours = colormaps["tab10"]
     for index, urgency in enumerate(sorted({p.urgency for p in report.series})):
         counts = {p.start: p.counts for p in report.series if p.urgency == urgency}
@@ -127,15 +135,13 @@
         axes.plot(times, good, color=colours(index), linewidth=2, label=name, marker="o", ms=3)
         axes.plot(times, asked, color=colours(index), linewidth=0.8, alpha=0.8)
     for index, flooded in enumerate(sorted({s for v in report.flood_starts.values() for s in v})):
-        begin = (flooded - newest) / 60
+        middle, half = (flooded - newest) / unit_s, width_s / unit_s / 2
         label = "flood" if index == 0 else None
-        axes.axvspan(
-            begin - width_s / 120, begin + width_s / 120, color="#f4d9a8", alpha=0.6, label=label
-        )
-    axes.set_xlabel(f"minutes before the newest span of {width_s} s")
+        axes.axvspan(middle - half, middle + half, color="#f4d9a8", alpha=0.6, label=label)
+    axes.set_xlabel(f"{unit} before the newest span of {width_s} s, by arrival")
     axes.set_ylabel("requests a second")
     axes.set_ylim(bottom=0)
-    axes.legend(fontsize=8, loc="upper left")
+    _legend_below(axes)
     axes.grid(alpha=0.3)
 
 
@@ -166,10 +172,21 @@
             left[place], place, f" {item.bad} of {item.counts.total}", va="center", fontsize=8
         )
     axes.set_xlabel("requests that were not whole and on time")
-    axes.legend(fontsize=8, loc="lower right")
+    _legend_below(axes)
     axes.grid(axis="x", alpha=0.3, zorder=0)
 
 
+def _legend_below(axes: Any) -> None:
+    """Put the legend under the plot, where it hides nothing."""
+    axes.legend(
+        fontsize=8.5,
+        loc="upper center",
+        bbox_to_anchor=(0.5, LEGEND_BELOW),
+        ncols=LEGEND_COLUMNS,
+        frameon=False,
+    )
+
+
 def _say_nothing(axes: Any, text: str) -> None:
     """Say in place of a plot why there is nothing to see."""
     axes.text(0.5, 0.5, text, ha="center", va="center", transform=axes.transAxes)
--- a/bluebellrun/reports/_recorder.py
+++ b/bluebellrun/reports/_recorder.py
@@ -83,14 +83,16 @@
         return max(0.0, now - self._started)
 
     def record(self, seen: Observation, now: float) -> None:
-        """Count one request."""
+        """Count one request that has ended now in the spans in which it arrived."""
         place = VERDICTS.index(seen.verdict)
         for window_s in WINDOWS_S:
-            self._present_span(window_s, now).add(seen.urgency, seen.customer, place)
+            span = self._span_at(window_s, now - seen.total_s, now)
+            if span is not None:
+                span.add(seen.urgency, seen.customer, place)
         if seen.verdict in (Verdict.GOOD, Verdict.LATE):
-            span = self._present_latencies(now)
-            _record(span.first_byte, seen.urgency, seen.first_byte_s)
-            _record(span.whole_answer, seen.urgency, seen.total_s)
+            latencies = self._present_latencies(now)
+            _record(latencies.first_byte, seen.urgency, seen.first_byte_s)
+            _record(latencies.whole_answer, seen.urgency, seen.total_s)
 
     def rows(self, now: float) -> list[Row]:
         """Return the counts of each window by priority and customer."""
@@ -143,16 +145,22 @@
             for urgency in sorted(first)
         ]
 
-    def _present_span(self, window_s: int, now: float) -> _Span:
-        """Return the span of a window that a time falls into, dropping spans that are past."""
-        spans = self._windows[window_s]
-        width = SPANS[window_s]
-        start = int(now // width) * width
-        if not spans or spans[-1].start < start:
-            spans.append(_Span(start))
-            while spans[0].start + width <= now - window_s:
-                spans.popleft()
-        return spans[-1]
+    def _span_at(self, window_s: int, moment: float, now: float) -> _Span | None:
+        """Return the span of a window that a moment falls into, dropping spans that are past."""
+        spans, width = self._windows[window_s], SPANS[window_s]
+        while spans and spans[0].start + width <= now - window_s:
+            spans.popleft()
+        start = int(moment // width) * width
+        if start + width <= now - window_s:
+            return None
+        place = len(spans)
+        while place and spans[place - 1].start > start:
+            place -= 1
+        if place and spans[place - 1].start == start:
+            return spans[place - 1]
+        span = _Span(start)
+        spans.insert(place, span)
+        return span
 
     def _live_spans(self, window_s: int, now: float) -> list[_Span]:
         """Return the spans of a window that are not past."""
--- a/bluebellrun/reports/_render.py
+++ b/bluebellrun/reports/_render.py
@@ -39,7 +39,8 @@
     for item in report.coverage:
         if item.remembered < 1:
             name, share = WINDOW_NAMES[item.window_s], f"{item.remembered:.1%}"
-            notes.append(f"the {name} window is remembered to {share}, replaced processes forget")
+            young = ", ".join(item.short_of_memory)
+            notes.append(f"the {name} window is remembered to {share}: {young} started within it")
     if len(report.versions) > 1:
         notes.append(f"processes have different versions in force: {report.versions}")
     if not report.objectives:
@@ -102,8 +103,8 @@
 
 
 def _percent(share: float) -> str:
-    """Return a share of the budget."""
-    return f"[red]{share:.0%}[/]" if share < 0 else f"{share:.0%}"
+    """Return the share of the budget that is left, or how often it has been spent."""
+    return f"[red]spent {1 - share:.1f}x[/]" if share < 0 else f"{share:.0%}"
 
 
 def _reason(item: ObjectiveBurn) -> str:
--- a/standins/engine/_app.py
+++ b/standins/engine/_app.py
@@ -156,7 +156,12 @@
             "prompt_tokens": len(sequence.prompt) // 4,
             "completion_tokens": sequence.max_tokens,
         }
-        answer = {"id": sequence.request, "choices": [choice], "usage": usage}
+        answer = {
+            "id": sequence.request,
+            "choices": [choice],
+            "usage": usage,
+            "answer_sha256": self._digest(sequence),
+        }
         body = json.dumps(answer).encode()
         record.sha256 = hashlib.sha256(body).hexdigest()
         record.length = len(body)
@@ -172,4 +177,12 @@
     def _event(self, sequence: Sequence, index: int) -> bytes:
         """Return one token as an event."""
         choice = {"index": 0, "delta": {"content": sequence.token(index)}}
-        return b"data: " + json.dumps({"id": "cmpl", "choices": [choice]}).encode() + b"\n\n"
+        event: dict[str, object] = {"id": "cmpl", "choices": [choice]}
+        if index == sequence.max_tokens - 1:
+            event["answer_sha256"] = self._digest(sequence)
+        return b"data: " + json.dumps(event).encode() + b"\n\n"
+
+    def _digest(self, sequence: Sequence) -> str:
+        """Return the digest of a prompt and the text that answers it."""
+        text = "".join(sequence.token(i) for i in range(sequence.max_tokens))
+        return hashlib.sha256(sequence.prompt + text.encode()).hexdigest()
