--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -1,5 +1,6 @@
 """The ``bluebellrun-agent`` program: wiring only."""
 
+import sys
 from random import Random
 from typing import Any
 
@@ -9,7 +10,7 @@
 from bluebellrun.agent._agent import Agent
 from bluebellrun.agent._engine_load import EngineLoadWatcher
 from bluebellrun.agent._settings import AgentSettings
-from bluebellrun.conf import settings_command
+from bluebellrun.conf import EXIT_BAD_SETTING, settings_command
 from bluebellrun.core import MonotonicClock, new_incarnation
 from bluebellrun.distribution import ConfigurationFollower
 from bluebellrun.engines import (
@@ -22,9 +23,9 @@
 )
 from bluebellrun.messages import EXCHANGE_PATH
 from bluebellrun.platform import EtcdStore, StoreTimeouts
-from bluebellrun.runtime import StopSignals, spawn_background
+from bluebellrun.runtime import StopSignals, configure_link_security, spawn_background
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import Call, CallError, LinkTiming, Listener, serve_link
+from bluebellrun.transport import Call, CallError, LinkTiming, Listener, TlsError, serve_link
 
 STATUS_UNIMPLEMENTED = 12
 EXIT_CUT_OFF = 3
@@ -62,6 +63,7 @@
     signals = StopSignals()
     agent = _make_agent(settings)
     configure_logs(settings, process=settings.name, incarnation=agent.incarnation)
+    configure_link_security(settings)
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
     follower = ConfigurationFollower(store, settings.store_prefix, MonotonicClock(), Random())
     follower.add_listener(agent.apply_configuration)
@@ -114,7 +116,11 @@
 
 def _start(settings: AgentSettings) -> int:
     """Run the agent in curio's loop."""
-    return int(curio.run(_serve, settings))
+    try:
+        return int(curio.run(_serve, settings))
+    except TlsError as error:
+        sys.stderr.write(f"{error}\n")
+        return EXIT_BAD_SETTING
 
 
 run = settings_command(AgentSettings, _start)
--- a/bluebellrun/conf/__init__.py
+++ b/bluebellrun/conf/__init__.py
@@ -1,8 +1,9 @@
 """Settings: one class per binary, read from flags, then the environment, then defaults."""
 
-from bluebellrun.conf._commands import settings_command
+from bluebellrun.conf._commands import EXIT_BAD_SETTING, settings_command
 from bluebellrun.conf._models import (
     AddressSetting,
+    CallerTlsSettings,
     HttpSettings,
     LinkSettings,
     ProcessSettings,
@@ -10,7 +11,9 @@
 )
 
 __all__ = [
+    "EXIT_BAD_SETTING",
     "AddressSetting",
+    "CallerTlsSettings",
     "HttpSettings",
     "LinkSettings",
     "ProcessSettings",
--- a/bluebellrun/conf/_commands.py
+++ b/bluebellrun/conf/_commands.py
@@ -42,6 +42,9 @@
     """Return one line for each bad setting: its flag, its value, what is wrong, the way out."""
     lines = []
     for problem in error.errors():
+        if not problem["loc"]:
+            lines.append(f"{problem['msg'].removeprefix('Value error, ')}")
+            continue
         name = str(problem["loc"][0])
         flag, variable = _flag(name), _variable(settings_class, name)
         if problem["type"] == "missing":
--- a/bluebellrun/conf/_models.py
+++ b/bluebellrun/conf/_models.py
@@ -1,8 +1,9 @@
 """Settings shared by several binaries."""
 
-from typing import Annotated, Any, Literal
+from pathlib import Path
+from typing import Annotated, Any, Literal, Self
 
-from pydantic import BeforeValidator, Field
+from pydantic import BeforeValidator, Field, model_validator
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
 from bluebellrun.core import Address, parse_address
@@ -80,6 +81,24 @@
     )
 
 
+class CallerTlsSettings(_Settings):
+    """TLS towards callers; without it the platform's balancer ends TLS."""
+
+    callers_certificate: Path | None = Field(
+        default=None, description="PEM file of the certificate shown to callers."
+    )
+    callers_key: Path | None = Field(
+        default=None, description="PEM file of that certificate's key."
+    )
+
+    @model_validator(mode="after")
+    def _check_caller_files(self) -> Self:
+        """Refuse a certificate without its key, and a key without its certificate."""
+        if (self.callers_certificate is None) != (self.callers_key is None):
+            raise ValueError("set callers_certificate and callers_key, or neither")
+        return self
+
+
 class LinkSettings(_Settings):
     """Timing of links between processes."""
 
@@ -92,6 +111,27 @@
     link_ping_timeout_s: float = Field(
         default=2.0, gt=0, description="Silence after which a link is given up, in s."
     )
+    link_certificate: Path | None = Field(
+        default=None, description="PEM file of this process's certificate for links."
+    )
+    link_key: Path | None = Field(default=None, description="PEM file of that certificate's key.")
+    link_authority: Path | None = Field(
+        default=None, description="PEM file of the authority that peers' certificates must be of."
+    )
+    link_peer_names: str = Field(
+        default="",
+        description="DNS names, separated by commas, of which a peer's certificate needs one.",
+    )
     answer_window_bytes: int = Field(
         default=262_144, gt=0, description="Most unconfirmed bytes of one answer."
     )
+
+    @model_validator(mode="after")
+    def _check_link_files(self) -> Self:
+        """Refuse a part of the files that links need for TLS."""
+        files = (self.link_certificate, self.link_key, self.link_authority)
+        if any(files) and not all(files):
+            raise ValueError("set link_certificate, link_key and link_authority, or none of them")
+        if self.link_peer_names and not all(files):
+            raise ValueError("link_peer_names needs link_certificate, link_key and link_authority")
+        return self
--- a/bluebellrun/entry/_settings.py
+++ b/bluebellrun/entry/_settings.py
@@ -4,6 +4,7 @@
 
 from bluebellrun.conf import (
     AddressSetting,
+    CallerTlsSettings,
     HttpSettings,
     LinkSettings,
     ProcessSettings,
@@ -12,7 +13,7 @@
 from bluebellrun.core import Address
 
 
-class EntrySettings(ProcessSettings, StoreSettings, HttpSettings, LinkSettings):
+class EntrySettings(ProcessSettings, StoreSettings, HttpSettings, CallerTlsSettings, LinkSettings):
     """Run an entry: HTTP towards callers, links towards agents."""
 
     listen: AddressSetting = Field(
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -1,10 +1,11 @@
 """The ``bluebellrun-entry`` program: wiring only."""
 
+import sys
 from random import Random
 
 import curio
 
-from bluebellrun.conf import settings_command
+from bluebellrun.conf import EXIT_BAD_SETTING, settings_command
 from bluebellrun.core import MonotonicClock, UnixClock, new_incarnation
 from bluebellrun.distribution import ConfigurationFollower
 from bluebellrun.entry._dispatcher import Dispatcher
@@ -14,9 +15,14 @@
 from bluebellrun.entry._settings import EntrySettings
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.routing import make_routing
-from bluebellrun.runtime import StopSignals, spawn_background
+from bluebellrun.runtime import (
+    StopSignals,
+    configure_link_security,
+    make_caller_tls,
+    spawn_background,
+)
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import HttpLimits, HttpServer
+from bluebellrun.transport import HttpLimits, HttpServer, TlsError
 
 EXIT_CUT_OFF = 3
 STOP_POLL_S = 0.02
@@ -42,6 +48,7 @@
     signals = StopSignals()
     incarnation = new_incarnation()
     configure_logs(settings, process=settings.name, incarnation=incarnation)
+    configure_link_security(settings)
     clock = MonotonicClock()
     metrics = Metrics(settings.statsd, "bluebellrun")
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
@@ -52,7 +59,7 @@
     dispatcher = Dispatcher(settings, fleet, routing, clock, metrics)
     levels = ServiceLevels(settings.name, incarnation, fleet, UnixClock())
     entry = Entry(settings, follower, dispatcher, clock, metrics, levels)
-    server = HttpServer(settings.listen, entry.handle, _limits(settings))
+    server = HttpServer(settings.listen, entry.handle, _limits(settings), make_caller_tls(settings))
     await spawn_background(server.run)
     await spawn_background(follower.run)
     _log.info("ready", listen=str(server.address))
@@ -83,7 +90,11 @@
 
 def _start(settings: EntrySettings) -> int:
     """Run the entry in curio's loop."""
-    return int(curio.run(_serve, settings))
+    try:
+        return int(curio.run(_serve, settings))
+    except TlsError as error:
+        sys.stderr.write(f"{error}\n")
+        return EXIT_BAD_SETTING
 
 
 run = settings_command(EntrySettings, _start)
--- a/bluebellrun/transport/__init__.py
+++ b/bluebellrun/transport/__init__.py
@@ -26,6 +26,14 @@
 )
 from bluebellrun.transport._link import Call, Link, LinkTiming, dial, serve_link
 from bluebellrun.transport._listener import Listener
+from bluebellrun.transport._tls import (
+    LinkSecurity,
+    PeerNotAllowedError,
+    Tls,
+    TlsError,
+    TlsFiles,
+    link_security,
+)
 
 __all__ = [
     "BadResponseError",
@@ -45,12 +53,18 @@
     "HttpServer",
     "Link",
     "LinkLostError",
+    "LinkSecurity",
     "LinkTiming",
     "Listener",
+    "PeerNotAllowedError",
     "PeerTimeoutError",
+    "Tls",
+    "TlsError",
+    "TlsFiles",
     "TransportError",
     "dial",
     "end_to_end",
     "header_value",
+    "link_security",
     "serve_link",
 ]
--- a/bluebellrun/transport/_http_client.py
+++ b/bluebellrun/transport/_http_client.py
@@ -15,6 +15,7 @@
     PeerTimeoutError,
 )
 from bluebellrun.transport._http_models import ClientTimeouts, Headers, decode_headers
+from bluebellrun.transport._tls import Tls
 
 READ_SIZE = 65_536
 
@@ -28,10 +29,21 @@
         raise ConnectError(f"{address} did not accept within {timeout_s} s") from None
     except OSError as error:
         raise ConnectError(f"{address}: {error}") from error
+    if isinstance(tls, Tls):
+        await _check_peer(sock, tls)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
 
+async def _check_peer(sock: Any, tls: Tls) -> None:
+    """Close a connection to a peer that has no allowed name."""
+    try:
+        tls.check_peer(sock)
+    except ConnectError:
+        await sock.close()
+        raise
+
+
 class HttpResponse:
     """A response whose body is read piece by piece."""
 
--- a/bluebellrun/transport/_http_server.py
+++ b/bluebellrun/transport/_http_server.py
@@ -16,6 +16,7 @@
 from bluebellrun.core import Address, new_request_id
 from bluebellrun.transport._http_models import Headers, HttpLimits, HttpRequest, decode_headers
 from bluebellrun.transport._listener import Listener
+from bluebellrun.transport._tls import Tls
 
 READ_SIZE = 65_536
 BAD_REQUEST = 400
@@ -125,7 +126,7 @@
     """Serve HTTP/1.1 on one address."""
 
     def __init__(
-        self, address: Address, handler: HttpHandler, limits: HttpLimits, tls: Any = None
+        self, address: Address, handler: HttpHandler, limits: HttpLimits, tls: Tls | None = None
     ) -> None:
         self._handler = handler
         self._limits = limits
--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -21,8 +21,10 @@
 from curio.socket import SHUT_RDWR
 
 from bluebellrun.core import Address
-from bluebellrun.transport._exceptions import CallError, LinkLostError
+from bluebellrun.telemetry import get_logger
+from bluebellrun.transport._exceptions import CallError, ConnectError, LinkLostError
 from bluebellrun.transport._http_client import connect
+from bluebellrun.transport._tls import link_security
 
 READ_SIZE = 262_144
 STREAM_WINDOW_BYTES = 16_777_216
@@ -35,6 +37,8 @@
 STATUS_OK = 0
 STATUS_INTERNAL = 13
 
+_log = get_logger("transport")
+
 
 @dataclass(frozen=True, slots=True)
 class LinkTiming:
@@ -419,12 +423,17 @@
 
 async def dial(address: Address, timing: LinkTiming, tls: Any = None) -> Link:
     """Open a link to another process; raise ``ConnectError`` when it cannot be made."""
-    sock = await connect(address, timing.connect_s, tls)
+    sock = await connect(address, timing.connect_s, tls or link_security.tls)
     link = Link(sock, client=True, timing=timing)
     await curio.spawn(link.run, daemon=True)
     return link
 
 
 async def serve_link(sock: Any, handler: CallHandler, timing: LinkTiming) -> None:
-    """Serve the calls of a link that another process opened."""
+    """Serve the calls of a link that another process opened; refuse one that may not."""
+    try:
+        sock = await link_security.accept(sock)
+    except ConnectError as error:
+        _log.warning("link refused", error=str(error))
+        return
     await Link(sock, client=False, timing=timing, handler=handler).run()
--- a/bluebellrun/transport/_listener.py
+++ b/bluebellrun/transport/_listener.py
@@ -7,6 +7,8 @@
 from curio import network, socket
 
 from bluebellrun.core import Address
+from bluebellrun.transport._exceptions import ConnectError
+from bluebellrun.transport._tls import Tls
 
 ACCEPT_BACKLOG = 1_024
 MAX_TURNED_AWAY = 64
@@ -23,7 +25,7 @@
         address: Address,
         handler: ConnectionHandler,
         max_connections: int = 4_096,
-        tls: Any = None,
+        tls: Tls | None = None,
         turn_away: ConnectionHandler | None = None,
     ) -> None:
         self._socket = network.tcp_server_socket(address.ip, address.port, backlog=ACCEPT_BACKLOG)
@@ -78,12 +80,9 @@
         try:
             client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._tls is not None:
-                client = self._tls.wrap_socket(
-                    client, server_side=True, do_handshake_on_connect=False
-                )
-                await client.do_handshake()
+                client = await self._tls.accept(client)
             await handler(client)
-        except OSError:
+        except (OSError, ConnectError):
             return
         finally:
             self._open -= 1
