--- a/bluebellrun/management/_intents.py
+++ b/bluebellrun/management/_intents.py
@@ -12,6 +12,7 @@
     DEFAULT_PREFIX,
     EXIT_BAD_INPUT,
     EXIT_NOT_ALLOWED,
+    AuthorityOption,
     EntriesOption,
     OutputFormat,
     OutputOption,
@@ -23,6 +24,7 @@
 from bluebellrun.management._session import (
     Session,
     fail,
+    make_entry_tls,
     read_addresses,
     run_session,
 )
@@ -58,14 +60,16 @@
     token: str,
     output: OutputFormat,
     entries: list[str] | None = None,
+    authority: Path | None = None,
 ) -> None:
     """Make the plan of an intent and show it."""
     addresses = read_addresses(entries)
+    tls = make_entry_tls(authority)
 
     async def act(session: Session) -> Plan:
         in_progress: Mapping[str, int] | None = None
         if addresses:
-            collected = await collect_statuses(addresses, token)
+            collected = await collect_statuses(addresses, token, tls)
             for reason in collected.missing.values():
                 sys.stderr.write(f"no answer: {reason}\n")
             if not collected.missing:
@@ -94,6 +98,7 @@
     store_prefix: PrefixOption = DEFAULT_PREFIX,
     token: TokenOption = "",
     entry: EntriesOption = None,
+    authority: AuthorityOption = None,
     output: OutputOption = "text",
 ) -> None:
     """Say what would change if exactly the declarations in a folder were in force."""
@@ -102,7 +107,7 @@
     except DeclarationError as error:
         raise fail(EXIT_BAD_INPUT, str(error)) from None
     intent = Declare(str(folder), tuple(wanted))
-    make_plan(intent, store, store_prefix, token, output, entry)
+    make_plan(intent, store, store_prefix, token, output, entry, authority)
 
 
 def drain(
@@ -111,10 +116,11 @@
     store_prefix: PrefixOption = DEFAULT_PREFIX,
     token: TokenOption = "",
     entry: EntriesOption = None,
+    authority: AuthorityOption = None,
     output: OutputOption = "text",
 ) -> None:
     """Plan that upstreams take no new work; what is in progress there ends in peace."""
-    make_plan(Drain(tuple(upstreams)), store, store_prefix, token, output, entry)
+    make_plan(Drain(tuple(upstreams)), store, store_prefix, token, output, entry, authority)
 
 
 def undrain(
--- a/bluebellrun/management/_options.py
+++ b/bluebellrun/management/_options.py
@@ -1,5 +1,6 @@
 """Options and exit statuses that the commands share."""
 
+from pathlib import Path
 from typing import Annotated, Literal
 
 import typer
@@ -53,4 +54,12 @@
         help="IP:PORT of an entry to ask; may be repeated, or separated by spaces in the variable.",
     ),
 ]
+AuthorityOption = Annotated[
+    Path | None,
+    typer.Option(
+        "--authority",
+        envvar="BLUEBELLRUN_CALLERS_AUTHORITY",
+        help="PEM file of the authority of entries that serve TLS; none speaks plain HTTP.",
+    ),
+]
 DEFAULT_PREFIX = "/bluebellrun"
--- a/bluebellrun/management/_progress.py
+++ b/bluebellrun/management/_progress.py
@@ -19,14 +19,22 @@
     EXIT_BAD_INPUT,
     EXIT_NOT_ALLOWED,
     EXIT_NOT_FINISHED,
+    AuthorityOption,
     EntriesOption,
     PrefixOption,
     StoreOption,
     TokenOption,
 )
-from bluebellrun.management._session import Session, fail, read_addresses, run_session
+from bluebellrun.management._session import (
+    Session,
+    fail,
+    make_entry_tls,
+    read_addresses,
+    run_session,
+)
 from bluebellrun.plans import GroupProgress, Plan, read_progress
 from bluebellrun.reports import ReportRefusedError, Status, collect_statuses
+from bluebellrun.transport import Tls
 
 POLL_S = 0.5
 
@@ -131,6 +139,7 @@
     store: StoreOption,
     plan_id: PlanArgument,
     entry: EntriesOption = None,
+    authority: AuthorityOption = None,
     timeout_s: Annotated[
         float, typer.Option(min=0, help="Longest time to follow, in s; 0 looks once.")
     ] = 600.0,
@@ -144,20 +153,16 @@
     addresses = read_addresses(entry)
     if not addresses:
         raise fail(EXIT_BAD_INPUT, "name the entries to ask with --entry IP:PORT")
+    tls = make_entry_tls(authority)
+    target = _Target(plan_id, addresses, token, tls, timeout_s)
     try:
         if not sys.stdout.isatty():
-            done = _follow(
-                store, store_prefix, token, plan_id, addresses, timeout_s, _JsonLines().show
-            )
+            done = _follow(store, store_prefix, target, _JsonLines().show)
         else:
-            columns = (
-                TextColumn("{task.description}"),
-                BarColumn(),
-                TextColumn("{task.fields[note]}"),
-            )
-            with Progress(*columns, TimeElapsedColumn(), console=Console()) as bars:
-                show = _Bars(bars).show
-                done = _follow(store, store_prefix, token, plan_id, addresses, timeout_s, show)
+            columns = (TextColumn("{task.description}"), BarColumn())
+            notes = TextColumn("{task.fields[note]}")
+            with Progress(*columns, notes, TimeElapsedColumn(), console=Console()) as bars:
+                done = _follow(store, store_prefix, target, _Bars(bars).show)
     except ReportRefusedError as error:
         raise fail(EXIT_NOT_ALLOWED, str(error)) from None
     except KeyboardInterrupt:
@@ -166,27 +171,31 @@
         raise fail(EXIT_NOT_FINISHED, f"not complete after {timeout_s:g} s; the plan goes on")
 
 
-def _follow(
-    store: str,
-    prefix: str,
-    token: str,
-    plan_id: str,
-    entries: list[Address],
-    timeout_s: float,
-    show: Callable[[list[Stage]], None],
-) -> bool:
+@dataclass(frozen=True, slots=True)
+class _Target:
+    """The plan to follow, the entries to ask and the longest time, in seconds."""
+
+    plan_id: str
+    entries: list[Address]
+    token: str
+    tls: Tls | None
+    timeout_s: float
+
+
+def _follow(store: str, prefix: str, target: _Target, show: Callable[[list[Stage]], None]) -> bool:
     """Show the stages until all are finished or the time is over; return which."""
 
     async def act(session: Session) -> bool:
-        plan, _ = await session.repository.read_plan(plan_id)
+        plan, _ = await session.repository.read_plan(target.plan_id)
         if not plan.confirmed:
-            raise fail(EXIT_BAD_INPUT, f"plan {plan_id} is not confirmed; confirm it first")
+            raise fail(EXIT_BAD_INPUT, f"plan {plan.plan_id} is not confirmed; confirm it first")
         most_seen: dict[str, int] = {}
-        end = time.monotonic() + timeout_s
+        end = time.monotonic() + target.timeout_s
         while True:
-            collected = await collect_statuses(entries, token)
+            collected = await collect_statuses(target.entries, target.token, target.tls)
             groups = await read_progress(session.store, session.prefix)
-            stages = find_stages(plan, collected.answers, len(collected.missing), groups, most_seen)
+            missing = len(collected.missing)
+            stages = find_stages(plan, collected.answers, missing, groups, most_seen)
             show(stages)
             if all(stage.finished for stage in stages):
                 return True
@@ -194,4 +203,4 @@
                 return False
             await curio.sleep(POLL_S)
 
-    return run_session(store, prefix, token, "viewer", act)
+    return run_session(store, prefix, target.token, "viewer", act)
--- a/bluebellrun/management/_session.py
+++ b/bluebellrun/management/_session.py
@@ -3,6 +3,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from pathlib import Path
 from typing import TypeVar
 
 import curio
@@ -20,6 +21,7 @@
 )
 from bluebellrun.plans import PlanConflictError, PlanError, PlanRepository, PlanUnknownError
 from bluebellrun.platform import EtcdStore, KeyValueStore, PlatformError, StoreTimeouts
+from bluebellrun.transport import Tls, TlsError, TlsFiles
 
 STORE_TIMEOUT_S = 5.0
 
@@ -54,6 +56,16 @@
         raise fail(EXIT_BAD_INPUT, str(error)) from None
 
 
+def make_entry_tls(authority: Path | None) -> Tls | None:
+    """Return the TLS to ask entries with, or none; exit when the file cannot be used."""
+    if authority is None:
+        return None
+    try:
+        return Tls(TlsFiles(authority=authority))
+    except TlsError as error:
+        raise fail(EXIT_BAD_INPUT, str(error)) from None
+
+
 def check_role(configuration: Configuration, token: str, role: str) -> str:
     """Return the operator's name; raise ``NotAllowedError`` when it may not act in a role.
 
--- a/bluebellrun/reports/main.py
+++ b/bluebellrun/reports/main.py
@@ -19,6 +19,7 @@
 from bluebellrun.reports._rebalancing import read_rebalancing
 from bluebellrun.reports._render import print_report, render_json
 from bluebellrun.reports._report import RebalancingCost, Report, make_report
+from bluebellrun.transport import Tls, TlsError, TlsFiles
 
 EXIT_FAILED = 1
 EXIT_BAD_INPUT = 2
@@ -37,12 +38,15 @@
     return typer.Exit(status)
 
 
-def _ask(entries: Sequence[Address], token: str) -> Collected[Snapshot]:
+def _ask(entries: Sequence[Address], token: str, authority: Path | None) -> Collected[Snapshot]:
     """Ask entries for their snapshots."""
     try:
-        return curio.run(collect_snapshots, entries, token)
+        tls = None if authority is None else Tls(TlsFiles(authority=authority))
+        return curio.run(collect_snapshots, entries, token, tls)
     except ReportError as error:
         raise _fail(EXIT_NOT_ALLOWED, str(error)) from None
+    except TlsError as error:
+        raise _fail(EXIT_BAD_INPUT, str(error)) from None
 
 
 def _read_costs(store: str, prefix: str) -> list[RebalancingCost]:
@@ -97,6 +101,14 @@
             show_default=False,
         ),
     ] = "",
+    authority: Annotated[
+        Path | None,
+        typer.Option(
+            "--authority",
+            envvar="BLUEBELLRUN_CALLERS_AUTHORITY",
+            help="PEM file of the authority of entries that serve TLS.",
+        ),
+    ] = None,
     store: Annotated[
         str,
         typer.Option(
@@ -128,7 +140,7 @@
         entries = [parse_address(item) for item in entry or []]
     except ValueError as error:
         raise _fail(EXIT_BAD_INPUT, str(error)) from None
-    collected = _ask(entries, token) if saved is None else _read_file(saved)
+    collected = _ask(entries, token, authority) if saved is None else _read_file(saved)
     for reason in collected.missing.values():
         sys.stderr.write(f"no answer: {reason}\n")
     if not collected.answers:
--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -194,8 +194,9 @@
             error = LinkLostError(str(broken))
         finally:
             await pinger.cancel(blocking=False)
-            await writer.cancel(blocking=False)
             await self._shut(error)
+            await writer.cancel()
+            await self._socket.close()
 
     async def wait_closed(self) -> None:
         """Wait until the link is closed."""
@@ -407,7 +408,11 @@
                 await self._flush()
 
     async def _shut(self, error: LinkLostError) -> None:
-        """Close the socket and fail the calls in progress."""
+        """Shut the socket down and fail the calls in progress.
+
+        The socket is closed by ``run`` after its reader and writer have left it: a descriptor
+        that is closed under a waiting task breaks curio's loop once its number is used again.
+        """
         if self._closed.is_set():
             return
         self._error = error
@@ -418,7 +423,6 @@
         await self._frames_ready.set()
         with contextlib.suppress(OSError):
             await self._socket.shutdown(SHUT_RDWR)
-        await self._socket.close()
 
 
 async def dial(address: Address, timing: LinkTiming, tls: Any = None) -> Link:
--- a/tests/integration/test_tls.py
+++ b/tests/integration/test_tls.py
@@ -3,16 +3,21 @@
 import json
 import socket
 import ssl
+import time
 import urllib.request
+from collections.abc import Callable
 
 import pytest
 import trustme
 
+from bluebellrun.core import Address
 from bluebellrun.customers import hash_key
 from standins.fleet import LocalFleet
 
+SETTINGS_FRAME = 4
 
-def test_a_fleet_with_mutual_tls_answers_and_refuses_plain_links(tmp_path, capsys):
+
+def test_a_fleet_with_mutual_tls_answers_and_refuses_plain_links(tmp_path):
     authority = trustme.CA()
     issued = authority.issue_cert("node.fleet", "127.0.0.1")
     issued.private_key_pem.write_to_path(tmp_path / "key.pem")
@@ -55,14 +60,29 @@
         )
         with urllib.request.urlopen(request, timeout=10, context=context) as answer:
             assert answer.read().endswith(b"data: [DONE]\n\n")
-        with socket.create_connection((agent.address.ip, agent.address.port), 5) as plain:
-            plain.sendall(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
-            assert b"SETTINGS" not in plain.recv(1_000)
+        assert not speaks_plain_http2(agent.address)
         secret = (tmp_path / "key.pem").read_text(encoding="utf-8").splitlines()[1]
         for name in ("entry-1", "a-1"):
             assert secret not in fleet[name].output.read_text(encoding="utf-8")
-        refused = [line for line in agent.log_lines() if line.get("event") == "link refused"]
-        assert refused
+        wait_until(lambda: "link refused" in agent.output.read_text(encoding="utf-8"))
+
+
+def speaks_plain_http2(address: Address) -> bool:
+    """Return whether a process answers the preface of HTTP/2 by a SETTINGS frame."""
+    with socket.create_connection((address.ip, address.port), 5) as plain:
+        plain.sendall(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+        try:
+            answer = plain.recv(1_000)
+        except ConnectionResetError:
+            return False
+    return len(answer) > 3 and answer[3] == SETTINGS_FRAME
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    deadline = time.monotonic() + 10
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
 
 
 def wait_ready(url: str, context: ssl.SSLContext) -> None:
