--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -23,7 +23,12 @@
 )
 from bluebellrun.messages import EXCHANGE_PATH
 from bluebellrun.platform import EtcdStore, StoreTimeouts
-from bluebellrun.runtime import StopSignals, configure_link_security, spawn_background
+from bluebellrun.runtime import (
+    StopSignals,
+    configure_link_security,
+    spawn_background,
+    warn_of_plain_links,
+)
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
 from bluebellrun.transport import Call, CallError, LinkTiming, Listener, TlsError, serve_link
 
@@ -69,6 +74,7 @@
     agent = _make_agent(settings)
     configure_logs(settings, process=settings.name, incarnation=agent.incarnation)
     configure_link_security(settings)
+    warn_of_plain_links(settings.listen)
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
     follower = ConfigurationFollower(store, settings.store_prefix, MonotonicClock(), Random())
     follower.add_listener(agent.apply_configuration)
--- a/bluebellrun/runtime/_security.py
+++ b/bluebellrun/runtime/_security.py
@@ -1,6 +1,9 @@
 """Make the TLS that settings ask for."""
 
+from ipaddress import ip_address
+
 from bluebellrun.conf import CallerTlsSettings, LinkSettings
+from bluebellrun.core import Address
 from bluebellrun.telemetry import get_logger
 from bluebellrun.transport import Tls, TlsFiles, link_security
 
@@ -12,6 +15,12 @@
     _log.error("changed TLS files refused; the old ones stay in use", error=problem)
 
 
+def warn_of_plain_links(listen: Address) -> None:
+    """Log that links from other hosts would be taken from anyone."""
+    if link_security.tls is None and not ip_address(listen.ip).is_loopback:
+        _log.warning("links are plain TCP; set link_certificate, link_key and link_authority")
+
+
 def configure_link_security(settings: LinkSettings) -> None:
     """Let all links of this process use the TLS of its settings, if any.
 
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -71,3 +71,17 @@
     text = (DOCS / "glossary.md").read_text(encoding="utf-8")
     for word in ("host", "failure domain", "customer", "upstream"):
         assert f"| {word} |" in text
+
+
+METRIC = re.compile(r'etrics\.(?:count|gauge|timing)\(\s*f?"([^"]+)"')
+
+
+def test_every_metric_that_is_sent_is_on_its_page_and_no_other():
+    sent = set()
+    for path in (ROOT / "bluebellrun").rglob("*.py"):
+        for name in METRIC.findall(path.read_text(encoding="utf-8")):
+            sent.add(re.sub(r"\{[^}]+\}", "*", name))
+    page = (DOCS / "reference" / "metrics.md").read_text(encoding="utf-8")
+    rows = [line.split("|")[1] for line in page.splitlines() if line.startswith("| `")]
+    named = {re.sub(r"[A-Z]+", "*", name) for row in rows for name in re.findall(r"`([^`]+)`", row)}
+    assert sent == named
--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -80,6 +80,19 @@
     assert {item["plan_id"] for item in json.loads(out)} >= {drain, undo}
 
 
+def test_a_shift_and_a_rebalance_are_planned_on_the_group(board):
+    shift = plan_id(board, "shift", "draft-group", "draft-large-2")
+    assert control(board, "confirm", shift)[0] == 0
+    status, out, _ = control(board, "rebalance", "draft-group", "--max-moved-gb", "2")
+    assert status == 0
+    assert "rebalance: 0 -> 1" in out
+    assert "weights moved: at most 2.00 GB" in out
+    entry = ("--entry", str(board["entry-1"].address))
+    status, out, _ = control(board, "progress", shift, *entry, "--timeout-s", "0")
+    assert status == 7
+    assert "told nothing yet" in out
+
+
 def test_only_a_known_operator_may_plan_confirm_and_read(board, monkeypatch):
     made = plan_id(board, "share", "counter-2", "2")
     assert ask(board, "/operators/report", TOKEN) == 200
