Call a span a flood only when one priority makes up most of it

In a demo of fourteen seconds the start of ordinary work was called a flood of it, and what the others kept was over 300%. A flood now needs over twice the median, over half of all requests and twenty of them; what others kept is their on-time share inside over that outside.

--- a/bluebellrun/reports/_measures.py
+++ b/bluebellrun/reports/_measures.py
@@ -8,6 +8,8 @@
 from bluebellrun.reports._models import WINDOWS_S, Counts, Point, Row, Snapshot
 
 FLOOD_FACTOR = 2.0
+FLOOD_SHARE = 0.5
+FLOOD_REQUESTS = 20
 LARGE_FACTOR = 2.0
 MIN_SPANS = 3
 
@@ -53,8 +55,8 @@
 class FloodService:
     """What one priority kept while another flooded.
 
-    Shares are of requests whole and on time; ``kept`` is the goodput a second in the flood over
-    that outside it.
+    Shares are of requests whole and on time; ``kept`` is the share inside the flood over that
+    outside it.
     """
 
     flooding: int
@@ -122,16 +124,27 @@
 
 
 def find_floods(series: Sequence[Point]) -> dict[int, set[int]]:
-    """Return for each urgency the starts of spans where it asked for over twice its median."""
-    starts = sorted({point.start for point in series})
-    if len(starts) < MIN_SPANS:
+    """Return for each urgency the starts of spans that it flooded.
+
+    It then asked for over twice its median and for over half of all requests, and for enough of
+    them to mean something.
+    """
+    asked: dict[int, dict[int, int]] = defaultdict(dict)
+    everything: dict[int, int] = defaultdict(int)
+    for point in series:
+        asked[point.urgency][point.start] = point.counts.total
+        everything[point.start] += point.counts.total
+    if len(everything) < MIN_SPANS:
         return {}
     floods: dict[int, set[int]] = {}
-    for urgency in sorted({point.urgency for point in series}):
-        asked = dict.fromkeys(starts, 0)
-        asked |= {p.start: p.counts.total for p in series if p.urgency == urgency}
-        usual = max(1.0, median(asked.values()))
-        flooded = {start for start, count in asked.items() if count > FLOOD_FACTOR * usual}
+    for urgency, counts in sorted(asked.items()):
+        usual = median(counts.get(start, 0) for start in everything)
+        least = max(FLOOD_REQUESTS, FLOOD_FACTOR * usual)
+        flooded = {
+            start
+            for start, count in counts.items()
+            if count > least and count > FLOOD_SHARE * everything[start]
+        }
         if flooded:
             floods[urgency] = flooded
     return floods
@@ -154,14 +167,13 @@
 def _kept(
     points: list[Point], inside: set[int], outside: set[int]
 ) -> tuple[float, float, float] | None:
-    """Return the on-time share outside and inside a flood and the part of goodput kept."""
+    """Return the on-time share outside and inside a flood and the part of it kept."""
     calm = _sum(point for point in points if point.start in outside)
     flood = _sum(point for point in points if point.start in inside)
     if not calm.total or not flood.total:
         return None
-    calm_rate = calm.good / len(outside)
-    kept = (flood.good / len(inside)) / calm_rate if calm_rate else 1.0
-    return calm.good / calm.total, flood.good / flood.total, kept
+    calm_share, flood_share = calm.good / calm.total, flood.good / flood.total
+    return calm_share, flood_share, flood_share / calm_share if calm_share else 1.0
 
 
 def _sum(points: Iterable[Point]) -> Counts:
--- a/bluebellrun/reports/_render.py
+++ b/bluebellrun/reports/_render.py
@@ -175,7 +175,7 @@
     for flood in report.floods:
         flooding, other = report.priority_name(flood.flooding), report.priority_name(flood.urgency)
         lines.append(
-            f"flood of {flooding}: {other} kept {flood.kept:.0%} of its goodput, on time "
+            f"flood of {flooding}: {other} kept {flood.kept:.0%} of its service, on time "
             f"{flood.on_time_inside:.1%} inside and {flood.on_time_outside:.1%} outside it"
         )
     if not report.floods:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -19,6 +19,7 @@
 OPERATOR_TOKEN = "operator-token"
 ENTRIES = ("entry-1", "entry-2")
 ANSWER_TOKENS = 300
+ENGINE_SLOTS = "16"
 FLOOD = """
 name: demo
 streams:
@@ -63,10 +64,11 @@
     fleet.start_platform()
     say(f"platform stand-in at {fleet.store}")
     for name in ("engine-1", "engine-2"):
-        fleet.start_engine(name)
+        fleet.start_engine(name, "--slots", ENGINE_SLOTS)
     fleet.start_plain("ledger")
-    fleet.start_agent("draft-pool-1", "draft-pool", "engine-1")
-    fleet.start_agent("draft-pool-2", "draft-pool", "engine-2")
+    for number in ("1", "2"):
+        name, engine = f"draft-pool-{number}", f"engine-{number}"
+        fleet.start_agent(name, "draft-pool", engine, "--concurrency", ENGINE_SLOTS)
     fleet.start_agent("job-ledger-1", "job-ledger", "ledger", "--protocol", "plain")
     say("three agents beside two engines and one plain service")
     for name in ENTRIES:
--- a/tests/reports/test_recorder.py
+++ b/tests/reports/test_recorder.py
@@ -192,6 +192,15 @@
     assert flood.on_time_outside == 1.0
 
 
+def test_a_priority_that_merely_starts_to_ask_is_no_flood():
+    recorder = Recorder(START)
+    for span in range(12):
+        for _ in range(0 if span < 7 else 15):
+            recorder.record(seen(), START + 10 * span)
+            recorder.record(seen(urgency=6), START + 10 * span)
+    assert make_report([snapshot(recorder, START + 115)]).floods == ()
+
+
 def test_small_customers_are_told_apart_from_large_ones():
     recorder = Recorder(START)
     for number in range(200):
