--- a/bluebellrun/conf/__init__.py
+++ b/bluebellrun/conf/__init__.py
@@ -4,6 +4,7 @@
 from bluebellrun.conf._models import (
     AddressSetting,
     CallerTlsSettings,
+    ControlSettings,
     HttpSettings,
     LinkSettings,
     ProcessSettings,
@@ -14,6 +15,7 @@
     "EXIT_BAD_SETTING",
     "AddressSetting",
     "CallerTlsSettings",
+    "ControlSettings",
     "HttpSettings",
     "LinkSettings",
     "ProcessSettings",
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -2,12 +2,13 @@
 
 import sys
 from random import Random
+from typing import Any
 
 import curio
 
 from bluebellrun.conf import EXIT_BAD_SETTING, settings_command
 from bluebellrun.core import MonotonicClock, UnixClock, new_incarnation
-from bluebellrun.distribution import ConfigurationFollower
+from bluebellrun.distribution import link_timing, make_node
 from bluebellrun.entry._dispatcher import Dispatcher
 from bluebellrun.entry._entry import Entry
 from bluebellrun.entry._fleet import Fleet
@@ -20,9 +21,10 @@
     configure_link_security,
     make_caller_tls,
     spawn_background,
+    warn_of_plain_links,
 )
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import HttpLimits, HttpServer, TlsError
+from bluebellrun.transport import HttpLimits, HttpServer, Listener, TlsError, serve_link
 
 EXIT_CUT_OFF = 3
 STOP_POLL_S = 0.02
@@ -49,22 +51,35 @@
     incarnation = new_incarnation()
     configure_logs(settings, process=settings.name, incarnation=incarnation)
     configure_link_security(settings)
+    warn_of_plain_links(settings.link_listen)
     clock = MonotonicClock()
+    timing = link_timing(settings)
+
+    async def handle_connection(sock: Any) -> None:
+        await serve_link(sock, node.serve_call, timing)
+
     metrics = Metrics(settings.statsd, "bluebellrun")
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
-    follower = ConfigurationFollower(store, settings.store_prefix, clock, Random())
+    listener = Listener(settings.link_listen, handle_connection)
+    node = make_node(settings, "entry", listener.address, store, clock)
     fleet = Fleet(settings, clock)
-    follower.add_listener(fleet.apply_configuration)
+    node.follower.add_listener(fleet.apply_configuration)
+    node.add_departure_listener(fleet.apply_departures)
+    node.add_peer_listener(fleet.apply_peers)
     routing = make_routing(settings.routing_policy, Random(), settings.failure_domain)
     dispatcher = Dispatcher(settings, fleet, routing, clock, metrics)
     levels = ServiceLevels(settings.name, incarnation, fleet, UnixClock())
-    entry = Entry(settings, follower, dispatcher, clock, metrics, levels)
+    entry = Entry(settings, node.follower, dispatcher, clock, metrics, levels)
     server = HttpServer(settings.listen, entry.handle, _limits(settings), make_caller_tls(settings))
     await spawn_background(server.run)
-    await spawn_background(follower.run)
-    _log.info("ready", listen=str(server.address))
+    await spawn_background(listener.run)
+    await node.run()
+    _log.info("ready", listen=str(server.address), links=str(listener.address))
     await signals.next()
-    return await _stop(entry, server, signals, settings.stop_grace_s)
+    await node.leave()
+    status = await _stop(entry, server, signals, settings.stop_grace_s)
+    await node.close()
+    return status
 
 
 async def _finish_requests(entry: Entry) -> None:
--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -193,8 +193,8 @@
         except (OSError, h2.exceptions.ProtocolError) as broken:
             error = LinkLostError(str(broken))
         finally:
-            await pinger.cancel(blocking=False)
             await self._shut(error)
+            await pinger.cancel()
             await writer.cancel()
             await self._socket.close()
 
@@ -408,10 +408,10 @@
                 await self._flush()
 
     async def _shut(self, error: LinkLostError) -> None:
-        """Shut the socket down and fail the calls in progress.
+        """End the connection and fail the calls in progress.
 
-        The socket is closed by ``run`` after its reader and writer have left it: a descriptor
-        that is closed under a waiting task breaks curio's loop once its number is used again.
+        The socket itself is closed by ``run`` alone, when no task waits on it any more: the
+        number of a socket that is closed under a waiting task may be given to another one.
         """
         if self._closed.is_set():
             return
