--- a/bluebellrun/load/_render.py
+++ b/bluebellrun/load/_render.py
@@ -20,6 +20,11 @@
     )
 
 
+def render_details(summary: GroupSummary) -> list[str]:
+    """Return the commonest reasons why answers were not whole, one line each."""
+    return [f"  {count} times: {detail}" for detail, count in summary.details.items()]
+
+
 def render_histogram(summary: GroupSummary) -> list[str]:
     """Return the percentiles of the first byte and the whole answer as bars."""
     lines = []
--- a/bluebellrun/load/_results.py
+++ b/bluebellrun/load/_results.py
@@ -11,6 +11,7 @@
 MICROSECONDS = 1_000_000
 LONGEST_US = 600 * MICROSECONDS
 SIGNIFICANT_DIGITS = 3
+MAX_DETAILS = 5
 PERCENTS = (50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 100.0)
 
 
@@ -19,6 +20,7 @@
     """What became of one stream's requests; times in seconds, shares from 0 to 1.
 
     ``verified`` answers carried a digest that fits; ``wrong`` ones carried another.
+    ``details`` counts the commonest reasons of what was not whole.
     ``first_byte_percentiles`` and ``total_percentiles`` go by percent, as text.
     """
 
@@ -35,6 +37,7 @@
     wrong: int = 0
     first_byte_percentiles: dict[str, float] = field(default_factory=dict)
     total_percentiles: dict[str, float] = field(default_factory=dict)
+    details: dict[str, int] = field(default_factory=dict)
 
     @property
     def on_time_share(self) -> float:
@@ -95,4 +98,10 @@
         wrong=sum(sample.verified is False for _, sample in pairs),
         first_byte_percentiles=percentiles(first),
         total_percentiles=percentiles([sample.total_s for sample in whole]),
+        details=_count_details([sample for _, sample in pairs if not sample.whole]),
     )
+
+
+def _count_details(samples: list[Sample]) -> dict[str, int]:
+    """Return the commonest reasons why requests were not answered whole."""
+    return dict(Counter(sample.detail for sample in samples).most_common(MAX_DETAILS))
--- a/bluebellrun/load/main.py
+++ b/bluebellrun/load/main.py
@@ -20,7 +20,12 @@
     save_run,
     widest_difference,
 )
-from bluebellrun.load._render import render_comparison, render_histogram, render_summary
+from bluebellrun.load._render import (
+    render_comparison,
+    render_details,
+    render_histogram,
+    render_summary,
+)
 from bluebellrun.load._results import summarize
 from bluebellrun.load._scenario import load_scenario
 
@@ -69,7 +74,8 @@
         sys.stdout.write(text + "\n")
     else:
         for item in run.summaries:
-            lines = [render_summary(item), *(render_histogram(item) if histogram else [])]
+            lines = [render_summary(item), *render_details(item)]
+            lines += render_histogram(item) if histogram else []
             sys.stdout.write("\n".join(lines) + "\n")
     if any(item.wrong for item in run.summaries):
         raise typer.Exit(EXIT_FAILED)
--- a/tests/load/test_client.py
+++ b/tests/load/test_client.py
@@ -103,6 +103,7 @@
     summary = run(mode)
     assert (summary.wrong, summary.whole) == (0, 0)
     assert summary.outcomes == {outcome: summary.requests}
+    assert sum(summary.details.values()) == summary.requests
 
 
 def test_an_answer_without_a_digest_is_whole_but_not_verified():
