--- a/tests/docs/_console.py
+++ b/tests/docs/_console.py
@@ -38,8 +38,11 @@
     return steps
 
 
-def run_page(page: Path, folder: Path) -> list[str]:
-    """Run a page's commands in a folder; return what differs from the page, one line each."""
+def run_page(page: Path, folder: Path, settings: dict[str, str] | None = None) -> list[str]:
+    """Run a page's commands in a folder; return what differs from the page, one line each.
+
+    ``settings`` are environment variables that the page takes for granted.
+    """
     ports: dict[str, str] = {}
     steps = read_steps(_move_ports(page.read_text(encoding="utf-8"), ports))
     _copy_examples(folder, ports)
@@ -48,14 +51,14 @@
         script += [f"echo '{MARK}{number}'", step.command, "code=$?", f"echo '{MARK}' $code"]
     script.append("kill $(jobs -p) 2>/dev/null; wait")
     (folder / "page.sh").write_text("\n".join(script) + "\n", encoding="utf-8")
-    printed, errors = _run_script(folder)
+    printed, errors = _run_script(folder, settings or {})
     differences: list[str] = []
     for number, step in enumerate(steps):
         differences += _compare(step, _output_of(printed, number), errors)
     return differences
 
 
-def _run_script(folder: Path) -> tuple[str, str]:
+def _run_script(folder: Path, settings: dict[str, str]) -> tuple[str, str]:
     """Run the script to its end or its timeout; leave none of its processes behind."""
     process = subprocess.Popen(
         ["bash", "page.sh"],
@@ -64,7 +67,7 @@
         stderr=subprocess.PIPE,
         text=True,
         cwd=folder,
-        env=_environment(),
+        env=_environment() | settings,
         start_new_session=True,
     )
     try:
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -3,11 +3,14 @@
 import re
 import subprocess
 import sys
+from collections.abc import Iterator
 
 import pytest
 
+from bluebellrun.declarations import read_folder, relocate
 from bluebellrun.load.main import application as load
 from bluebellrun.management.main import application as control
+from standins.fleet import LocalFleet
 from tests.docs._console import BLOCK, ROOT, read_steps, run_page
 
 DOCS = ROOT / "docs"
@@ -27,11 +30,39 @@
 COMMAND = re.compile(r"\b(bluebellrun-(?:ctl|report|load)) ([a-z][a-z-]*)")
 
 
-@pytest.mark.parametrize("page", PAGES_WITH_COMMANDS, ids=lambda page: page.stem)
+PAGES_FOR_A_FLEET = [page for page in PAGES_WITH_COMMANDS if page.parent.name == "howto"]
+PAGES_BY_THEMSELVES = [page for page in PAGES_WITH_COMMANDS if page not in PAGES_FOR_A_FLEET]
+
+
+@pytest.fixture(scope="module")
+def board(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, str]]:
+    """Start a part of the Board's fleet; return the settings of its operators."""
+    settings = {"BLUEBELLRUN_OPERATOR_TOKEN": "operator-token"}
+    with LocalFleet(tmp_path_factory.mktemp("fleet")) as fleet, pytest.MonkeyPatch.context() as own:
+        own.setenv("BLUEBELLRUN_OPERATOR_TOKEN", "operator-token")
+        fleet.start_platform()
+        for number in (1, 2):
+            fleet.start_engine(f"engine-{number}")
+            fleet.start_agent(f"draft-pool-{number}", "draft-pool", f"engine-{number}")
+        fleet.start_entry("entry-1")
+        agents = {name: fleet[name].address for name in ("draft-pool-1", "draft-pool-2")}
+        documents = relocate(read_folder(ROOT / "examples" / "board"), agents)
+        fleet.declare([document.model_dump(mode="json") for document in documents])
+        fleet.wait_ready("entry-1")
+        entry = str(fleet["entry-1"].address)
+        yield settings | {"BLUEBELLRUN_STORE": fleet.store, "BLUEBELLRUN_ENTRIES": entry}
+
+
+@pytest.mark.parametrize("page", PAGES_BY_THEMSELVES, ids=lambda page: page.stem)
 def test_commands_do_what_the_page_shows(page, tmp_path):
     assert run_page(page, tmp_path) == []
 
 
+@pytest.mark.parametrize("page", PAGES_FOR_A_FLEET, ids=lambda page: page.stem)
+def test_commands_do_what_the_page_shows_on_a_fleet(page, board, tmp_path):
+    assert run_page(page, tmp_path, board) == []
+
+
 def test_the_tutorial_is_among_the_pages_that_are_run():
     assert "tutorial" in {page.stem for page in PAGES_WITH_COMMANDS}
     text = (DOCS / "intro" / "tutorial.md").read_text(encoding="utf-8")
