--- a/bluebellrun/admission/_fair_queue.py
+++ b/bluebellrun/admission/_fair_queue.py
@@ -12,6 +12,8 @@
 from bluebellrun.admission._models import Work
 
 MAX_IDLE_CUSTOMERS = 4_096
+BURST_REQUESTS = 32.0
+COST_LEARNING_RATE = 0.05
 
 
 @dataclass(slots=True)
@@ -34,6 +36,7 @@
         self._virtual_time = 0.0
         self._cost = 0.0
         self._waiting = 0
+        self._usual_cost = 0.0
 
     def __len__(self) -> int:
         """Return how many requests wait."""
@@ -44,30 +47,40 @@
         """Return the cost in tokens of all that waits."""
         return self._cost
 
-    def cost_ahead(self, customer: str, share: float) -> float:
+    @property
+    def _burst(self) -> float:
+        """Return how far before the present virtual time an idle customer may start, in tokens."""
+        return BURST_REQUESTS * self._usual_cost
+
+    def cost_ahead(self, work: Work) -> float:
         """Return the tokens that run before a new request of a customer would."""
-        known = self._backlogged.get(customer)
-        if known is None:
-            return min(self._cost, self._head_cost())
-        shares = sum(item.share for item in self._backlogged.values())
-        return min(self._cost, known.cost * shares / share)
+        customer = self._customers.get(work.customer)
+        own_cost, start = 0.0, self._virtual_time
+        if customer is not None:
+            own_cost = customer.cost
+            earliest = start - self._burst
+            start = max(earliest, customer.next_start) + own_cost / work.share
+        others = (item for item in self._backlogged.values() if item is not customer)
+        return own_cost + sum(_cost_before(item, start) for item in others)
 
     def note_elsewhere(self, work: Work) -> None:
         """Move a customer back by what it used elsewhere, whether its work is taken or not.
 
-        It is kept from falling behind the others by more than it can make good.
+        What it used counts from where its last work here ended, not from the present virtual time:
+        the others moved on by as much meanwhile.
         """
-        customer = self._customer(work)
-        start = max(customer.next_start, self._virtual_time)
-        customer.next_start = start + work.served_elsewhere / work.share
+        self._customer(work).next_start += work.served_elsewhere / work.share
 
     def add(self, work: Work) -> None:
         """Queue work behind its customer's other work."""
         customer = self._customer(work)
         if not customer.works:
-            customer.next_start = max(customer.next_start, self._virtual_time)
+            earliest = self._virtual_time - self._burst
+            customer.next_start = max(customer.next_start, earliest)
             self._backlogged[work.customer] = customer
         customer.works[work.attempt] = work
+        self._usual_cost = self._usual_cost or work.cost
+        self._usual_cost += COST_LEARNING_RATE * (work.cost - self._usual_cost)
         self._count(customer, work.cost, 1)
 
     def head(self) -> Work | None:
@@ -122,14 +135,6 @@
             return None
         return min(self._backlogged.values(), key=lambda item: item.next_start)
 
-    def _head_cost(self) -> float:
-        """Return the cost of the first work of each customer that is behind."""
-        return sum(
-            next(iter(item.works.values())).cost
-            for item in self._backlogged.values()
-            if item.next_start <= self._virtual_time
-        )
-
     def _drop(self, customer: _Customer, work: Work) -> None:
         """Take work out of its customer's queue."""
         del customer.works[work.attempt]
@@ -154,3 +159,11 @@
             if not customer.works:
                 del self._customers[name]
                 return
+
+
+def _cost_before(customer: _Customer, start: float) -> float:
+    """Return the tokens of a backlogged customer that run before a virtual start."""
+    if customer.next_start > start:
+        return 0.0
+    head = next(iter(customer.works.values())).cost
+    return min(customer.cost, (start - customer.next_start) * customer.share + head)
--- /dev/null
+++ b/bluebellrun/agent/_orders.py
@@ -0,0 +1,182 @@
+"""Orders to the engine beside the agent: the gate, and what only the record can settle."""
+
+import curio
+import msgspec
+
+from bluebellrun.core import Clock, new_request_id
+from bluebellrun.engines import (
+    EngineStateError,
+    OrderClient,
+    OrderInDoubtError,
+    OrderNotSentError,
+    OrderRejectedError,
+)
+from bluebellrun.groups import (
+    AbortChange,
+    EngineState,
+    GroupError,
+    GroupRecord,
+    Order,
+    OrderGate,
+    Tell,
+    action_key,
+    decode_action,
+    decode_record,
+    encode_record,
+    has_effect,
+    record_key,
+)
+from bluebellrun.messages import (
+    OrderReply,
+    OrderRequest,
+    decode_order_request,
+    encode_order,
+)
+from bluebellrun.platform import Compare, KeyValueStore, PlatformError, Put
+from bluebellrun.telemetry import get_logger
+from bluebellrun.transport import Call, CallError
+
+SETTLE_INTERVAL_S = 0.25
+HOLD_PATIENCE_S = 5.0
+IN_DOUBT_WAIT_S = 1.0
+STATUS_INVALID = 3
+
+_log = get_logger("orders")
+
+
+class EngineOrders:
+    """Admit orders to one engine, one at a time.
+
+    ``group`` is the group that the engine is a rank of, empty for none.
+    """
+
+    def __init__(
+        self,
+        upstream: str,
+        group: str,
+        prefix: str,
+        client: OrderClient,
+        store: KeyValueStore,
+        clock: Clock,
+    ) -> None:
+        self._action_key = action_key(prefix, upstream)
+        self._record_key = record_key(prefix, group) if group else ""
+        self._client = client
+        self._store = store
+        self._clock = clock
+        self._gate = OrderGate()
+        self._held_since: float | None = None
+
+    async def serve(self, call: Call) -> None:
+        """Answer one order call."""
+        data = await call.receive()
+        try:
+            request = decode_order_request(data or b"")
+        except msgspec.MsgspecError as error:
+            raise CallError(STATUS_INVALID, f"the order is malformed: {error}") from error
+        await call.send(encode_order(await self.answer(request)))
+
+    async def answer(self, request: OrderRequest) -> OrderReply:
+        """Send an order if it may be sent, and return what the engine shows afterwards."""
+        try:
+            await self._start()
+            if request.order is None:
+                return OrderReply(await self._client.read_state(), fencing=self._gate.fencing)
+            return await self._carry_out(request.order)
+        except (EngineStateError, PlatformError, GroupError) as error:
+            return OrderReply(refusal=str(error), fencing=self._gate.fencing, passing=True)
+
+    async def run(self) -> None:
+        """Settle what a rank that joined, or holds a step too long, cannot know; for ever."""
+        while self._record_key:
+            try:
+                await self._start()
+                await self._settle()
+            except (EngineStateError, PlatformError, GroupError) as error:
+                _log.info("engine not settled", error=str(error))
+            await curio.sleep(SETTLE_INTERVAL_S)
+
+    async def _start(self) -> None:
+        """Learn the highest fencing number on record before the first order.
+
+        Orders that an earlier life of this agent sent may still arrive, so wait until they have.
+        """
+        if self._gate.started:
+            return
+        item = (await self._store.get(self._action_key)).get(self._action_key)
+        fencing = 0 if item is None else decode_action(item.value).order.fencing
+        record, _ = await self._read_record()
+        await curio.sleep(IN_DOUBT_WAIT_S)
+        if record is not None:
+            self._gate.learn(record)
+        self._gate.start(fencing)
+
+    async def _carry_out(self, order: Order) -> OrderReply:
+        """Send one order between two looks at the engine's state."""
+        refusal = self._gate.begin(order)
+        if refusal is not None:
+            return OrderReply(None, refusal.reason, refusal.fencing, refusal.passing)
+        try:
+            before = await self._client.read_state()
+            failure = ""
+            if has_effect(order, before):
+                refusal = self._gate.check_again(order)
+                if refusal is not None:
+                    return OrderReply(before, refusal.reason, refusal.fencing, refusal.passing)
+                failure = await self._send(order)
+            return OrderReply(
+                await self._client.read_state(), fencing=self._gate.fencing, failure=failure
+            )
+        finally:
+            self._gate.end()
+
+    async def _send(self, order: Order) -> str:
+        """Send an order; return why the engine did not take it, or nothing."""
+        try:
+            await self._client.send(order)
+        except OrderRejectedError as error:
+            _log.warning("order rejected", action=order.action, error=str(error))
+            return str(error)
+        except OrderNotSentError as error:
+            _log.info("order not sent", action=order.action, error=str(error))
+        except OrderInDoubtError as error:
+            _log.warning("order in doubt", action=order.action, error=str(error))
+            await self._client.close()
+            await curio.sleep(IN_DOUBT_WAIT_S)
+        return ""
+
+    async def _settle(self) -> None:
+        """Look at the engine, then at the record, and act on both."""
+        state = await self._client.read_state()
+        if state.learned and state.hold is None:
+            self._held_since = None
+            return
+        record, revision = await self._read_record()
+        if record is None:
+            return
+        match self._gate.settle(state, record, self._is_impatient(state)):
+            case AbortChange(aborted):
+                _log.warning("change of map aborted", version=record.latest)
+                compare = Compare(self._record_key, revision)
+                put = Put(self._record_key, encode_record(aborted))
+                await self._store.transact([compare], [put])
+            case Tell(content):
+                action = f"settle-{new_request_id()}"
+                await self._carry_out(Order(action, self._gate.fencing, content))
+
+    def _is_impatient(self, state: EngineState) -> bool:
+        """Return whether a hold has lasted too long."""
+        now = self._clock.now()
+        if state.hold is None:
+            self._held_since = None
+            return False
+        if self._held_since is None:
+            self._held_since = now
+        return now - self._held_since > HOLD_PATIENCE_S
+
+    async def _read_record(self) -> tuple[GroupRecord | None, int]:
+        """Return the group's record and its revision."""
+        if not self._record_key:
+            return None, 0
+        item = (await self._store.get(self._record_key)).get(self._record_key)
+        return (None, 0) if item is None else (decode_record(item.value), item.mod_revision)
--- a/bluebellrun/agent/_settings.py
+++ b/bluebellrun/agent/_settings.py
@@ -19,6 +19,12 @@
     protocol: Literal["model", "plain"] = Field(
         default="model", description="What the upstream speaks."
     )
+    group: str = Field(
+        default="", description="Model group that the upstream is a rank of; empty for none."
+    )
+    order_timeout_s: float = Field(
+        default=5.0, gt=0, description="Longest wait for the engine to answer an order, in s."
+    )
     admission_policy: str = Field(default="fair", description="Policy that picks the next work.")
     concurrency: int = Field(
         default=32, gt=0, description="Requests at the upstream at once, at first."
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -8,6 +8,7 @@
 from bluebellrun.admission import AdmissionSettings, make_admission
 from bluebellrun.agent._agent import Agent
 from bluebellrun.agent._engine_load import EngineLoadWatcher
+from bluebellrun.agent._orders import EngineOrders
 from bluebellrun.agent._settings import AgentSettings
 from bluebellrun.conf import EXIT_BAD_SETTING, settings_command
 from bluebellrun.core import MonotonicClock, new_incarnation
@@ -15,12 +16,13 @@
 from bluebellrun.engines import (
     LoadClient,
     ModelEngine,
+    OrderClient,
     PlainService,
     UpstreamClient,
     UpstreamKind,
     UpstreamTimeouts,
 )
-from bluebellrun.messages import EXCHANGE_PATH
+from bluebellrun.messages import EXCHANGE_PATH, ORDER_PATH
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.runtime import (
     StopSignals,
@@ -66,6 +68,14 @@
     )
 
 
+def _make_orders(settings: AgentSettings, store: EtcdStore) -> EngineOrders:
+    """Return the gate in front of the engine."""
+    client = OrderClient(settings.upstream, settings.order_timeout_s)
+    return EngineOrders(
+        settings.name, settings.group, settings.store_prefix, client, store, MonotonicClock()
+    )
+
+
 async def _serve(settings: AgentSettings) -> int:
     """Run the agent until it is told to stop; return the exit status."""
     signals = StopSignals()
@@ -76,9 +86,13 @@
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
     timing = link_timing(settings)
 
+    orders = _make_orders(settings, store)
+
     async def handle_call(call: Call) -> None:
         if call.path == EXCHANGE_PATH:
             await agent.serve_session(call)
+        elif call.path == ORDER_PATH:
+            await orders.serve(call)
         else:
             await node.serve_call(call)
 
@@ -92,10 +106,11 @@
     await spawn_background(listener.run)
     await node.run()
     await spawn_background(agent.run)
+    await spawn_background(orders.run)
     await _watch_load(settings)
     _log.info("ready", listen=str(listener.address), upstream=str(settings.upstream))
     await signals.next()
-    await node.leave()
+    await spawn_background(node.leave)
     status = await _stop(agent, signals, settings.stop_grace_s)
     await node.close()
     return status
--- /dev/null
+++ b/bluebellrun/coordinator/_agents.py
@@ -0,0 +1,46 @@
+"""Links from a coordinator to agents."""
+
+import msgspec
+
+from bluebellrun.coordinator._exceptions import AgentUnreachableError
+from bluebellrun.core import Address
+from bluebellrun.groups import Order
+from bluebellrun.messages import (
+    ORDER_PATH,
+    OrderReply,
+    OrderRequest,
+    decode_order_reply,
+    encode_order,
+)
+from bluebellrun.transport import Link, LinkTiming, TransportError, dial
+
+
+class AgentLinks:
+    """Ask agents to carry out orders; one link to each, opened when needed."""
+
+    def __init__(self, timing: LinkTiming, timeout_s: float) -> None:
+        self._timing = timing
+        self._timeout_s = timeout_s
+        self._links: dict[Address, Link] = {}
+
+    async def ask(self, agent: Address, order: Order | None) -> OrderReply:
+        """Return an agent's reply; raise ``AgentUnreachableError`` when there is none."""
+        try:
+            link = await self._link(agent)
+            data = await link.ask(ORDER_PATH, encode_order(OrderRequest(order)), self._timeout_s)
+            return decode_order_reply(data)
+        except (TransportError, msgspec.MsgspecError) as error:
+            raise AgentUnreachableError(f"agent {agent}: {error}") from error
+
+    async def close(self) -> None:
+        """Close the links."""
+        while self._links:
+            await self._links.popitem()[1].close()
+
+    async def _link(self, agent: Address) -> Link:
+        """Return an open link to an agent."""
+        link = self._links.get(agent)
+        if link is None or link.closed:
+            link = await dial(agent, self._timing)
+            self._links[agent] = link
+        return link
--- a/bluebellrun/engines/__init__.py
+++ b/bluebellrun/engines/__init__.py
@@ -10,6 +10,14 @@
 )
 from bluebellrun.engines._load import EngineLoad, LoadClient, LoadReportError, parse_load
 from bluebellrun.engines._models import ModelEngine, PlainService, UpstreamKind, UpstreamTimeouts
+from bluebellrun.engines._orders import (
+    EngineStateError,
+    OrderClient,
+    OrderError,
+    OrderInDoubtError,
+    OrderNotSentError,
+    OrderRejectedError,
+)
 from bluebellrun.engines._sse import DoneWatcher
 
 __all__ = [
@@ -17,10 +25,16 @@
     "DoneWatcher",
     "EngineError",
     "EngineLoad",
+    "EngineStateError",
     "LoadClient",
     "LoadReportError",
     "ModelEngine",
     "NothingSentError",
+    "OrderClient",
+    "OrderError",
+    "OrderInDoubtError",
+    "OrderNotSentError",
+    "OrderRejectedError",
     "PlainService",
     "RequestDeclinedError",
     "UpstreamAnswer",
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -76,7 +76,7 @@
     await node.run()
     _log.info("ready", listen=str(server.address), links=str(listener.address))
     await signals.next()
-    await node.leave()
+    await spawn_background(node.leave)
     status = await _stop(entry, server, signals, settings.stop_grace_s)
     await node.close()
     return status
