--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -116,3 +116,15 @@
     rows = [line.split("|")[1] for line in page.splitlines() if line.startswith("| `")]
     named = {re.sub(r"[A-Z]+", "*", name) for row in rows for name in re.findall(r"`([^`]+)`", row)}
     assert sent == named
+
+
+CALL = re.compile(r'= "(/bluebellrun\.[A-Za-z]+/[A-Za-z]+)"')
+
+
+def test_every_call_on_a_link_is_on_its_page():
+    page = (DOCS / "reference" / "link.md").read_text(encoding="utf-8")
+    paths = set()
+    for path in (ROOT / "bluebellrun" / "messages").glob("*.py"):
+        paths |= set(CALL.findall(path.read_text(encoding="utf-8")))
+    assert paths
+    assert {path for path in paths if f"`{path}`" not in page} == set()
