--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -1,5 +1,6 @@
 """The ``bluebellrun-agent`` program: wiring only."""
 
+import sys
 from typing import Any
 
 import curio
@@ -11,7 +12,7 @@
 from bluebellrun.agent._engine_load import EngineLoadWatcher
 from bluebellrun.agent._orders import EngineOrders
 from bluebellrun.agent._settings import AgentSettings
-from bluebellrun.conf import settings_command
+from bluebellrun.conf import EXIT_BAD_SETTING, settings_command
 from bluebellrun.coordinator import AgentLinks, GroupCoordinator
 from bluebellrun.core import MonotonicClock, new_incarnation
 from bluebellrun.distribution import link_timing, make_node
@@ -27,9 +28,14 @@
 from bluebellrun.groups import RebalanceSettings
 from bluebellrun.messages import ORDER_PATH
 from bluebellrun.platform import EtcdStore, StoreTimeouts
-from bluebellrun.runtime import StopSignals, spawn_background
+from bluebellrun.runtime import (
+    StopSignals,
+    configure_link_security,
+    spawn_background,
+    warn_of_plain_links,
+)
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import Call, Listener, serve_link
+from bluebellrun.transport import Call, Listener, TlsError, serve_link
 
 EXIT_CUT_OFF = 3
 LAST_FLUSH_S = 0.05
@@ -97,6 +103,8 @@
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
     agent = _make_agent(settings, store)
     configure_logs(settings, process=settings.name, incarnation=agent.incarnation)
+    configure_link_security(settings)
+    warn_of_plain_links(settings.listen)
     timing = link_timing(settings)
 
     async def handle_other(call: Call) -> None:
@@ -160,7 +168,11 @@
 
 def _start(settings: AgentSettings) -> int:
     """Run the agent in curio's loop."""
-    return int(curio.run(_serve, settings))
+    try:
+        return int(curio.run(_serve, settings))
+    except TlsError as error:
+        sys.stderr.write(f"{error}\n")
+        return EXIT_BAD_SETTING
 
 
 run = settings_command(AgentSettings, _start)
--- a/bluebellrun/entry/_fleet.py
+++ b/bluebellrun/entry/_fleet.py
@@ -46,6 +46,10 @@
         self._entries = frozenset(row.name for row in members if row.role == "entry")
         self._choose_subset()
 
+    def channels(self) -> list[AgentChannel]:
+        """Return the channels to all upstreams."""
+        return list(self._channels.values())
+
     def channel(self, name: str) -> AgentChannel:
         """Return the channel to an upstream."""
         channel = self._channels[name]
--- a/bluebellrun/entry/_settings.py
+++ b/bluebellrun/entry/_settings.py
@@ -2,11 +2,11 @@
 
 from pydantic import Field
 
-from bluebellrun.conf import AddressSetting, ControlSettings, HttpSettings
+from bluebellrun.conf import AddressSetting, CallerTlsSettings, ControlSettings, HttpSettings
 from bluebellrun.core import Address
 
 
-class EntrySettings(ControlSettings, HttpSettings):
+class EntrySettings(ControlSettings, HttpSettings, CallerTlsSettings):
     """Run an entry: HTTP towards callers, links towards agents."""
 
     listen: AddressSetting = Field(
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -1,22 +1,30 @@
 """The ``bluebellrun-entry`` program: wiring only."""
 
+import sys
 from random import Random
 from typing import Any
 
 import curio
 
-from bluebellrun.conf import settings_command
-from bluebellrun.core import MonotonicClock, new_incarnation
+from bluebellrun.conf import EXIT_BAD_SETTING, settings_command
+from bluebellrun.core import MonotonicClock, UnixClock, new_incarnation
 from bluebellrun.distribution import link_timing, make_node
 from bluebellrun.entry._dispatcher import Dispatcher
 from bluebellrun.entry._entry import Entry
 from bluebellrun.entry._fleet import Fleet
+from bluebellrun.entry._service_levels import ServiceLevels
 from bluebellrun.entry._settings import EntrySettings
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.routing import make_routing
-from bluebellrun.runtime import StopSignals, spawn_background
+from bluebellrun.runtime import (
+    StopSignals,
+    configure_link_security,
+    make_caller_tls,
+    spawn_background,
+    warn_of_plain_links,
+)
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import HttpLimits, HttpServer, Listener, serve_link
+from bluebellrun.transport import HttpLimits, HttpServer, Listener, TlsError, serve_link
 
 EXIT_CUT_OFF = 3
 STOP_POLL_S = 0.02
@@ -40,7 +48,10 @@
 async def _serve(settings: EntrySettings) -> int:
     """Run the entry until it is told to stop; return the exit status."""
     signals = StopSignals()
-    configure_logs(settings, process=settings.name, incarnation=new_incarnation())
+    incarnation = new_incarnation()
+    configure_logs(settings, process=settings.name, incarnation=incarnation)
+    configure_link_security(settings)
+    warn_of_plain_links(settings.link_listen)
     clock = MonotonicClock()
     timing = link_timing(settings)
 
@@ -57,8 +68,9 @@
     node.add_peer_listener(fleet.apply_peers)
     routing = make_routing(settings.routing_policy, Random(), settings.failure_domain)
     dispatcher = Dispatcher(settings, fleet, routing, clock, metrics)
-    entry = Entry(settings, node.follower, dispatcher, clock, metrics)
-    server = HttpServer(settings.listen, entry.handle, _limits(settings))
+    levels = ServiceLevels(settings.name, incarnation, fleet, UnixClock())
+    entry = Entry(settings, node.follower, dispatcher, clock, metrics, levels)
+    server = HttpServer(settings.listen, entry.handle, _limits(settings), make_caller_tls(settings))
     await spawn_background(server.run)
     await spawn_background(listener.run)
     await node.run()
@@ -93,7 +105,11 @@
 
 def _start(settings: EntrySettings) -> int:
     """Run the entry in curio's loop."""
-    return int(curio.run(_serve, settings))
+    try:
+        return int(curio.run(_serve, settings))
+    except TlsError as error:
+        sys.stderr.write(f"{error}\n")
+        return EXIT_BAD_SETTING
 
 
 run = settings_command(EntrySettings, _start)
--- a/bluebellrun/transport/_http_client.py
+++ b/bluebellrun/transport/_http_client.py
@@ -15,6 +15,7 @@
     PeerTimeoutError,
 )
 from bluebellrun.transport._http_models import ClientTimeouts, Headers, decode_headers
+from bluebellrun.transport._tls import Tls
 
 READ_SIZE = 65_536
 
@@ -28,10 +29,21 @@
         raise ConnectError(f"{address} did not accept within {timeout_s} s") from None
     except OSError as error:
         raise ConnectError(f"{address}: {error}") from error
+    if isinstance(tls, Tls):
+        await _check_peer(sock, tls)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
 
+async def _check_peer(sock: Any, tls: Tls) -> None:
+    """Close a connection to a peer that has no allowed name."""
+    try:
+        tls.check_peer(sock)
+    except ConnectError:
+        await sock.close()
+        raise
+
+
 class HttpResponse:
     """A response whose body is read piece by piece."""
 
@@ -73,8 +85,11 @@
 class HttpClient:
     """Send requests to one address over kept connections."""
 
-    def __init__(self, address: Address, timeouts: ClientTimeouts, max_idle: int = 32) -> None:
+    def __init__(
+        self, address: Address, timeouts: ClientTimeouts, max_idle: int = 32, tls: Any = None
+    ) -> None:
         self._address = address
+        self._tls = tls
         self._timeouts = timeouts
         self._max_idle = max_idle
         self._idle: list[_ClientConnection] = []
@@ -140,7 +155,8 @@
             if connection.fresh():
                 return connection
             await connection.close()
-        return _ClientConnection(await connect(self._address, self._timeouts.connect_s))
+        sock = await connect(self._address, self._timeouts.connect_s, self._tls)
+        return _ClientConnection(sock)
 
 
 class _ClientConnection:
--- a/standins/engine/_app.py
+++ b/standins/engine/_app.py
@@ -11,7 +11,7 @@
 from standins._serving import not_found
 from standins.engine._batching import Batcher, EngineSettings, Sequence
 from standins.engine._faults import EngineFaults
-from standins.engine._streams import STREAMS_PATH, AnswerRecord, StreamTable
+from standins.engine._streams import STREAMS_PATH, AnswerRecord, StreamTable, answer_digest
 
 
 class EngineApp:
@@ -134,7 +134,12 @@
             "prompt_tokens": len(sequence.prompt) // 4,
             "completion_tokens": sequence.max_tokens,
         }
-        answer = {"id": sequence.request, "choices": [choice], "usage": usage}
+        answer = {
+            "id": sequence.request,
+            "choices": [choice],
+            "usage": usage,
+            "answer_sha256": answer_digest(sequence),
+        }
         body = json.dumps(answer).encode()
         record.sha256 = hashlib.sha256(body).hexdigest()
         record.length = len(body)
--- a/standins/engine/_streams.py
+++ b/standins/engine/_streams.py
@@ -133,6 +133,15 @@
 
 
 def token_event(sequence: Sequence, index: int) -> bytes:
-    """Return one token as a server-sent event."""
+    """Return one token as a server-sent event; the last one carries the answer's digest."""
     choice = {"index": 0, "delta": {"content": sequence.token(index)}}
-    return b"data: " + json.dumps({"id": "cmpl", "choices": [choice]}).encode() + b"\n\n"
+    event: dict[str, object] = {"id": "cmpl", "choices": [choice]}
+    if index == sequence.max_tokens - 1:
+        event["answer_sha256"] = answer_digest(sequence)
+    return b"data: " + json.dumps(event).encode() + b"\n\n"
+
+
+def answer_digest(sequence: Sequence) -> str:
+    """Return the digest of a prompt and the text that answers it."""
+    text = "".join(sequence.token(i) for i in range(sequence.max_tokens))
+    return hashlib.sha256(sequence.prompt + text.encode()).hexdigest()
