Do not start waiting work whose entry has not come back

Cause: after an entry's death its waiting work was still run for the resume grace, at the cost of work that somebody waits for. Change: such work is refused as not run when its turn comes; an entry that comes back routes it elsewhere.

--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -298,12 +298,21 @@
         """Start as much work as admission allows."""
         while (work := self._admission.start_next(self._clock.now())) is not None:
             execution = self._executions[work.attempt]
+            if work.attempt in self._orphans:
+                self._turn_away_orphan(execution, work)
+                continue
             waiting = execution.state is ExecutionState.WAITING
             invariants.check(waiting, "work starts once", attempt=work.attempt)
             execution.start()
             execution.work = work
             self._tasks[work.attempt] = await spawn_background(self._run, execution)
 
+    def _turn_away_orphan(self, execution: Execution, work: Work) -> None:
+        """Refuse work whose entry has not come back, rather than run it for nobody."""
+        execution.refuse("the link to its entry was lost before it ran", None)
+        self._admission.finish(work, 0, self._clock.now())
+        self.forget(execution)
+
     async def _run(self, execution: Execution) -> None:
         """Run one request at the upstream and relay its answer."""
         work = execution.work
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -211,6 +211,22 @@
     assert play(main) == (Fate.NOT_RUN, Fate.RUNNING)
 
 
+def test_waiting_work_of_a_lost_entry_is_not_run_when_its_turn_comes():
+    async def main():
+        bench = Bench()
+        running = await bench.submit("r.1")
+        waiting = await bench.submit("q.1")
+        bench.agent.leave_session([waiting])
+        await bench.finish(running)
+        await curio.sleep(0.05)
+        answer = await bench.agent.resume(Resume("q.1", LIFE, 0, 0.1), bench.session)
+        return bench.upstream.opened, answer
+
+    opened, answer = play(main)
+    assert opened == ["r.1"]
+    assert answer.fate is Fate.NOT_RUN
+
+
 def test_an_entry_that_does_not_come_back_leaves_nothing_behind():
     async def main():
         bench = Bench(resume_grace_s=0.05)
