Offer work again to an agent that was stopped and started again

Cause: an entry kept an agent's last word that it was draining after the link was gone, and so never opened another: a restarted agent at the same address got no work from it. Change: the word is forgotten with the link that it came over.

--- a/bluebellrun/entry/_channel.py
+++ b/bluebellrun/entry/_channel.py
@@ -130,7 +130,7 @@
 
     @property
     def draining(self) -> bool:
-        """Return whether the agent said that it takes no new work."""
+        """Return whether the agent said, on the present link, that it takes no new work."""
         return self._draining
 
     def follow(self, upstream: Upstream) -> None:
@@ -217,6 +217,7 @@
             error = lost
         except (CallError, msgspec.MsgspecError) as broken:
             error = LinkLostError(f"the exchange failed: {broken}")
+        self._draining = False
         await connection.lose(error)
         _log.warning("link lost", upstream=self._upstream.name, error=str(error))
 
--- a/tests/integration/test_outcomes.py
+++ b/tests/integration/test_outcomes.py
@@ -313,6 +313,19 @@
     assert fleet.wait("jobs-1") == 0
 
 
+def test_agents_that_were_stopped_take_work_again_after_a_restart(fleet, key):
+    for name in ("plain-1", "plain-2"):
+        fleet.order(name, "/standin/faults", {"delay_s": 0.3})
+    work = [later(order, fleet, f"{key}{number}") for number in range(4)]
+    for thread, _ in work:
+        thread.join()
+    for name in ("jobs-1", "jobs-2"):
+        fleet.send_signal(name, signal.SIGTERM)
+        assert fleet.wait(name) == 0
+        fleet.restart(name)
+    wait_until(lambda: order(fleet, key).outcome == "ran")
+
+
 @pytest.mark.parametrize("stopped", ["entry-1", "draft-1"])
 def test_a_second_signal_stops_at_once_and_names_what_it_cut(fleet, stopped):
     thread, results = later(chat, fleet, 2_000)
