Tell the age of a claim by the clock of the agent that made it

Cause: another host's clock, if behind by more than the memory of fates reaches, would have made an agent deny an attempt that it had forgotten, and its key run again. Change: the question carries the claim's time, and the agent compares it with its own clock.

--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -7,7 +7,7 @@
 from bluebellrun.admission import AdmissionPolicy, Work
 from bluebellrun.agent._claims import ClaimDesk
 from bluebellrun.agent._execution import Execution, ExecutionState
-from bluebellrun.agent._fates import FateBook
+from bluebellrun.agent._fates import FateBook, age_of
 from bluebellrun.agent._outcomes import claim_state_of, fate_of, follow_verdict
 from bluebellrun.agent._session import Session
 from bluebellrun.agent._settings import AgentSettings
@@ -23,7 +23,7 @@
     RequestDeclinedError,
     UpstreamClient,
 )
-from bluebellrun.ledger import ClaimState
+from bluebellrun.ledger import ClaimState, wall_clock_ms
 from bluebellrun.membership import Departures
 from bluebellrun.messages import Fate, FateAnswer, FateQuery, Hello, Load, Resume, Submit
 from bluebellrun.runtime import spawn_background
@@ -163,7 +163,7 @@
             return FateAnswer(Fate.UNKNOWN, "the agent has been restarted since")
         execution = self._executions.get(query.attempt)
         if execution is None:
-            return self._fates.ask(query.attempt, query.age_s)
+            return self._fates.ask(query.attempt, age_of(query, wall_clock_ms()))
         return fate_of(execution)
 
     async def answer_fate(self, query: FateQuery) -> FateAnswer:
--- a/bluebellrun/agent/_claims.py
+++ b/bluebellrun/agent/_claims.py
@@ -224,8 +224,12 @@
 
         An agent that is silent may be paused, so that its attempt counts as running.
         """
-        age_s = max(0.0, (wall_clock_ms() - known.claimed_ms) / MS_PER_S) + CLOCK_SLACK_S
-        query = FateQuery(known.attempt, known.incarnation, age_s)
+        query = FateQuery(
+            attempt=known.attempt,
+            incarnation=known.incarnation,
+            age_s=CLOCK_SLACK_S,
+            claimed_ms=known.claimed_ms,
+        )
         if known.upstream == self._settings.name:
             return self._fate_source(query)
         address = self._agents.get(known.upstream)
--- a/bluebellrun/agent/_fates.py
+++ b/bluebellrun/agent/_fates.py
@@ -4,16 +4,24 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from bluebellrun.messages import Fate, FateAnswer
+from bluebellrun.messages import Fate, FateAnswer, FateQuery
 
 LONGEST_TICK_S = 0.1
 AGE_SLACK_S = 1.0
+MS_PER_S = 1_000
 
 UNSEEN = FateAnswer(Fate.NOT_RUN, "the agent had not seen it and will refuse it")
 FULL = FateAnswer(Fate.UNKNOWN, "the agent cannot remember to refuse more attempts now")
 FORGOTTEN = FateAnswer(Fate.UNKNOWN, "the agent no longer remembers attempts of that age")
 
 
+def age_of(query: FateQuery, now_ms: int) -> float:
+    """Return the least age of the attempt that a question is about, in seconds."""
+    if not query.claimed_ms:
+        return query.age_s
+    return max(query.age_s, (now_ms - query.claimed_ms) / MS_PER_S)
+
+
 @dataclass(frozen=True, slots=True)
 class _Memory:
     """A fate and when it was noted, in seconds of active time."""
--- a/bluebellrun/messages/_fate.py
+++ b/bluebellrun/messages/_fate.py
@@ -20,7 +20,9 @@
 class FateQuery(msgspec.Struct, frozen=True):
     """Ask for the fate of an attempt.
 
-    ``age_s`` is at least the time since the attempt was sent. With ``withdraw`` an attempt that
+    ``age_s`` is at least the time since the attempt was sent; where another host asks, who cannot
+    know it by its own clock, ``claimed_ms`` is when this agent claimed the attempt's key, in
+    milliseconds since the epoch by the agent's clock. With ``withdraw`` an attempt that
     has not begun never will. An attempt that the agent never saw is refused if it still comes.
     """
 
@@ -28,6 +30,7 @@
     incarnation: str
     age_s: float
     withdraw: bool = False
+    claimed_ms: int = 0
 
 
 class FateAnswer(msgspec.Struct, frozen=True):
--- a/tests/agent/test_fates.py
+++ b/tests/agent/test_fates.py
@@ -1,5 +1,5 @@
-from bluebellrun.agent._fates import FateBook
-from bluebellrun.messages import Fate, FateAnswer
+from bluebellrun.agent._fates import FateBook, age_of
+from bluebellrun.messages import Fate, FateAnswer, FateQuery
 
 RAN = FateAnswer(Fate.RAN, "it ran")
 
@@ -66,3 +66,9 @@
     book = FateBook(10.0, 100, 100)
     book.tick(0.0)
     assert book.ask("a", age_s=5.0).fate is Fate.NOT_RUN
+
+
+def test_the_age_of_a_claimed_attempt_is_told_by_the_agents_own_clock():
+    asked_by_a_slow_clock = FateQuery("a", "life", age_s=1.0, claimed_ms=10_000)
+    assert age_of(asked_by_a_slow_clock, now_ms=70_000) == 60.0
+    assert age_of(FateQuery("a", "life", age_s=2.0), now_ms=70_000) == 2.0
