--- a/bluebellrun/ledger/_log.py
+++ b/bluebellrun/ledger/_log.py
@@ -102,8 +102,15 @@
         self._waiting[record.attempt] = record
 
     def settle(self, record: LedgerRecord) -> None:
-        """Note what became of a claim."""
+        """Note what became of a claim.
+
+        A claim that the book does not hold may have been written by another process: the shard
+        is read before the settlement is dropped.
+        """
         self._settlements[record.attempt] = record
+        known = self._book.get(record.key)
+        if known is None or known.attempt != record.attempt:
+            self._loaded = False
 
     def abandon(self, attempt: str) -> None:
         """Give up a claim whose attempt will not run; release it if it is being written."""
@@ -213,6 +220,8 @@
 
     def _drop_settlements(self) -> None:
         """Drop the settlements that are in the book, or that it no longer accepts."""
+        if not self._loaded:
+            return
         for attempt, record in list(self._settlements.items()):
             if not self._book.accepts(record):
                 del self._settlements[attempt]
--- a/tests/ledger/test_log.py
+++ b/tests/ledger/test_log.py
@@ -73,6 +73,14 @@
     assert isinstance(claim(log, store, "k", "c"), Finished)
 
 
+def test_a_settlement_reaches_the_store_through_an_owner_that_missed_the_claim():
+    store, owner, other = FakeStore(), ShardLog("s", LIMITS), ShardLog("s", LIMITS)
+    claim(owner, store, "warm", "x")
+    claim(other, store, "k", "a")
+    settle(owner, store, "k", "a", ClaimState.RAN)
+    assert isinstance(claim(ShardLog("s", LIMITS), store, "k", "b"), Finished)
+
+
 def test_a_released_key_can_be_claimed_again():
     store, log = FakeStore(), ShardLog("s", LIMITS)
     claim(log, store, "k", "a")
