Say that a stop left the ledger unwritten

Cause: an agent stopped in an outage of the store ended with status 0 at the end of its grace although settlements were not durable. Change: it exits 3 and logs how many keys stay unknown.

--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -133,6 +133,9 @@
             await agent.cut_off()
             await curio.sleep(LAST_FLUSH_S)
         return EXIT_CUT_OFF
+    if agent.claims.unwritten:
+        _log.error("stopped before the ledger was written", keys=agent.claims.unwritten)
+        return EXIT_CUT_OFF
     await curio.sleep(LAST_FLUSH_S)
     _log.info("stopped")
     return 0
--- a/tests/integration/test_outcomes.py
+++ b/tests/integration/test_outcomes.py
@@ -326,6 +326,25 @@
     wait_until(lambda: order(fleet, key).outcome == "ran")
 
 
+def test_an_agent_stopped_in_an_outage_of_the_store_waits_and_says_what_it_could_not_write(
+    fleet, key
+):
+    for name in ("plain-1", "plain-2"):
+        fleet.order(name, "/standin/faults", {"delay_s": 0.5})
+    work = [later(order, fleet, f"{key}{number}") for number in range(4)]
+    wait_until(lambda: sum(runs_of(fleet, f"{key}{number}") for number in range(4)) == 4)
+    fleet.order("platform", "/standin/faults", {"down": True})
+    for thread, _ in work:
+        thread.join()
+    fleet.send_signal("jobs-1", signal.SIGTERM)
+    time.sleep(0.5)
+    assert fleet["jobs-1"].process.poll() is None
+    fleet.send_signal("jobs-1", signal.SIGTERM)
+    assert fleet.wait("jobs-1") == 3
+    fleet.order("platform", "/standin/faults", {"down": False})
+    assert any("keys" in line for line in fleet["jobs-1"].log_lines())
+
+
 @pytest.mark.parametrize("stopped", ["entry-1", "draft-1"])
 def test_a_second_signal_stops_at_once_and_names_what_it_cut(fleet, stopped):
     thread, results = later(chat, fleet, 2_000)
