--- a/bench/dissemination.py
+++ b/bench/dissemination.py
@@ -1,8 +1,8 @@
 """Time and cost of bringing a change of configuration to every process.
 
-Bare nodes, one process each, in three failure domains. A change is accepted when the store has
-answered the compare-and-swap; it is in force in a process when its listeners are told. All
-processes of one machine read the same monotonic clock.
+Bare nodes, one process each, in ``BENCH_DOMAINS`` failure domains (three by default). A change
+is accepted when the store has answered the compare-and-swap; it is in force in a process when its
+listeners are told. All processes of one machine read the same monotonic clock.
 """
 
 import json
@@ -25,7 +25,7 @@
 from bluebellrun.transport import LinkTiming
 from standins.fleet import LocalFleet
 
-DOMAINS = 3
+DOMAINS = int(os.environ.get("BENCH_DOMAINS", "3"))
 DOCUMENTS = 200
 STARTS_AT_ONCE = 3
 CHANGES = 15
@@ -222,6 +222,8 @@
     policy = f"{count} processes"
     calls = _calls_a_change(resting, changing, len(accepted), watchers)
     measures.append(_measure(policy, "store calls a change", calls, "calls", None, seed))
+    to_start = before.calls / count
+    measures.append(_measure(policy, "store calls to start, each", to_start, "calls", None, seed))
     measures.append(_measure(policy, "watchers", watchers, "processes", None, seed))
     measures.append(_measure(policy, "hops, most", hops, "hops", None, seed))
     measures.append(_measure(policy, "memory, most", max(memory) / 1e6, "MB", "<= 256", seed))
--- a/bluebellrun/agent/_session.py
+++ b/bluebellrun/agent/_session.py
@@ -10,10 +10,15 @@
     AgentEvent,
     BatchSender,
     Cancel,
+    Chunk,
     Delivered,
     EntryEvent,
-    Hello,
+    Failed,
+    Fate,
+    FateAnswer,
     Load,
+    Refused,
+    Resume,
     Submit,
     decode_entry_batch,
 )
@@ -25,6 +30,7 @@
     from bluebellrun.agent._agent import Agent
 
 STATUS_INVALID_ARGUMENT = 3
+MAX_BATCH_BYTES = 1_048_576
 
 _log = get_logger("agent.session")
 
@@ -37,9 +43,10 @@
         self._call = call
         self._executions: dict[str, Execution] = {}
         self._sender: BatchSender[AgentEvent] = BatchSender(
-            call, AgentBatch, flush_interval_s, self._collect
+            call, AgentBatch, flush_interval_s, self._collect, self._has_more
         )
         self._last_load: Load | None = None
+        self._more = False
 
     async def run(self) -> None:
         """Exchange events until the entry ends the call or the link is lost."""
@@ -51,9 +58,13 @@
             raise CallError(STATUS_INVALID_ARGUMENT, str(error)) from error
         finally:
             await sender.cancel(blocking=False)
-            await self._agent.forget_session(list(self._executions.values()))
+            self._agent.leave_session(list(self._executions.values()))
 
-    async def tell(self, event: Hello) -> None:
+    def let_go(self, attempt: str) -> None:
+        """Leave an attempt to another session."""
+        self._executions.pop(attempt, None)
+
+    async def tell(self, event: AgentEvent) -> None:
         """Send an event that belongs to no attempt."""
         await self._sender.post(event)
 
@@ -79,8 +90,11 @@
         match event:
             case Submit():
                 execution = await self._agent.submit(event, self)
-                self._executions[event.attempt] = execution
-                await self._sender.wake()
+                if execution is not None:
+                    self._executions[event.attempt] = execution
+                    await self._sender.wake()
+            case Resume():
+                await self._resume(event)
             case Delivered():
                 if (known := self._executions.get(event.attempt)) is not None:
                     await known.confirm(event.offset)
@@ -89,18 +103,42 @@
                 if (known := self._executions.get(event.attempt)) is not None:
                     await self._agent.cancel(known, event.reason)
 
+    async def _resume(self, event: Resume) -> None:
+        """Go on with an attempt of a lost link, or tell what became of it."""
+        resumed = await self._agent.resume(event, self)
+        match resumed:
+            case Execution():
+                self._executions[event.attempt] = resumed
+                await self._sender.wake()
+            case FateAnswer(fate=Fate.NOT_RUN):
+                await self._sender.post(Refused(event.attempt, resumed.reason))
+            case FateAnswer(fate=Fate.RAN):
+                await self._sender.post(Failed(event.attempt, "it ran; its answer is gone"))
+            case FateAnswer():
+                await self._sender.post(Failed(event.attempt, resumed.reason))
+
     def _collect(self) -> list[AgentEvent]:
         """Return all that can be told now, with the load if it changed."""
         events: list[AgentEvent] = []
+        room = MAX_BATCH_BYTES
         for execution in list(self._executions.values()):
-            events += execution.take_events()
+            if room <= 0:
+                break
+            told = execution.take_events(room)
+            room -= sum(len(event.data) for event in told if isinstance(event, Chunk))
+            events += told
             self._drop_settled(execution)
+        self._more = room <= 0
         load = self._agent.load()
         if events or load != self._last_load:
             self._last_load = load
             events.append(load)
         return events
 
+    def _has_more(self) -> bool:
+        """Return whether the last batch was full, so that there may be more to tell."""
+        return self._more
+
     def _drop_settled(self, execution: Execution) -> None:
         """Forget an attempt of which nothing remains to be told."""
         if execution.settled:
--- /dev/null
+++ b/bluebellrun/engines/_orders.py
@@ -0,0 +1,75 @@
+"""Give orders to one engine and read its state; the wire format is in the reference pages."""
+
+import msgspec
+
+from bluebellrun.core import Address
+from bluebellrun.engines._exceptions import EngineError
+from bluebellrun.groups import EngineState, Order
+from bluebellrun.transport import ClientTimeouts, ConnectError, HttpClient, TransportError
+
+ORDERS_PATH = "/orders"
+STATE_PATH = "/orders/state"
+JSON_HEADERS = [("content-type", "application/json")]
+OK = 200
+ACCEPTED = 202
+
+
+class OrderError(EngineError):
+    """An order was not carried out, or that is not known."""
+
+
+class OrderNotSentError(OrderError):
+    """No byte of the order reached the engine."""
+
+
+class OrderRejectedError(OrderError):
+    """The engine answered that it does not carry out the order."""
+
+
+class OrderInDoubtError(OrderError):
+    """The order may have reached the engine; its state will tell."""
+
+
+class EngineStateError(OrderError):
+    """The engine's state could not be read."""
+
+
+class OrderClient:
+    """The one connection by which an engine gets orders."""
+
+    def __init__(self, address: Address, timeout_s: float) -> None:
+        timeouts = ClientTimeouts(timeout_s, timeout_s, timeout_s)
+        self._client = HttpClient(address, timeouts, max_idle=1)
+
+    async def read_state(self) -> EngineState:
+        """Return the engine's state; raise ``EngineStateError`` when there is none."""
+        try:
+            status, data = await self._client.fetch("GET", STATE_PATH, [])
+        except TransportError as error:
+            raise EngineStateError(str(error)) from error
+        if status != OK:
+            raise EngineStateError(f"the engine answered {status} for its state")
+        try:
+            return msgspec.json.decode(data, type=EngineState)
+        except msgspec.MsgspecError as error:
+            raise EngineStateError(f"the engine's state is malformed: {error}") from error
+
+    async def send(self, order: Order) -> None:
+        """Send an order; an engine answers 202 when it has begun what takes long.
+
+        Raises ``OrderNotSentError``, ``OrderRejectedError`` or ``OrderInDoubtError``.
+        """
+        body = msgspec.json.encode(order)
+        try:
+            status, data = await self._client.fetch("POST", ORDERS_PATH, JSON_HEADERS, body)
+        except ConnectError as error:
+            raise OrderNotSentError(str(error)) from error
+        except TransportError as error:
+            raise OrderInDoubtError(str(error)) from error
+        if status not in (OK, ACCEPTED):
+            text = data[:200].decode(errors="replace")
+            raise OrderRejectedError(f"the engine answered {status}: {text}")
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._client.close()
--- a/bluebellrun/entry/_retries.py
+++ b/bluebellrun/entry/_retries.py
@@ -40,8 +40,8 @@
 def _permitted(request: CallerRequest, outcome: Outcome, answer_started: bool) -> bool:
     """Return whether running the request elsewhere cannot make it run twice unasked."""
     match outcome:
-        case NotRun():
-            return not answer_started
+        case NotRun(conflict=conflict):
+            return not answer_started and not conflict
         case Unknown():
             return request.repeatable and not answer_started
     return False
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -64,7 +64,7 @@
     await node.run()
     _log.info("ready", listen=str(server.address), links=str(listener.address))
     await signals.next()
-    await node.leave()
+    await spawn_background(node.leave)
     status = await _stop(entry, server, signals, settings.stop_grace_s)
     await node.close()
     return status
@@ -85,7 +85,7 @@
         await group.spawn(_finish_requests, entry)
         await group.spawn(signals.next)
     if entry.in_progress:
-        _log.error("stopped with requests in progress", cut_off=entry.in_progress)
+        _log.error("stopped with requests in progress", cut_off=entry.describe_in_progress())
         return EXIT_CUT_OFF
     _log.info("stopped")
     return 0
