Count a straggler as found by the entries that had used it before

Cause: a trace shows entries that prefer other failure domains: one had never used the straggler, one was refused there once after the fault and knew it only as slow; neither has a history to compare with, and both keep away by expected finish.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -36,13 +36,13 @@
         fleet.fleet.order(engine, "/standin/faults", {"slow_factor": SLOW_FACTOR})
 
     def found_after_s(self, fleet: BoardFleet) -> float:
-        """Return after how many seconds the last entry that uses it found it."""
+        """Return after how many seconds the last entry that had used it found it."""
         found = [self._found_by(fleet, n + 1) for n in range(board.ENTRIES)]
         return max((after_s for after_s in found if after_s is not None), default=NEVER_S)
 
     def _found_by(self, fleet: BoardFleet, number: int) -> float | None:
-        """Return after how many seconds one entry found it; none where it sent no work there."""
-        uses = False
+        """Return after how many seconds one entry found it, or none if it had not used it."""
+        used = False
         for line in fleet.fleet[f"entry-{number}"].log_lines():
             if "timestamp" not in line:
                 continue
@@ -51,8 +51,8 @@
             if line.get("event") == "stragglers changed" and self._name in listed and at_s >= 0:
                 return at_s
             ended = line.get("event") == "attempt ended" and line.get("upstream") == self._name
-            uses = uses or (ended and at_s >= 0)
-        return NEVER_S if uses else None
+            used = used or (ended and at_s < 0)
+        return NEVER_S if used else None
 
 
 def straggler(seed: int) -> list[Measure]:
