Wait for each domain's counts in the survey's test

The test took a sum over both domains for settled, which a process counted twice in one and missing in the other can meet; it now waits for, and asserts, the counts of each domain.

--- a/tests/distribution/test_node.py
+++ b/tests/distribution/test_node.py
@@ -224,11 +224,12 @@
         await cluster.until_version(version)
         for _ in range(100):
             survey = await survey_fleet(cluster.store, "/t", [], LINK)
-            if survey.up_to_date == 12:
+            if [domain.versions for domain in survey.domains] == [{version: 6}, {version: 6}]:
                 break
             await curio.sleep(0.05)
         assert survey.newest == version
-        assert survey.processes == 12
+        assert [domain.versions for domain in survey.domains] == [{version: 6}, {version: 6}]
+        assert (survey.processes, survey.up_to_date) == (12, 12)
         assert [domain.silent for domain in survey.domains] == [0, 0]
 
     run_cluster(main)
