Bound each call to the key-value service by one deadline

Each wait had a deadline of its own, so a slow answer could take three times as long; a timed-out write is unknown, and the kept connections are dropped since they may have gone silent.

--- a/bluebellrun/platform/_etcd.py
+++ b/bluebellrun/platform/_etcd.py
@@ -8,6 +8,8 @@
 from collections.abc import Sequence
 from typing import Any
 
+import curio
+
 from bluebellrun.core import Address
 from bluebellrun.platform._exceptions import (
     CompactedError,
@@ -33,6 +35,7 @@
 )
 
 OK = 200
+CONNECT_SHARE = 0.5
 JSON_HEADERS = [("content-type", "application/json")]
 SERVER_ERROR = 500
 UNKNOWN_EFFECT = (b"timed out", b"leader changed", b"deadline exceeded", b"stopped")
@@ -73,7 +76,8 @@
 
     def __init__(self, address: Address, timeouts: StoreTimeouts) -> None:
         self._timeouts = timeouts
-        limits = ClientTimeouts(timeouts.call_s, timeouts.call_s, timeouts.call_s)
+        connect_s = timeouts.call_s * CONNECT_SHARE
+        limits = ClientTimeouts(connect_s, timeouts.call_s, timeouts.call_s)
         self._client = HttpClient(address, limits)
         self._calls = 0
 
@@ -161,10 +165,15 @@
     async def _call(self, target: str, body: dict[str, Any]) -> dict[str, Any]:
         """Make one call and return its JSON answer."""
         self._calls += 1
+        data = json.dumps(body).encode()
         try:
-            status, data = await self._client.fetch(
-                "POST", target, JSON_HEADERS, json.dumps(body).encode()
-            )
+            async with curio.timeout_after(self._timeouts.call_s):
+                status, data = await self._client.fetch("POST", target, JSON_HEADERS, data)
+        except curio.TaskTimeout:
+            await self._client.close()
+            raise StoreAnswerLostError(
+                f"no answer to {target} within {self._timeouts.call_s} s"
+            ) from None
         except ConnectError as error:
             raise StoreUnavailableError(str(error)) from error
         except TransportError as error:
