--- a/bluebellrun/distribution/_survey.py
+++ b/bluebellrun/distribution/_survey.py
@@ -111,22 +111,28 @@
 ) -> tuple[dict[str, NodeStatus], list[str]]:
     """Return the statuses by process name, and the addresses that did not answer."""
     tasks = {
-        address: await curio.spawn(ask_status, parse_address(address), timing, True)
+        address: await curio.spawn(_ask_quietly, parse_address(address), timing)
         for address in dict.fromkeys(addresses)
     }
     statuses: dict[str, NodeStatus] = {}
     unreachable = []
     for address, task in tasks.items():
-        try:
-            status = await task.join()
-            statuses[status.row.name] = status
-        except curio.TaskError as error:
-            if not isinstance(error.__cause__, TransportError | msgspec.DecodeError):
-                raise
+        status = await task.join()
+        if status is None:
             unreachable.append(address)
+        else:
+            statuses[status.row.name] = status
     return statuses, unreachable
 
 
+async def _ask_quietly(address: Address, timing: LinkTiming) -> NodeStatus | None:
+    """Return a process's status with its members, or none when it does not answer."""
+    try:
+        return await ask_status(address, timing, members=True)
+    except (TransportError, msgspec.DecodeError):
+        return None
+
+
 def _watchers(status: NodeStatus) -> set[str]:
     """Return the names of the watchers in the domain of a process, as it sees them."""
     names = [row.name for row in status.rows if row.state is MemberState.LIVE]
