--- a/bench/_registry.py
+++ b/bench/_registry.py
@@ -11,6 +11,7 @@
     flood,
     prefix,
     pure,
+    rebalance,
     relay,
 )
 from bench._results import Measure
@@ -26,6 +27,7 @@
     "large-customers": flood.large_customers,
     "prefix": prefix.measure,
     "pure": pure.measure,
+    "rebalance": rebalance.measure,
     "relay": relay.measure,
     "silent": faults.silent,
     "steady": flood.steady,
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -7,6 +7,7 @@
 from bluebellrun.admission import AdmissionSettings, make_admission
 from bluebellrun.agent._agent import Agent
 from bluebellrun.agent._engine_load import EngineLoadWatcher
+from bluebellrun.agent._orders import EngineOrders
 from bluebellrun.agent._settings import AgentSettings
 from bluebellrun.conf import settings_command
 from bluebellrun.core import MonotonicClock, new_incarnation
@@ -14,12 +15,13 @@
 from bluebellrun.engines import (
     LoadClient,
     ModelEngine,
+    OrderClient,
     PlainService,
     UpstreamClient,
     UpstreamKind,
     UpstreamTimeouts,
 )
-from bluebellrun.messages import EXCHANGE_PATH
+from bluebellrun.messages import EXCHANGE_PATH, ORDER_PATH
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.runtime import StopSignals, spawn_background
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
@@ -60,6 +62,14 @@
     )
 
 
+def _make_orders(settings: AgentSettings, store: EtcdStore) -> EngineOrders:
+    """Return the gate in front of the engine."""
+    client = OrderClient(settings.upstream, settings.order_timeout_s)
+    return EngineOrders(
+        settings.name, settings.group, settings.store_prefix, client, store, MonotonicClock()
+    )
+
+
 async def _serve(settings: AgentSettings) -> int:
     """Run the agent until it is told to stop; return the exit status."""
     signals = StopSignals()
@@ -68,9 +78,13 @@
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
     timing = link_timing(settings)
 
+    orders = _make_orders(settings, store)
+
     async def handle_call(call: Call) -> None:
         if call.path == EXCHANGE_PATH:
             await agent.serve_session(call)
+        elif call.path == ORDER_PATH:
+            await orders.serve(call)
         else:
             await node.serve_call(call)
 
@@ -84,6 +98,7 @@
     await spawn_background(listener.run)
     await node.run()
     await spawn_background(agent.run)
+    await spawn_background(orders.run)
     await _watch_load(settings)
     _log.info("ready", listen=str(listener.address), upstream=str(settings.upstream))
     await signals.next()
--- a/bluebellrun/messages/__init__.py
+++ b/bluebellrun/messages/__init__.py
@@ -49,12 +49,21 @@
     decode_entry_batch,
     encode_message,
 )
+from bluebellrun.messages._orders import (
+    ORDER_PATH,
+    OrderReply,
+    OrderRequest,
+    decode_order_reply,
+    decode_order_request,
+    encode_order,
+)
 from bluebellrun.messages._stream import BatchSender
 
 __all__ = [
     "EXCHANGE_PATH",
     "FOLLOW_PATH",
     "GATHER_PATH",
+    "ORDER_PATH",
     "STATUS_PATH",
     "AgentBatch",
     "AgentEvent",
@@ -78,6 +87,8 @@
     "Load",
     "News",
     "NodeStatus",
+    "OrderReply",
+    "OrderRequest",
     "ParentStatus",
     "Redirect",
     "Refused",
@@ -95,7 +106,10 @@
     "decode_entry_batch",
     "decode_gather_reply",
     "decode_gather_request",
+    "decode_order_reply",
+    "decode_order_request",
     "decode_status",
     "decode_status_request",
     "encode_message",
+    "encode_order",
 ]
--- a/tests/groups/test_map_change.py
+++ b/tests/groups/test_map_change.py
@@ -8,9 +8,12 @@
 class MapChangeMachine(RuleBasedStateMachine):
     """Deliver, lose, delay and repeat messages; pause, kill and replace what sends them."""
 
-    @initialize(fenced=st.lists(st.booleans(), min_size=RANKS, max_size=RANKS))
-    def begin(self, fenced):
-        self.world = World(fenced)
+    @initialize(
+        fenced=st.lists(st.booleans(), min_size=RANKS, max_size=RANKS),
+        margin=st.sampled_from([2, 12, 30]),
+    )
+    def begin(self, fenced, margin):
+        self.world = World(fenced, margin)
         self.world.add_coordinator()
 
     @rule(number=st.integers(0, 9))
@@ -34,9 +37,7 @@
     @precondition(lambda self: self.world.messages)
     @rule()
     def deliver_all(self):
-        pending, self.world.messages = self.world.messages, []
-        for message in pending:
-            message.deliver()
+        self.world.deliver_pending()
 
     @precondition(lambda self: self.world.messages)
     @rule(number=st.integers(0, 30))
@@ -134,12 +135,13 @@
 
 
 @pytest.mark.parametrize("fault", ["kill_rank", "restart_agent", "replace_rank"])
-@pytest.mark.parametrize("point", range(0, 40, 3))
-def test_a_rank_that_fails_at_each_point_leaves_no_mixed_step(fault, point):
-    world = World([True, False, False])
+@pytest.mark.parametrize("point", range(0, 60, 3))
+@pytest.mark.parametrize("margin", [2, 40])
+def test_a_rank_that_fails_at_each_point_leaves_no_mixed_step(fault, point, margin):
+    world = World([True, False, False], margin)
     world.add_coordinator()
     world.request(0)
-    for number in range(60):
+    for number in range(90):
         if number == point:
             match fault:
                 case "kill_rank":
@@ -155,3 +157,17 @@
             world.messages.pop(0).deliver()
         world.step()
     world.heal()
+
+
+def test_a_rank_that_joins_before_the_step_of_a_known_change_uses_the_old_map_until_then():
+    world = World([True] * RANKS, margin=40)
+    world.add_coordinator()
+    world.request(0)
+    while not all(engine.following for engine in world.group.ranks):
+        world._round()
+    for _ in range(3):
+        world.act(0)
+        world.deliver_pending()
+    world.group.replace(0)
+    world.heal()
+    assert set(world.group.history) == {1, 2}
