--- a/bluebellrun/distribution/_node.py
+++ b/bluebellrun/distribution/_node.py
@@ -286,9 +286,13 @@
                 await self._parents.report(Report([], []))
 
     async def _believe_suspicions(self) -> None:
-        """Let suspicions grow old."""
+        """Let suspicions grow old, and say when another process has this one's name."""
+        conflicts = 0
         while True:
             await curio.sleep(self._timing.beat_s)
+            if self._state.members.conflicts > conflicts:
+                conflicts = self._state.members.conflicts
+                _log.warning("another life of this name was heard of", times=conflicts)
             await self._state.hand_on_rows(self._state.members.advance(self._state.now))
 
     async def _keep_slots(self) -> None:
