--- a/bench/_registry.py
+++ b/bench/_registry.py
@@ -4,6 +4,7 @@
 
 from bench import (
     dissemination,
+    dissemination_departure,
     dissemination_restart,
     dissemination_size,
     fairness,
@@ -19,6 +20,7 @@
 SCENARIOS: dict[str, Callable[[int], list[Measure]]] = {
     "churn": faults.churn,
     "dissemination": dissemination.measure,
+    "dissemination-departure": dissemination_departure.measure,
     "dissemination-restart": dissemination_restart.measure,
     "dissemination-size": dissemination_size.measure,
     "fairness": fairness.measure,
