--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -6,6 +6,8 @@
 
 from bluebellrun.admission import AdmissionSettings, make_admission
 from bluebellrun.agent._agent import Agent
+from bluebellrun.agent._calls import AgentCalls
+from bluebellrun.agent._claim_wiring import make_claims
 from bluebellrun.agent._engine_load import EngineLoadWatcher
 from bluebellrun.agent._orders import EngineOrders
 from bluebellrun.agent._settings import AgentSettings
@@ -21,7 +23,7 @@
     UpstreamKind,
     UpstreamTimeouts,
 )
-from bluebellrun.messages import EXCHANGE_PATH, ORDER_PATH
+from bluebellrun.messages import ORDER_PATH
 from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.runtime import StopSignals, spawn_background
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
@@ -29,6 +31,7 @@
 
 EXIT_CUT_OFF = 3
 LAST_FLUSH_S = 0.05
+CUT_OFF_S = 0.5
 
 _log = get_logger("agent")
 
@@ -44,8 +47,9 @@
     return UpstreamClient(settings.upstream, kind, timeouts)
 
 
-def _make_agent(settings: AgentSettings) -> Agent:
+def _make_agent(settings: AgentSettings, store: EtcdStore) -> Agent:
     """Return the agent that settings describe."""
+    incarnation = new_incarnation()
     bounds = AdmissionSettings(
         concurrency=settings.concurrency,
         max_waiting=settings.max_waiting,
@@ -54,9 +58,10 @@
     )
     return Agent(
         settings=settings,
-        incarnation=new_incarnation(),
+        incarnation=incarnation,
         admission=make_admission(settings.admission_policy, bounds),
         client=_make_client(settings),
+        claims=make_claims(settings, incarnation, store, MonotonicClock()),
         clock=MonotonicClock(),
         metrics=Metrics(settings.statsd, "bluebellrun"),
     )
@@ -73,26 +78,25 @@
 async def _serve(settings: AgentSettings) -> int:
     """Run the agent until it is told to stop; return the exit status."""
     signals = StopSignals()
-    agent = _make_agent(settings)
-    configure_logs(settings, process=settings.name, incarnation=agent.incarnation)
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
+    agent = _make_agent(settings, store)
+    configure_logs(settings, process=settings.name, incarnation=agent.incarnation)
     timing = link_timing(settings)
 
     orders = _make_orders(settings, store)
 
-    async def handle_call(call: Call) -> None:
-        if call.path == EXCHANGE_PATH:
-            await agent.serve_session(call)
-        elif call.path == ORDER_PATH:
+    async def handle_other(call: Call) -> None:
+        if call.path == ORDER_PATH:
             await orders.serve(call)
         else:
             await node.serve_call(call)
 
     async def handle_connection(sock: Any) -> None:
-        await serve_link(sock, handle_call, timing)
+        await serve_link(sock, calls.handle, timing)
 
     listener = Listener(settings.listen, handle_connection)
     node = make_node(settings, "agent", listener.address, store, MonotonicClock())
+    calls = AgentCalls(agent, agent.claims, handle_other)
     node.follower.add_listener(agent.apply_configuration)
     node.add_departure_listener(agent.apply_departures)
     await spawn_background(listener.run)
@@ -124,7 +128,10 @@
         await group.spawn(agent.stop)
         await group.spawn(signals.next)
     if agent.held:
-        _log.error("stopped with work in progress", cut_off=agent.held)
+        _log.error("stopped with work in progress", cut_off=agent.describe_held())
+        async with curio.ignore_after(CUT_OFF_S):
+            await agent.cut_off()
+            await curio.sleep(LAST_FLUSH_S)
         return EXIT_CUT_OFF
     await curio.sleep(LAST_FLUSH_S)
     _log.info("stopped")
