--- a/bench/dissemination_departure.py
+++ b/bench/dissemination_departure.py
@@ -80,7 +80,8 @@
     with tempfile.TemporaryDirectory() as folder, LocalFleet(Path(folder)) as fleet:
         _start(fleet)
         _load(fleet, 1.0)
-        states = {f"host-{n}": "live" for n in range(AGENTS)} | {"host-0": "leaving"}
+        states: dict[str, object] = {f"host-{n}": "live" for n in range(AGENTS)}
+        states["host-0"] = "leaving"
         listed_at = time.time()
         fleet.order("platform", "/standin/hosts", states)
         failed = _load(fleet, LOAD_S)
