--- a/bluebellrun/entry/_entry.py
+++ b/bluebellrun/entry/_entry.py
@@ -48,13 +48,20 @@
         self._metrics = metrics
         self._levels = levels
         self._operators = OperatorPaths(levels)
-        self._in_progress = 0
+        self._in_progress: dict[RequestId, str] = {}
         self._stopping = False
 
     @property
     def in_progress(self) -> int:
         """Return how many requests are being served."""
-        return self._in_progress
+        return len(self._in_progress)
+
+    def describe_in_progress(self) -> list[dict[str, str]]:
+        """Return the requests being served, with their customers."""
+        return [
+            {"request": request, "customer": customer}
+            for request, customer in self._in_progress.items()
+        ]
 
     def stop(self) -> None:
         """Say that this entry is not ready any more."""
@@ -66,7 +73,7 @@
             await self._answer_health(exchange)
             return
         request_id = new_request_id()
-        self._in_progress += 1
+        self._in_progress[request_id] = ""
         started = self._clock.now()
         try:
             await self._answer(exchange, request_id)
@@ -78,7 +85,7 @@
             _log.exception("request failed", request=request_id)
             await self._answer_failure(exchange, request_id)
         finally:
-            self._in_progress -= 1
+            del self._in_progress[request_id]
             self._metrics.timing("entry.request", self._clock.now() - started)
 
     async def _answer_failure(self, exchange: HttpExchange, request_id: RequestId) -> None:
@@ -124,6 +131,7 @@
             arrived,
             self._settings.default_deadline_s,
         )
+        self._in_progress[request_id] = request.customer.name
         outcome = await self._dispatcher.serve(exchange, request)
         self._metrics.count(f"entry.outcome.{outcome_name(outcome)}")
         delivery = self._delivery(exchange, arrived)
@@ -158,10 +166,12 @@
 def _problem_for(outcome: Outcome) -> Problem:
     """Return the problem that tells a caller of an outcome."""
     match outcome:
+        case NotRun(reason, conflict=True):
+            return Problem(409, outcome, reason)
         case NotRun(reason, retry_after_s):
             return Problem(503, outcome, reason, retry_after_s)
-        case Unknown(reason):
-            return Problem(504, outcome, reason)
+        case Unknown(reason, retry_after_s):
+            return Problem(504, outcome, reason, retry_after_s)
         case AlreadyRan(_, reason):
             return Problem(409, outcome, reason)
         case Ran(detail):
--- a/tests/ledger/fakes.py
+++ b/tests/ledger/fakes.py
@@ -41,6 +41,12 @@
             self.values[put.key] = KeyValue(put.key, put.value, self.revision)
         return True
 
+    async def get(self, key: str) -> Snapshot:
+        if self.down:
+            raise StoreUnavailableError("down")
+        found = (self.values[key],) if key in self.values else ()
+        return Snapshot(found, self.revision)
+
     async def read_prefix(self, prefix: str) -> Snapshot:
         if self.down:
             raise StoreUnavailableError("down")
@@ -72,7 +78,7 @@
         if not isinstance(action, Commit):
             log.on_read(store.snapshot(f"{action.prefix}/"), now_ms)
         elif store.apply(action.compares, action.puts):
-            log.on_committed(now_ms)
+            log.on_committed(store.revision, now_ms)
         else:
             log.on_conflict()
         answers += log.take_answers()
