--- a/standins/engine/_streams.py
+++ b/standins/engine/_streams.py
@@ -143,5 +143,5 @@
 
 def answer_digest(sequence: Sequence) -> str:
     """Return the digest of a prompt and the text that answers it."""
-    text = "".join(sequence.token(i) for i in range(sequence.max_tokens))
+    text = "".join(sequence.token(index) for index in range(sequence.max_tokens))
     return hashlib.sha256(sequence.prompt + text.encode()).hexdigest()
