--- a/bluebellrun/coordinator/_service.py
+++ b/bluebellrun/coordinator/_service.py
@@ -71,7 +71,11 @@
 
     async def apply_configuration(self, configuration: Configuration) -> None:
         """Follow the declared ranks of the group."""
+        before = self._rule
         self._rule = configuration.model_group(self._group)
+        asked = before and self._rule and self._rule.rebalance > before.rebalance
+        if asked and self._rebalancer is not None:
+            self._rebalancer.request()
         ranks = [item for item in configuration.upstreams if item.group == self._group]
         ranks.sort(key=lambda item: item.rank)
         if self._rule is None or len(ranks) != self._rule.ranks:
--- a/bluebellrun/groups/_rebalance.py
+++ b/bluebellrun/groups/_rebalance.py
@@ -98,6 +98,10 @@
             mean += float(loads.mean())
         return longest / mean if mean > 0 else 1.0
 
+    def request(self) -> None:
+        """Plan soon and without the bound of calm times, as an operator asked."""
+        self._unfinished = True
+
     def is_urgent(self, current: ExpertMap) -> bool:
         """Return whether a plan is wanted before its regular time."""
         changed = self._stragglers.stragglers != self._closed
--- a/tests/groups/test_rebalance.py
+++ b/tests/groups/test_rebalance.py
@@ -102,3 +102,13 @@
     assert built.stragglers == (4,)
     built.is_due(1_000.0, plan.expert_map)
     assert built.stragglers == ()
+
+
+def test_a_request_brings_the_next_plan_forward():
+    even = np.ones((2, 64))
+    built = rebalancer(even)
+    balanced = greedy_map(SHAPE, 2, even)
+    finish(built.plan(0.0, balanced))
+    assert not built.is_due(10.0, balanced)
+    built.request()
+    assert built.is_due(10.0, balanced)
