--- a/bluebellrun/ledger/_log.py
+++ b/bluebellrun/ledger/_log.py
@@ -42,7 +42,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Commit:
-    """Do a conditional write; ``records`` take effect with it."""
+    """Do a conditional write.
+
+    It adds ``records`` as a segment or, with a ``head``, moves them from segments into a page.
+    """
 
     compares: tuple[Compare, ...]
     puts: tuple[Put, ...]
@@ -73,6 +76,7 @@
         self._commit: Commit | None = None
         self._in_doubt = False
         self._answers: list[tuple[str, Decision]] = []
+        self._settled: list[str] = []
 
     @property
     def book(self) -> ShardBook:
@@ -91,6 +95,10 @@
 
     def claim(self, record: LedgerRecord) -> None:
         """Ask for a key; the decision comes out of ``take_answers``."""
+        self._abandoned.pop(record.attempt, None)
+        pending = self._settlements.get(record.attempt)
+        if pending is not None and pending.state is ClaimState.RELEASED:
+            del self._settlements[record.attempt]
         self._waiting[record.attempt] = record
 
     def settle(self, record: LedgerRecord) -> None:
@@ -100,7 +108,9 @@
     def abandon(self, attempt: str) -> None:
         """Give up a claim whose attempt will not run; release it if it is being written."""
         self._waiting.pop(attempt, None)
-        for record in self._commit.records if self._commit is not None else ():
+        commit = self._commit
+        writing = () if commit is None or commit.head is not None else commit.records
+        for record in writing:
             if record.attempt == attempt and record.state is ClaimState.CLAIMED:
                 self._abandoned[attempt] = record
 
@@ -109,6 +119,11 @@
         answers, self._answers = self._answers, []
         return answers
 
+    def take_settled(self) -> list[str]:
+        """Return the attempts whose settlements need no more writing since the last call."""
+        settled, self._settled = self._settled, []
+        return settled
+
     def next_action(self, now_ms: int) -> Action | None:
         """Return what to do at the store next, or none while nothing waits."""
         if self._commit is not None:
@@ -134,18 +149,19 @@
         self._book.expire(now_ms)
         self._loaded = True
 
-    def on_committed(self, now_ms: int) -> None:
-        """Take a write that is known to have taken effect."""
+    def on_committed(self, revision: int, now_ms: int) -> None:
+        """Take a write that is known to have taken effect at a revision of the store."""
         commit = self._commit
         assert commit is not None
         self._commit, self._in_doubt = None, False
         if commit.head is not None:
-            self._loaded = False
+            self._take_compaction(commit.head, commit.records, revision, now_ms)
             return
         self._segments += 1
         self._recent += commit.records
         self._recent_bytes += sum(len(put.value or b"") for put in commit.puts)
         self._book.apply(commit.records)
+        self._drop_settlements()
         self._answer_waiting(now_ms)
 
     def on_conflict(self) -> None:
@@ -168,17 +184,22 @@
             self._answers.append((attempt, Declined(reason)))
             self.abandon(attempt)
 
+    def _take_compaction(
+        self, head: Head, page: tuple[LedgerRecord, ...], revision: int, now_ms: int
+    ) -> None:
+        """Go on after a compaction as if the shard had been read again."""
+        self._head, self._head_revision = head, revision
+        self._last_page = list(page)
+        self._segments, self._recent, self._recent_bytes = 0, [], 0
+        self._book.expire(now_ms)
+
     def _next_commit(self, now_ms: int) -> Commit | None:
         """Return the next write, or none when the book answers everything."""
         if self._must_compact():
             return self._compaction(now_ms)
         self._release_abandoned()
+        self._drop_settlements()
         self._answer_waiting(now_ms)
-        self._settlements = {
-            attempt: record
-            for attempt, record in self._settlements.items()
-            if self._book.accepts(record)
-        }
         records = self._batch()
         if not records:
             return None
@@ -190,6 +211,13 @@
             records=tuple(records),
         )
 
+    def _drop_settlements(self) -> None:
+        """Drop the settlements that are in the book, or that it no longer accepts."""
+        for attempt, record in list(self._settlements.items()):
+            if not self._book.accepts(record):
+                del self._settlements[attempt]
+                self._settled.append(attempt)
+
     def _batch(self) -> list[LedgerRecord]:
         """Return the records of the next segment: settlements, and one claim for each key."""
         records: list[LedgerRecord] = []
@@ -209,8 +237,11 @@
         return records
 
     def _answer_waiting(self, now_ms: int) -> None:
-        """Answer the claims that the book decides."""
+        """Answer the claims that the book decides, but for keys about to be settled."""
+        settling = {record.key for record in self._settlements.values()}
         for attempt, record in list(self._waiting.items()):
+            if record.key in settling:
+                continue
             decision = self._book.decide(record, now_ms)
             if decision is None and len(self._book) >= self._limits.max_records:
                 decision = Declined("the ledger of this service is full")
@@ -264,4 +295,4 @@
             Compare(head_key(self._prefix), self._head_revision),
             Compare(segment_key(self._prefix, last + 1), 0),
         )
-        return Commit(compares, tuple(puts), head=head)
+        return Commit(compares, tuple(puts), tuple(newest.values()), head)
