--- a/bench/rebalance.py
+++ b/bench/rebalance.py
@@ -97,6 +97,16 @@
         ]
         return max(late, default=event - EVENT_TICK_S) + EVENT_TICK_S - event
 
+    def time_above_s(self, event: float, end: float) -> float:
+        """Return how long after an event the skew was above that before it, in s."""
+        before = np.mean([skew for now, skew in self.skews if event - 600 <= now < event])
+        times = [now for now, _ in self.skews]
+        return sum(
+            following - now
+            for (now, skew), following in zip(self.skews, [*times[1:], DAY_S], strict=True)
+            if event <= now < end and skew > before * RECOVERY_MARGIN
+        )
+
 
 def _is_calm(now: float) -> bool:
     """Return whether a time lies in the hours of steady drift."""
@@ -198,8 +208,8 @@
     if name != "static":
         recovery = trace.recovery_s(SNAP_AT_S, SNAP_AT_S + 3_600.0)
         rows.append(("recovery after a jump", recovery, "s", "<= 30" if ours else None))
-        slow = trace.recovery_s(SLOW_FROM_S, SLOW_TO_S)
-        rows.append(("recovery from a slow rank", slow, "s", None))
+        slow = trace.time_above_s(SLOW_FROM_S, SLOW_TO_S)
+        rows.append(("held back by a slow rank", slow, "s of an hour", None))
     if ours:
         rows.append(("plans that do not repay", trace.unpaid, "plans", "<= 0"))
         low = [now for now, weight in trace.weights if now >= SLOW_FROM_S and weight < 0.8]
