--- a/tests/integration/test_group_orders.py
+++ b/tests/integration/test_group_orders.py
@@ -87,7 +87,9 @@
     return 0 if record is None or record.change is not None else record.active
 
 
-def test_a_map_changes_in_three_writes_and_a_replaced_rank_learns_it(fleet):
+def test_a_map_changes_in_three_writes_an_action_runs_once_and_a_replaced_rank_learns_its_map(
+    fleet,
+):
     agents = start_group(fleet)
     fleet.order("group", "/standin/faults", {"lose_next": 1})
 
@@ -101,6 +103,14 @@
         seen = report(fleet)
         assert seen["versions"] == [1, 2]
         assert all(count == 1 for runs in seen["runs"] for count in runs.values())
+        fleet.order("group", "/standin/faults", {"lose_next": 1})
+        content = LoadVersion("draft-large", "v2")
+        record = await coordinator.actions.run("rank-0", agents[0], "load-v2", content)
+        assert record.state is ActionState.DONE
+        again = await coordinator.actions.run("rank-0", agents[0], "load-v2", content)
+        assert again == record
+        assert report(fleet)["runs"][0]["load-v2"] == 1
+        seen = report(fleet)
         fleet.order("group", "/standin/faults", {"replace": True})
         await wait_until(lambda: report(fleet)["step"] > seen["step"] + 20)
 
@@ -142,23 +152,6 @@
         assert not set(runs) & set(late)
 
 
-def test_an_action_whose_answer_was_lost_runs_once(fleet):
-    agents = start_group(fleet)
-    fleet.order("group", "/standin/faults", {"lose_next": 1})
-
-    async def main() -> None:
-        coordinator = Coordinator(fleet, agents, "one")
-        await coordinator.start()
-        content = LoadVersion("draft-large", "v2")
-        record = await coordinator.actions.run("rank-0", agents[0], "load-v2", content)
-        assert record.state is ActionState.DONE
-        again = await coordinator.actions.run("rank-0", agents[0], "load-v2", content)
-        assert again == record
-
-    curio.run(main)
-    assert report(fleet)["runs"][0]["load-v2"] == 1
-
-
 def test_agents_rebalance_their_declared_group_after_a_jump(fleet):
     agents = start_group(fleet)
     fleet.declare(
