--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -121,7 +121,6 @@
     calls = AgentCalls(agent, agent.claims, handle_other)
     node.follower.add_listener(agent.apply_configuration)
     node.add_departure_listener(agent.apply_departures)
-    orders = _make_orders(settings, store)
     coordinator = _make_coordinator(settings, store)
     if settings.group:
         node.follower.add_listener(coordinator.apply_configuration)
