--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -107,6 +107,8 @@
     warn_of_plain_links(settings.listen)
     timing = link_timing(settings)
 
+    orders = _make_orders(settings, store)
+
     async def handle_other(call: Call) -> None:
         if call.path == ORDER_PATH:
             await orders.serve(call)
