Hand work back while another upstream can be on time

Change: an entry says whether another upstream has room for the request and its budget allows a retry; then the agent hands it back after half its patience.

--- a/bluebellrun/admission/_fair.py
+++ b/bluebellrun/admission/_fair.py
@@ -21,6 +21,8 @@
 MOST_RETRY_S = 30.0
 MARGIN = 0.1
 CANNOT_BE_ON_TIME = "it cannot be on time here: too much work waits before it"
+PATIENCE = 0.5
+TOO_SLOW = "it waited too long here; another upstream may be sooner"
 PASSED = "its deadline passed while it waited"
 DISPLACED = "more urgent work took its place in a full queue"
 FULL = "the queue is full"
@@ -92,7 +94,7 @@
         self._queue_of(work.priority).add(work)
         self._works[work.attempt] = work
         self._demand.setdefault(work.priority, Demand()).add(work.cost, now)
-        heapq.heappush(self._latest, (self._latest_start(work), work.attempt))
+        heapq.heappush(self._latest, (self._patience_end(work, now), work.attempt))
         within = self.waiting <= self._settings.max_waiting
         invariants.check(within, "waiting work is bounded", waiting=self.waiting)
         return None
@@ -124,7 +126,8 @@
             work = self._works.get(attempt)
             if work is not None:
                 self._remove(work)
-                refusals.append(Refusal(work, PASSED, LEAST_RETRY_S))
+                reason = PASSED if self._latest_start(work) <= now else TOO_SLOW
+                refusals.append(Refusal(work, reason, LEAST_RETRY_S))
         return refusals
 
     def withdraw(self, attempt: str) -> bool:
@@ -227,6 +230,13 @@
         first_token_s = target.first_token_s * (1 - MARGIN) - self._limit.first_token_s
         return min(latest, work.arrived + first_token_s)
 
+    def _patience_end(self, work: Work, now: float) -> float:
+        """Return when new work is handed back: while another upstream can still be on time."""
+        latest = self._latest_start(work)
+        if not work.may_go_elsewhere:
+            return latest
+        return now + (latest - now) * PATIENCE
+
     def _target(self, priority: int) -> PriorityTarget | None:
         """Return the target of the nearest declared priority that is not more urgent, or none."""
         nearest = min((p for p in self._targets if p >= priority), default=None)
--- a/bluebellrun/admission/_models.py
+++ b/bluebellrun/admission/_models.py
@@ -14,7 +14,8 @@
 
     ``kind`` names requests of like length, ``max_tokens`` is the longest answer asked for, 0
     where none is stated, and ``served_elsewhere`` the tokens that the customer's entry sent to
-    other upstreams since its last request here. ``engine_priority`` is what the engine is told,
+    other upstreams since its last request here. ``may_go_elsewhere`` says that another upstream can
+    still be asked. ``engine_priority`` is what the engine is told,
     where that differs: work started by its floor must not starve inside the engine.
     """
 
@@ -29,6 +30,7 @@
     kind: str = ""
     max_tokens: int = 0
     served_elsewhere: float = 0.0
+    may_go_elsewhere: bool = False
     engine_priority: int | None = None
 
 
--- a/bluebellrun/agent/_work.py
+++ b/bluebellrun/agent/_work.py
@@ -23,6 +23,7 @@
         kind=submit.model or submit.method,
         max_tokens=stated_answer_tokens(submit.body) if submit.model else 0,
         served_elsewhere=submit.served_elsewhere,
+        may_go_elsewhere=submit.may_go_elsewhere,
     )
 
 
--- a/bluebellrun/entry/_attempts.py
+++ b/bluebellrun/entry/_attempts.py
@@ -65,6 +65,7 @@
         request: CallerRequest,
         channel: AgentChannel,
         attempt: AttemptId,
+        may_go_elsewhere: bool,
     ) -> Outcome:
         """Make one attempt and return what became of it.
 
@@ -74,7 +75,7 @@
         self.forget(request)
         try:
             incarnation = await channel.open()
-            submit = self._message(request, attempt, incarnation, name)
+            submit = self._message(request, attempt, incarnation, name, may_go_elsewhere)
             self._open[request.request_id] = _Sent(channel, submit, self._clock.now())
             inbox = await channel.submit(submit)
         except (ConnectError, LinkLostError) as error:
@@ -169,7 +170,12 @@
         return FateQuery(sent.submit.attempt, sent.submit.incarnation, age_s, withdraw)
 
     def _message(
-        self, request: CallerRequest, attempt: AttemptId, incarnation: str, upstream: str
+        self,
+        request: CallerRequest,
+        attempt: AttemptId,
+        incarnation: str,
+        upstream: str,
+        may_go_elsewhere: bool,
     ) -> Submit:
         """Return the request as the agent gets it."""
         return Submit(
@@ -190,4 +196,5 @@
             idempotency_key=request.idempotency_key,
             age_s=self._clock.now() - request.arrived,
             served_elsewhere=self._spread.take(request, upstream),
+            may_go_elsewhere=may_go_elsewhere,
         )
--- a/bluebellrun/entry/_dispatcher.py
+++ b/bluebellrun/entry/_dispatcher.py
@@ -28,6 +28,7 @@
 
 PROMPT_BYTES_ROUTED_BY = 4_096
 NO_UPSTREAM_RETRY_S = 1.0
+PATIENT_AFTER_ATTEMPTS = 1
 
 _log = get_logger("entry")
 
@@ -37,6 +38,7 @@
     """What has been tried for one request."""
 
     attempts: int = 0
+    alternatives: int = 0
     may_have_run: str = ""
     refused_by: set[str] = field(default_factory=set)
 
@@ -89,7 +91,7 @@
                 return outcome
             progress.attempts += 1
             attempt = attempt_id(request.request_id, progress.attempts)
-            outcome = await self._attempt(exchange, request, channel, attempt)
+            outcome = await self._attempt(exchange, request, channel, attempt, progress)
             if isinstance(outcome, Unknown):
                 progress.may_have_run = outcome.reason
             now = self._clock.now()
@@ -116,21 +118,30 @@
         )
         candidates = self._fleet.candidates(request.service.name, progress.refused_by)
         chosen = self._routing.choose(work, candidates, self._clock.now())
+        progress.alternatives = sum(item.has_room for item in candidates if item is not chosen)
         self._health.report()
         return None if chosen is None else self._fleet.channel(chosen.name)
 
+    def _may_go_elsewhere(self, request: CallerRequest, progress: _Progress) -> bool:
+        """Return whether the request could be offered to another upstream after this one."""
+        if progress.alternatives < 1 or progress.attempts > PATIENT_AFTER_ATTEMPTS:
+            return False
+        return self._retries.allows(request)
+
     async def _attempt(
         self,
         exchange: HttpExchange,
         request: CallerRequest,
         channel: AgentChannel,
         attempt: AttemptId,
+        progress: _Progress,
     ) -> Outcome:
         """Make one attempt and return what became of it."""
         name = channel.upstream.name
         started = self._clock.now()
         try:
-            outcome = await self._attempts.run(exchange, request, channel, attempt)
+            elsewhere = self._may_go_elsewhere(request, progress)
+            outcome = await self._attempts.run(exchange, request, channel, attempt, elsewhere)
         except UnreachableError as error:
             self._routing.on_unreachable(name, self._clock.now())
             return NotRun(str(error), NO_UPSTREAM_RETRY_S)
--- a/bluebellrun/entry/_retries.py
+++ b/bluebellrun/entry/_retries.py
@@ -18,6 +18,10 @@
         """Note the first attempt of a request."""
         self._budget.note_first(request.priority, request.customer.name)
 
+    def allows(self, request: CallerRequest) -> bool:
+        """Return whether the budget allows the request one more attempt now."""
+        return self._budget.allows(request.priority, request.customer.name)
+
     def pause_s(
         self,
         request: CallerRequest,
--- a/bluebellrun/messages/_exchange.py
+++ b/bluebellrun/messages/_exchange.py
@@ -29,7 +29,8 @@
     """A request to run, ``age_s`` after the caller sent it and ``budget_s`` before its deadline.
 
     ``served_elsewhere`` is what the entry sent for the customer to other upstreams since its last
-    request here, in tokens.
+    request here, in tokens. ``may_go_elsewhere`` says that the entry can still offer the request to
+    another upstream.
     """
 
     attempt: str
@@ -49,6 +50,7 @@
     idempotency_key: str = ""
     served_elsewhere: float = 0.0
     age_s: float = 0.0
+    may_go_elsewhere: bool = False
 
 
 class Delivered(msgspec.Struct, frozen=True, tag="delivered"):
--- a/bluebellrun/routing/_models.py
+++ b/bluebellrun/routing/_models.py
@@ -41,6 +41,11 @@
     in_flight: int
     load: UpstreamLoad
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether it said that it could start a request at once."""
+        return self.load.waiting == 0 and self.load.running < self.load.limit
+
 
 @dataclass(frozen=True, slots=True)
 class RoutedWork:
--- a/bluebellrun/routing/_retry_budget.py
+++ b/bluebellrun/routing/_retry_budget.py
@@ -39,13 +39,15 @@
 
     def take(self, priority: int, customer: str) -> bool:
         """Return whether one more retry is allowed, and count it."""
-        key = (priority, customer)
-        saved = self._saved.get(key, 0.0)
-        if saved < 1:
+        if not self.allows(priority, customer):
             return False
-        self._saved[key] = saved - 1
+        self._saved[(priority, customer)] -= 1
         return True
 
+    def allows(self, priority: int, customer: str) -> bool:
+        """Return whether one more retry would be allowed now."""
+        return self._saved.get((priority, customer), 0.0) >= 1
+
     def pause_s(self, retry: int) -> float:
         """Return how long to wait before a retry counted from 1, in seconds, with full jitter."""
         longest = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0**retry)
--- a/tests/admission/test_fair.py
+++ b/tests/admission/test_fair.py
@@ -195,3 +195,19 @@
         admission.offer(work(f"small{number}", "small"), 0.0)
     small = sum(item.customer == "small" for item in serve(admission, 40))
     assert small == pytest.approx(20, abs=1)
+
+
+@pytest.mark.parametrize(("elsewhere", "handed_back_at"), [(True, 0.45), (False, 0.9)])
+def test_work_that_may_go_elsewhere_is_handed_back_while_another_can_be_on_time(
+    elsewhere, handed_back_at
+):
+    admission = make()
+    admission.follow_targets([PriorityTarget(3, 1.0, 1.0, 0.0)])
+    admission.offer(work("first"), 0.0)
+    admission.start_next(0.0)
+    waiting = replace(work("second"), may_go_elsewhere=elsewhere)
+    assert admission.offer(waiting, 0.0) is None
+    assert admission.expire(handed_back_at - 0.01) == []
+    refused = admission.expire(handed_back_at + 0.01)
+    assert [item.work.attempt for item in refused] == ["second"]
+    assert ("another upstream" in refused[0].reason) is elsewhere
--- a/tests/routing/test_expected_finish.py
+++ b/tests/routing/test_expected_finish.py
@@ -2,6 +2,8 @@
 from dataclasses import replace
 from random import Random
 
+import pytest
+
 from bluebellrun.routing import Candidate, ExpectedFinishRouting, RoutedWork, UpstreamLoad
 
 LIMIT = 4
@@ -163,3 +165,10 @@
         item.name for now in moments if (item := routing.choose(work(), candidates, now + 6))
     )
     assert 1 <= counts["slow"] <= 4
+
+
+@pytest.mark.parametrize(
+    ("waiting", "running", "room"), [(0, 3, True), (0, 4, False), (1, 3, False)]
+)
+def test_a_candidate_has_room_when_it_could_start_a_request_at_once(waiting, running, room):
+    assert candidate("a", waiting, running).has_room is room
--- a/tests/routing/test_retry_budget.py
+++ b/tests/routing/test_retry_budget.py
@@ -38,3 +38,11 @@
     assert max(pauses) <= 0.25
     assert max(pauses) - min(pauses) > 0.01
     assert all(0 <= budget.pause_s(50) <= 0.25 for _ in range(100))
+
+
+def test_whether_a_retry_is_allowed_agrees_with_taking_one():
+    budget = RetryBudget(RetrySettings(ratio=0.5, most_saved=2.0), Random(1))
+    budget.note_first(1, "a")
+    while budget.allows(1, "a"):
+        assert budget.take(1, "a")
+    assert not budget.take(1, "a")
