--- a/bluebellrun/agent/_agent.py
+++ b/bluebellrun/agent/_agent.py
@@ -71,7 +71,6 @@
         self._host_leaving = False
         self._step_time = StepTime()
         self._told_limit = admission.limit
-        self._idle = curio.Event()
 
     @property
     def draining(self) -> bool:
--- a/bluebellrun/agent/_session.py
+++ b/bluebellrun/agent/_session.py
@@ -23,7 +23,6 @@
     decode_entry_batch,
 )
 from bluebellrun.runtime import spawn_background
-from bluebellrun.telemetry import get_logger
 from bluebellrun.transport import Call, CallError, LinkLostError
 
 if TYPE_CHECKING:
@@ -32,8 +31,6 @@
 STATUS_INVALID_ARGUMENT = 3
 MAX_BATCH_BYTES = 1_048_576
 
-_log = get_logger("agent.session")
-
 
 class Session:
     """Serve one exchange call."""
