Pace the ledger by the platform client's token bucket

Cause: the ledger had a token bucket of its own beside the one of the platform client, with the same arithmetic. Behaviour is the same.

--- a/bluebellrun/ledger/_ledger.py
+++ b/bluebellrun/ledger/_ledger.py
@@ -12,13 +12,13 @@
 from bluebellrun.ledger._keys import shard_of
 from bluebellrun.ledger._log import Commit, ReadShard, ShardLog
 from bluebellrun.ledger._models import Decision, Declined, LedgerLimits, LedgerRecord
-from bluebellrun.ledger._pacing import CallBudget
 from bluebellrun.platform import (
     Compare,
     KeyValueStore,
     PlatformError,
     Put,
     StoreAnswerLostError,
+    TokenBucket,
 )
 from bluebellrun.telemetry import get_logger
 
@@ -91,7 +91,7 @@
         self._settings = settings
         self._now_ms = now_ms
         self._clock = clock
-        self._budget = CallBudget(settings.writes_per_s, settings.write_burst, clock)
+        self._budget = TokenBucket(settings.writes_per_s, settings.write_burst, clock.now())
         self._wake = curio.Event()
         self._urgent = curio.Event()
         self._task: Any = None
@@ -211,7 +211,7 @@
 
     async def _pace(self) -> None:
         """Wait until the budget allows another call to the store."""
-        await curio.sleep(self._budget.take())
+        await curio.sleep(self._budget.take(self._clock.now()))
 
     async def _step(self, due: list[_Shard]) -> None:
         """Do the next action of each shard; segments of several shards share a transaction."""
