--- a/bench/dissemination_restart.py
+++ b/bench/dissemination_restart.py
@@ -15,7 +15,7 @@
 
 from bench._results import Measure
 from bluebellrun.distribution import ask_status
-from bluebellrun.platform import Compare, EtcdStore, Put, StoreTimeouts
+from bluebellrun.store import Compare, EtcdStore, Put, StoreTimeouts
 from bluebellrun.transport import LinkTiming
 from standins.fleet import LocalFleet
 
--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -15,6 +15,7 @@
 
 from bench._results import Measure
 from bluebellrun.core import MonotonicClock, parse_address
+from bluebellrun.http import ClientTimeouts, HttpClient
 from bluebellrun.ledger import (
     Granted,
     Ledger,
@@ -24,8 +25,7 @@
     key_digest,
     wall_clock_ms,
 )
-from bluebellrun.platform import Compare, EtcdStore, Put, StoreTimeouts
-from bluebellrun.transport import ClientTimeouts, HttpClient
+from bluebellrun.store import Compare, EtcdStore, Put, StoreTimeouts
 
 ROUND_TRIP_S = 0.01
 TARGET_CLAIMS_PER_S = 5_000
--- a/bluebellrun/agent/_claim_wiring.py
+++ b/bluebellrun/agent/_claim_wiring.py
@@ -5,7 +5,7 @@
 from bluebellrun.agent._settings import AgentSettings
 from bluebellrun.core import Clock, Incarnation
 from bluebellrun.ledger import Ledger, LedgerLimits, LedgerSettings
-from bluebellrun.platform import KeyValueStore
+from bluebellrun.store import KeyValueStore
 from bluebellrun.transport import LinkTiming
 
 MS_PER_S = 1_000
--- a/bluebellrun/agent/_execution.py
+++ b/bluebellrun/agent/_execution.py
@@ -7,6 +7,7 @@
 from bluebellrun.admission import Work
 from bluebellrun.answers import AnswerBuffer
 from bluebellrun.core import invariants
+from bluebellrun.http import Headers
 from bluebellrun.ledger import KeptResult
 from bluebellrun.messages import (
     AgentEvent,
@@ -19,7 +20,6 @@
     Started,
     Submit,
 )
-from bluebellrun.transport import Headers
 
 CHUNK_BYTES = 65_536
 MAX_TAKEN_BYTES = 16_777_216
--- a/bluebellrun/agent/_orders.py
+++ b/bluebellrun/agent/_orders.py
@@ -34,7 +34,7 @@
     decode_order_request,
     encode_order,
 )
-from bluebellrun.platform import Compare, KeyValueStore, PlatformError, Put
+from bluebellrun.store import Compare, KeyValueStore, PlatformError, Put
 from bluebellrun.telemetry import get_logger
 from bluebellrun.transport import Call, CallError
 
--- a/bluebellrun/agent/_peers.py
+++ b/bluebellrun/agent/_peers.py
@@ -5,9 +5,9 @@
 import curio
 
 from bluebellrun.core import Address, Clock
+from bluebellrun.http import ConnectError
 from bluebellrun.transport import (
     CallError,
-    ConnectError,
     Link,
     LinkLostError,
     LinkTiming,
--- a/bluebellrun/agent/_upstream_relay.py
+++ b/bluebellrun/agent/_upstream_relay.py
@@ -12,9 +12,9 @@
     UpstreamRequest,
     UpstreamSilentError,
 )
+from bluebellrun.http import Headers, end_to_end
 from bluebellrun.runtime import spawn_background
 from bluebellrun.telemetry import Metrics, get_logger
-from bluebellrun.transport import Headers, end_to_end
 
 MAX_RESUMES_WITHOUT_PROGRESS = 20
 NOT_FORWARDED = frozenset({"host", "content-length", "authorization", "x-request-id", "priority"})
--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -26,16 +26,17 @@
     UpstreamTimeouts,
 )
 from bluebellrun.groups import RebalanceSettings
+from bluebellrun.http import Listener, TlsError
 from bluebellrun.messages import ORDER_PATH
-from bluebellrun.platform import EtcdStore, StoreTimeouts
 from bluebellrun.runtime import (
     StopSignals,
     configure_link_security,
     spawn_background,
     warn_of_plain_links,
 )
+from bluebellrun.store import EtcdStore, StoreTimeouts
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import Call, Listener, TlsError, serve_link
+from bluebellrun.transport import Call, serve_link
 
 EXIT_CUT_OFF = 3
 LAST_FLUSH_S = 0.05
--- a/bluebellrun/coordinator/_actions.py
+++ b/bluebellrun/coordinator/_actions.py
@@ -19,7 +19,7 @@
     encode_action,
 )
 from bluebellrun.leases import LeaseLostError, RoleLease
-from bluebellrun.platform import (
+from bluebellrun.store import (
     Compare,
     KeyValueStore,
     PlatformError,
--- a/bluebellrun/coordinator/_agents.py
+++ b/bluebellrun/coordinator/_agents.py
@@ -5,6 +5,7 @@
 from bluebellrun.coordinator._exceptions import AgentUnreachableError
 from bluebellrun.core import Address
 from bluebellrun.groups import ExpertCounts, Order
+from bluebellrun.http import TransportError
 from bluebellrun.messages import (
     ORDER_PATH,
     OrderReply,
@@ -12,7 +13,7 @@
     decode_order_reply,
     encode_order,
 )
-from bluebellrun.transport import Link, LinkTiming, TransportError, dial
+from bluebellrun.transport import Link, LinkTiming, dial
 
 
 class AgentLinks:
--- a/bluebellrun/coordinator/_maps.py
+++ b/bluebellrun/coordinator/_maps.py
@@ -24,8 +24,8 @@
     record_key,
 )
 from bluebellrun.leases import LeaseLostError, RoleLease
-from bluebellrun.platform import Compare, KeyValueStore, PlatformError, Put, StoreAnswerLostError
 from bluebellrun.runtime import spawn_background
+from bluebellrun.store import Compare, KeyValueStore, PlatformError, Put, StoreAnswerLostError
 from bluebellrun.telemetry import get_logger
 
 POLL_S = 0.02
--- a/bluebellrun/coordinator/_service.py
+++ b/bluebellrun/coordinator/_service.py
@@ -26,8 +26,8 @@
     static_map,
 )
 from bluebellrun.leases import RoleHolder
-from bluebellrun.platform import KeyValueStore, PlatformError
 from bluebellrun.runtime import spawn_background
+from bluebellrun.store import KeyValueStore, PlatformError
 from bluebellrun.telemetry import get_logger
 from bluebellrun.upstreams import Upstream
 
--- a/bluebellrun/core/_identifiers.py
+++ b/bluebellrun/core/_identifiers.py
@@ -4,8 +4,6 @@
 from functools import lru_cache
 from typing import NewType
 
-from ulid import ULID
-
 RequestId = NewType("RequestId", str)
 AttemptId = NewType("AttemptId", str)
 Incarnation = NewType("Incarnation", str)
@@ -37,14 +35,21 @@
 
 def new_request_id() -> RequestId:
     """Return a request id that is unique and sorts by time of creation."""
-    return RequestId(str(ULID()))
+    return RequestId(_new_ulid())
 
 
 def new_incarnation() -> Incarnation:
     """Return an id for one life of a process; a later life sorts after an earlier one."""
-    return Incarnation(str(ULID()))
+    return Incarnation(_new_ulid())
 
 
 def attempt_id(request: RequestId, number: int) -> AttemptId:
     """Return the id of a request's numbered try, counted from 1."""
     return AttemptId(f"{request}.{number}")
+
+
+def _new_ulid() -> str:
+    """Return a new ULID; the library is loaded at the first use, as serving needs it rarely."""
+    from ulid import ULID
+
+    return str(ULID())
--- a/bluebellrun/distribution/_bootstrap.py
+++ b/bluebellrun/distribution/_bootstrap.py
@@ -18,6 +18,7 @@
 from bluebellrun.distribution._exceptions import DistributionError
 from bluebellrun.distribution._parents import ParentTarget
 from bluebellrun.distribution._state import NodeState
+from bluebellrun.http import TransportError
 from bluebellrun.membership import rank_by_weight
 from bluebellrun.messages import (
     GATHER_PATH,
@@ -26,9 +27,9 @@
     decode_gather_reply,
     encode_message,
 )
-from bluebellrun.platform import Backoff, PlatformError
+from bluebellrun.store import Backoff, PlatformError
 from bluebellrun.telemetry import get_logger
-from bluebellrun.transport import TransportError, dial
+from bluebellrun.transport import dial
 
 ANSWERS_WANTED = 3
 MOST_ASKED = 12
--- a/bluebellrun/distribution/_directory.py
+++ b/bluebellrun/distribution/_directory.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from bluebellrun.membership import MemberRow
-from bluebellrun.platform import Compare, KeyValue, KeyValueStore, Put
+from bluebellrun.store import Compare, KeyValue, KeyValueStore, Put
 from bluebellrun.telemetry import get_logger
 
 NO_DOMAIN = "-"
--- a/bluebellrun/distribution/_follower.py
+++ b/bluebellrun/distribution/_follower.py
@@ -13,7 +13,7 @@
     build_configuration,
     decode_documents,
 )
-from bluebellrun.platform import KeyValueStore, PlatformError, Snapshot, WatchEvent
+from bluebellrun.store import KeyValueStore, PlatformError, Snapshot, WatchEvent
 from bluebellrun.telemetry import get_logger
 
 RETRY_FIRST_S = 0.2
--- a/bluebellrun/distribution/_node.py
+++ b/bluebellrun/distribution/_node.py
@@ -16,6 +16,7 @@
 from bluebellrun.distribution._settings import NodeSettings
 from bluebellrun.distribution._source import Source
 from bluebellrun.distribution._state import LONG_AGO_S, DepartureListener, NodeState, PeerListener
+from bluebellrun.http import TransportError
 from bluebellrun.membership import Departures, MemberRow, MemberState
 from bluebellrun.messages import (
     FOLLOW_PATH,
@@ -32,10 +33,10 @@
     decode_status_request,
     encode_message,
 )
-from bluebellrun.platform import GuardedStore, HostList, KeyValueStore, PlatformError
 from bluebellrun.runtime import spawn_background
+from bluebellrun.store import GuardedStore, HostList, KeyValueStore, PlatformError
 from bluebellrun.telemetry import get_logger
-from bluebellrun.transport import Call, CallError, TransportError, dial
+from bluebellrun.transport import Call, CallError, dial
 
 PARENTS = 2
 STATUS_INVALID = 3
--- a/bluebellrun/distribution/_parents.py
+++ b/bluebellrun/distribution/_parents.py
@@ -10,6 +10,7 @@
 from bluebellrun.distribution._exceptions import DistributionError
 from bluebellrun.distribution._session import PeerSession
 from bluebellrun.distribution._state import LONG_AGO_S, NodeState
+from bluebellrun.http import TransportError
 from bluebellrun.membership import MemberRow
 from bluebellrun.messages import (
     FOLLOW_PATH,
@@ -28,7 +29,7 @@
 )
 from bluebellrun.runtime import spawn_background
 from bluebellrun.telemetry import get_logger
-from bluebellrun.transport import CallError, Link, TransportError, dial
+from bluebellrun.transport import CallError, Link, dial
 
 SYNC_AFTER_BEATS = 3
 
--- a/bluebellrun/distribution/_settings.py
+++ b/bluebellrun/distribution/_settings.py
@@ -4,7 +4,7 @@
 
 from bluebellrun.core import Address
 from bluebellrun.membership import SuspicionTiming
-from bluebellrun.platform import StoreRates
+from bluebellrun.store import StoreRates
 from bluebellrun.transport import LinkTiming
 
 
--- a/bluebellrun/distribution/_source.py
+++ b/bluebellrun/distribution/_source.py
@@ -6,7 +6,7 @@
 
 from bluebellrun.distribution._exceptions import DistributionError
 from bluebellrun.distribution._state import NodeState
-from bluebellrun.platform import (
+from bluebellrun.store import (
     HostList,
     KeyValueStore,
     PlatformError,
--- a/bluebellrun/distribution/_survey.py
+++ b/bluebellrun/distribution/_survey.py
@@ -13,6 +13,7 @@
 
 from bluebellrun.core import Address, parse_address
 from bluebellrun.distribution._directory import Directory
+from bluebellrun.http import TransportError
 from bluebellrun.membership import MemberState, RelayTree
 from bluebellrun.messages import (
     STATUS_PATH,
@@ -21,8 +22,8 @@
     decode_status,
     encode_message,
 )
-from bluebellrun.platform import KeyValueStore, PlatformError
-from bluebellrun.transport import LinkTiming, TransportError, dial
+from bluebellrun.store import KeyValueStore, PlatformError
+from bluebellrun.transport import LinkTiming, dial
 
 ASK_S = 2.0
 
--- a/bluebellrun/distribution/_wiring.py
+++ b/bluebellrun/distribution/_wiring.py
@@ -6,7 +6,7 @@
 from bluebellrun.core import Address, Clock
 from bluebellrun.distribution._node import Node
 from bluebellrun.distribution._settings import NodeSettings
-from bluebellrun.platform import HostList, KeyValueStore, StoreRates
+from bluebellrun.store import HostList, KeyValueStore, StoreRates
 from bluebellrun.transport import LinkTiming
 
 
--- a/bluebellrun/engines/_client.py
+++ b/bluebellrun/engines/_client.py
@@ -16,7 +16,7 @@
     UpstreamTimeouts,
 )
 from bluebellrun.engines._sse import DoneWatcher
-from bluebellrun.transport import (
+from bluebellrun.http import (
     ClientTimeouts,
     ConnectError,
     Headers,
--- a/bluebellrun/engines/_load.py
+++ b/bluebellrun/engines/_load.py
@@ -9,7 +9,7 @@
 
 from bluebellrun.core import Address
 from bluebellrun.engines._exceptions import EngineError
-from bluebellrun.transport import ClientTimeouts, HttpClient, TransportError
+from bluebellrun.http import ClientTimeouts, HttpClient, TransportError
 
 OK = 200
 METRICS_PATH = "/metrics"
--- a/bluebellrun/engines/_orders.py
+++ b/bluebellrun/engines/_orders.py
@@ -5,7 +5,12 @@
 from bluebellrun.core import Address
 from bluebellrun.engines._exceptions import EngineError
 from bluebellrun.groups import EngineState, ExpertCounts, Order
-from bluebellrun.transport import ClientTimeouts, ConnectError, HttpClient, TransportError
+from bluebellrun.http import (
+    ClientTimeouts,
+    ConnectError,
+    HttpClient,
+    TransportError,
+)
 
 ORDERS_PATH = "/orders"
 STATE_PATH = "/orders/state"
--- a/bluebellrun/entry/_attempts.py
+++ b/bluebellrun/entry/_attempts.py
@@ -18,9 +18,10 @@
 from bluebellrun.entry._relay import AnswerRelay
 from bluebellrun.entry._settings import EntrySettings
 from bluebellrun.entry._spread import CustomerSpread
+from bluebellrun.http import ConnectError, HttpExchange
 from bluebellrun.messages import Fate, FateQuery, Resume, Submit
 from bluebellrun.telemetry import Metrics, get_logger
-from bluebellrun.transport import ConnectError, HttpExchange, LinkLostError, LinkTiming
+from bluebellrun.transport import LinkLostError, LinkTiming
 
 RESUME_FIRST_S = 0.02
 RESUME_LONGEST_S = 0.5
--- a/bluebellrun/entry/_callers.py
+++ b/bluebellrun/entry/_callers.py
@@ -9,7 +9,7 @@
 from bluebellrun.customers import Customer
 from bluebellrun.declarations import Configuration
 from bluebellrun.entry._problems import CallerError, Problem
-from bluebellrun.transport import Headers, HttpRequest
+from bluebellrun.http import Headers, HttpRequest
 from bluebellrun.upstreams import Service
 
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
--- a/bluebellrun/entry/_channel.py
+++ b/bluebellrun/entry/_channel.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bluebellrun.core import Clock
+from bluebellrun.http import ConnectError
 from bluebellrun.messages import (
     EXCHANGE_PATH,
     AgentEvent,
@@ -26,7 +27,6 @@
 from bluebellrun.transport import (
     Call,
     CallError,
-    ConnectError,
     Link,
     LinkLostError,
     LinkTiming,
--- a/bluebellrun/entry/_dispatcher.py
+++ b/bluebellrun/entry/_dispatcher.py
@@ -22,9 +22,9 @@
 from bluebellrun.entry._retries import Retries
 from bluebellrun.entry._settings import EntrySettings
 from bluebellrun.entry._spread import CustomerSpread
+from bluebellrun.http import HttpExchange
 from bluebellrun.routing import RoutedWork, RoutingPolicy
 from bluebellrun.telemetry import Metrics, get_logger
-from bluebellrun.transport import HttpExchange
 
 PROMPT_BYTES_ROUTED_BY = 4_096
 NO_UPSTREAM_RETRY_S = 1.0
--- a/bluebellrun/entry/_entry.py
+++ b/bluebellrun/entry/_entry.py
@@ -21,8 +21,8 @@
 from bluebellrun.entry._problems import CallerError, Problem, problem_body, problem_headers
 from bluebellrun.entry._service_levels import Delivery, ServiceLevels
 from bluebellrun.entry._settings import EntrySettings
+from bluebellrun.http import CallerGoneError, HttpExchange
 from bluebellrun.telemetry import Metrics, get_logger
-from bluebellrun.transport import CallerGoneError, HttpExchange
 
 HEALTH_PATHS = frozenset({"/healthz", "/readyz"})
 
--- a/bluebellrun/entry/_fate.py
+++ b/bluebellrun/entry/_fate.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bluebellrun.core import Address
+from bluebellrun.http import TransportError
 from bluebellrun.messages import (
     FATE_PATH,
     FateAnswer,
@@ -10,7 +11,7 @@
     decode_fate_answer,
     encode_message,
 )
-from bluebellrun.transport import LinkTiming, TransportError, dial
+from bluebellrun.transport import LinkTiming, dial
 
 
 async def ask_fate(
--- a/bluebellrun/entry/_operators.py
+++ b/bluebellrun/entry/_operators.py
@@ -3,7 +3,7 @@
 from bluebellrun.declarations import Configuration
 from bluebellrun.entry._callers import BEARER, refuse
 from bluebellrun.entry._service_levels import ServiceLevels
-from bluebellrun.transport import HttpExchange, HttpRequest
+from bluebellrun.http import HttpExchange, HttpRequest
 
 OPERATORS_PREFIX = "/operators/"
 STATUS_PATH = "/operators/status"
--- a/bluebellrun/entry/_problems.py
+++ b/bluebellrun/entry/_problems.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from bluebellrun.core import Outcome, outcome_name
-from bluebellrun.transport import Headers
+from bluebellrun.http import Headers
 
 TITLES = {
     400: "Bad request",
--- a/bluebellrun/entry/_relay.py
+++ b/bluebellrun/entry/_relay.py
@@ -6,6 +6,12 @@
 from bluebellrun.core import AlreadyRan, NotRun, Outcome, Ran, Unknown, invariants
 from bluebellrun.entry._callers import CallerRequest
 from bluebellrun.entry._channel import AgentChannel, AttemptInbox
+from bluebellrun.http import (
+    Headers,
+    HttpExchange,
+    end_to_end,
+    header_value,
+)
 from bluebellrun.messages import (
     AgentEvent,
     Chunk,
@@ -16,7 +22,6 @@
     Repeated,
     Started,
 )
-from bluebellrun.transport import Headers, HttpExchange, end_to_end, header_value
 
 EVENT_STREAM = "text/event-stream"
 CONFIRM_FRACTION = 4
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -14,7 +14,12 @@
 from bluebellrun.entry._fleet import Fleet
 from bluebellrun.entry._service_levels import ServiceLevels
 from bluebellrun.entry._settings import EntrySettings
-from bluebellrun.platform import EtcdStore, StoreTimeouts
+from bluebellrun.http import (
+    HttpLimits,
+    HttpServer,
+    Listener,
+    TlsError,
+)
 from bluebellrun.routing import make_routing
 from bluebellrun.runtime import (
     StopSignals,
@@ -23,8 +28,9 @@
     spawn_background,
     warn_of_plain_links,
 )
+from bluebellrun.store import EtcdStore, StoreTimeouts
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import HttpLimits, HttpServer, Listener, TlsError, serve_link
+from bluebellrun.transport import serve_link
 
 EXIT_CUT_OFF = 3
 STOP_POLL_S = 0.02
--- /dev/null
+++ b/bluebellrun/http/__init__.py
@@ -0,0 +1,61 @@
+"""HTTP/1.1 towards callers and upstreams: h11 for the protocol, curio for the sockets."""
+
+from bluebellrun.http._client import HttpClient, HttpResponse, connect
+from bluebellrun.http._exceptions import (
+    BadResponseError,
+    ConnectError,
+    ConnectionLostError,
+    PeerTimeoutError,
+    TransportError,
+)
+from bluebellrun.http._listener import Listener
+from bluebellrun.http._models import (
+    ClientTimeouts,
+    Headers,
+    HttpLimits,
+    HttpRequest,
+    end_to_end,
+    header_value,
+)
+from bluebellrun.http._server import (
+    CallerGoneError,
+    HttpExchange,
+    HttpHandler,
+    HttpServer,
+)
+from bluebellrun.http._tls import (
+    LinkSecurity,
+    PeerNotAllowedError,
+    Tls,
+    TlsError,
+    TlsFiles,
+    link_security,
+)
+
+__all__ = [
+    "BadResponseError",
+    "CallerGoneError",
+    "ClientTimeouts",
+    "ConnectError",
+    "ConnectionLostError",
+    "Headers",
+    "HttpClient",
+    "HttpExchange",
+    "HttpHandler",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "LinkSecurity",
+    "Listener",
+    "PeerNotAllowedError",
+    "PeerTimeoutError",
+    "Tls",
+    "TlsError",
+    "TlsFiles",
+    "TransportError",
+    "connect",
+    "end_to_end",
+    "header_value",
+    "link_security",
+]
--- a/bluebellrun/transport/_http_client.py
+++ b/bluebellrun/http/_client.py
@@ -1,6 +1,8 @@
 """An HTTP/1.1 client for one address, with kept connections and deadlines on each wait."""
 
 import select
+import time
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -8,16 +10,30 @@
 from curio import socket
 
 from bluebellrun.core import Address
-from bluebellrun.transport._exceptions import (
+from bluebellrun.http._exceptions import (
     BadResponseError,
     ConnectError,
     ConnectionLostError,
     PeerTimeoutError,
 )
-from bluebellrun.transport._http_models import ClientTimeouts, Headers, decode_headers
-from bluebellrun.transport._tls import Tls
+from bluebellrun.http._models import ClientTimeouts, Headers, decode_headers
+from bluebellrun.http._tls import Tls
 
 READ_SIZE = 65_536
+# A larger body is sent while the response is read: the server may answer before it read it all.
+BODY_SENT_AT_ONCE_BYTES = 16_384
+# A silent connection is found after the idle time and all probes, three seconds in all,
+# as platforms usually allow for it.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Unacknowledged bytes end a connection after as long as unanswered probes would.
+USER_TIMEOUT_MS = 3_000
+# A kept connection is not used this close to its end: the request needs time to arrive.
+IDLE_MARGIN_S = 0.5
+MAX_STRAY_RESPONSES = 4
+
+AcceptResponse = Callable[[int, Headers], bool]
 
 
 async def connect(address: Address, timeout_s: float, tls: Any = None) -> Any:
@@ -31,10 +47,20 @@
         raise ConnectError(f"{address}: {error}") from error
     if isinstance(tls, Tls):
         await _check_peer(sock, tls)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    detect_silence(sock)
     return sock
 
 
+def detect_silence(sock: Any) -> None:
+    """Let the kernel find a connection whose other end no longer answers."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
 async def _check_peer(sock: Any, tls: Tls) -> None:
     """Close a connection to a peer that has no allowed name."""
     try:
@@ -93,12 +119,18 @@
         self._timeouts = timeouts
         self._max_idle = max_idle
         self._idle: list[_ClientConnection] = []
+        self._opened = 0
 
     @property
     def address(self) -> Address:
         """Return the address requests are sent to."""
         return self._address
 
+    @property
+    def opened(self) -> int:
+        """Return how many connections were asked for."""
+        return self._opened
+
     async def open(
         self,
         method: str,
@@ -106,23 +138,29 @@
         headers: Headers,
         body: bytes,
         first_byte_s: float | None = None,
+        accept: AcceptResponse | None = None,
+        max_idle_s: float | None = None,
     ) -> HttpResponse:
         """Send a request and return its response once the head has arrived.
 
+        A response that ``accept`` turns down answers another request and is skipped. A kept
+        connection is used only if it has been idle for at most ``max_idle_s`` seconds.
+
         Raises ``ConnectError`` when no byte was sent, ``PeerTimeoutError``,
         ``ConnectionLostError`` or ``BadResponseError`` when the request may have been received.
         """
-        connection = await self._take()
+        connection = await self._take(max_idle_s)
         try:
             await connection.send_request(self._address, method, target, headers, body)
             response = HttpResponse(connection, self)
             timeout_s = self._timeouts.first_byte_s if first_byte_s is None else first_byte_s
-            head = await connection.read_head(timeout_s)
+            head = await connection.read_head(timeout_s, accept)
         except BaseException:
             await connection.close()
             raise
         response.status = head.status_code
         response.headers = decode_headers(head.headers)
+        connection.note_keep_alive(response.headers)
         return response
 
     async def fetch(
@@ -148,13 +186,23 @@
         while self._idle:
             await self._idle.pop().close()
 
-    async def _take(self) -> "_ClientConnection":
+    async def warm(self, count: int) -> None:
+        """Open connections until as many as ``count`` are kept; raise ``ConnectError``."""
+        while len(self._idle) < count:
+            self._idle.append(await self._connect())
+
+    async def _take(self, max_idle_s: float | None) -> "_ClientConnection":
         """Return a kept connection that is still open, or a new one."""
         while self._idle:
             connection = self._idle.pop()
-            if connection.fresh():
+            if connection.usable(max_idle_s) and connection.fresh():
                 return connection
             await connection.close()
+        return await self._connect()
+
+    async def _connect(self) -> "_ClientConnection":
+        """Return a new connection."""
+        self._opened += 1
         sock = await connect(self._address, self._timeouts.connect_s, self._tls)
         return _ClientConnection(sock)
 
@@ -165,6 +213,27 @@
     def __init__(self, sock: Any) -> None:
         self._socket = sock
         self._protocol = h11.Connection(h11.CLIENT)
+        self._request: h11.Request | None = None
+        self._sender: Any = None
+        self._keep_s: float | None = None
+        self._idle_since = time.monotonic()
+
+    def usable(self, max_idle_s: float | None) -> bool:
+        """Return whether the connection was used recently enough to be used again."""
+        idle_s = time.monotonic() - self._idle_since
+        if max_idle_s is not None and idle_s > max_idle_s:
+            return False
+        return self._keep_s is None or idle_s < self._keep_s - IDLE_MARGIN_S
+
+    def note_keep_alive(self, headers: Headers) -> None:
+        """Note how long the server keeps the connection when it is idle."""
+        for key, value in headers:
+            if key != "keep-alive":
+                continue
+            for part in value.split(","):
+                name, _, seconds = part.strip().partition("=")
+                if name == "timeout" and seconds.isdigit():
+                    self._keep_s = float(seconds)
 
     def fresh(self) -> bool:
         """Return whether the server has neither closed nor sent anything unasked."""
@@ -183,25 +252,56 @@
         if "content-length" not in names and (body or method in ("POST", "PUT", "PATCH")):
             complete.append(("content-length", str(len(body))))
         protocol = self._protocol
-        data = protocol.send(h11.Request(method=method, target=target, headers=complete)) or b""
+        self._request = h11.Request(method=method, target=target, headers=complete)
+        data = protocol.send(self._request) or b""
         if body:
             data += protocol.send(h11.Data(data=body)) or b""
         data += protocol.send(h11.EndOfMessage()) or b""
+        if len(body) > BODY_SENT_AT_ONCE_BYTES:
+            self._sender = await curio.spawn(self._send_quietly, data, daemon=True)
+            return
         try:
             await self._socket.sendall(data)
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
 
-    async def read_head(self, timeout_s: float) -> Any:
-        """Return the response's head."""
+    async def _send_quietly(self, data: bytes) -> bool:
+        """Send while the response is read; return whether all was sent."""
+        try:
+            await self._socket.sendall(data)
+        except OSError:
+            return False
+        return True
+
+    async def read_head(self, timeout_s: float, accept: AcceptResponse | None = None) -> Any:
+        """Return the head of the response that answers the request."""
         deadline = await curio.clock() + timeout_s
+        strays = 0
         while True:
             event = await self.next_event(max(0.001, deadline - await curio.clock()))
             if isinstance(event, h11.Response):
-                return event
-            if not isinstance(event, h11.InformationalResponse):
+                if accept is None or accept(event.status_code, decode_headers(event.headers)):
+                    return event
+                strays += 1
+                if strays > MAX_STRAY_RESPONSES:
+                    raise BadResponseError(f"{strays} responses to other requests")
+                await self._skip_response(deadline)
+            elif not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLostError("closed before the response")
 
+    async def _skip_response(self, deadline: float) -> None:
+        """Read a response to another request to its end and await the next one."""
+        while True:
+            event = await self.next_event(max(0.001, deadline - await curio.clock()))
+            if isinstance(event, h11.EndOfMessage):
+                break
+        rest, closed = self._protocol.trailing_data
+        if closed or self._request is None:
+            raise ConnectionLostError("closed after a response to another request")
+        self._protocol = _awaiting_response(self._request)
+        if rest:
+            self._protocol.receive_data(rest)
+
     async def next_event(self, timeout_s: float) -> Any:
         """Return the next event of the response.
 
@@ -244,9 +344,28 @@
         """Prepare for another request; return whether the connection allows one."""
         if self._protocol.our_state is not h11.DONE or self._protocol.their_state is not h11.DONE:
             return False
+        if self._protocol.trailing_data[0]:
+            return False
+        if self._sender is not None:
+            if not self._sender.terminated or not self._sender.result:
+                return False
+            self._sender = None
         self._protocol.start_next_cycle()
+        self._idle_since = time.monotonic()
         return True
 
     async def close(self) -> None:
         """Close the connection."""
+        if self._sender is not None:
+            await self._sender.cancel(blocking=False)
         await self._socket.close()
+
+
+def _awaiting_response(request: h11.Request) -> h11.Connection:
+    """Return a protocol state in which the whole request has been sent."""
+    protocol = h11.Connection(h11.CLIENT)
+    framing = (b"content-length", b"transfer-encoding")
+    headers = [(name, value) for name, value in request.headers if name not in framing]
+    protocol.send(h11.Request(method=request.method, target=request.target, headers=headers))
+    protocol.send(h11.EndOfMessage())
+    return protocol
--- a/bluebellrun/transport/_listener.py
+++ b/bluebellrun/http/_listener.py
@@ -7,8 +7,8 @@
 from curio import network, socket
 
 from bluebellrun.core import Address
-from bluebellrun.transport._exceptions import ConnectError
-from bluebellrun.transport._tls import Tls
+from bluebellrun.http._exceptions import ConnectError
+from bluebellrun.http._tls import Tls
 
 ACCEPT_BACKLOG = 1_024
 MAX_TURNED_AWAY = 64
--- a/bluebellrun/transport/_http_server.py
+++ b/bluebellrun/http/_server.py
@@ -14,9 +14,9 @@
 import h11
 
 from bluebellrun.core import Address, new_request_id
-from bluebellrun.transport._http_models import Headers, HttpLimits, HttpRequest, decode_headers
-from bluebellrun.transport._listener import Listener
-from bluebellrun.transport._tls import Tls
+from bluebellrun.http._listener import Listener
+from bluebellrun.http._models import Headers, HttpLimits, HttpRequest, decode_headers
+from bluebellrun.http._tls import Tls
 
 READ_SIZE = 65_536
 BAD_REQUEST = 400
@@ -52,6 +52,12 @@
         self._aborted = False
         self._status = 0
         self._first_body_at: float | None = None
+        self._received = time.monotonic()
+
+    @property
+    def received(self) -> float:
+        """Return when the request was whole, by the monotonic clock in seconds."""
+        return self._received
 
     @property
     def request(self) -> HttpRequest:
@@ -87,6 +93,8 @@
         """Send the status and headers; without a length, the body is chunked."""
         self._started = True
         self._status = status
+        if self._connection.closes_after_answer():
+            headers = [*headers, ("connection", "close")]
         await self._connection.send(h11.Response(status_code=status, headers=headers))
 
     async def send_body(self, data: bytes) -> None:
@@ -134,6 +142,17 @@
             address, self._serve, limits.max_connections, tls, self._turn_away
         )
         self._closing = False
+        self._idle: set[_Connection] = set()
+
+    @property
+    def limits(self) -> HttpLimits:
+        """Return the limits on callers."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: HttpLimits) -> None:
+        """Set the limits of requests that are not being read yet."""
+        self._limits = limits
 
     @property
     def address(self) -> Address:
@@ -149,20 +168,29 @@
         """Serve until cancelled or closed."""
         await self._listener.run()
 
+    def end_connections(self) -> None:
+        """Let each connection end after its next answer; new ones are still accepted."""
+        self._closing = True
+
     async def close(self) -> None:
         """Stop accepting connections; answers in progress go on and their connections end."""
         self._closing = True
         await self._listener.close()
 
+    async def close_idle(self) -> None:
+        """Close the connections on which no request is being read or answered."""
+        for connection in list(self._idle):
+            await connection.end_idle()
+
     async def _serve(self, sock: Any) -> None:
         """Serve the requests of one connection."""
-        connection = _Connection(sock, self._limits)
+        connection = _Connection(sock, self._limits, lambda: self._closing)
         while await self._serve_one(connection):
-            pass
+            connection.limits = self._limits
 
     async def _turn_away(self, sock: Any) -> None:
         """Refuse a connection beyond the limit."""
-        connection = _Connection(sock, self._limits)
+        connection = _Connection(sock, self._limits, lambda: True)
         limit = self._limits.max_connections
         await connection.refuse(
             UNAVAILABLE, f"{limit} connections are open already; come back later", retry_after_s=1
@@ -170,13 +198,16 @@
 
     async def _serve_one(self, connection: "_Connection") -> bool:
         """Serve one request; return whether the connection can take another."""
+        self._idle.add(connection)
         try:
-            request = await connection.read_request()
+            request = await connection.read_request(lambda: self._idle.discard(connection))
         except _BadRequestError as error:
             await connection.refuse(error.status, error.detail)
             return False
         except CallerGoneError:
             return False
+        finally:
+            self._idle.discard(connection)
         exchange = HttpExchange(connection, request)
         await self._run_handler(connection, exchange)
         if exchange.aborted or not exchange.finished or self._closing:
@@ -203,16 +234,41 @@
 class _Connection:
     """The state of one connection from a caller."""
 
-    def __init__(self, sock: Any, limits: HttpLimits) -> None:
+    def __init__(self, sock: Any, limits: HttpLimits, closing: Callable[[], bool]) -> None:
         self._socket = sock
         self._limits = limits
+        self._closing = closing
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
         self._served = 0
+        self._on_bytes: Callable[[], None] | None = None
+        self._reader: Any = None
+
+    @property
+    def limits(self) -> HttpLimits:
+        """Return the limits on the next request."""
+        return self._limits
 
-    async def read_request(self) -> HttpRequest:
-        """Read one request with its body."""
+    @limits.setter
+    def limits(self, limits: HttpLimits) -> None:
+        self._limits = limits
+
+    def closes_after_answer(self) -> bool:
+        """Return whether the server ends this connection after the answer."""
+        return self._closing()
+
+    async def end_idle(self) -> None:
+        """End a connection that waits for a request of which no byte has arrived."""
+        if self._reader is not None and self._on_bytes is not None:
+            await self._reader.cancel(blocking=False)
+
+    async def read_request(self, on_bytes: Callable[[], None]) -> HttpRequest:
+        """Read one request with its body; ``on_bytes`` is called as its first bytes arrive."""
+        self._reader = await curio.current_task()
+        self._on_bytes = None if self._protocol.trailing_data[0] else on_bytes
+        if self._on_bytes is None:
+            on_bytes()
         head = await self._read_head()
         self._check_size(head)
         self._check_framing(head)
@@ -365,4 +421,8 @@
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._protocol.receive_data(await self._socket.recv(READ_SIZE))
+            data = await self._socket.recv(READ_SIZE)
+            if self._on_bytes is not None:
+                self._on_bytes()
+                self._on_bytes = None
+            self._protocol.receive_data(data)
--- a/bluebellrun/transport/_tls.py
+++ b/bluebellrun/http/_tls.py
@@ -14,7 +14,7 @@
 import curio
 from curio.io import Socket
 
-from bluebellrun.transport._exceptions import ConnectError
+from bluebellrun.http._exceptions import ConnectError
 
 RELOAD_INTERVAL_S = 1.0
 HANDSHAKE_TIMEOUT_S = 5.0
--- a/bluebellrun/leases/_holder.py
+++ b/bluebellrun/leases/_holder.py
@@ -8,12 +8,11 @@
 from random import Random
 
 import curio
-from ulid import ULID
 
-from bluebellrun.core import Clock
+from bluebellrun.core import Clock, new_incarnation
 from bluebellrun.leases._exceptions import LeaseError
 from bluebellrun.leases._models import RoleLease, RoleRecord, decode_record, encode_record
-from bluebellrun.platform import (
+from bluebellrun.store import (
     Compare,
     KeyValue,
     KeyValueStore,
@@ -145,7 +144,7 @@
             return await self._settle(held)
         asked_at = self._clock.now()
         lease_id = await self._store.grant_lease(self._ttl_s)
-        claim = _Claim(str(ULID()), lease_id, asked_at)
+        claim = _Claim(new_incarnation(), lease_id, asked_at)
         self._forget()
         self._claim = claim
         try:
--- a/bluebellrun/ledger/_ledger.py
+++ b/bluebellrun/ledger/_ledger.py
@@ -12,7 +12,7 @@
 from bluebellrun.ledger._keys import shard_of
 from bluebellrun.ledger._log import Commit, ReadShard, ShardLog
 from bluebellrun.ledger._models import Decision, Declined, LedgerLimits, LedgerRecord
-from bluebellrun.platform import (
+from bluebellrun.store import (
     Compare,
     KeyValueStore,
     PlatformError,
--- a/bluebellrun/ledger/_log.py
+++ b/bluebellrun/ledger/_log.py
@@ -28,7 +28,7 @@
     read_shard,
     segment_key,
 )
-from bluebellrun.platform import Compare, Put, Snapshot
+from bluebellrun.store import Compare, Put, Snapshot
 
 RECORD_BYTES = 256
 
--- a/bluebellrun/ledger/_segments.py
+++ b/bluebellrun/ledger/_segments.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from bluebellrun.ledger._models import LedgerRecord
-from bluebellrun.platform import Snapshot
+from bluebellrun.store import Snapshot
 
 SEQUENCE_DIGITS = 12
 
--- a/bluebellrun/load/_client.py
+++ b/bluebellrun/load/_client.py
@@ -6,15 +6,15 @@
 import curio
 
 from bluebellrun.core import Address
-from bluebellrun.load._arrivals import Arrival
-from bluebellrun.load._verification import verify_stream, verify_whole
-from bluebellrun.transport import (
+from bluebellrun.http import (
     ClientTimeouts,
     HttpClient,
     HttpResponse,
     TransportError,
     header_value,
 )
+from bluebellrun.load._arrivals import Arrival
+from bluebellrun.load._verification import verify_stream, verify_whole
 
 OK = 200
 DONE = b"data: [DONE]"
--- a/bluebellrun/management/_progress.py
+++ b/bluebellrun/management/_progress.py
@@ -13,6 +13,7 @@
 from rich.progress import BarColumn, Progress, TaskID, TextColumn, TimeElapsedColumn
 
 from bluebellrun.core import Address
+from bluebellrun.http import Tls
 from bluebellrun.management._confirmation import PlanArgument
 from bluebellrun.management._options import (
     DEFAULT_PREFIX,
@@ -34,7 +35,6 @@
 )
 from bluebellrun.plans import GroupProgress, Plan, read_progress
 from bluebellrun.reports import ReportRefusedError, Status, collect_statuses
-from bluebellrun.transport import Tls
 
 POLL_S = 0.5
 
--- a/bluebellrun/management/_session.py
+++ b/bluebellrun/management/_session.py
@@ -11,6 +11,7 @@
 
 from bluebellrun.core import Address, parse_address
 from bluebellrun.declarations import Configuration, DeclarationError, build_configuration
+from bluebellrun.http import Tls, TlsError, TlsFiles
 from bluebellrun.management._options import (
     EXIT_BAD_INPUT,
     EXIT_CONFLICT,
@@ -20,8 +21,7 @@
     EXIT_UNKNOWN,
 )
 from bluebellrun.plans import PlanConflictError, PlanError, PlanRepository, PlanUnknownError
-from bluebellrun.platform import EtcdStore, KeyValueStore, PlatformError, StoreTimeouts
-from bluebellrun.transport import Tls, TlsError, TlsFiles
+from bluebellrun.store import EtcdStore, KeyValueStore, PlatformError, StoreTimeouts
 
 STORE_TIMEOUT_S = 5.0
 
--- a/bluebellrun/management/_status.py
+++ b/bluebellrun/management/_status.py
@@ -13,6 +13,12 @@
 
 from bluebellrun.core import Address, parse_address
 from bluebellrun.distribution import FleetSurvey, survey_fleet
+from bluebellrun.http import (
+    Tls,
+    TlsError,
+    TlsFiles,
+    link_security,
+)
 from bluebellrun.management._options import (
     DEFAULT_PREFIX,
     EXIT_BAD_INPUT,
@@ -23,8 +29,8 @@
     StoreOption,
 )
 from bluebellrun.management._session import fail, read_addresses
-from bluebellrun.platform import EtcdStore, StoreTimeouts
-from bluebellrun.transport import LinkTiming, Tls, TlsError, TlsFiles, link_security
+from bluebellrun.store import EtcdStore, StoreTimeouts
+from bluebellrun.transport import LinkTiming
 
 STORE_TIMEOUT_S = 2.0
 MAX_LISTED = 20
--- a/bluebellrun/messages/_exchange.py
+++ b/bluebellrun/messages/_exchange.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from bluebellrun.transport import Headers
+from bluebellrun.http import Headers
 
 EXCHANGE_PATH = "/bluebellrun.Agent/Exchange"
 
--- a/bluebellrun/plans/_progress.py
+++ b/bluebellrun/plans/_progress.py
@@ -3,7 +3,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from bluebellrun.plans._exceptions import PlanError
-from bluebellrun.platform import KeyValueStore
+from bluebellrun.store import KeyValueStore
 
 
 class GroupProgress(BaseModel):
--- a/bluebellrun/plans/_repository.py
+++ b/bluebellrun/plans/_repository.py
@@ -26,7 +26,7 @@
 from bluebellrun.plans._intents import Intent, describe_intent, wanted_documents
 from bluebellrun.plans._models import Change, Plan, decode_plan, encode_plan
 from bluebellrun.plans._planner import apply_changes, carry_over, compare_documents, invert
-from bluebellrun.platform import (
+from bluebellrun.store import (
     Compare,
     KeyValueStore,
     PlatformError,
--- a/bluebellrun/reports/_client.py
+++ b/bluebellrun/reports/_client.py
@@ -8,9 +8,9 @@
 from pydantic import BaseModel, ValidationError
 
 from bluebellrun.core import Address
+from bluebellrun.http import ClientTimeouts, HttpClient, TransportError
 from bluebellrun.reports._exceptions import ReportError, ReportRefusedError
 from bluebellrun.reports._models import Snapshot, Status
-from bluebellrun.transport import ClientTimeouts, HttpClient, TransportError
 
 OK = 200
 REFUSED_STATUSES = frozenset({401, 403})
--- a/bluebellrun/reports/_rebalancing.py
+++ b/bluebellrun/reports/_rebalancing.py
@@ -1,8 +1,8 @@
 """The cost of rebalancing, which coordinators keep in the key-value service."""
 
 from bluebellrun.plans import read_progress
-from bluebellrun.platform import KeyValueStore
 from bluebellrun.reports._report import RebalancingCost
+from bluebellrun.store import KeyValueStore
 
 
 async def read_rebalancing(store: KeyValueStore, prefix: str) -> list[RebalancingCost]:
--- a/bluebellrun/reports/main.py
+++ b/bluebellrun/reports/main.py
@@ -11,7 +11,7 @@
 from rich.console import Console
 
 from bluebellrun.core import Address, parse_address
-from bluebellrun.platform import EtcdStore, KeyValueStore, PlatformError, StoreTimeouts
+from bluebellrun.http import Tls, TlsError, TlsFiles
 from bluebellrun.reports._client import Collected, collect_snapshots
 from bluebellrun.reports._exceptions import ReportError
 from bluebellrun.reports._models import Snapshot
@@ -19,7 +19,7 @@
 from bluebellrun.reports._rebalancing import read_rebalancing
 from bluebellrun.reports._render import print_report, render_json
 from bluebellrun.reports._report import RebalancingCost, Report, make_report
-from bluebellrun.transport import Tls, TlsError, TlsFiles
+from bluebellrun.store import EtcdStore, KeyValueStore, PlatformError, StoreTimeouts
 
 EXIT_FAILED = 1
 EXIT_BAD_INPUT = 2
--- a/bluebellrun/runtime/_security.py
+++ b/bluebellrun/runtime/_security.py
@@ -4,8 +4,8 @@
 
 from bluebellrun.conf import CallerTlsSettings, LinkSettings
 from bluebellrun.core import Address
+from bluebellrun.http import Tls, TlsFiles, link_security
 from bluebellrun.telemetry import get_logger
-from bluebellrun.transport import Tls, TlsFiles, link_security
 
 _log = get_logger("security")
 
--- /dev/null
+++ b/bluebellrun/store/__init__.py
@@ -0,0 +1,92 @@
+"""The services kept outside the processes: ports, and clients that know their wire format.
+
+Clients that a process may do without are loaded at their first use: they bring libraries that
+cost start-up time and memory.
+"""
+
+import importlib
+from typing import TYPE_CHECKING, Any
+
+from bluebellrun.store._backoff import Backoff
+from bluebellrun.store._breaker import CircuitBreaker
+from bluebellrun.store._budget import CallAccount, RatePart, StoreRates, TokenBucket
+from bluebellrun.store._exceptions import (
+    CallRefusedError,
+    CompactedError,
+    PlatformError,
+    StoreAnswerLostError,
+    StoreUnavailableError,
+    WeightsBusyError,
+    WeightsError,
+    WeightsNotFoundError,
+)
+from bluebellrun.store._follow import PrefixFollower
+from bluebellrun.store._guard import GuardedStore
+from bluebellrun.store._models import (
+    Compare,
+    KeyValue,
+    Put,
+    Snapshot,
+    StoreTimeouts,
+    TransactionResult,
+    WatchEvent,
+)
+from bluebellrun.store._nonce import transact_with_nonce
+from bluebellrun.store._ports import KeyValueStore, Watch
+
+if TYPE_CHECKING:
+    from bluebellrun.store._etcd import EtcdStore
+    from bluebellrun.store._hosts import HostEntry, HostList, HostState
+    from bluebellrun.store._weights import Weights, WeightStore
+
+_LOADED_AT_FIRST_USE = {
+    "EtcdStore": "_etcd",
+    "HostEntry": "_hosts",
+    "HostList": "_hosts",
+    "HostState": "_hosts",
+    "WeightStore": "_weights",
+    "Weights": "_weights",
+}
+
+__all__ = [
+    "Backoff",
+    "CallAccount",
+    "CallRefusedError",
+    "CircuitBreaker",
+    "CompactedError",
+    "Compare",
+    "EtcdStore",
+    "GuardedStore",
+    "HostEntry",
+    "HostList",
+    "HostState",
+    "KeyValue",
+    "KeyValueStore",
+    "PlatformError",
+    "PrefixFollower",
+    "Put",
+    "RatePart",
+    "Snapshot",
+    "StoreAnswerLostError",
+    "StoreRates",
+    "StoreTimeouts",
+    "StoreUnavailableError",
+    "TokenBucket",
+    "TransactionResult",
+    "Watch",
+    "WatchEvent",
+    "WeightStore",
+    "Weights",
+    "WeightsBusyError",
+    "WeightsError",
+    "WeightsNotFoundError",
+    "transact_with_nonce",
+]
+
+
+def __getattr__(name: str) -> Any:
+    """Load a client at its first use."""
+    module = _LOADED_AT_FIRST_USE.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
--- a/bluebellrun/platform/_breaker.py
+++ b/bluebellrun/store/_breaker.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from bluebellrun.platform._backoff import Backoff
+from bluebellrun.store._backoff import Backoff
 
 FAILURES_TO_OPEN = 4
 
--- a/bluebellrun/platform/_etcd.py
+++ b/bluebellrun/store/_etcd.py
@@ -11,13 +11,20 @@
 import curio
 
 from bluebellrun.core import Address
-from bluebellrun.platform._exceptions import (
+from bluebellrun.http import (
+    ClientTimeouts,
+    ConnectError,
+    HttpClient,
+    HttpResponse,
+    TransportError,
+)
+from bluebellrun.store._exceptions import (
     CompactedError,
     PlatformError,
     StoreAnswerLostError,
     StoreUnavailableError,
 )
-from bluebellrun.platform._models import (
+from bluebellrun.store._models import (
     Compare,
     KeyValue,
     Put,
@@ -26,13 +33,6 @@
     TransactionResult,
     WatchEvent,
 )
-from bluebellrun.transport import (
-    ClientTimeouts,
-    ConnectError,
-    HttpClient,
-    HttpResponse,
-    TransportError,
-)
 
 OK = 200
 CONNECT_SHARE = 0.5
--- a/bluebellrun/platform/_follow.py
+++ b/bluebellrun/store/_follow.py
@@ -6,10 +6,10 @@
 import curio
 
 from bluebellrun.core import Clock
-from bluebellrun.platform._backoff import Backoff
-from bluebellrun.platform._exceptions import CompactedError, PlatformError, StoreUnavailableError
-from bluebellrun.platform._models import Snapshot, WatchEvent
-from bluebellrun.platform._ports import KeyValueStore, Watch
+from bluebellrun.store._backoff import LONGEST_S, Backoff
+from bluebellrun.store._exceptions import CompactedError, PlatformError, StoreUnavailableError
+from bluebellrun.store._models import Snapshot, WatchEvent
+from bluebellrun.store._ports import KeyValueStore, Watch
 from bluebellrun.telemetry import get_logger
 
 CHECK_INTERVAL_S = 4.0
@@ -18,7 +18,7 @@
 TakeSnapshot = Callable[[Snapshot], Awaitable[None]]
 TakeEvents = Callable[[list[WatchEvent]], Awaitable[None]]
 
-_log = get_logger("platform.follow")
+_log = get_logger("store.follow")
 
 
 class PrefixFollower:
@@ -37,6 +37,7 @@
         clock: Clock,
         random: Random,
         from_revision: int = 0,
+        longest_pause_s: float = LONGEST_S,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -47,6 +48,7 @@
         self._revision = from_revision
         self._seen = from_revision
         self._confirmed_at: float | None = None
+        self._longest_pause_s = longest_pause_s
 
     @property
     def confirmed_at(self) -> float | None:
@@ -55,7 +57,7 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        backoff = Backoff(self._random)
+        backoff = Backoff(self._random, longest_s=self._longest_pause_s)
         while True:
             try:
                 await self._follow(backoff)
@@ -83,13 +85,17 @@
             await watch.close()
 
     async def _take_next(self, watch: Watch, wait_s: float) -> bool:
-        """Take the next changes; return whether there were any in time."""
-        events: list[WatchEvent] = []
+        """Take the next changes; return whether the watch said anything in time.
+
+        An empty list says that nothing has changed so far.
+        """
+        events: list[WatchEvent] | None = None
         async with curio.ignore_after(wait_s):
             events = await watch.next()
-        if not events:
+        if events is None:
             return False
-        await self._take_events(events)
+        if events:
+            await self._take_events(events)
         self._note(event.mod_revision for event in events)
         self._revision = max(self._revision, self._seen)
         self._confirm()
--- a/bluebellrun/platform/_guard.py
+++ b/bluebellrun/store/_guard.py
@@ -11,17 +11,17 @@
 import curio
 
 from bluebellrun.core import Clock
-from bluebellrun.platform._backoff import Backoff
-from bluebellrun.platform._breaker import CircuitBreaker
-from bluebellrun.platform._budget import CallAccount, CallBudget, RatePart, TokenBucket
-from bluebellrun.platform._exceptions import (
+from bluebellrun.store._backoff import Backoff
+from bluebellrun.store._breaker import CircuitBreaker
+from bluebellrun.store._budget import CallAccount, CallBudget, RatePart, TokenBucket
+from bluebellrun.store._exceptions import (
     CallRefusedError,
     PlatformError,
     StoreAnswerLostError,
     StoreUnavailableError,
 )
-from bluebellrun.platform._models import Compare, Put, Snapshot, TransactionResult
-from bluebellrun.platform._ports import KeyValueStore, Watch
+from bluebellrun.store._models import Compare, Put, Snapshot, TransactionResult
+from bluebellrun.store._ports import KeyValueStore, Watch
 
 MAX_TRIES = 3
 RETRY_RATIO = 0.2
--- a/bluebellrun/platform/_hosts.py
+++ b/bluebellrun/store/_hosts.py
@@ -6,8 +6,13 @@
 from pydantic import BaseModel, ValidationError
 
 from bluebellrun.core import Address
-from bluebellrun.platform._exceptions import PlatformError, StoreUnavailableError
-from bluebellrun.transport import ClientTimeouts, HttpClient, TransportError, header_value
+from bluebellrun.http import (
+    ClientTimeouts,
+    HttpClient,
+    TransportError,
+    header_value,
+)
+from bluebellrun.store._exceptions import PlatformError, StoreUnavailableError
 
 OK = 200
 NOT_MODIFIED = 304
--- a/bluebellrun/platform/_nonce.py
+++ b/bluebellrun/store/_nonce.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Sequence
 
-from bluebellrun.platform._exceptions import PlatformError, StoreAnswerLostError
-from bluebellrun.platform._models import Compare, Put, TransactionResult
-from bluebellrun.platform._ports import KeyValueStore
+from bluebellrun.store._exceptions import PlatformError, StoreAnswerLostError
+from bluebellrun.store._models import Compare, Put, TransactionResult
+from bluebellrun.store._ports import KeyValueStore
 
 MAX_ROUNDS = 4
 
--- a/bluebellrun/platform/_ports.py
+++ b/bluebellrun/store/_ports.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from bluebellrun.platform._models import (
+from bluebellrun.store._models import (
     Compare,
     Put,
     Snapshot,
@@ -16,7 +16,10 @@
     """A stream of changes below a prefix."""
 
     async def next(self) -> list[WatchEvent]:
-        """Return the next changes, in order; raise ``PlatformError`` when the stream ends."""
+        """Return the next changes, in order; raise ``PlatformError`` when the stream ends.
+
+        An empty list is the store's word that nothing has changed so far.
+        """
 
     async def close(self) -> None:
         """End the watch."""
--- a/bluebellrun/platform/_weights.py
+++ b/bluebellrun/store/_weights.py
@@ -8,8 +8,8 @@
 from pydantic import BaseModel, ValidationError
 
 from bluebellrun.core import Address
-from bluebellrun.platform._exceptions import WeightsBusyError, WeightsError, WeightsNotFoundError
-from bluebellrun.transport import ClientTimeouts, HttpClient, TransportError
+from bluebellrun.http import ClientTimeouts, HttpClient, TransportError
+from bluebellrun.store._exceptions import WeightsBusyError, WeightsError, WeightsNotFoundError
 
 OK = 200
 NOT_FOUND = 404
--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -19,11 +19,10 @@
 from curio.socket import SHUT_RDWR
 
 from bluebellrun.core import Address
+from bluebellrun.http import ConnectError, connect, link_security
 from bluebellrun.telemetry import get_logger
 from bluebellrun.transport._call import Call
-from bluebellrun.transport._exceptions import CallError, ConnectError, LinkLostError
-from bluebellrun.transport._http_client import connect
-from bluebellrun.transport._tls import link_security
+from bluebellrun.transport._exceptions import CallError, LinkLostError
 
 READ_SIZE = 262_144
 STREAM_WINDOW_BYTES = 16_777_216
--- a/standins/_serving.py
+++ b/standins/_serving.py
@@ -5,8 +5,13 @@
 import curio
 
 from bluebellrun.core import Address
+from bluebellrun.http import (
+    HttpExchange,
+    HttpHandler,
+    HttpLimits,
+    HttpServer,
+)
 from bluebellrun.runtime import StopSignals
-from bluebellrun.transport import HttpExchange, HttpHandler, HttpLimits, HttpServer
 
 STANDIN_LIMITS = HttpLimits(max_body_bytes=67_108_864, write_timeout_s=600.0)
 
--- a/standins/engine/_app.py
+++ b/standins/engine/_app.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from bluebellrun.transport import HttpExchange
+from bluebellrun.http import HttpExchange
 from standins._serving import not_found
 from standins.engine._batching import Batcher, EngineSettings, Sequence
 from standins.engine._faults import EngineFaults
--- a/standins/engine/_group_app.py
+++ b/standins/engine/_group_app.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from bluebellrun.groups import Order
-from bluebellrun.transport import HttpExchange
+from bluebellrun.http import HttpExchange
 from standins._serving import not_found
 from standins.engine._experts import ExpertTraffic
 from standins.engine._group import LockStepGroup, MixedMapsError, OrderRejectedError
--- a/standins/engine/_streams.py
+++ b/standins/engine/_streams.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from bluebellrun.transport import HttpExchange
+from bluebellrun.http import HttpExchange
 from standins._serving import not_found
 from standins.engine._batching import Sequence
 from standins.engine._faults import EngineFaults
--- a/standins/node/__main__.py
+++ b/standins/node/__main__.py
@@ -14,10 +14,11 @@
 from bluebellrun.core import Address, MonotonicClock
 from bluebellrun.declarations import Configuration
 from bluebellrun.distribution import link_timing, make_node
-from bluebellrun.platform import EtcdStore, StoreTimeouts
+from bluebellrun.http import Listener
 from bluebellrun.runtime import StopSignals, spawn_background
+from bluebellrun.store import EtcdStore, StoreTimeouts
 from bluebellrun.telemetry import configure_logs
-from bluebellrun.transport import Listener, serve_link
+from bluebellrun.transport import serve_link
 
 
 class NodeSettings(ControlSettings):
--- a/standins/plain/_app.py
+++ b/standins/plain/_app.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from bluebellrun.transport import HttpExchange
+from bluebellrun.http import HttpExchange
 
 READ_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
--- a/standins/platform/_app.py
+++ b/standins/platform/_app.py
@@ -9,7 +9,7 @@
 
 import curio
 
-from bluebellrun.transport import HttpExchange
+from bluebellrun.http import HttpExchange
 from standins._serving import not_found
 from standins.platform._faults import CallCounts, StoreFaults
 from standins.platform._store import Change, MemoryStore, Record
--- a/standins/platform/_direct.py
+++ b/standins/platform/_direct.py
@@ -7,7 +7,7 @@
 import curio
 
 from bluebellrun.core import Clock
-from bluebellrun.platform import (
+from bluebellrun.store import (
     CompactedError,
     Compare,
     KeyValue,
--- a/standins/platform/_weights.py
+++ b/standins/platform/_weights.py
@@ -6,7 +6,7 @@
 from json import loads
 from urllib.parse import unquote
 
-from bluebellrun.transport import HttpExchange
+from bluebellrun.http import HttpExchange
 from standins._serving import not_found
 
 PREFIX = "/weights/"
--- a/tests/coordinator/_fakes.py
+++ b/tests/coordinator/_fakes.py
@@ -5,7 +5,7 @@
 from bluebellrun.groups import Order, has_effect
 from bluebellrun.leases import RoleLease
 from bluebellrun.messages import OrderReply
-from bluebellrun.platform import KeyValue, Snapshot, StoreAnswerLostError, TransactionResult
+from bluebellrun.store import KeyValue, Snapshot, StoreAnswerLostError, TransactionResult
 from standins.engine._group import LockStepGroup, OrderRejectedError
 
 CLOCK = MonotonicClock()
--- a/tests/distribution/cluster.py
+++ b/tests/distribution/cluster.py
@@ -10,9 +10,10 @@
 
 from bluebellrun.core import Address, MonotonicClock
 from bluebellrun.distribution import Node, NodeSettings, NodeTiming
+from bluebellrun.http import Listener
 from bluebellrun.membership import SuspicionTiming
-from bluebellrun.platform import StoreRates
-from bluebellrun.transport import LinkTiming, Listener, serve_link
+from bluebellrun.store import StoreRates
+from bluebellrun.transport import LinkTiming, serve_link
 from standins.platform import DirectStore
 
 LINK = LinkTiming(connect_s=0.5, ping_interval_s=0.1, ping_timeout_s=0.3)
--- a/tests/distribution/test_node.py
+++ b/tests/distribution/test_node.py
@@ -4,7 +4,7 @@
 from bluebellrun.core import parse_address
 from bluebellrun.distribution import survey_fleet
 from bluebellrun.membership import MemberState
-from bluebellrun.platform import HostEntry, HostState
+from bluebellrun.store import HostEntry, HostState
 from tests.distribution.cluster import LINK, apart, run_cluster
 
 
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -12,7 +12,7 @@
 )
 from bluebellrun.entry._callers import read_request
 from bluebellrun.entry._problems import CallerError
-from bluebellrun.transport import HttpRequest
+from bluebellrun.http import HttpRequest
 
 CONFIGURATION = build_configuration(
     1,
--- a/tests/transport/test_http_client.py
+++ b/tests/http/test_client.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bluebellrun.core import Address
-from bluebellrun.transport import (
+from bluebellrun.http import (
     ClientTimeouts,
     ConnectError,
     HttpClient,
@@ -15,7 +15,7 @@
     HttpServer,
     PeerTimeoutError,
 )
-from bluebellrun.transport._http_client import _ClientConnection
+from bluebellrun.http._client import _ClientConnection
 
 
 async def answer(exchange: HttpExchange) -> None:
--- a/tests/transport/test_garbage.py
+++ b/tests/http/test_garbage.py
@@ -5,17 +5,15 @@
 import curio
 
 from bluebellrun.core import Address
-from bluebellrun.transport import (
+from bluebellrun.http import (
     ClientTimeouts,
     HttpClient,
     HttpExchange,
     HttpLimits,
     HttpServer,
-    LinkTiming,
     Listener,
-    dial,
-    serve_link,
 )
+from bluebellrun.transport import LinkTiming, dial, serve_link
 
 VALID = (
     b"POST /a?b=c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
--- a/tests/transport/test_http_server.py
+++ b/tests/http/test_server.py
@@ -5,7 +5,13 @@
 from curio import socket
 
 from bluebellrun.core import Address
-from bluebellrun.transport import ClientTimeouts, HttpClient, HttpExchange, HttpLimits, HttpServer
+from bluebellrun.http import (
+    ClientTimeouts,
+    HttpClient,
+    HttpExchange,
+    HttpLimits,
+    HttpServer,
+)
 
 LIMITS = HttpLimits(
     max_header_bytes=2_000, max_body_bytes=100, header_timeout_s=0.3, body_timeout_s=0.3
--- a/tests/transport/test_tls.py
+++ b/tests/http/test_tls.py
@@ -8,25 +8,27 @@
 import trustme
 
 from bluebellrun.core import Address
-from bluebellrun.transport import (
-    Call,
+from bluebellrun.http import (
     ConnectError,
     HttpExchange,
     HttpLimits,
     HttpServer,
-    Link,
-    LinkLostError,
-    LinkTiming,
     Listener,
     PeerNotAllowedError,
     Tls,
     TlsError,
     TlsFiles,
-    dial,
     link_security,
+)
+from bluebellrun.http._client import connect
+from bluebellrun.transport import (
+    Call,
+    Link,
+    LinkLostError,
+    LinkTiming,
+    dial,
     serve_link,
 )
-from bluebellrun.transport._http_client import connect
 
 TIMING = LinkTiming(2.0, 1.0, 3.0)
 ANY = Address("127.0.0.1", 0)
@@ -227,7 +229,7 @@
 
 
 def test_a_silent_caller_is_dropped_when_its_handshake_does_not_come(tmp_path, monkeypatch):
-    monkeypatch.setattr("bluebellrun.transport._tls.HANDSHAKE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr("bluebellrun.http._tls.HANDSHAKE_TIMEOUT_S", 0.1)
     files = write_certificate(tmp_path, trustme.CA(), "localhost")
 
     async def handle(exchange: HttpExchange) -> None:
@@ -244,7 +246,7 @@
 
 
 def test_a_changed_file_is_noticed_at_the_next_connection(tmp_path, monkeypatch):
-    monkeypatch.setattr("bluebellrun.transport._tls.RELOAD_INTERVAL_S", 0.0)
+    monkeypatch.setattr("bluebellrun.http._tls.RELOAD_INTERVAL_S", 0.0)
     authority = trustme.CA()
     files = write_certificate(tmp_path / "a", authority, "old.fleet")
     client = write_certificate(tmp_path / "e", authority, "entry.fleet")
--- a/tests/integration/test_group_orders.py
+++ b/tests/integration/test_group_orders.py
@@ -18,7 +18,7 @@
     static_map,
 )
 from bluebellrun.leases import RoleHolder
-from bluebellrun.platform import EtcdStore, StoreTimeouts
+from bluebellrun.store import EtcdStore, StoreTimeouts
 from bluebellrun.transport import LinkTiming
 from standins.fleet import LocalFleet
 
--- a/tests/ledger/fakes.py
+++ b/tests/ledger/fakes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from bluebellrun.ledger import Commit, LedgerRecord, ShardLog
-from bluebellrun.platform import (
+from bluebellrun.store import (
     Compare,
     KeyValue,
     Put,
--- a/tests/load/test_client.py
+++ b/tests/load/test_client.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bluebellrun.core import Address
+from bluebellrun.http import HttpExchange, HttpLimits, HttpServer
 from bluebellrun.load import (
     Scenario,
     load_scenario,
@@ -14,7 +15,6 @@
     summarize,
 )
 from bluebellrun.load._verification import digest_of
-from bluebellrun.transport import HttpExchange, HttpLimits, HttpServer
 
 SCENARIOS = sorted((Path(__file__).parents[2] / "examples" / "load").glob("*.yaml"))
 SCENARIO = Scenario.model_validate(
--- a/tests/plans/_store.py
+++ b/tests/plans/_store.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from bluebellrun.platform import (
+from bluebellrun.store import (
     Compare,
     KeyValue,
     Put,
--- a/tests/plans/test_machine.py
+++ b/tests/plans/test_machine.py
@@ -19,7 +19,7 @@
     SetShare,
     Undrain,
 )
-from bluebellrun.platform import StoreUnavailableError
+from bluebellrun.store import StoreUnavailableError
 from bluebellrun.upstreams import UpstreamState
 from tests.plans._store import APPLIED, DOWN, DROPPED, MemoryStore
 from tests.plans.test_repository import documents
--- a/tests/plans/test_repository.py
+++ b/tests/plans/test_repository.py
@@ -28,7 +28,7 @@
     Shift,
     Undrain,
 )
-from bluebellrun.platform import Put, StoreUnavailableError
+from bluebellrun.store import Put, StoreUnavailableError
 from bluebellrun.upstreams import Protocol, UpstreamState
 from tests.plans._store import APPLIED, DOWN, DROPPED, MemoryStore
 
--- a/tests/platform/test_etcd.py
+++ b/tests/store/test_etcd.py
@@ -2,7 +2,7 @@
 import pytest
 
 from bluebellrun.core import Address
-from bluebellrun.platform import (
+from bluebellrun.store import (
     CompactedError,
     Compare,
     EtcdStore,
--- a/tests/platform/test_guard.py
+++ b/tests/store/test_guard.py
@@ -4,7 +4,7 @@
 import pytest
 
 from bluebellrun.core import ManualClock, MonotonicClock
-from bluebellrun.platform import (
+from bluebellrun.store import (
     CallRefusedError,
     CircuitBreaker,
     Compare,
@@ -174,8 +174,8 @@
 
 
 def test_a_watch_that_went_silent_is_found_and_replaced(monkeypatch):
-    monkeypatch.setattr("bluebellrun.platform._follow.CHECK_INTERVAL_S", 0.02)
-    monkeypatch.setattr("bluebellrun.platform._follow.CHECK_GRACE_S", 0.01)
+    monkeypatch.setattr("bluebellrun.store._follow.CHECK_INTERVAL_S", 0.02)
+    monkeypatch.setattr("bluebellrun.store._follow.CHECK_GRACE_S", 0.01)
 
     class SilentWatch:
         async def next(self):
--- a/tests/platform/test_weights.py
+++ b/tests/store/test_weights.py
@@ -2,7 +2,7 @@
 import pytest
 
 from bluebellrun.core import Address
-from bluebellrun.platform import HostList, WeightsBusyError, WeightsNotFoundError, WeightStore
+from bluebellrun.store import HostList, WeightsBusyError, WeightsNotFoundError, WeightStore
 from standins._serving import serve
 from standins.platform import PlatformApp
 
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -2,12 +2,12 @@
 import pytest
 
 from bluebellrun.core import Address
+from bluebellrun.http import Listener
 from bluebellrun.transport import (
     Call,
     CallError,
     LinkLostError,
     LinkTiming,
-    Listener,
     dial,
     serve_link,
 )
