--- /dev/null
+++ b/bluebellrun/deployment/_host.py
@@ -0,0 +1,59 @@
+"""The settings of one process: its host, its addresses and the bounds it has to keep."""
+
+from dataclasses import dataclass, field
+
+from bluebellrun.core import Address
+
+
+@dataclass(frozen=True, slots=True)
+class ReservedPorts:
+    """The ports of a host that the project's processes may listen on, first and last included."""
+
+    first: int
+    last: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreTerms:
+    """Where the store is and what it allows, over all processes together."""
+
+    address: Address
+    writes_per_s: float
+    reads_per_s: float
+    shortest_lease_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Times that users hold the system to, in seconds, and the bounds of retries.
+
+    Within ``retry_window_s`` a service gets at most ``retry_ratio`` times its requests, plus
+    ``retry_slack``, as further sends, over all entries together.
+    """
+
+    drain_s: float = 2.0
+    stop_grace_s: float = 8.0
+    apply_s: float = 2.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 90.0
+    stall_s: float = 1.5
+    recover_s: float = 12.0
+    fenced_orders: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """What a process is told at its start; ``callers`` is none where it serves no callers."""
+
+    host: str
+    ip: str
+    failure_domain: str
+    region: str
+    store: StoreTerms
+    ports: ReservedPorts
+    callers: Address | None = None
+    readiness: Address | None = None
+    memory_bytes: int = 0
+    bounds: Bounds = field(default_factory=Bounds)
+    regions: dict[str, str] = field(default_factory=dict)
--- /dev/null
+++ b/bluebellrun/gateway/_fleet.py
@@ -0,0 +1,142 @@
+"""The upstreams that this process sends to: their connections, work in flight and health."""
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from random import Random
+
+from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.gateway._models import Upstream
+from bluebellrun.http import ClientTimeouts, HttpClient
+from bluebellrun.routing import LeastWorkRouting, OutlierEjection, UpstreamWork
+
+# A connection within a region is made in milliseconds; a lost packet costs a second.
+CONNECT_TIMEOUT_S = 0.4
+# The longest an answer may take where neither caller nor route bounds it.
+LONGEST_ANSWER_S = 600.0
+MEMORY = 0.9
+
+
+@dataclass(slots=True)
+class UpstreamStats:
+    """What this process has under way at one upstream, and how it has fared; times in seconds."""
+
+    running: int = 0
+    unread_tokens: int = 0
+    usual_s: float = 0.0
+    failing: float = 0.0
+
+
+class Fleet:
+    """Choose upstreams and keep account of the work they have from this process."""
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        failure_domain: str,
+        random: Random,
+        running_elsewhere: Callable[[str], int] = lambda instance: 0,
+    ) -> None:
+        self._directory = directory
+        self._routing = LeastWorkRouting(random, failure_domain)
+        self._ejection = OutlierEjection()
+        self._clients: dict[str, HttpClient] = {}
+        self._stats: dict[str, UpstreamStats] = {}
+        self._running_elsewhere = running_elsewhere
+
+    @property
+    def directory(self) -> UpstreamDirectory:
+        """Return the directory of upstreams."""
+        return self._directory
+
+    def choose(self, service: str, excluded: Collection[str], now: float) -> Upstream | None:
+        """Return the upstream to send a request to, or none when there is none."""
+        usable = self._directory.usable(service, now)
+        candidates = [upstream for upstream in usable if upstream.instance not in excluded]
+        names = [upstream.instance for upstream in candidates]
+        ejected = self._ejection.ejected(names, now)
+        sound = [item for item in candidates if item.instance not in ejected] or candidates
+        usual_s, failing = self._averages(sound)
+        works = [self._work(item, usual_s, failing) for item in sound]
+        chosen = self._routing.choose(works)
+        return None if chosen is None else self._directory.find(chosen.name)
+
+    def places(self, service: str, now: float) -> tuple[int, int]:
+        """Return the places of a service's upstreams and how many of them are taken."""
+        usable = self._directory.usable(service, now)
+        taken = sum(min(item.slots, self.running(item.instance)) for item in usable)
+        return sum(item.slots for item in usable), taken
+
+    def running(self, instance: str) -> int:
+        """Return the requests that all entries have at an upstream."""
+        return self.stats(instance).running + self._running_elsewhere(instance)
+
+    def stats(self, instance: str) -> UpstreamStats:
+        """Return the account of an upstream."""
+        return self._stats.setdefault(instance, UpstreamStats())
+
+    def running_here(self) -> dict[str, int]:
+        """Return the requests that this process has at each upstream that has any."""
+        return {name: stats.running for name, stats in self._stats.items() if stats.running}
+
+    def client(self, upstream: Upstream) -> HttpClient:
+        """Return the client that keeps connections to an upstream."""
+        client = self._clients.get(upstream.instance)
+        if client is None:
+            timeouts = ClientTimeouts(CONNECT_TIMEOUT_S, LONGEST_ANSWER_S, LONGEST_ANSWER_S)
+            client = HttpClient(upstream.address, timeouts)
+            self._clients[upstream.instance] = client
+        return client
+
+    def note_unreachable(self, instance: str, now: float) -> None:
+        """Note that no connection could be made, or that one went silent."""
+        self._ejection.note_unreachable(instance, now)
+
+    def note_result(self, instance: str, failed: bool, seconds: float, now: float) -> None:
+        """Note how an upstream fared with a request."""
+        stats = self.stats(instance)
+        stats.failing = MEMORY * stats.failing + (1 - MEMORY) * failed
+        if failed:
+            self._ejection.note_failure(instance, now)
+            return
+        self._ejection.note_success(instance, now)
+        if stats.usual_s == 0.0:
+            stats.usual_s = seconds
+        stats.usual_s = MEMORY * stats.usual_s + (1 - MEMORY) * seconds
+
+    async def forget_gone(self) -> None:
+        """Close the kept connections to upstreams that are gone and drop their accounts."""
+        known = set(self._directory.instances)
+        for instance in [name for name in self._clients if name not in known]:
+            await self._clients.pop(instance).close()
+        gone = [name for name, item in self._stats.items() if name not in known]
+        for instance in gone:
+            if self._stats[instance].running == 0:
+                del self._stats[instance]
+        self._ejection.keep(known)
+
+    async def close(self) -> None:
+        """Close all kept connections."""
+        for client in self._clients.values():
+            await client.close()
+
+    def _averages(self, upstreams: Collection[Upstream]) -> tuple[float, float]:
+        """Return the usual time and share of failures over upstreams that have served."""
+        served = [s for u in upstreams if (s := self.stats(u.instance)).usual_s > 0]
+        if not served:
+            return 0.0, 0.0
+        usual_s = sum(item.usual_s for item in served) / len(served)
+        return usual_s, sum(item.failing for item in served) / len(served)
+
+    def _work(self, upstream: Upstream, usual_s: float, failing: float) -> UpstreamWork:
+        """Return what routing sees of an upstream."""
+        stats = self.stats(upstream.instance)
+        slowness = stats.usual_s / usual_s if usual_s and stats.usual_s else 1.0
+        return UpstreamWork(
+            name=upstream.instance,
+            failure_domain=upstream.failure_domain,
+            slots=upstream.slots,
+            running=self.running(upstream.instance),
+            unread_tokens=stats.unread_tokens,
+            slowness=max(0.5, min(8.0, slowness)),
+            failing=max(0.0, stats.failing - failing),
+        )
--- /dev/null
+++ b/bluebellrun/gateway/_gateway.py
@@ -0,0 +1,229 @@
+"""The gateway: takes callers' requests and sees each of them answered."""
+
+import json
+import time
+from random import Random
+
+import curio
+
+from bluebellrun.deployment import Deployment, HostSettings, Route
+from bluebellrun.gateway._fleet import Fleet
+from bluebellrun.gateway._models import (
+    Answered,
+    BrokenOff,
+    CallerRequest,
+    Refused,
+    Result,
+    Unresolved,
+)
+from bluebellrun.gateway._ports import BadRequestError, Wire
+from bluebellrun.gateway._relay import Relay, choose_service, request_urgency
+from bluebellrun.http import CallerGoneError, HttpExchange
+from bluebellrun.routing import SendBudget, SendBudgetSettings
+from bluebellrun.telemetry import get_logger
+
+BAD_REQUEST = 400
+NOT_AUTHENTICATED = 401
+NOT_FOUND = 404
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+# A process that was just started has its configuration within a moment.
+NO_DEPLOYMENT_RETRY_S = 0.5
+STOPPING_RETRY_S = 0.1
+
+_log = get_logger("gateway")
+
+
+class Gateway:
+    """Route, authenticate and relay requests; times in seconds of the monotonic clock."""
+
+    def __init__(self, settings: HostSettings, fleet: Fleet, wire: Wire, random: Random) -> None:
+        self._settings = settings
+        self._fleet = fleet
+        self._wire = wire
+        self._random = random
+        self._deployment: Deployment | None = None
+        self._budgets: dict[str, SendBudget] = {}
+        self._entries = 1
+        self._in_progress = 0
+        self._refusing = False
+
+    @property
+    def deployment(self) -> Deployment | None:
+        """Return the configuration in force, none before the first was read."""
+        return self._deployment
+
+    @property
+    def in_progress(self) -> int:
+        """Return how many requests are being answered."""
+        return self._in_progress
+
+    def put_in_force(self, deployment: Deployment) -> bool:
+        """Take a configuration if it is newer than the one in force; return whether it was."""
+        if not deployment.is_newer_than(self._deployment):
+            return False
+        self._deployment = deployment
+        return True
+
+    def set_entries(self, entries: int) -> None:
+        """Share the budget of further sends with so many entries."""
+        if entries == self._entries:
+            return
+        self._entries = entries
+        for budget in self._budgets.values():
+            budget.settings = self._budget_settings()
+
+    def refuse_new_requests(self) -> None:
+        """Refuse requests from now on: the process is about to stop."""
+        self._refusing = True
+
+    async def handle(self, exchange: HttpExchange) -> None:
+        """Answer one request."""
+        self._in_progress += 1
+        try:
+            await self._handle(exchange)
+        finally:
+            self._in_progress -= 1
+
+    async def _handle(self, exchange: HttpExchange) -> None:
+        """Read a request, find its route and relay it."""
+        try:
+            request = self._wire.read_request(exchange.request, exchange.received)
+        except BadRequestError as error:
+            await self._refuse(exchange, "", Refused(BAD_REQUEST, str(error)))
+            return
+        deployment = self._deployment
+        checked = self._check(request, deployment)
+        if isinstance(checked, Refused) or deployment is None:
+            await self._refuse(exchange, request.id, checked)
+            return
+        route = checked
+        await self._relay(exchange, request, route, deployment)
+
+    def _check(self, request: CallerRequest, deployment: Deployment | None) -> Route | Refused:
+        """Return a request's route, or why it is refused."""
+        if deployment is None:
+            return Refused(UNAVAILABLE, "no configuration has been read", NO_DEPLOYMENT_RETRY_S)
+        if self._refusing:
+            return Refused(UNAVAILABLE, "this process is stopping", STOPPING_RETRY_S)
+        route = deployment.find_route(request.host, request.path)
+        if route is None:
+            return Refused(NOT_FOUND, f"no route of {request.host!r} begins {request.path!r}")
+        needs_key = deployment.checks_keys and route.needs_key
+        if needs_key and deployment.find_customer(request.key) is None:
+            return Refused(NOT_AUTHENTICATED, "the key is not known; send a key in force")
+        return route
+
+    async def _relay(
+        self,
+        exchange: HttpExchange,
+        request: CallerRequest,
+        route: Route,
+        deployment: Deployment,
+    ) -> None:
+        """Relay a request within its route's and its caller's time."""
+        service = choose_service(route, self._random)
+        customer = deployment.find_customer(request.key) if route.needs_key else None
+        patience_s = route.timeout_s
+        if request.patience_s is not None:
+            patience_s = min(patience_s, request.patience_s)
+        ends_at = request.received + patience_s
+        relay = Relay(
+            exchange,
+            request,
+            route,
+            service,
+            None if customer is None else customer.name,
+            request_urgency(route, deployment, request.key),
+            self._fleet,
+            self._wire,
+            self._budget(service),
+            ends_at,
+        )
+        result: Result
+        try:
+            async with curio.timeout_after(max(0.0, ends_at - time.monotonic())):
+                result = await relay.run()
+        except curio.TaskTimeout:
+            result = self._out_of_time(exchange, relay)
+        except CallerGoneError as error:
+            _log.info("caller left", request=request.id, reason=str(error))
+            exchange.abort()
+            return
+        await self._conclude(exchange, request, route, service, result)
+
+    def _out_of_time(self, exchange: HttpExchange, relay: Relay) -> Result:
+        """Return what is known of a request at the end of its time."""
+        reason = "the request's time is over"
+        if exchange.started:
+            return BrokenOff(reason, relay.sends)
+        if relay.runs:
+            return Unresolved(GATEWAY_TIMEOUT, reason, relay.sends)
+        return Refused(UNAVAILABLE, reason, NO_DEPLOYMENT_RETRY_S)
+
+    async def _conclude(
+        self,
+        exchange: HttpExchange,
+        request: CallerRequest,
+        route: Route,
+        service: str,
+        result: Result,
+    ) -> None:
+        """Tell the caller the end, if it does not have it yet, and log it."""
+        took_s = time.monotonic() - request.received
+        fields = {
+            "request": request.id,
+            "route": route.name,
+            "service": service,
+            "took_s": round(took_s, 3),
+        }
+        match result:
+            case Answered(status, upstream, sends):
+                _log.info("answered", status=status, upstream=upstream, sends=sends, **fields)
+            case Refused(status, reason, retry_after_s):
+                _log.info("refused", status=status, reason=reason, **fields)
+                await self._answer(exchange, request.id, status, reason, retry_after_s)
+            case Unresolved(status, reason, sends):
+                _log.info("unresolved", status=status, reason=reason, sends=sends, **fields)
+                await self._answer(exchange, request.id, status, reason, None)
+            case BrokenOff(reason, sends):
+                _log.info("broken off", reason=reason, sends=sends, **fields)
+                exchange.abort()
+
+    async def _refuse(
+        self, exchange: HttpExchange, request_id: str, refused: Route | Refused
+    ) -> None:
+        """Refuse a request that was not relayed."""
+        if not isinstance(refused, Refused):
+            raise TypeError(f"{refused!r} is no refusal")
+        _log.info("refused", request=request_id, status=refused.status, reason=refused.reason)
+        await self._answer(
+            exchange, request_id, refused.status, refused.reason, refused.retry_after_s
+        )
+
+    async def _answer(
+        self,
+        exchange: HttpExchange,
+        request_id: str,
+        status: int,
+        reason: str,
+        retry_after_s: float | None,
+    ) -> None:
+        """Give an answer of the gateway's own."""
+        headers = self._wire.refusal_headers(request_id, retry_after_s)
+        body = json.dumps({"status": status, "detail": reason}).encode()
+        await exchange.answer(status, headers, body)
+
+    def _budget(self, service: str) -> SendBudget:
+        """Return the budget of further sends of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = SendBudget(self._budget_settings())
+        return budget
+
+    def _budget_settings(self) -> SendBudgetSettings:
+        """Return the bound of further sends, shared by all entries."""
+        bounds = self._settings.bounds
+        return SendBudgetSettings(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, self._entries
+        )
--- /dev/null
+++ b/bluebellrun/gateway/_models.py
@@ -0,0 +1,120 @@
+"""What the gateway handles: a caller's request, an upstream's answer, and what became of both."""
+
+from dataclasses import dataclass
+
+from bluebellrun.core import Address
+from bluebellrun.http import Headers
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request as its caller sent it, complete. Times in seconds of the monotonic clock.
+
+    ``headers`` are those that an upstream gets unchanged. ``patience_s`` is how long the caller
+    waits from ``received`` on, none if it did not say. Token counts are 0 where none were given;
+    ``answer_tokens`` is the most that may come and ``expected_tokens`` the caller's guess.
+    """
+
+    id: str
+    method: str
+    target: str
+    host: str
+    headers: Headers
+    body: bytes
+    received: float
+    patience_s: float | None = None
+    key: str | None = None
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    expected_tokens: int = 0
+    last_event_id: int | None = None
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """One life of a back end. ``instance`` names it and is never given to another one."""
+
+    instance: str
+    service: str
+    address: Address
+    failure_domain: str
+    slots: int
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """What an upstream is told beside the caller's request. ``left_s`` is the time left."""
+
+    upstream: Upstream
+    left_s: float
+    customer: str | None
+    urgency: int
+    last_event_id: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAnswer:
+    """The head of an upstream's answer; ``headers`` are those the caller gets.
+
+    With ``not_run`` the upstream promises that the request did not run. ``at_fault`` is the
+    instance that it blames, if it names one.
+    """
+
+    status: int
+    headers: Headers
+    not_run: bool = False
+    at_fault: str | None = None
+
+    @property
+    def succeeded(self) -> bool:
+        """Return whether the answer is a success."""
+        return 200 <= self.status < 300
+
+    @property
+    def failed(self) -> bool:
+        """Return whether the upstream itself failed at the request."""
+        return self.status >= 500
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The caller has the upstream's whole answer."""
+
+    status: int
+    upstream: str
+    sends: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request did not run and will not. ``retry_after_s`` tells when to come back."""
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Unresolved:
+    """The request may have run; no whole answer came back."""
+
+    status: int
+    reason: str
+    sends: int
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenOff:
+    """The answer had begun and could not be completed; the caller's connection is closed."""
+
+    reason: str
+    sends: int
+
+
+Result = Answered | Refused | Unresolved | BrokenOff
--- /dev/null
+++ b/bluebellrun/gateway/_news.py
@@ -0,0 +1,61 @@
+"""What the store's keys tell the gateway, read by the adapter."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from bluebellrun.deployment import Deployment
+from bluebellrun.gateway._models import Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationWritten:
+    """The operator wrote a configuration."""
+
+    deployment: Deployment
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamWritten:
+    """An upstream registered, or changed its registration."""
+
+    upstream: Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRemoved:
+    """An upstream's registration was removed."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class RecordWritten:
+    """A record of the project's own was written, or deleted when the value is none."""
+
+    key: str
+    value: bytes | None
+    revision: int
+    created: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """A key whose value cannot be used; ``instance`` names the upstream it would register."""
+
+    key: str
+    reason: str
+    instance: str | None = None
+
+
+News = ConfigurationWritten | UpstreamWritten | UpstreamRemoved | RecordWritten | Unreadable
+
+
+class StoreReader(Protocol):
+    """Read keys of the store."""
+
+    @property
+    def prefix(self) -> str:
+        """Return the prefix below which all keys of interest lie."""
+
+    def read(self, key: str, value: bytes | None, revision: int) -> News | None:
+        """Read a key, or its deletion when the value is none; none for keys of no interest."""
--- /dev/null
+++ b/bluebellrun/gateway/_relay.py
@@ -0,0 +1,344 @@
+"""Carry one request to upstreams until it is answered, refused or lost.
+
+A request that may not be repeated is sent again only if an upstream promises that it did not
+run. One that may be is sent again after a failure too, within its route's attempts and the
+budget of further sends. A stream that may be resumed goes on at another upstream after the last
+whole event that the caller has.
+"""
+
+import time
+from dataclasses import dataclass
+from random import Random
+
+import curio
+
+from bluebellrun.deployment import Deployment, Route
+from bluebellrun.gateway._events import EventSplitter
+from bluebellrun.gateway._fleet import Fleet
+from bluebellrun.gateway._models import (
+    Answered,
+    Attempt,
+    BrokenOff,
+    CallerRequest,
+    Refused,
+    Result,
+    Unresolved,
+    Upstream,
+    UpstreamAnswer,
+)
+from bluebellrun.gateway._ports import Wire
+from bluebellrun.http import (
+    ConnectError,
+    HttpExchange,
+    HttpResponse,
+    TransportError,
+)
+from bluebellrun.routing import SendBudget
+from bluebellrun.telemetry import get_logger
+
+UNAVAILABLE = 503
+BAD_GATEWAY = 502
+# A request that may run only once uses a kept connection only while the upstream surely keeps it.
+ONCE_MAX_IDLE_S = 1.0
+# Answers up to this size are read whole before the caller gets them, so that they can be repeated.
+WHOLE_ANSWER_BYTES = 262_144
+# Pause before a group that refuses work is asked again; it forms again in some tenths of a second.
+RESUME_PAUSE_S = 0.25
+# Callers give up a stream after a pause of two seconds or more.
+RESUME_WITHIN_S = 1.8
+# What a refused caller is told to wait where nothing better is known.
+RETRY_AFTER_S = 0.5
+# Time left below which a send could not be answered.
+LEAST_LEFT_S = 0.02
+
+_log = get_logger("relay")
+
+
+@dataclass(frozen=True, slots=True)
+class _Declined:
+    """The upstream did not run the request."""
+
+    reason: str
+    unreachable: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Lost:
+    """The request may have run; its answer is not known or not whole."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Failed:
+    """The upstream answered that it failed; the answer is whole."""
+
+    answer: UpstreamAnswer
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class _Done:
+    """The caller has the whole answer."""
+
+    status: int
+
+
+_Outcome = _Declined | _Lost | _Failed | _Done
+
+
+class Relay:
+    """One request on its way; made anew for each."""
+
+    def __init__(
+        self,
+        exchange: HttpExchange,
+        request: CallerRequest,
+        route: Route,
+        service: str,
+        customer: str | None,
+        urgency: int,
+        fleet: Fleet,
+        wire: Wire,
+        budget: SendBudget,
+        ends_at: float,
+    ) -> None:
+        self._exchange = exchange
+        self._request = request
+        self._route = route
+        self._service = service
+        self._customer = customer
+        self._urgency = urgency
+        self._fleet = fleet
+        self._wire = wire
+        self._budget = budget
+        self._ends_at = ends_at
+        self._sends = 0
+        self._runs = 0
+        self._excluded: set[str] = set()
+        self._last_id = request.last_event_id
+        self._last_event_at = 0.0
+
+    @property
+    def sends(self) -> int:
+        """Return how often the request was sent."""
+        return self._sends
+
+    @property
+    def runs(self) -> int:
+        """Return how often the request may have run."""
+        return self._runs
+
+    @property
+    def left_s(self) -> float:
+        """Return the seconds left before the request's end."""
+        return self._ends_at - time.monotonic()
+
+    async def run(self) -> Result:
+        """Send the request until it is settled."""
+        outcome: _Outcome = _Declined(f"service {self._service!r} has no upstream")
+        while True:
+            now = time.monotonic()
+            upstream = self._fleet.choose(self._service, self._excluded, now)
+            if upstream is None or not self._may_send(now):
+                return await self._give_up(outcome)
+            outcome = await self._send(upstream)
+            match outcome:
+                case _Done(status):
+                    return Answered(status, upstream.instance, self._sends)
+                case _Failed(answer, body):
+                    if not self._may_run_again():
+                        await self._exchange.answer(answer.status, answer.headers, body)
+                        return Answered(answer.status, upstream.instance, self._sends)
+                case _Lost():
+                    if not self._may_run_again():
+                        return await self._give_up(outcome)
+            self._excluded.add(upstream.instance)
+            if self._exchange.started:
+                await self._await_resumption()
+
+    def _may_send(self, now: float) -> bool:
+        """Return whether there is time for a send and, after the first, budget."""
+        if self._ends_at - now < LEAST_LEFT_S:
+            return False
+        if self._sends == 0:
+            self._budget.note_first(now)
+            return True
+        return self._budget.take(now)
+
+    def _may_run_again(self) -> bool:
+        """Return whether the request may run at one more upstream."""
+        return self._route.repeatable and self._runs < self._route.attempts
+
+    async def _await_resumption(self) -> None:
+        """Pause before a stream is resumed, and try all upstreams again once each has refused."""
+        usable = self._fleet.directory.usable(self._service, time.monotonic())
+        if all(upstream.instance in self._excluded for upstream in usable):
+            self._excluded.clear()
+        if self._runs == 0 or time.monotonic() - self._last_event_at > RESUME_WITHIN_S:
+            return
+        await curio.sleep(RESUME_PAUSE_S)
+
+    async def _give_up(self, outcome: _Outcome) -> Result:
+        """Return what is left to tell the caller."""
+        match outcome:
+            case _Failed(answer, body):
+                await self._exchange.answer(answer.status, answer.headers, body)
+                return Answered(answer.status, "", self._sends)
+            case _Declined(reason) | _Lost(reason):
+                pass
+            case _Done(status):
+                return Answered(status, "", self._sends)
+        if self._exchange.started:
+            return BrokenOff(reason, self._sends)
+        if self._runs:
+            return Unresolved(BAD_GATEWAY, reason, self._sends)
+        return Refused(UNAVAILABLE, reason, RETRY_AFTER_S)
+
+    async def _send(self, upstream: Upstream) -> _Outcome:
+        """Send the request to one upstream and pass on its answer."""
+        stats = self._fleet.stats(upstream.instance)
+        stats.running += 1
+        stats.unread_tokens += self._request.prompt_tokens
+        self._unread = self._request.prompt_tokens
+        self._sends += 1
+        started = time.monotonic()
+        outcome: _Outcome = _Lost("cancelled")
+        try:
+            outcome = await self._exchange_with(upstream)
+        finally:
+            stats.running -= 1
+            self._note_read(upstream)
+        self._note(upstream, outcome, started)
+        return outcome
+
+    def _note(self, upstream: Upstream, outcome: _Outcome, started: float) -> None:
+        """Keep account of what became of a send."""
+        now = time.monotonic()
+        match outcome:
+            case _Declined(reason, unreachable):
+                if unreachable:
+                    self._fleet.note_unreachable(upstream.instance, now)
+            case _Lost(reason):
+                self._fleet.note_result(upstream.instance, True, now - started, now)
+            case _Failed(answer, _):
+                reason = f"upstream answered {answer.status}"
+                self._fleet.note_result(upstream.instance, True, now - started, now)
+            case _Done():
+                self._fleet.note_result(upstream.instance, False, now - started, now)
+                return
+        _log.info(
+            "send failed",
+            request=self._request.id,
+            upstream=upstream.instance,
+            send=self._sends,
+            outcome=type(outcome).__name__.strip("_").lower(),
+            reason=reason,
+            left_s=round(self.left_s, 3),
+        )
+
+    def _note_read(self, upstream: Upstream) -> None:
+        """Note that an upstream has read the prompt."""
+        self._fleet.stats(upstream.instance).unread_tokens -= self._unread
+        self._unread = 0
+
+    async def _exchange_with(self, upstream: Upstream) -> _Outcome:
+        """Send to one upstream; tell what is known of the request afterwards."""
+        request = self._request
+        attempt = Attempt(upstream, self.left_s, self._customer, self._urgency, self._last_id)
+        max_idle_s = None if self._route.repeatable else ONCE_MAX_IDLE_S
+        self._runs += 1
+        try:
+            response = await self._fleet.client(upstream).open(
+                request.method,
+                request.target,
+                self._wire.upstream_headers(request, attempt),
+                request.body,
+                accept=self._wire.answers_to(request),
+                max_idle_s=max_idle_s,
+            )
+        except ConnectError as error:
+            self._runs -= 1
+            return _Declined(str(error), unreachable=True)
+        except TransportError as error:
+            return _Lost(str(error))
+        try:
+            return await self._pass_on(upstream, response)
+        except TransportError as error:
+            return _Lost(str(error))
+        finally:
+            await response.close()
+
+    async def _pass_on(self, upstream: Upstream, response: HttpResponse) -> _Outcome:
+        """Pass an answer on to the caller."""
+        answer = self._wire.read_answer(response.status, response.headers)
+        if answer.not_run:
+            self._runs -= 1
+            await response.read_all(self.left_s)
+            return _Declined(f"upstream answered {answer.status}: not run")
+        if self._route.streamed and answer.succeeded:
+            return await self._pass_stream(upstream, answer, response)
+        if self._exchange.started:
+            return _Lost(f"upstream answered {answer.status} to a resumed stream")
+        return await self._pass_answer(answer, response)
+
+    async def _pass_answer(self, answer: UpstreamAnswer, response: HttpResponse) -> _Outcome:
+        """Pass on an answer: whole if it is small, else piece by piece."""
+        body = bytearray()
+        while piece := await response.read(self.left_s):
+            body += piece
+            if len(body) > WHOLE_ANSWER_BYTES:
+                return await self._pass_large(answer, bytes(body), response)
+        if answer.failed:
+            return _Failed(answer, bytes(body))
+        await self._exchange.answer(answer.status, answer.headers, bytes(body))
+        return _Done(answer.status)
+
+    async def _pass_large(
+        self, answer: UpstreamAnswer, begun: bytes, response: HttpResponse
+    ) -> _Outcome:
+        """Pass on an answer that is too large to be kept."""
+        await self._exchange.send_head(answer.status, answer.headers)
+        await self._exchange.send_body(begun)
+        while piece := await response.read(self.left_s):
+            await self._exchange.send_body(piece)
+        await self._exchange.finish()
+        return _Done(answer.status)
+
+    async def _pass_stream(
+        self, upstream: Upstream, answer: UpstreamAnswer, response: HttpResponse
+    ) -> _Outcome:
+        """Pass on whole events as they arrive."""
+        events = EventSplitter(self._last_id)
+        while piece := await response.read(max(0.001, self.left_s)):
+            whole = events.feed(piece)
+            if whole is None:
+                continue
+            self._note_read(upstream)
+            if not self._exchange.started:
+                await self._exchange.send_head(answer.status, answer.headers)
+            self._last_event_at = time.monotonic()
+            self._last_id = whole.last_id
+            await self._exchange.send_body(whole.data)
+        if events.partial.strip():
+            return _Lost("the stream ended within an event")
+        if not self._exchange.started:
+            await self._exchange.send_head(answer.status, answer.headers)
+        await self._exchange.finish()
+        return _Done(answer.status)
+
+
+def choose_service(route: Route, random: Random) -> str:
+    """Return the service of one request: the route's, or one of them by their shares."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    return random.choices(route.shares, weights)[0].service
+
+
+def request_urgency(route: Route, deployment: Deployment, key: str | None) -> int:
+    """Return a request's priority: its customer's, if it has one, else its route's."""
+    customer = deployment.find_customer(key)
+    if customer is None or customer.priority is None or not route.needs_key:
+        return route.priority
+    return customer.priority
--- /dev/null
+++ b/bluebellrun/gateway/main.py
@@ -0,0 +1,137 @@
+"""The ``bluebellrun-gateway`` program: wiring only."""
+
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import asdict
+from random import Random
+
+import curio
+
+from bluebellrun.core import MonotonicClock
+from bluebellrun.deployment import Deployment, HostSettings
+from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.gateway._fleet import Fleet
+from bluebellrun.gateway._gateway import Gateway
+from bluebellrun.gateway._lifecycle import Lifecycle
+from bluebellrun.gateway._store_view import StoreView
+from bluebellrun.http import HttpExchange, HttpLimits, HttpServer
+from bluebellrun.platform import (
+    READY_PATH,
+    PlatformCatalogue,
+    PlatformStore,
+    PlatformWire,
+    SettingsError,
+    read_settings,
+    settings_path,
+)
+from bluebellrun.runtime import StopSignals, spawn_background
+from bluebellrun.store import StoreTimeouts
+from bluebellrun.telemetry import configure_serving_logs, get_logger
+
+EXIT_BAD_SETTING = 2
+OK = 200
+NOT_FOUND = 404
+UNAVAILABLE = 503
+# Answers of a slow store take a quarter of a second; a caller's time to be served is a few.
+STORE_CALL_S = 1.5
+# Upstreams that are gone are forgotten this often.
+TIDY_INTERVAL_S = 1.0
+
+_log = get_logger("gateway")
+
+
+def _limits(deployment: Deployment) -> HttpLimits:
+    """Return the limits on callers that a configuration declares."""
+    limits = deployment.limits
+    return HttpLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+    )
+
+
+def _readiness(ready: Callable[[], bool]) -> Callable[[HttpExchange], object]:
+    """Return a handler that tells whether this process takes callers."""
+
+    async def handle(exchange: HttpExchange) -> None:
+        if exchange.request.path != READY_PATH:
+            await exchange.answer_json(NOT_FOUND, {"detail": f"only {READY_PATH} is here"})
+            return
+        await exchange.answer_json(OK if ready() else UNAVAILABLE, {"ready": ready()})
+
+    return handle
+
+
+async def _tidy(fleet: Fleet) -> None:
+    """Forget upstreams that are gone, for as long as the process runs."""
+    while True:
+        await curio.sleep(TIDY_INTERVAL_S)
+        await fleet.forget_gone()
+
+
+async def _serve(settings: HostSettings) -> int:
+    """Run until told to stop; return the exit status."""
+    signals = StopSignals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    configure_serving_logs(process=settings.host)
+    clock, random = MonotonicClock(), Random()
+    directory = UpstreamDirectory()
+    fleet = Fleet(directory, settings.failure_domain, random)
+    gateway = Gateway(settings, fleet, PlatformWire(), random)
+    if settings.callers is None or settings.readiness is None:
+        raise SettingsError("no address for callers or readiness; run the role where both are set")
+    server = HttpServer(settings.callers, gateway.handle, HttpLimits())
+
+    def put_in_force(deployment: Deployment) -> bool:
+        in_force = gateway.put_in_force(deployment)
+        if in_force:
+            server.limits = _limits(deployment)
+        return in_force
+
+    store = PlatformStore(settings.store.address, StoreTimeouts(STORE_CALL_S))
+    view = StoreView(store, PlatformCatalogue(), directory, put_in_force, clock, random)
+    lifecycle = Lifecycle(gateway, server, settings.bounds)
+    readiness = HttpServer(
+        settings.readiness,
+        _readiness(lambda: lifecycle.ready),
+        HttpLimits(),  # type: ignore[arg-type]
+    )
+    for task in (view.run, server.run, readiness.run):
+        await spawn_background(task)
+    await spawn_background(_tidy, fleet)
+    _log.info("started", callers=str(settings.callers), domain=settings.failure_domain)
+    while (number := await signals.next()) == signal.SIGHUP:
+        _reload(settings)
+    _log.info("stopping", signal=number.name, in_progress=gateway.in_progress)
+    await lifecycle.stop()
+    _log.info("stopped", in_progress=gateway.in_progress)
+    return 0
+
+
+def _reload(settings: HostSettings) -> None:
+    """Read the settings file again and say what changed; changes need a new start."""
+    try:
+        changed = read_settings(settings_path())
+    except SettingsError as error:
+        _log.error("settings refused; the old ones stay in force", error=str(error))
+        return
+    names = [
+        name for name in settings.__slots__ if getattr(settings, name) != getattr(changed, name)
+    ]
+    _log.info("settings read again", changed=names, need_restart=names)
+
+
+def run() -> None:
+    """Start the program."""
+    try:
+        settings = read_settings(settings_path())
+        status = curio.run(_serve, settings)
+    except SettingsError as error:
+        sys.stderr.write(f"bluebellrun-gateway: {error}\n")
+        sys.exit(EXIT_BAD_SETTING)
+    sys.exit(status)
+
+
+if __name__ == "__main__":
+    run()
--- a/bluebellrun/http/__init__.py
+++ b/bluebellrun/http/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 towards callers and upstreams: h11 for the protocol, curio for the sockets."""
 
-from bluebellrun.http._client import HttpClient, HttpResponse, connect
+from bluebellrun.http._client import AcceptResponse, HttpClient, HttpResponse, connect
 from bluebellrun.http._exceptions import (
     BadResponseError,
     ConnectError,
@@ -33,6 +33,7 @@
 )
 
 __all__ = [
+    "AcceptResponse",
     "BadResponseError",
     "CallerGoneError",
     "ClientTimeouts",
--- /dev/null
+++ b/bluebellrun/platform/_catalogue.py
@@ -0,0 +1,53 @@
+"""Read the store's keys into the gateway's types."""
+
+from bluebellrun.gateway import (
+    ConfigurationWritten,
+    News,
+    RecordWritten,
+    Unreadable,
+    UpstreamRemoved,
+    UpstreamWritten,
+)
+from bluebellrun.platform._configuration import ConfigurationError, read_configuration
+from bluebellrun.platform._names import CONFIGURATION_KEY, UPSTREAM_KEY_PREFIX
+from bluebellrun.platform._registrations import RegistrationError, read_registration
+
+OWN_PREFIX = "bluebellrun/"
+
+
+class PlatformCatalogue:
+    """Where things lie in the platform's store."""
+
+    @property
+    def prefix(self) -> str:
+        """Return the prefix of all keys: one watch follows everything."""
+        return ""
+
+    def read(self, key: str, value: bytes | None, revision: int) -> News | None:
+        """Read a key, or its deletion when the value is none."""
+        if key == CONFIGURATION_KEY:
+            return self._configuration(key, value, revision)
+        if key.startswith(UPSTREAM_KEY_PREFIX):
+            return self._upstream(key, value)
+        if key.startswith(OWN_PREFIX):
+            return RecordWritten(key, value, revision)
+        return None
+
+    def _configuration(self, key: str, value: bytes | None, revision: int) -> News:
+        """Read the operator's configuration."""
+        if value is None:
+            return Unreadable(key, "the configuration was deleted; the last one stays in force")
+        try:
+            return ConfigurationWritten(read_configuration(value, revision))
+        except ConfigurationError as error:
+            return Unreadable(key, str(error))
+
+    def _upstream(self, key: str, value: bytes | None) -> News:
+        """Read an upstream's registration."""
+        instance = key.removeprefix(UPSTREAM_KEY_PREFIX)
+        if value is None:
+            return UpstreamRemoved(instance)
+        try:
+            return UpstreamWritten(read_registration(key, value))
+        except RegistrationError as error:
+            return Unreadable(key, str(error), instance)
--- /dev/null
+++ b/bluebellrun/platform/_configuration.py
@@ -0,0 +1,203 @@
+"""Read the operator's configuration into the product's deployment."""
+
+import msgspec
+
+from bluebellrun.deployment import (
+    CallerLimits,
+    Customer,
+    Deployment,
+    DomainDelay,
+    EngineTerms,
+    ExpertTerms,
+    Repeat,
+    Route,
+    ServiceTerms,
+    Share,
+)
+
+MILLISECOND_S = 0.001
+MEGABYTE = 1_000_000
+
+
+class ConfigurationError(Exception):
+    """The stored configuration cannot be read."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    goal_ms: float = 0
+    service: str = ""
+    split: list[_Split] = []
+    attempts: int = 1
+    priority: int = 0
+    public: bool = False
+    can_resume: bool = False
+    gap_goal_ms: float = 0
+
+
+class _Delay(msgspec.Struct):
+    # The wire's name for the failure domain at the other end reads like a version.
+    target_ver: str
+    delay_ms: float
+    first: str = msgspec.field(name="from")
+
+
+class _Usual(msgspec.Struct):
+    prompt: float = 0
+    answer: float = 0
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    kv_capacity: int = 0
+    link_mbps: float = 0
+    stride: int = 1
+    step_ms: float = 0
+    per_seq_ms: float = 0
+    # Milliseconds for each thousand tokens of context.
+    context_per_k: float = 0
+    read_per_s: float = 0
+    # Milliseconds for each million pairs of a token and an earlier one.
+    pairs_per_m: float = 0
+    chunk: int = 0
+    report_lag_ms: float = 0
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+    delays: list[_Delay] = []
+    sets: int = 0
+    experts: int = 0
+    places: int = 0
+    spare: int = 0
+    expert_mb: float = 0
+    expert_share: float = 0
+    form_ms: float = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = ""
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+_decoder = msgspec.json.Decoder(_Configuration, strict=False)
+
+
+def read_configuration(data: bytes, revision: int) -> Deployment:
+    """Return the deployment that a stored configuration declares."""
+    try:
+        stored = _decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise ConfigurationError(f"the configuration cannot be read: {error}") from error
+    return Deployment(
+        version=stored.version,
+        revision=revision,
+        routes=[_route(route) for route in stored.routes],
+        services={service.name: _service(service) for service in stored.services},
+        customers=[
+            Customer(tenant.name, tuple(tenant.api_keys), tenant.priority)
+            for tenant in stored.tenants or []
+        ],
+        checks_keys=stored.tenants is not None,
+        limits=CallerLimits(
+            stored.limits.max_header_bytes,
+            stored.limits.max_body_bytes,
+            stored.limits.header_timeout_ms * MILLISECOND_S,
+            stored.limits.idle_timeout_ms * MILLISECOND_S,
+        ),
+    )
+
+
+def _route(route: _Route) -> Route:
+    """Return a route in the product's type."""
+    shares = tuple(Share(part.service, part.weight) for part in route.split)
+    repeatable = route.kind == "idempotent"
+    return Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        repeat=Repeat.IDEMPOTENT if repeatable else Repeat.ONCE,
+        shares=shares or (Share(route.service, 1.0),),
+        timeout_s=route.timeout_ms * MILLISECOND_S,
+        objective_s=route.goal_ms * MILLISECOND_S,
+        priority=route.priority,
+        attempts=max(1, route.attempts),
+        streamed=route.kind == "stream",
+        resumable=route.can_resume,
+        longest_pause_s=route.gap_goal_ms * MILLISECOND_S or None,
+        needs_key=not route.public,
+    )
+
+
+def _service(service: _Service) -> ServiceTerms:
+    """Return a service in the product's type."""
+    engine = service.engine
+    if engine is None:
+        return ServiceTerms(service.name, service.health_path, service.max_conns)
+    delays = tuple(
+        DomainDelay(delay.first, delay.target_ver, delay.delay_ms * MILLISECOND_S)
+        for delay in engine.delays
+    )
+    return ServiceTerms(
+        service.name, service.health_path, service.max_conns, _engine(engine), delays
+    )
+
+
+def _engine(engine: _Engine) -> EngineTerms:
+    """Return an engine's terms in the product's type."""
+    experts = None
+    if engine.sets and engine.experts:
+        experts = ExpertTerms(
+            layers=engine.sets,
+            experts=engine.experts,
+            slots=engine.places,
+            most_new=engine.spare,
+            copy_bytes=engine.expert_mb * MEGABYTE,
+            share=engine.expert_share,
+        )
+    return EngineTerms(
+        slots=engine.slots,
+        memory_tokens=engine.kv_capacity,
+        step_s=engine.step_ms * MILLISECOND_S,
+        writer_s=engine.per_seq_ms * MILLISECOND_S,
+        context_s=engine.context_per_k * MILLISECOND_S / 1_000,
+        read_tokens_per_s=engine.read_per_s,
+        pair_s=engine.pairs_per_m * MILLISECOND_S / 1_000_000,
+        chunk_tokens=engine.chunk,
+        stride=max(1, engine.stride),
+        usual_prompt_tokens=engine.usual.prompt,
+        usual_answer_tokens=engine.usual.answer,
+        report_lag_s=engine.report_lag_ms * MILLISECOND_S,
+        forming_s=engine.form_ms * MILLISECOND_S,
+        link_bytes_per_s=engine.link_mbps * MEGABYTE / 8,
+        experts=experts,
+    )
--- /dev/null
+++ b/bluebellrun/platform/_messages.py
@@ -0,0 +1,128 @@
+"""Translate requests and answers between callers, the gateway and upstreams."""
+
+from bluebellrun.gateway import Attempt, BadRequestError, CallerRequest, UpstreamAnswer
+from bluebellrun.http import AcceptResponse, Headers, HttpRequest, end_to_end, header_value
+from bluebellrun.platform._names import (
+    AT_SERVER,
+    DEADLINE_MS,
+    EXPECT_INSTANCE,
+    EXPECT_VERSION,
+    KEY,
+    LAST_EVENT_ID,
+    LENGTH_HINT,
+    NOT_RUN,
+    PRIORITY,
+    REQUEST_ID,
+    RETRY_AFTER,
+    TENANT,
+    TOKEN_COUNT,
+)
+
+MISDIRECTED = 421
+# Headers that the system sets itself, or that end here.
+NOT_PASSED_ON = frozenset(
+    {
+        DEADLINE_MS,
+        KEY,
+        TENANT,
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        PRIORITY,
+        LAST_EVENT_ID,
+        "expect",
+    }
+)
+LEAST_URGENT = 9
+# A deadline of nothing would mean none.
+SHORTEST_DEADLINE_MS = 1
+
+
+class PlatformWire:
+    """The headers of requests and answers on the users' platform."""
+
+    def read_request(self, request: HttpRequest, received: float) -> CallerRequest:
+        """Read a caller's request."""
+        headers = dict(reversed(request.headers))
+        prompt, answer = _token_counts(headers.get(TOKEN_COUNT))
+        deadline_ms = _number(headers, DEADLINE_MS)
+        return CallerRequest(
+            id=headers.get(REQUEST_ID, ""),
+            method=request.method,
+            target=request.target,
+            host=headers.get("host", ""),
+            headers=[
+                (name, value)
+                for name, value in end_to_end(request.headers)
+                if name not in NOT_PASSED_ON
+            ],
+            body=request.body,
+            received=received,
+            patience_s=None if deadline_ms is None else deadline_ms / 1000,
+            key=headers.get(KEY),
+            prompt_tokens=prompt,
+            answer_tokens=answer,
+            expected_tokens=_number(headers, LENGTH_HINT) or 0,
+            last_event_id=_number(headers, LAST_EVENT_ID),
+        )
+
+    def upstream_headers(self, request: CallerRequest, attempt: Attempt) -> Headers:
+        """Return the headers of a request to an upstream."""
+        left_ms = max(SHORTEST_DEADLINE_MS, int(attempt.left_s * 1000))
+        headers = [
+            *request.headers,
+            (DEADLINE_MS, str(left_ms)),
+            (EXPECT_INSTANCE, attempt.upstream.instance),
+            (PRIORITY, str(min(LEAST_URGENT, max(0, attempt.urgency)))),
+        ]
+        if attempt.customer is not None:
+            headers.append((TENANT, attempt.customer))
+        if attempt.last_event_id is not None:
+            headers.append((LAST_EVENT_ID, str(attempt.last_event_id)))
+        return headers
+
+    def answers_to(self, request: CallerRequest) -> AcceptResponse:
+        """Return a test of whether a response answers this request: upstreams echo its id."""
+
+        def accept(status: int, headers: Headers) -> bool:
+            echoed = header_value(headers, REQUEST_ID)
+            return echoed == request.id or (echoed is None and status >= 300)
+
+        return accept
+
+    def read_answer(self, status: int, headers: Headers) -> UpstreamAnswer:
+        """Read the head of an upstream's response."""
+        return UpstreamAnswer(
+            status=status,
+            headers=[(k, v) for k, v in end_to_end(headers) if k != "content-length"],
+            not_run=status == MISDIRECTED or header_value(headers, NOT_RUN) is not None,
+            at_fault=header_value(headers, AT_SERVER),
+        )
+
+    def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
+        """Return the headers of an answer that the gateway gives by itself."""
+        headers = [("content-type", "application/json")]
+        if request_id:
+            headers.append((REQUEST_ID, request_id))
+        if retry_after_s is not None:
+            headers.append((RETRY_AFTER, f"{retry_after_s:.2f}"))
+        return headers
+
+
+def _number(headers: dict[str, str], name: str) -> int | None:
+    """Return a header's whole number, or none where it is absent."""
+    text = headers.get(name)
+    if text is None:
+        return None
+    if not text.strip().isdigit():
+        raise BadRequestError(f"{name} is {text!r}; send a whole number")
+    return int(text)
+
+
+def _token_counts(text: str | None) -> tuple[int, int]:
+    """Return the tokens of the prompt and the most of the answer; zeros where none are given."""
+    if text is None:
+        return 0, 0
+    prompt, _, answer = text.partition(",")
+    if not prompt.strip().isdigit() or not answer.strip().isdigit():
+        raise BadRequestError(f"{TOKEN_COUNT} is {text!r}; send PROMPT,ANSWER in tokens")
+    return int(prompt), int(answer)
--- /dev/null
+++ b/bluebellrun/platform/_settings.py
@@ -0,0 +1,127 @@
+"""Read the settings file of a process."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from bluebellrun.core import Address, parse_address
+from bluebellrun.deployment import Bounds, HostSettings, ReservedPorts, StoreTerms
+
+MILLISECOND_S = 0.001
+MEGABYTE = 1_000_000
+
+
+class SettingsError(Exception):
+    """The settings file cannot be used; the text names the file, the field and the way out."""
+
+
+class _Limits(msgspec.Struct):
+    """What the host gives to one process."""
+
+    ram_mb: float = 0
+
+
+class _Bounds(msgspec.Struct):
+    """Times and ratios the system is held to; fields that are not used are ignored."""
+
+    drain_ms: float = 2000
+    grace_s: float = 8
+    apply_ms: float = 2000
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 90
+    stall_ms: float = 1500
+    recover_s: float = 12
+    need_fence: bool = True
+
+
+class _Store(msgspec.Struct):
+    """Where the store is and the calls it allows a second over all processes."""
+
+    addr: str
+    writes_per_s: float = 400
+    reads_per_s: float = 2000
+    ttl_min_ms: float = 1000
+
+
+class _Listen(msgspec.Struct):
+    """Addresses to listen on, by who calls there."""
+
+    front: str | None = None
+    ready: str | None = None
+
+
+class _File(msgspec.Struct):
+    """The settings file."""
+
+    node: str
+    ip: str
+    zone: str
+    platform: _Store
+    port_range: tuple[int, int]
+    region: str = ""
+    zones: dict[str, str] = {}
+    listen: _Listen = msgspec.field(default_factory=_Listen)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def read_settings(path: Path) -> HostSettings:
+    """Return the settings of a file; raise ``SettingsError`` that says what to mend."""
+    try:
+        content = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise SettingsError(f"{path} cannot be read: {error}; check the path") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path} is not TOML: {error}; mend the line it names") from error
+    return _decode(path, content)
+
+
+def _decode(path: Path, content: dict[str, Any]) -> HostSettings:
+    """Return the settings of a file's content."""
+    try:
+        file = msgspec.convert(content, _File)
+        return _host_settings(file)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}; correct this field") from error
+
+
+def _host_settings(file: _File) -> HostSettings:
+    """Return the settings in the product's types."""
+    store = StoreTerms(
+        address=parse_address(file.platform.addr),
+        writes_per_s=file.platform.writes_per_s,
+        reads_per_s=file.platform.reads_per_s,
+        shortest_lease_s=file.platform.ttl_min_ms * MILLISECOND_S,
+    )
+    bounds = Bounds(
+        drain_s=file.bounds.drain_ms * MILLISECOND_S,
+        stop_grace_s=file.bounds.grace_s,
+        apply_s=file.bounds.apply_ms * MILLISECOND_S,
+        retry_ratio=file.bounds.retry_ratio,
+        retry_window_s=file.bounds.retry_window_s,
+        retry_slack=file.bounds.retry_slack,
+        stall_s=file.bounds.stall_ms * MILLISECOND_S,
+        recover_s=file.bounds.recover_s,
+        fenced_orders=file.bounds.need_fence,
+    )
+    return HostSettings(
+        host=file.node,
+        ip=file.ip,
+        failure_domain=file.zone,
+        region=file.region,
+        store=store,
+        ports=ReservedPorts(*file.port_range),
+        callers=_address(file.listen.front),
+        readiness=_address(file.listen.ready),
+        memory_bytes=int(file.limits.ram_mb * MEGABYTE),
+        bounds=bounds,
+        regions=dict(file.zones),
+    )
+
+
+def _address(text: str | None) -> Address | None:
+    """Return an address, or none where the setting is absent or empty."""
+    return parse_address(text) if text else None
--- /dev/null
+++ b/bluebellrun/platform/_store.py
@@ -0,0 +1,272 @@
+"""The platform's key-value store behind the product's store port."""
+
+import base64
+import binascii
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+import curio
+import msgspec
+
+from bluebellrun.core import Address
+from bluebellrun.http import ClientTimeouts, ConnectError, HttpClient, TransportError
+from bluebellrun.platform._names import (
+    STORE_KEEP_PATH,
+    STORE_KEY_PATH,
+    STORE_LEASE_END_PATH,
+    STORE_LEASE_PATH,
+    STORE_RANGE_PATH,
+    STORE_TRANSACTION_PATH,
+    STORE_WATCH_PATH,
+)
+from bluebellrun.store import (
+    CompactedError,
+    Compare,
+    KeyValue,
+    Put,
+    Snapshot,
+    StoreAnswerLostError,
+    StoreTimeouts,
+    StoreUnavailableError,
+    TransactionResult,
+    WatchEvent,
+)
+
+OK = 200
+NOT_FOUND = 404
+GONE = 410
+CONDITION_FAILED = 412
+NOTHING_DONE = (429, 503)
+CONNECT_SHARE = 0.5
+# A waiting watch is one call; a short wait finds a silent connection before a change is overdue.
+WATCH_WAIT_S = 3.0
+JSON_HEADERS = [("content-type", "application/json")]
+
+
+class _Item(msgspec.Struct):
+    """A key as the store sends it; ``value`` is base64, absent from a tombstone."""
+
+    key: str
+    rev: int = 0
+    value: str = ""
+    created: int = 0
+    lease: int = 0
+    tombstone: bool = False
+    store_revision: int = 0
+
+
+class _Range(msgspec.Struct):
+    """One page of a range."""
+
+    items: list[_Item]
+    store_revision: int
+    has_more: bool = False
+
+
+class _Changes(msgspec.Struct):
+    """What a watch returns."""
+
+    events: list[_Item]
+    store_revision: int
+
+
+class _Written(msgspec.Struct):
+    """The revision of a transaction."""
+
+    rev: int = 0
+
+
+class _Lease(msgspec.Struct):
+    """A lease; an answer to a renewal names only its time."""
+
+    ttl_ms: int
+    lease: int = 0
+
+
+_item = msgspec.json.Decoder(_Item)
+_range = msgspec.json.Decoder(_Range)
+_changes = msgspec.json.Decoder(_Changes)
+_written = msgspec.json.Decoder(_Written)
+_lease = msgspec.json.Decoder(_Lease)
+
+
+def _value(text: str) -> bytes:
+    """Return the bytes of a value; what is no base64 is taken as it stands."""
+    try:
+        return base64.b64decode(text)
+    except (binascii.Error, ValueError):
+        return text.encode()
+
+
+def _key_value(item: _Item) -> KeyValue:
+    """Return a key in the product's type."""
+    return KeyValue(item.key, _value(item.value), item.rev, item.created, item.lease)
+
+
+class PlatformStore:
+    """A client of the platform's store."""
+
+    def __init__(self, address: Address, timeouts: StoreTimeouts) -> None:
+        self._timeouts = timeouts
+        limits = ClientTimeouts(timeouts.call_s * CONNECT_SHARE, timeouts.call_s, timeouts.call_s)
+        self._client = HttpClient(address, limits)
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Return how many calls have been made."""
+        return self._calls
+
+    async def get(self, key: str) -> Snapshot:
+        """Read one key."""
+        status, data = await self._read(f"{STORE_KEY_PATH}?{urlencode({'key': key})}")
+        if status == NOT_FOUND:
+            return Snapshot((), 0)
+        item = self._decode(_item, status, data)
+        return Snapshot((_key_value(item),), item.store_revision)
+
+    async def read_prefix(self, prefix: str) -> Snapshot:
+        """Read all keys below a prefix; the revision is that of the first page."""
+        items: list[KeyValue] = []
+        revision = 0
+        query = {"prefix": prefix}
+        while True:
+            status, data = await self._read(f"{STORE_RANGE_PATH}?{urlencode(query)}")
+            page = self._decode(_range, status, data)
+            items += map(_key_value, page.items)
+            revision = revision or page.store_revision
+            if not page.has_more or not page.items:
+                return Snapshot(tuple(items), revision)
+            query["after"] = page.items[-1].key
+
+    async def read_revisions(self, prefix: str) -> Snapshot:
+        """Read all keys below a prefix."""
+        return await self.read_prefix(prefix)
+
+    async def transact(self, compares: Sequence[Compare], puts: Sequence[Put]) -> TransactionResult:
+        """Do all writes if all conditions hold, or none."""
+        body = {
+            "expected": [{"key": item.key, "rev": item.mod_revision} for item in compares],
+            "set_keys": [
+                {
+                    "key": put.key,
+                    "value": base64.b64encode(put.value).decode(),
+                    "lease": put.lease,
+                }
+                for put in puts
+                if put.value is not None
+            ],
+            "delete_keys": [put.key for put in puts if put.value is None],
+        }
+        status, data = await self._call("POST", STORE_TRANSACTION_PATH, body)
+        if status == CONDITION_FAILED:
+            return TransactionResult(False, 0)
+        return TransactionResult(True, self._decode(_written, status, data).rev)
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Return the id of a new lease."""
+        status, data = await self._call("POST", STORE_LEASE_PATH, {"ttl_ms": int(ttl_s * 1000)})
+        return self._decode(_lease, status, data).lease
+
+    async def keep_alive(self, lease: int) -> int:
+        """Renew a lease and return its time to live in seconds; 0 means it has lapsed."""
+        status, data = await self._call("POST", f"{STORE_KEEP_PATH}{lease}", {})
+        if status == NOT_FOUND:
+            return 0
+        return self._decode(_lease, status, data).ttl_ms // 1000
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease; keys bound to it are deleted."""
+        await self._call("DELETE", f"{STORE_LEASE_END_PATH}{lease}", None)
+
+    async def watch(self, prefix: str, from_revision: int) -> "PlatformWatch":
+        """Follow changes below a prefix from a revision on."""
+        return PlatformWatch(self, prefix, from_revision - 1)
+
+    async def wait_for_changes(self, prefix: str, after: int) -> _Changes:
+        """Return the changes after a revision, none if there are none for some seconds."""
+        wait_ms = int(WATCH_WAIT_S * 1000)
+        query = urlencode({"prefix": prefix, "after": after, "wait_ms": wait_ms})
+        target = f"{STORE_WATCH_PATH}?{query}"
+        status, data = await self._read(target, WATCH_WAIT_S + self._timeouts.call_s)
+        if status == GONE:
+            raise CompactedError(after)
+        return self._decode(_changes, status, data)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    async def _read(self, target: str, timeout_s: float | None = None) -> tuple[int, bytes]:
+        """Make a call without effect, so that a lost answer only means it is unavailable."""
+        try:
+            return await self._call("GET", target, None, timeout_s)
+        except StoreAnswerLostError as error:
+            raise StoreUnavailableError(str(error)) from error
+
+    async def _call(
+        self, method: str, target: str, body: Any, timeout_s: float | None = None
+    ) -> tuple[int, bytes]:
+        """Make one call; raise unless the store did what was asked or says why it cannot be."""
+        self._calls += 1
+        data = b"" if body is None else msgspec.json.encode(body)
+        timeout_s = self._timeouts.call_s if timeout_s is None else timeout_s
+        try:
+            async with curio.timeout_after(timeout_s):
+                status, answer = await self._fetch(method, target, data, timeout_s)
+        except curio.TaskTimeout:
+            await self._client.close()
+            raise StoreAnswerLostError(f"no answer to {target} within {timeout_s} s") from None
+        except ConnectError as error:
+            raise StoreUnavailableError(str(error)) from error
+        except TransportError as error:
+            await self._client.close()
+            raise StoreAnswerLostError(str(error)) from error
+        if status in NOTHING_DONE:
+            raise StoreUnavailableError(f"the store answered {status} to {target}")
+        return status, answer
+
+    async def _fetch(
+        self, method: str, target: str, data: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Send a call and return the answer's status and body."""
+        headers = JSON_HEADERS if data else []
+        response = await self._client.open(method, target, headers, data, timeout_s)
+        try:
+            return response.status, await response.read_all(timeout_s)
+        except BaseException:
+            await response.close()
+            raise
+
+    def _decode(self, decoder: Any, status: int, data: bytes) -> Any:
+        """Return the answer's content; raise for another status or content of another form."""
+        if status != OK:
+            raise StoreUnavailableError(f"the store answered {status}: {data[:200]!r}")
+        try:
+            return decoder.decode(data)
+        except msgspec.DecodeError as error:
+            raise StoreAnswerLostError(f"the store's answer cannot be read: {error}") from error
+
+
+class PlatformWatch:
+    """A watch: one waiting call after another."""
+
+    def __init__(self, store: PlatformStore, prefix: str, after: int) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._after = after
+
+    async def next(self) -> list[WatchEvent]:
+        """Return the next changes, in order; an empty list after a wait without any."""
+        changes = await self._store.wait_for_changes(self._prefix, self._after)
+        self._after = max(self._after, changes.store_revision)
+        return [_watch_event(item) for item in changes.events]
+
+    async def close(self) -> None:
+        """End the watch; a waiting call was given up with its task."""
+
+
+def _watch_event(item: _Item) -> WatchEvent:
+    """Return a change in the product's type."""
+    return WatchEvent(item.key, None if item.tombstone else _value(item.value), item.rev)
--- a/bluebellrun/routing/_ejection.py
+++ b/bluebellrun/routing/_ejection.py
@@ -46,6 +46,12 @@
             record.times_ejected = min(record.times_ejected + 1, 10)
             record.failures = FAILURES_TO_EJECT - 1
 
+    def note_unreachable(self, name: str, now: float) -> None:
+        """Note that no connection can be made: no further failures are waited for."""
+        record = self._records.setdefault(name, _Record())
+        record.failures = max(record.failures, FAILURES_TO_EJECT - 1)
+        self.note_failure(name, now)
+
     def ejected(self, names: Collection[str], now: float) -> frozenset[str]:
         """Return which of these upstreams are ejected now, the surest third at most."""
         out = [
--- a/bluebellrun/runtime/_signals.py
+++ b/bluebellrun/runtime/_signals.py
@@ -1,6 +1,7 @@
-"""Wait for SIGTERM and SIGINT inside curio's loop."""
+"""Wait for signals inside curio's loop."""
 
 import signal
+from collections.abc import Iterable
 from typing import Any
 
 from curio import socket
@@ -9,22 +10,23 @@
 
 
 class StopSignals:
-    """Deliver stop signals one by one.
+    """Deliver signals one by one, by default those that stop a process.
 
     The interpreter writes each signal's number to a socket, which curio can wait for.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, numbers: Iterable[signal.Signals] = STOP_SIGNALS) -> None:
+        self._numbers = frozenset(numbers)
         self._reader, self._writer = socket.socketpair()
-        for number in STOP_SIGNALS:
+        for number in self._numbers:
             signal.signal(number, self._ignore)
         signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
 
     async def next(self) -> signal.Signals:
-        """Return the next stop signal."""
+        """Return the next signal."""
         while True:
             number = (await self._reader.recv(1))[0]
-            if number in STOP_SIGNALS:
+            if number in self._numbers:
                 return signal.Signals(number)
 
     @staticmethod
--- a/bluebellrun/telemetry/__init__.py
+++ b/bluebellrun/telemetry/__init__.py
@@ -3,11 +3,12 @@
 from typing import TYPE_CHECKING, Any
 
 from bluebellrun.telemetry._logs import configure_logs, get_logger
+from bluebellrun.telemetry._serving import BoundedOutput, configure_serving_logs
 
 if TYPE_CHECKING:
     from bluebellrun.telemetry._metrics import Metrics
 
-__all__ = ["Metrics", "configure_logs", "get_logger"]
+__all__ = ["BoundedOutput", "Metrics", "configure_logs", "configure_serving_logs", "get_logger"]
 
 
 def __getattr__(name: str) -> Any:
