--- a/bluebellrun/core/__init__.py
+++ b/bluebellrun/core/__init__.py
@@ -1,6 +1,6 @@
 """Identifiers, clocks, outcomes and runtime invariants shared by every layer."""
 
-from bluebellrun.core._clock import Clock, ManualClock, MonotonicClock, UnixClock
+from bluebellrun.core._clock import BootClock, Clock, ManualClock, MonotonicClock, UnixClock
 from bluebellrun.core._identifiers import (
     Address,
     AttemptId,
@@ -18,6 +18,7 @@
     "Address",
     "AlreadyRan",
     "AttemptId",
+    "BootClock",
     "Clock",
     "Incarnation",
     "InvariantError",
--- a/bluebellrun/core/_clock.py
+++ b/bluebellrun/core/_clock.py
@@ -19,6 +19,14 @@
         return time.monotonic()
 
 
+class BootClock:
+    """Read the operating system's clock since boot, which also counts time spent suspended."""
+
+    def now(self) -> float:
+        """Return the current reading in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class UnixClock:
     """Read Unix time, taken once at the start and carried on by the monotonic clock.
 
--- a/bluebellrun/deployment/_host.py
+++ b/bluebellrun/deployment/_host.py
@@ -44,7 +44,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HostSettings:
-    """What a process is told at its start; ``callers`` is none where it serves no callers."""
+    """What a process is told at its start.
+
+    ``callers`` is none where it serves no callers, ``upstream`` where no upstream runs beside it.
+    """
 
     host: str
     ip: str
@@ -54,6 +57,7 @@
     ports: ReservedPorts
     callers: Address | None = None
     readiness: Address | None = None
+    upstream: Address | None = None
     memory_bytes: int = 0
     bounds: Bounds = field(default_factory=Bounds)
     regions: dict[str, str] = field(default_factory=dict)
--- a/bluebellrun/gateway/__init__.py
+++ b/bluebellrun/gateway/__init__.py
@@ -24,7 +24,13 @@
     UpstreamRemoved,
     UpstreamWritten,
 )
-from bluebellrun.gateway._ports import BadRequestError, Wire
+from bluebellrun.gateway._ports import (
+    BadRequestError,
+    OrderReply,
+    RankCallError,
+    RankCalls,
+    Wire,
+)
 from bluebellrun.gateway._relay import Relay
 from bluebellrun.gateway._store_view import StoreView
 
@@ -39,6 +45,9 @@
     "Fleet",
     "Gateway",
     "News",
+    "OrderReply",
+    "RankCallError",
+    "RankCalls",
     "RecordWritten",
     "Refused",
     "Relay",
--- a/bluebellrun/gateway/_directory.py
+++ b/bluebellrun/gateway/_directory.py
@@ -29,6 +29,10 @@
         """Return an upstream by its instance, or none."""
         return self._upstreams.get(instance)
 
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return all upstreams of a service, also those that are leaving or lapsed."""
+        return [item for item in self._upstreams.values() if item.service == service]
+
     def usable(self, service: str, now: float) -> list[Upstream]:
         """Return the upstreams of a service that may be sent work."""
         if self._lapsed:
--- a/bluebellrun/gateway/_ports.py
+++ b/bluebellrun/gateway/_ports.py
@@ -1,9 +1,11 @@
 """What the gateway asks of the adapter that knows the outside's names."""
 
+from enum import Enum
 from typing import Protocol
 
-from bluebellrun.gateway._models import Attempt, CallerRequest, UpstreamAnswer
+from bluebellrun.gateway._models import Attempt, CallerRequest, Upstream, UpstreamAnswer
 from bluebellrun.http import AcceptResponse, Headers, HttpRequest
+from bluebellrun.placement import RankCounts, RankOrder, RankState
 
 
 class BadRequestError(Exception):
@@ -27,3 +29,38 @@
 
     def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
         """Return the headers of an answer that the gateway gives by itself."""
+
+
+class RankCallError(Exception):
+    """A rank did not answer, or its answer cannot be read; an order may still be carried out."""
+
+
+class OrderReply(Enum):
+    """What a rank said to an order."""
+
+    ACCEPTED = "accepted"
+    # The order does not fit the rank's state; look at the state again.
+    CONFLICT = "conflict"
+    # The rank has seen a higher fencing number: another process acts for the group.
+    FENCED = "fenced"
+
+
+class RankCalls(Protocol):
+    """Calls to the ranks of a group. Raises ``RankCallError``."""
+
+    async def state(self, upstream: Upstream) -> RankState | None:
+        """Return what an upstream says of its rank, none if it is no rank of a group."""
+
+    async def counts(self, upstream: Upstream, rank: int) -> RankCounts:
+        """Return how often the rank's requests chose each expert."""
+
+    async def placement_held(self, upstream: Upstream) -> list[frozenset[int]]:
+        """Return the experts that a rank holds in use, layer by layer."""
+
+    async def give(
+        self, upstream: Upstream, order: RankOrder, epoch: int, fencing: int
+    ) -> OrderReply:
+        """Give an order."""
+
+    async def forget(self, instance: str) -> None:
+        """Close what is kept open to an upstream that is gone."""
--- /dev/null
+++ b/bluebellrun/gateway/_role.py
@@ -0,0 +1,75 @@
+"""Hold the role of keeping expert maps: one process of all, by a lease in the store."""
+
+import curio
+
+from bluebellrun.core import Clock
+from bluebellrun.gateway._store_view import StoreView
+from bluebellrun.leases import LeaseError, RoleHolder, RoleLease
+from bluebellrun.telemetry import get_logger
+
+# The lease is renewed several times within its two seconds, so that one lost answer is no loss.
+RENEW_INTERVAL_S = 0.5
+# The shortest lease that leaves room for renewals by a slow store.
+LEASE_S = 2
+# A process that finds the role free waits a moment, so that its holder renews after an outage.
+TAKE_OVER_PAUSE_S = 0.1
+
+_log = get_logger("role")
+
+
+class PlacementRole:
+    """Take the role when nobody has it, and keep it."""
+
+    def __init__(self, holder: RoleHolder, view: StoreView, clock: Clock) -> None:
+        self._holder = holder
+        self._view = view
+        self._clock = clock
+        self._had: int | None = None
+        self._refused: set[int] = set()
+
+    def lease(self) -> RoleLease | None:
+        """Return the lease if this process may act now, or none."""
+        lease = self._holder.current(self._clock.now())
+        return None if lease is None or lease.number in self._refused else lease
+
+    async def lose(self, number: int) -> None:
+        """Stop acting under a number: a rank has seen a higher one."""
+        _log.warning("role lost to a higher fencing number", number=number)
+        self._refused.add(number)
+        await self._holder.release()
+
+    async def release(self) -> None:
+        """Let another process take the role at once."""
+        if self._had is not None:
+            await self._holder.release()
+
+    async def run(self) -> None:
+        """Take and renew the role until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except LeaseError as error:
+                _log.info("role not settled", reason=str(error))
+            await curio.sleep(RENEW_INTERVAL_S)
+
+    async def _step(self) -> None:
+        """Renew the role, or take it if it is free."""
+        if self._holder.current(self._clock.now()) is not None:
+            await self._holder.renew()
+        elif self._view.confirmed_at is not None and self._is_free():
+            await curio.sleep(TAKE_OVER_PAUSE_S)
+            if self._is_free():
+                await self._holder.acquire()
+        self._note_change()
+
+    def _is_free(self) -> bool:
+        """Return whether the store shows no holder, or this process after a lost answer."""
+        return self._view.record(self._holder.key) is None or self._had is not None
+
+    def _note_change(self) -> None:
+        """Log that the role was taken or lost."""
+        lease = self.lease()
+        number = None if lease is None else lease.number
+        if number != self._had:
+            _log.info("role held" if number is not None else "role not held", number=number)
+            self._had = number
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -3,21 +3,25 @@
 import signal
 import sys
 from collections.abc import Callable
-from dataclasses import asdict
 from random import Random
 
 import curio
 
-from bluebellrun.core import MonotonicClock
+from bluebellrun.core import BootClock, MonotonicClock
 from bluebellrun.deployment import Deployment, HostSettings
 from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.gateway._expert_maps import ExpertMaps
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._gateway import Gateway
 from bluebellrun.gateway._lifecycle import Lifecycle
+from bluebellrun.gateway._role import LEASE_S, PlacementRole
 from bluebellrun.gateway._store_view import StoreView
-from bluebellrun.http import HttpExchange, HttpLimits, HttpServer
+from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
+from bluebellrun.leases import RoleHolder
 from bluebellrun.platform import (
+    OWN_PREFIX,
     READY_PATH,
+    EngineCalls,
     PlatformCatalogue,
     PlatformStore,
     PlatformWire,
@@ -35,6 +39,8 @@
 UNAVAILABLE = 503
 # Answers of a slow store take a quarter of a second; a caller's time to be served is a few.
 STORE_CALL_S = 1.5
+# The role of the process that keeps the expert maps.
+PLACEMENT_ROLE = "placement"
 # Upstreams that are gone are forgotten this often.
 TIDY_INTERVAL_S = 1.0
 
@@ -52,7 +58,7 @@
     )
 
 
-def _readiness(ready: Callable[[], bool]) -> Callable[[HttpExchange], object]:
+def _readiness(ready: Callable[[], bool]) -> HttpHandler:
     """Return a handler that tells whether this process takes callers."""
 
     async def handle(exchange: HttpExchange) -> None:
@@ -91,19 +97,23 @@
 
     store = PlatformStore(settings.store.address, StoreTimeouts(STORE_CALL_S))
     view = StoreView(store, PlatformCatalogue(), directory, put_in_force, clock, random)
-    lifecycle = Lifecycle(gateway, server, settings.bounds)
-    readiness = HttpServer(
-        settings.readiness,
-        _readiness(lambda: lifecycle.ready),
-        HttpLimits(),  # type: ignore[arg-type]
+    boot = BootClock()
+    holder = RoleHolder(
+        store, OWN_PREFIX.rstrip("/"), PLACEMENT_ROLE, settings.host, LEASE_S, boot, random
     )
-    for task in (view.run, server.run, readiness.run):
+    role = PlacementRole(holder, view, boot)
+    calls = EngineCalls(settings.ports.first)
+    maps = ExpertMaps(role, calls, directory, lambda: gateway.deployment)
+    lifecycle = Lifecycle(gateway, server, settings.bounds)
+    readiness = HttpServer(settings.readiness, _readiness(lambda: lifecycle.ready), HttpLimits())
+    for task in (view.run, server.run, readiness.run, role.run, maps.run):
         await spawn_background(task)
     await spawn_background(_tidy, fleet)
     _log.info("started", callers=str(settings.callers), domain=settings.failure_domain)
     while (number := await signals.next()) == signal.SIGHUP:
         _reload(settings)
     _log.info("stopping", signal=number.name, in_progress=gateway.in_progress)
+    await role.release()
     await lifecycle.stop()
     _log.info("stopped", in_progress=gateway.in_progress)
     return 0
--- /dev/null
+++ b/bluebellrun/placement/__init__.py
@@ -0,0 +1,39 @@
+"""Which rank holds which experts: demand, planning in short steps, and safe changes. Pure."""
+
+from bluebellrun.placement._change import (
+    ArmMap,
+    ChangeSettings,
+    ClaimRank,
+    HoldPass,
+    PlacementChange,
+    PrepareMap,
+    RankOrder,
+    RankState,
+    ReleasePass,
+)
+from bluebellrun.placement._demand import DemandEstimator, DemandSettings, RankCounts
+from bluebellrun.placement._maps import Placement, copies_needed, dealt_placement, rank_loads, skew
+from bluebellrun.placement._planner import PlacementPlan, PlanSettings, plan_placement
+
+__all__ = [
+    "ArmMap",
+    "ChangeSettings",
+    "ClaimRank",
+    "DemandEstimator",
+    "DemandSettings",
+    "HoldPass",
+    "Placement",
+    "PlacementChange",
+    "PlacementPlan",
+    "PlanSettings",
+    "PrepareMap",
+    "RankCounts",
+    "RankOrder",
+    "RankState",
+    "ReleasePass",
+    "copies_needed",
+    "dealt_placement",
+    "plan_placement",
+    "rank_loads",
+    "skew",
+]
--- /dev/null
+++ b/bluebellrun/placement/_change.py
@@ -0,0 +1,201 @@
+"""A change of the expert map that no step of the group sees half done. Pure.
+
+All ranks prepare the map. Then one rank holds a pass that lies ahead, all ranks are armed to
+switch at that pass, and the hold is released once every rank says that it is armed. Nothing of
+this is undone once a rank may be armed: the change goes on until all are, whoever drives it.
+What has to be known for that is read from the ranks, so nothing is stored.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from bluebellrun.placement._maps import Placement
+
+
+@dataclass(frozen=True, slots=True)
+class RankState:
+    """What a rank says of itself.
+
+    ``step`` is the last pass that was begun. ``armed`` is the pass at which it switches to the
+    prepared map and ``held`` the pass that the group does not begin, none where there is none.
+    """
+
+    rank: int
+    size: int
+    group: str
+    epoch: int
+    born: int
+    is_open: bool
+    step: int
+    active: int
+    prepared: int | None = None
+    armed_version: int | None = None
+    armed_step: int | None = None
+    held: int | None = None
+    slowness: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRank:
+    """Let a rank refuse whoever acts under an older fencing number."""
+
+
+@dataclass(frozen=True, slots=True)
+class PrepareMap:
+    """Copy the experts that a map needs beside those in use."""
+
+    version: int
+    placement: Placement
+
+
+@dataclass(frozen=True, slots=True)
+class HoldPass:
+    """Do not begin a pass before it is released."""
+
+    step: int
+
+
+@dataclass(frozen=True, slots=True)
+class ArmMap:
+    """Switch to a prepared map as a pass begins."""
+
+    version: int
+    step: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleasePass:
+    """Release a pass that is held."""
+
+    step: int
+
+
+RankOrder = ClaimRank | PrepareMap | HoldPass | ArmMap | ReleasePass
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeSettings:
+    """Times in seconds; ``margin_steps`` is how far ahead of the current pass a map is armed.
+
+    Orders reach a rank within a few milliseconds, a pass lasts some dozens of them.
+    """
+
+    prepare_timeout_s: float = 4.0
+    resend_s: float = 0.12
+    margin_steps: int = 2
+    most_margin_steps: int = 64
+
+
+class PlacementChange:
+    """One change to a map, driven by what the ranks say.
+
+    Without a placement it is one that another process began, and for which ranks are armed.
+    """
+
+    def __init__(
+        self, version: int, placement: Placement | None, settings: ChangeSettings, now: float
+    ) -> None:
+        self._version = version
+        self._placement = placement
+        self._settings = settings
+        self._began = now
+        self._margin = settings.margin_steps
+        self._step: int | None = None
+        self._sent: dict[tuple[int, RankOrder], float] = {}
+        self._done = False
+        self._failed = False
+
+    @property
+    def version(self) -> int:
+        """Return the version of the map."""
+        return self._version
+
+    @property
+    def placement(self) -> Placement | None:
+        """Return the placement of the map, none for a change that another process began."""
+        return self._placement
+
+    @property
+    def done(self) -> bool:
+        """Return whether all ranks use the map."""
+        return self._done
+
+    @property
+    def failed(self) -> bool:
+        """Return whether the change was given up before any rank could be armed."""
+        return self._failed
+
+    def armed_for(self, step: int) -> None:
+        """Go on with a change that another process has begun to arm."""
+        self._step = step
+
+    def fail(self) -> None:
+        """Give the change up if no rank can be armed yet."""
+        if self._step is None:
+            self._failed = True
+
+    def decide(self, states: Mapping[int, RankState], now: float) -> list[tuple[int, RankOrder]]:
+        """Return the orders to send now; ``states`` are those of all ranks, in one epoch."""
+        if all(state.active == self._version for state in states.values()):
+            self._done = True
+            return self._release(states)
+        if self._step is None:
+            unprepared = [r for r, state in states.items() if state.prepared != self._version]
+            if unprepared:
+                return self._prepare(unprepared, now)
+        return self._switch(states, now)
+
+    def _prepare(self, ranks: list[int], now: float) -> list[tuple[int, RankOrder]]:
+        """Have ranks copy what they need, or give up after a time."""
+        if self._placement is None or now - self._began > self._settings.prepare_timeout_s:
+            self._failed = True
+            return []
+        return self._send(ranks, PrepareMap(self._version, self._placement), now, 4)
+
+    def _switch(self, states: Mapping[int, RankState], now: float) -> list[tuple[int, RankOrder]]:
+        """Hold a pass, arm all ranks for it, release it."""
+        armed = {state.armed_step for state in states.values() if self._is_armed(state)}
+        armed.discard(None)
+        furthest = max(state.step for state in states.values())
+        if self._step is None or (not armed and furthest >= self._step):
+            self._step = furthest + self._margin
+            self._margin = min(2 * self._margin, self._settings.most_margin_steps)
+        holder = min(states)
+        unarmed = [
+            rank
+            for rank, state in states.items()
+            if not (self._is_armed(state) and state.armed_step == self._step)
+            and state.active != self._version
+        ]
+        if not unarmed:
+            return self._release(states)
+        if states[holder].held != self._step:
+            if armed:
+                return self._send(unarmed, ArmMap(self._version, self._step), now, 1)
+            return self._send([holder], HoldPass(self._step), now, 1)
+        return self._send(unarmed, ArmMap(self._version, self._step), now, 1)
+
+    def _is_armed(self, state: RankState) -> bool:
+        """Return whether a rank is armed for this map."""
+        return state.armed_version == self._version
+
+    def _release(self, states: Mapping[int, RankState]) -> list[tuple[int, RankOrder]]:
+        """Release every pass that is held."""
+        return [
+            (rank, ReleasePass(state.held))
+            for rank, state in states.items()
+            if state.held is not None
+        ]
+
+    def _send(
+        self, ranks: list[int], order: RankOrder, now: float, patience: int
+    ) -> list[tuple[int, RankOrder]]:
+        """Return an order for ranks that were not sent it a moment ago."""
+        orders: list[tuple[int, RankOrder]] = []
+        for rank in ranks:
+            sent_at = self._sent.get((rank, order))
+            if sent_at is not None and now - sent_at < patience * self._settings.resend_s:
+                continue
+            self._sent[rank, order] = now
+            orders.append((rank, order))
+        return orders
--- /dev/null
+++ b/bluebellrun/placement/_demand.py
@@ -0,0 +1,74 @@
+"""Follow how often each expert is chosen, from counts that ranks keep since their start."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RankCounts:
+    """A rank's counts since its start, layer after layer; ``epoch`` and ``born`` name its life."""
+
+    rank: int
+    epoch: int
+    born: int
+    counts: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DemandSettings:
+    """How fast the past is forgotten, in seconds.
+
+    The half-life follows demand that moves every few seconds, and still averages over the
+    dozens of requests that run at a time.
+    """
+
+    half_life_s: float = 0.7
+
+
+class DemandEstimator:
+    """Sum up the ranks' counts, the older the less; times in seconds."""
+
+    def __init__(self, layers: int, experts: int, settings: DemandSettings) -> None:
+        self._layers = layers
+        self._experts = experts
+        self._settings = settings
+        self._seen: dict[int, RankCounts] = {}
+        self._sums = [0.0] * (layers * experts)
+        self._decayed_at: float | None = None
+
+    @property
+    def total(self) -> float:
+        """Return the remembered choices over all layers and experts."""
+        return sum(self._sums)
+
+    def observe(self, read: RankCounts, now: float) -> bool:
+        """Take a rank's counts; return false if they only give a new start to count from."""
+        self._decay(now)
+        before = self._seen.get(read.rank)
+        self._seen[read.rank] = read
+        if len(read.counts) != len(self._sums):
+            del self._seen[read.rank]
+            return False
+        if before is None or (before.epoch, before.born) != (read.epoch, read.born):
+            return False
+        gained = [new - old for new, old in zip(read.counts, before.counts, strict=True)]
+        if min(gained) < 0:
+            return False
+        self._sums = [have + new for have, new in zip(self._sums, gained, strict=True)]
+        return True
+
+    def demand(self) -> list[list[float]]:
+        """Return the remembered choices as ``[layer][expert]``."""
+        size = self._experts
+        return [self._sums[i * size : (i + 1) * size] for i in range(self._layers)]
+
+    def _decay(self, now: float) -> None:
+        """Let the past fade."""
+        if self._decayed_at is None:
+            self._decayed_at = now
+            return
+        passed = now - self._decayed_at
+        if passed <= 0:
+            return
+        self._decayed_at = now
+        kept = 0.5 ** (passed / self._settings.half_life_s)
+        self._sums = [value * kept for value in self._sums]
--- /dev/null
+++ b/bluebellrun/placement/_planner.py
@@ -0,0 +1,233 @@
+"""Plan a better placement by single changes, each the best at its turn.
+
+A change lays one more replica of a busy expert on a rank with less to do, moves an expert there,
+or swaps two. What counts is the longest rank time; a high power of the rank times stands for it,
+so that a step that relieves one of several busiest ranks counts too.
+"""
+
+from collections.abc import Generator, Sequence
+from dataclasses import dataclass
+
+from bluebellrun.placement._maps import Demand, Layer, Placement, copies_needed, skew
+
+POWER = 6
+# Experts of the busiest rank, and ranks with the least to do, that one step looks at.
+EXPERTS_TRIED = 5
+RANKS_TRIED = 5
+
+
+@dataclass(frozen=True, slots=True)
+class PlanSettings:
+    """Bounds of a plan.
+
+    A rank holds ``slots`` experts of a layer, of which one change may replace ``most_new``. A
+    layer is left alone below ``target_skew``; a step has to lessen the measure by
+    ``least_step_gain`` of it.
+    """
+
+    slots: int
+    most_new: int
+    target_skew: float = 1.04
+    least_step_gain: float = 0.01
+    most_steps: int = 40
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementPlan:
+    """A placement and what it brings: skews before and after, and the experts to copy."""
+
+    placement: Placement
+    skew_before: float
+    skew_after: float
+    copies: int
+
+
+def plan_placement(
+    current: Placement,
+    demand: Sequence[Demand],
+    slowness: Sequence[float],
+    settings: PlanSettings,
+) -> Generator[None, None, PlacementPlan]:
+    """Plan in short steps: yield between them, so that a loop can do other work."""
+    layers: list[Layer] = []
+    for layer, wanted in zip(current.layers, demand, strict=True):
+        search = _LayerSearch(layer, wanted, slowness, settings)
+        while search.step():
+            yield
+        layers.append(search.layer)
+        yield
+    planned = Placement(tuple(layers))
+    return PlacementPlan(
+        planned,
+        skew(current, demand, slowness),
+        skew(planned, demand, slowness),
+        copies_needed(current, planned),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Step:
+    """Lay ``expert`` of ``source`` on ``target``; what leaves for it, and whether it moves."""
+
+    expert: int
+    source: int
+    target: int
+    moves: bool = False
+    dropped: int | None = None
+    swapped: int | None = None
+
+
+class _LayerSearch:
+    """Search steps in one layer."""
+
+    def __init__(
+        self,
+        layer: Layer,
+        demand: Demand,
+        slowness: Sequence[float],
+        settings: PlanSettings,
+    ) -> None:
+        self._before = layer
+        self._held = [set(experts) for experts in layer]
+        self._demand = demand
+        self._slowness = slowness
+        self._settings = settings
+        self._replicas = [0] * len(demand)
+        for experts in layer:
+            for expert in experts:
+                self._replicas[expert] += 1
+        self._loads = [
+            sum(demand[e] / self._replicas[e] for e in experts) * slow
+            for experts, slow in zip(layer, slowness, strict=True)
+        ]
+        self._mean = sum(demand) / len(layer) or 1.0
+        self._steps = 0
+
+    @property
+    def layer(self) -> Layer:
+        """Return the placement so far."""
+        return tuple(frozenset(experts) for experts in self._held)
+
+    def step(self) -> bool:
+        """Take the best step; return whether there was one."""
+        longest = max(self._loads)
+        self._steps += 1
+        if self._steps > self._settings.most_steps:
+            return False
+        if longest <= self._settings.target_skew * self._mean:
+            return False
+        source = self._loads.index(longest)
+        measure = sum((load / self._mean) ** POWER for load in self._loads)
+        best, best_gain = None, self._settings.least_step_gain * measure
+        for step in self._candidates(source):
+            gain = self._gain(step)
+            if gain > best_gain:
+                best, best_gain = step, gain
+        if best is None:
+            return False
+        self._apply(best)
+        return True
+
+    def _candidates(self, source: int) -> Generator[_Step, None, None]:
+        """Yield the steps that relieve a rank."""
+        held = self._held
+        experts = sorted(held[source], key=self._share, reverse=True)[:EXPERTS_TRIED]
+        order = sorted(range(len(held)), key=self._loads.__getitem__)[:RANKS_TRIED]
+        for target in order:
+            if target == source:
+                continue
+            redundant = self._redundant(target)
+            for expert in experts:
+                if expert in held[target] or not self._may_take(target, expert):
+                    continue
+                if len(held[target]) < self._settings.slots:
+                    yield _Step(expert, source, target)
+                    yield _Step(expert, source, target, moves=True)
+                elif redundant is not None and redundant != expert:
+                    yield _Step(expert, source, target, dropped=redundant)
+                    yield _Step(expert, source, target, moves=True, dropped=redundant)
+                yield from self._swaps(expert, source, target)
+
+    def _swaps(self, expert: int, source: int, target: int) -> Generator[_Step, None, None]:
+        """Yield the swaps of an expert with lighter ones of another rank."""
+        share = self._share(expert)
+        for other in self._held[target]:
+            if other in self._held[source] or self._share(other) >= share:
+                continue
+            if self._may_take(source, other):
+                yield _Step(expert, source, target, moves=True, swapped=other)
+
+    def _share(self, expert: int) -> float:
+        """Return the demand for one replica of an expert."""
+        return self._demand[expert] / self._replicas[expert]
+
+    def _redundant(self, rank: int) -> int | None:
+        """Return the expert of a rank whose replica there is missed least, or none."""
+        spare = [expert for expert in self._held[rank] if self._replicas[expert] > 1]
+        if not spare:
+            return None
+        return min(spare, key=lambda e: self._demand[e] / self._replicas[e])
+
+    def _may_take(self, rank: int, expert: int) -> bool:
+        """Return whether a rank may hold an expert within the bound of new ones."""
+        before = self._before[rank]
+        if expert in before:
+            return True
+        return len(self._held[rank] - before) < self._settings.most_new
+
+    def _changes(self, step: _Step) -> dict[int, float]:
+        """Return the new loads of the ranks that a step touches."""
+        loads: dict[int, float] = {}
+
+        def add(rank: int, amount: float) -> None:
+            loads[rank] = loads.get(rank, self._loads[rank]) + amount * self._slowness[rank]
+
+        demand, replicas = self._demand, self._replicas
+        expert = step.expert
+        if step.moves:
+            share = demand[expert] / replicas[expert]
+            add(step.source, -share)
+            add(step.target, share)
+        else:
+            count = replicas[expert]
+            less = demand[expert] / count - demand[expert] / (count + 1)
+            for rank, held in enumerate(self._held):
+                if expert in held:
+                    add(rank, -less)
+            add(step.target, demand[expert] / (count + 1))
+        if step.dropped is not None:
+            count = replicas[step.dropped]
+            more = demand[step.dropped] / (count - 1) - demand[step.dropped] / count
+            add(step.target, -demand[step.dropped] / count)
+            for rank, held in enumerate(self._held):
+                if step.dropped in held and rank != step.target:
+                    add(rank, more)
+        if step.swapped is not None:
+            share = demand[step.swapped] / replicas[step.swapped]
+            add(step.target, -share)
+            add(step.source, share)
+        return loads
+
+    def _gain(self, step: _Step) -> float:
+        """Return by how much a step lessens the measure."""
+        mean = self._mean
+        return sum(
+            (self._loads[rank] / mean) ** POWER - (load / mean) ** POWER
+            for rank, load in self._changes(step).items()
+        )
+
+    def _apply(self, step: _Step) -> None:
+        """Take a step."""
+        for rank, load in self._changes(step).items():
+            self._loads[rank] = load
+        if step.moves:
+            self._held[step.source].discard(step.expert)
+        else:
+            self._replicas[step.expert] += 1
+        if step.dropped is not None:
+            self._held[step.target].discard(step.dropped)
+            self._replicas[step.dropped] -= 1
+        if step.swapped is not None:
+            self._held[step.target].discard(step.swapped)
+            self._held[step.source].add(step.swapped)
+        self._held[step.target].add(step.expert)
--- a/bluebellrun/platform/__init__.py
+++ b/bluebellrun/platform/__init__.py
@@ -4,14 +4,18 @@
 from pathlib import Path
 
 from bluebellrun.platform._catalogue import OWN_PREFIX, PlatformCatalogue
+from bluebellrun.platform._engine import EngineCalls
 from bluebellrun.platform._messages import PlatformWire
 from bluebellrun.platform._names import READY_PATH, SETTINGS_FILE_VARIABLE
+from bluebellrun.platform._relay import EngineRelay
 from bluebellrun.platform._settings import SettingsError, read_settings
 from bluebellrun.platform._store import PlatformStore
 
 __all__ = [
     "OWN_PREFIX",
     "READY_PATH",
+    "EngineCalls",
+    "EngineRelay",
     "PlatformCatalogue",
     "PlatformStore",
     "PlatformWire",
--- /dev/null
+++ b/bluebellrun/platform/_engine.py
@@ -0,0 +1,230 @@
+"""Calls to the ranks of a model group, by the process beside each where there is one."""
+
+from typing import Any
+
+import curio
+import msgspec
+
+from bluebellrun.core import Address
+from bluebellrun.gateway import OrderReply, RankCallError, Upstream
+from bluebellrun.http import ClientTimeouts, ConnectError, HttpClient, TransportError
+from bluebellrun.placement import (
+    ArmMap,
+    ClaimRank,
+    HoldPass,
+    Placement,
+    PrepareMap,
+    RankCounts,
+    RankOrder,
+    RankState,
+    ReleasePass,
+)
+from bluebellrun.platform._names import EXPECT_INSTANCE, ORDER_PATH, PICKED_PATH, REPORT_PATH
+
+OK = 200
+ACCEPTED = 202
+CONFLICT = 409
+FENCED = 412
+# Calls within a region take a few milliseconds; a rank that leaves an order unanswered is asked
+# again soon, as the group may be waiting.
+CONNECT_TIMEOUT_S = 0.15
+CALL_TIMEOUT_S = 0.25
+# A version that no rank ever has: disarming it changes nothing but the fencing number seen.
+NO_VERSION = 2_000_000_000
+
+
+class _Group(msgspec.Struct):
+    """The group that a rank belongs to."""
+
+    name: str
+    epoch: int
+    rank: int
+    state: str
+
+
+class _Armed(msgspec.Struct):
+    """The map a rank is armed with and its first pass."""
+
+    version: int
+    step: int
+
+
+class _Report(msgspec.Struct):
+    """What an engine reports of itself; fields that are not used are ignored."""
+
+    group: _Group | None = None
+    size: int = 0
+    # The last pass that was begun.
+    step: int = 0
+    # The version of the map in use.
+    map: int = 0
+    # The version whose copy is complete.
+    prepared: int | None = None
+    armed: _Armed | int | None = None
+    held: int | None = None
+    pace: float = 1.0
+    born: int = 0
+
+
+class _Picked(msgspec.Struct):
+    """How often each expert was chosen, set after set."""
+
+    epoch: int
+    counts: list[int]
+    born: int = 0
+
+
+class _Held(msgspec.Struct):
+    """A map as one rank holds it: its experts, set by set."""
+
+    version: int
+    experts: list[list[int]]
+
+
+class _Lists(msgspec.Struct):
+    """The maps that a rank holds."""
+
+    map: _Held
+
+
+_report = msgspec.json.Decoder(_Report)
+_picked = msgspec.json.Decoder(_Picked)
+_lists = msgspec.json.Decoder(_Lists)
+
+
+class EngineCalls:
+    """Call ranks through the processes beside them, or directly where these do not answer."""
+
+    def __init__(self, relay_port: int) -> None:
+        self._relay_port = relay_port
+        self._relays: dict[str, HttpClient] = {}
+        self._direct: dict[str, HttpClient] = {}
+
+    async def state(self, upstream: Upstream) -> RankState | None:
+        """Return what an upstream says of its rank, none if it is no rank of a group."""
+        report = _decode(_report, await self._call(upstream, "GET", REPORT_PATH))
+        group = report.group
+        if group is None:
+            return None
+        armed = report.armed
+        return RankState(
+            rank=group.rank,
+            size=report.size,
+            group=group.name,
+            epoch=group.epoch,
+            born=report.born,
+            is_open=group.state == "open",
+            step=report.step,
+            active=report.map,
+            prepared=report.prepared,
+            armed_version=armed.version if isinstance(armed, _Armed) else report.prepared,
+            armed_step=armed.step if isinstance(armed, _Armed) else armed,
+            held=report.held,
+            slowness=report.pace,
+        )
+
+    async def counts(self, upstream: Upstream, rank: int) -> RankCounts:
+        """Return how often the rank's requests chose each expert."""
+        picked = _decode(_picked, await self._call(upstream, "GET", PICKED_PATH))
+        return RankCounts(rank, picked.epoch, picked.born, tuple(picked.counts))
+
+    async def placement_held(self, upstream: Upstream) -> list[frozenset[int]]:
+        """Return the experts that a rank holds in use, layer by layer."""
+        lists = _decode(_lists, await self._call(upstream, "GET", f"{PICKED_PATH}?lists=1"))
+        return [frozenset(experts) for experts in lists.map.experts]
+
+    async def give(
+        self, upstream: Upstream, order: RankOrder, epoch: int, fencing: int
+    ) -> OrderReply:
+        """Give an order."""
+        body = msgspec.json.encode({**_order(order), "epoch": epoch, "fence": fencing})
+        status, data = await self._call(upstream, "POST", ORDER_PATH, body)
+        match status:
+            case 200 | 202:
+                return OrderReply.ACCEPTED
+            case 409:
+                return OrderReply.CONFLICT
+            case 412:
+                return OrderReply.FENCED
+            case _:
+                raise RankCallError(f"{upstream.instance} answered {status}: {data[:100]!r}")
+
+    async def forget(self, instance: str) -> None:
+        """Close what is kept open to an upstream that is gone."""
+        for clients in (self._relays, self._direct):
+            client = clients.pop(instance, None)
+            if client is not None:
+                await client.close()
+
+    async def _call(
+        self, upstream: Upstream, method: str, target: str, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        """Make a call by the process beside the upstream, else directly."""
+        beside = Address(upstream.address.ip, self._relay_port)
+        client = self._client(self._relays, upstream.instance, beside)
+        try:
+            return await self._fetch(client, upstream, method, target, body)
+        except ConnectError:
+            client = self._client(self._direct, upstream.instance, upstream.address)
+        try:
+            return await self._fetch(client, upstream, method, target, body)
+        except TransportError as error:
+            raise RankCallError(f"{upstream.instance}: {error}") from error
+
+    async def _fetch(
+        self, client: HttpClient, upstream: Upstream, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        """Make a call; raise ``ConnectError`` only if nothing was sent."""
+        headers = [(EXPECT_INSTANCE, upstream.instance)]
+        if body:
+            headers.append(("content-type", "application/json"))
+        try:
+            async with curio.timeout_after(CALL_TIMEOUT_S):
+                status, data = await client.fetch(method, target, headers, body)
+        except curio.TaskTimeout:
+            raise RankCallError(f"{upstream.instance} did not answer {target}") from None
+        except ConnectError:
+            raise
+        except TransportError as error:
+            raise RankCallError(f"{upstream.instance}: {error}") from error
+        if method == "GET" and status != OK:
+            raise RankCallError(f"{upstream.instance} answered {status} to {target}")
+        return status, data
+
+    def _client(
+        self, clients: dict[str, HttpClient], instance: str, address: Address
+    ) -> HttpClient:
+        """Return the client for an upstream."""
+        client = clients.get(instance)
+        if client is None:
+            timeouts = ClientTimeouts(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S)
+            client = clients[instance] = HttpClient(address, timeouts)
+        return client
+
+
+def _decode(decoder: Any, answer: tuple[int, bytes]) -> Any:
+    """Return an answer's content."""
+    try:
+        return decoder.decode(answer[1])
+    except msgspec.DecodeError as error:
+        raise RankCallError(f"an engine's answer cannot be read: {error}") from error
+
+
+def _order(order: RankOrder) -> dict[str, Any]:
+    """Return an order's body."""
+    match order:
+        case ClaimRank():
+            return {"op": "disarm", "version": NO_VERSION}
+        case PrepareMap(version, placement):
+            return {"op": "prepare", "version": version, "map": _experts_by_set(placement)}
+        case HoldPass(step):
+            return {"op": "hold", "step": step}
+        case ArmMap(version, step):
+            return {"op": "arm", "version": version, "step": step}
+        case ReleasePass(step):
+            return {"op": "go", "step": step}
+
+
+def _experts_by_set(placement: Placement) -> list[list[list[int]]]:
+    """Return a placement as experts by set and rank."""
+    return [[sorted(held) for held in layer] for layer in placement.layers]
--- a/bluebellrun/platform/_settings.py
+++ b/bluebellrun/platform/_settings.py
@@ -62,6 +62,8 @@
     platform: _Store
     port_range: tuple[int, int]
     region: str = ""
+    # The address of the upstream on the same host.
+    app: str | None = None
     zones: dict[str, str] = {}
     listen: _Listen = msgspec.field(default_factory=_Listen)
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -116,6 +118,7 @@
         ports=ReservedPorts(*file.port_range),
         callers=_address(file.listen.front),
         readiness=_address(file.listen.ready),
+        upstream=_address(file.app),
         memory_bytes=int(file.limits.ram_mb * MEGABYTE),
         bounds=bounds,
         regions=dict(file.zones),
--- /dev/null
+++ b/bluebellrun/sidecar/main.py
@@ -0,0 +1,50 @@
+"""The ``bluebellrun-sidecar`` program: wiring only."""
+
+import signal
+import sys
+
+import curio
+
+from bluebellrun.core import Address
+from bluebellrun.deployment import HostSettings
+from bluebellrun.http import HttpLimits, HttpServer
+from bluebellrun.platform import EngineRelay, SettingsError, read_settings, settings_path
+from bluebellrun.runtime import StopSignals, spawn_background
+from bluebellrun.telemetry import configure_serving_logs, get_logger
+
+EXIT_BAD_SETTING = 2
+# The coordinator keeps its connections between reads that may be seconds apart.
+LIMITS = HttpLimits(max_header_bytes=8_192, max_body_bytes=1_048_576, max_connections=64)
+
+_log = get_logger("sidecar")
+
+
+async def _serve(settings: HostSettings) -> int:
+    """Run until told to stop; return the exit status."""
+    signals = StopSignals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    configure_serving_logs(process=settings.host)
+    if settings.upstream is None:
+        raise SettingsError("no upstream runs beside this process; run the role where one does")
+    address = Address(settings.ip, settings.ports.first)
+    server = HttpServer(address, EngineRelay(settings.upstream).handle, LIMITS)
+    await spawn_background(server.run)
+    _log.info("started", listen=str(address), engine=str(settings.upstream))
+    while (number := await signals.next()) == signal.SIGHUP:
+        _log.info("nothing to read again; new settings need a restart")
+    await server.close()
+    _log.info("stopped", signal=number.name)
+    return 0
+
+
+def run() -> None:
+    """Start the program."""
+    try:
+        status = curio.run(_serve, read_settings(settings_path()))
+    except SettingsError as error:
+        sys.stderr.write(f"bluebellrun-sidecar: {error}\n")
+        sys.exit(EXIT_BAD_SETTING)
+    sys.exit(status)
+
+
+if __name__ == "__main__":
+    run()
