--- a/bluebellrun/gateway/_expert_maps.py
+++ b/bluebellrun/gateway/_expert_maps.py
@@ -263,9 +263,16 @@
         )
 
     async def _drive(self, change: PlacementChange, fencing: int) -> None:
-        """Send a change's next orders."""
+        """Send a change's orders for as long as ranks accept them at once."""
         orders = change.decide(self._states, time.monotonic())
-        await self._give(orders, fencing)
+        while orders:
+            replies = await self._give(orders, fencing)
+            for rank, order in orders:
+                if replies.get(rank) is OrderReply.ACCEPTED:
+                    self._states[rank] = change.accepted(self._states[rank], order)
+            if OrderReply.ACCEPTED not in replies.values():
+                break
+            orders = change.decide(self._states, time.monotonic())
         if change.done:
             _log.info("map in use", service=self._service, version=change.version)
             self._current = change.placement
--- a/bluebellrun/placement/_change.py
+++ b/bluebellrun/placement/_change.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bluebellrun.placement._maps import Placement
 
@@ -145,6 +145,18 @@
                 return self._prepare(unprepared, now)
         return self._switch(states, now)
 
+    def accepted(self, state: RankState, order: RankOrder) -> RankState:
+        """Return a rank's state after it accepted an order; what it has to copy takes longer."""
+        match order:
+            case HoldPass(step):
+                return replace(state, held=step)
+            case ArmMap(version, step):
+                return replace(state, armed_version=version, armed_step=step)
+            case ReleasePass():
+                return replace(state, held=None)
+            case _:
+                return state
+
     def _prepare(self, ranks: list[int], now: float) -> list[tuple[int, RankOrder]]:
         """Have ranks copy what they need, or give up after a time."""
         if self._placement is None or now - self._began > self._settings.prepare_timeout_s:
