--- a/bluebellrun/gateway/_directory.py
+++ b/bluebellrun/gateway/_directory.py
@@ -65,6 +65,15 @@
         self._drop(instance)
         self._index()
 
+    def note_replaced(self, instance: str) -> None:
+        """Take it that an upstream's life is over: another one has its address.
+
+        Its registration lapses with its heartbeats; should it be written again, it is taken.
+        """
+        if instance in self._upstreams:
+            self._drop(instance)
+            self._index()
+
     def expire(self, now: float) -> list[str]:
         """Drop the upstreams whose registration did not come back; return their instances."""
         over = [name for name, until in self._lapsed.items() if now >= until]
--- a/bluebellrun/gateway/_expert_maps.py
+++ b/bluebellrun/gateway/_expert_maps.py
@@ -31,13 +31,13 @@
 )
 from bluebellrun.telemetry import get_logger
 
-READ_INTERVAL_S = 0.2
+READ_INTERVAL_S = 0.1
 # Ranks are asked this often while a change is under way: passes last some dozens of milliseconds.
 CHANGE_INTERVAL_S = 0.02
 IDLE_INTERVAL_S = 0.2
 # States are read again this often in calm times, to notice ranks that left, joined or slowed.
 STATES_INTERVAL_S = 0.8
-PLAN_INTERVAL_S = 0.4
+PLAN_INTERVAL_S = 0.2
 # Choices to have seen before a plan: a few dozen for each expert of a group.
 LEAST_CHOICES_PER_EXPERT = 20
 # A change has to lessen the skew by this much, and by this much for each expert copied: copying
@@ -309,6 +309,10 @@
             self._demand.observe(counts, time.monotonic())
 
         await _all([(read, (rank,)) for rank in self._ranks])
+        distance = self._demand.distance()
+        if self._demand.drop_past():
+            self._planned_at = 0.0
+            _log.info("demand moved", service=self._service, distance=round(distance, 3))
 
     async def _plan(self, fencing: int) -> None:
         """Plan a better map and begin a change to it if that repays."""
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -30,6 +30,8 @@
 # A process that was just started has its configuration within a moment.
 NO_DEPLOYMENT_RETRY_S = 0.5
 STOPPING_RETRY_S = 0.1
+# Entries taken to share the budget of further sends until the register has been read.
+ASSUMED_ENTRIES = 6
 
 _log = get_logger("gateway")
 
@@ -44,7 +46,7 @@
         self._random = random
         self._deployment: Deployment | None = None
         self._budgets: dict[str, SendBudget] = {}
-        self._entries = 1
+        self._entries = ASSUMED_ENTRIES
         self._in_progress = 0
         self._refusing = False
 
--- /dev/null
+++ b/bluebellrun/gateway/_gossip.py
@@ -0,0 +1,118 @@
+"""Register this entry in the store, find the others there, and exchange news with them."""
+
+import time
+from collections.abc import Callable
+
+import curio
+from curio import socket
+
+from bluebellrun.core import Address, parse_address
+from bluebellrun.gateway._peers import EntryNews, PeerTable, decode_news, encode_news
+from bluebellrun.gateway._store_view import StoreView
+from bluebellrun.runtime import spawn_background
+from bluebellrun.store import KeyValueStore, PlatformError, Put
+from bluebellrun.telemetry import get_logger
+
+# Load changes with every request; at this rate the news of an entry cost some kilobytes a second.
+SEND_INTERVAL_S = 0.1
+# An entry that ended without a word is out of the register after this.
+REGISTRATION_S = 12
+RENEW_INTERVAL_S = 4.0
+RETRY_INTERVAL_S = 0.5
+MAX_DATAGRAM_BYTES = 60_000
+
+_log = get_logger("gossip")
+
+
+class Gossip:
+    """Exchange news with the other entries."""
+
+    def __init__(
+        self,
+        address: Address,
+        key: str,
+        store: KeyValueStore,
+        view: StoreView,
+        table: PeerTable,
+        news: Callable[[], EntryNews],
+    ) -> None:
+        self._address = address
+        self._key = key
+        self._store = store
+        self._view = view
+        self._table = table
+        self._news = news
+        self._lease = 0
+
+    @property
+    def peers(self) -> list[Address]:
+        """Return the addresses of the other entries in the register."""
+        prefix = self._key.rpartition("/")[0] + "/"
+        found = []
+        for record in self._view.records_below(prefix):
+            if record.value is None or record.key == self._key:
+                continue
+            try:
+                found.append(parse_address(record.value.decode()))
+            except ValueError as error:
+                _log.warning("entry ignored", key=record.key, reason=str(error))
+        return found
+
+    async def run(self) -> None:
+        """Exchange news until cancelled."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind((self._address.ip, self._address.port))
+        await spawn_background(self._receive, sock)
+        while True:
+            await curio.sleep(SEND_INTERVAL_S)
+            self._table.expire(time.monotonic())
+            await self._send(sock)
+
+    async def keep_registered(self) -> None:
+        """Keep this entry in the register until cancelled."""
+        while True:
+            try:
+                await self._register()
+                pause_s = RENEW_INTERVAL_S
+            except PlatformError as error:
+                _log.info("entry not registered", reason=str(error))
+                pause_s = RETRY_INTERVAL_S
+            await curio.sleep(pause_s)
+
+    async def _register(self) -> None:
+        """Renew the registration, or make it anew."""
+        if self._lease and await self._store.keep_alive(self._lease) > 0:
+            return
+        self._lease = 0
+        lease = await self._store.grant_lease(REGISTRATION_S)
+        await self._store.transact([], [Put(self._key, str(self._address).encode(), lease)])
+        self._lease = lease
+        _log.info("entry registered", key=self._key, address=str(self._address))
+
+    async def _send(self, sock: object) -> None:
+        """Send the news to all other entries."""
+        peers = self.peers
+        if not peers:
+            return
+        data = encode_news(self._news())
+        if len(data) > MAX_DATAGRAM_BYTES:
+            _log.warning("news not sent", bytes=len(data), limit=MAX_DATAGRAM_BYTES)
+            return
+        for peer in peers:
+            try:
+                await sock.sendto(data, (peer.ip, peer.port))  # type: ignore[attr-defined]
+            except OSError as error:
+                _log.info("news not sent", peer=str(peer), reason=str(error))
+
+    async def _receive(self, sock: object) -> None:
+        """Take the others' news until cancelled."""
+        while True:
+            try:
+                data, _ = await sock.recvfrom(MAX_DATAGRAM_BYTES)  # type: ignore[attr-defined]
+            except OSError as error:
+                _log.info("news not received", reason=str(error))
+                await curio.sleep(SEND_INTERVAL_S)
+                continue
+            news = decode_news(data)
+            if news is not None:
+                self._table.take(news, time.monotonic())
--- a/bluebellrun/gateway/_models.py
+++ b/bluebellrun/gateway/_models.py
@@ -62,13 +62,15 @@
 class UpstreamAnswer:
     """The head of an upstream's answer; ``headers`` are those the caller gets.
 
-    With ``not_run`` the upstream promises that the request did not run. ``at_fault`` is the
-    instance that it blames, if it names one.
+    With ``not_run`` the upstream promises that the request did not run. With ``misdirected``
+    another upstream has its address by now. ``at_fault`` is the address that it blames for not
+    running the request, if it names one.
     """
 
     status: int
     headers: Headers
     not_run: bool = False
+    misdirected: bool = False
     at_fault: str | None = None
 
     @property
--- /dev/null
+++ b/bluebellrun/gateway/_peers.py
@@ -0,0 +1,99 @@
+"""What the entries tell each other several times a second, and what each knows of the others.
+
+Messages are datagrams: the next one makes up for a lost one. An entry that falls silent counts
+for nothing after a moment, so that its work does not stand in the way for ever.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+
+
+class EntryNews(msgspec.Struct, frozen=True, array_like=True):
+    """One entry's news: its requests at each upstream, and the configuration it has in force.
+
+    ``number`` grows with each message of one ``incarnation``.
+    """
+
+    entry: str
+    incarnation: str
+    number: int
+    version: int
+    running: dict[str, int]
+
+
+_decoder = msgspec.msgpack.Decoder(EntryNews)
+
+
+def encode_news(news: EntryNews) -> bytes:
+    """Return the datagram of an entry's news."""
+    return msgspec.msgpack.encode(news)
+
+
+def decode_news(data: bytes) -> EntryNews | None:
+    """Read a datagram; none if it is no entry's news."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    """An entry's latest news and when it came, in seconds."""
+
+    news: EntryNews
+    at: float
+
+
+# Work of an entry that was not heard for so long is no longer counted: it lost its connections.
+SILENT_S = 1.0
+
+
+class PeerTable:
+    """The latest news of each other entry; times in seconds."""
+
+    def __init__(self, entry: str) -> None:
+        self._entry = entry
+        self._heard: dict[str, _Heard] = {}
+        self._running: dict[str, int] = {}
+
+    @property
+    def newest_version(self) -> int:
+        """Return the newest configuration that any entry has in force."""
+        return max((heard.news.version for heard in self._heard.values()), default=0)
+
+    def take(self, news: EntryNews, now: float) -> bool:
+        """Take an entry's news; return false for old news."""
+        if news.entry == self._entry:
+            return False
+        known = self._heard.get(news.entry)
+        same_life = known is not None and known.news.incarnation == news.incarnation
+        if same_life and known is not None and news.number <= known.news.number:
+            return False
+        self._heard[news.entry] = _Heard(news, now)
+        self._sum_up()
+        return True
+
+    def expire(self, now: float) -> None:
+        """Forget the work of entries that are silent."""
+        silent = [name for name, heard in self._heard.items() if now - heard.at > SILENT_S]
+        for name in silent:
+            del self._heard[name]
+        if silent:
+            self._sum_up()
+
+    def running(self, instance: str) -> int:
+        """Return the requests that other entries have at an upstream."""
+        return self._running.get(instance, 0)
+
+    def entries_heard(self) -> int:
+        """Return how many other entries were heard lately."""
+        return len(self._heard)
+
+    def _sum_up(self) -> None:
+        """Add up the work of all entries."""
+        self._running = {}
+        for heard in self._heard.values():
+            for instance, running in heard.news.running.items():
+                self._running[instance] = self._running.get(instance, 0) + running
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -48,6 +48,8 @@
 RESUME_WITHIN_S = 1.8
 # What a refused caller is told to wait where nothing better is known.
 RETRY_AFTER_S = 0.5
+# Upstreams that may refuse a request before it is refused: where a few are full, most are.
+MOST_REFUSALS = 1
 # Time left below which a send could not be answered.
 LEAST_LEFT_S = 0.02
 
@@ -115,6 +117,7 @@
         self._ends_at = ends_at
         self._sends = 0
         self._runs = 0
+        self._refusals = 0
         self._excluded: set[str] = set()
         self._last_id = request.last_event_id
         self._last_event_at = 0.0
@@ -164,6 +167,8 @@
         if self._sends == 0:
             self._budget.note_first(now)
             return True
+        if self._refusals > MOST_REFUSALS and not self._exchange.started:
+            return False
         return self._budget.take(now)
 
     def _may_run_again(self) -> bool:
@@ -275,6 +280,9 @@
         if answer.not_run:
             self._runs -= 1
             await response.read_all(self.left_s)
+            if answer.misdirected:
+                self._fleet.directory.note_replaced(upstream.instance)
+            self._refusals += not answer.misdirected
             return _Declined(f"upstream answered {answer.status}: not run")
         if self._route.streamed and answer.succeeded:
             return await self._pass_stream(upstream, answer, response)
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -1,5 +1,6 @@
 """The ``bluebellrun-gateway`` program: wiring only."""
 
+import itertools
 import signal
 import sys
 from collections.abc import Callable
@@ -7,13 +8,15 @@
 
 import curio
 
-from bluebellrun.core import BootClock, MonotonicClock
+from bluebellrun.core import Address, BootClock, MonotonicClock, new_incarnation
 from bluebellrun.deployment import Deployment, HostSettings
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._expert_maps import ExpertMaps
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._gateway import Gateway
+from bluebellrun.gateway._gossip import Gossip
 from bluebellrun.gateway._lifecycle import Lifecycle
+from bluebellrun.gateway._peers import EntryNews, PeerTable
 from bluebellrun.gateway._role import LEASE_S, PlacementRole
 from bluebellrun.gateway._store_view import StoreView
 from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
@@ -70,10 +73,11 @@
     return handle
 
 
-async def _tidy(fleet: Fleet) -> None:
-    """Forget upstreams that are gone, for as long as the process runs."""
+async def _tidy(fleet: Fleet, gateway: Gateway, gossip: Gossip) -> None:
+    """Forget upstreams that are gone and count the entries, for as long as the process runs."""
     while True:
         await curio.sleep(TIDY_INTERVAL_S)
+        gateway.set_entries(1 + len(gossip.peers))
         await fleet.forget_gone()
 
 
@@ -83,7 +87,8 @@
     configure_serving_logs(process=settings.host)
     clock, random = MonotonicClock(), Random()
     directory = UpstreamDirectory()
-    fleet = Fleet(directory, settings.failure_domain, random)
+    table = PeerTable(settings.host)
+    fleet = Fleet(directory, settings.failure_domain, random, table.running)
     gateway = Gateway(settings, fleet, PlatformWire(), random)
     if settings.callers is None or settings.readiness is None:
         raise SettingsError("no address for callers or readiness; run the role where both are set")
@@ -104,11 +109,22 @@
     role = PlacementRole(holder, view, boot)
     calls = EngineCalls(settings.ports.first)
     maps = ExpertMaps(role, calls, directory, lambda: gateway.deployment)
+    incarnation = new_incarnation()
+    numbers = itertools.count(1)
+
+    def news() -> EntryNews:
+        version = 0 if gateway.deployment is None else gateway.deployment.version
+        return EntryNews(settings.host, incarnation, next(numbers), version, fleet.running_here())
+
+    inner = Address(settings.ip, settings.ports.first)
+    entry_key = f"{OWN_PREFIX}entries/{settings.host}"
+    gossip = Gossip(inner, entry_key, store, view, table, news)
     lifecycle = Lifecycle(gateway, server, settings.bounds)
     readiness = HttpServer(settings.readiness, _readiness(lambda: lifecycle.ready), HttpLimits())
-    for task in (view.run, server.run, readiness.run, role.run, maps.run):
+    for task in (view.run, server.run, readiness.run, role.run, maps.run, gossip.run):
         await spawn_background(task)
-    await spawn_background(_tidy, fleet)
+    await spawn_background(gossip.keep_registered)
+    await spawn_background(_tidy, fleet, gateway, gossip)
     _log.info("started", callers=str(settings.callers), domain=settings.failure_domain)
     while (number := await signals.next()) == signal.SIGHUP:
         _reload(settings)
--- a/bluebellrun/placement/_demand.py
+++ b/bluebellrun/placement/_demand.py
@@ -15,13 +15,17 @@
 
 @dataclass(frozen=True, slots=True)
 class DemandSettings:
-    """How fast the past is forgotten, in seconds.
+    """How fast the past is forgotten, with half-lives in seconds.
 
-    The half-life follows demand that moves every few seconds, and still averages over the
-    dozens of requests that run at a time.
+    The usual half-life averages over the requests of a moment, as each has its own topics. When
+    the latest choices, by the short half-life, differ from the usual ones by ``jump`` or more,
+    demand has moved and the past is dropped. The difference is the sum over the experts of a
+    layer of how far their shares lie apart, averaged over the layers: 0 to 2.
     """
 
-    half_life_s: float = 0.7
+    half_life_s: float = 2.0
+    short_half_life_s: float = 0.1
+    jump: float = 0.35
 
 
 class DemandEstimator:
@@ -33,13 +37,39 @@
         self._settings = settings
         self._seen: dict[int, RankCounts] = {}
         self._sums = [0.0] * (layers * experts)
+        self._latest = [0.0] * (layers * experts)
         self._decayed_at: float | None = None
+        self._jumps = 0
 
     @property
     def total(self) -> float:
         """Return the remembered choices over all layers and experts."""
         return sum(self._sums)
 
+    @property
+    def jumps(self) -> int:
+        """Return how often demand moved at once."""
+        return self._jumps
+
+    def distance(self) -> float:
+        """Return how far the latest choices differ from the usual ones, 0 to 2."""
+        usual_total, latest_total = sum(self._sums), sum(self._latest)
+        if not usual_total or not latest_total:
+            return 0.0
+        usual, latest = 1 / usual_total, 1 / latest_total
+        return sum(
+            abs(old * usual - new * latest)
+            for old, new in zip(self._sums, self._latest, strict=True)
+        )
+
+    def drop_past(self) -> bool:
+        """Keep only the latest choices if demand has moved; return whether it has."""
+        if self.distance() < self._settings.jump:
+            return False
+        self._sums = list(self._latest)
+        self._jumps += 1
+        return True
+
     def observe(self, read: RankCounts, now: float) -> bool:
         """Take a rank's counts; return false if they only give a new start to count from."""
         self._decay(now)
@@ -54,6 +84,7 @@
         if min(gained) < 0:
             return False
         self._sums = [have + new for have, new in zip(self._sums, gained, strict=True)]
+        self._latest = [have + new for have, new in zip(self._latest, gained, strict=True)]
         return True
 
     def demand(self) -> list[list[float]]:
@@ -72,3 +103,5 @@
         self._decayed_at = now
         kept = 0.5 ** (passed / self._settings.half_life_s)
         self._sums = [value * kept for value in self._sums]
+        kept = 0.5 ** (passed / self._settings.short_half_life_s)
+        self._latest = [value * kept for value in self._latest]
--- a/bluebellrun/platform/_messages.py
+++ b/bluebellrun/platform/_messages.py
@@ -95,6 +95,7 @@
             status=status,
             headers=[(k, v) for k, v in end_to_end(headers) if k != "content-length"],
             not_run=status == MISDIRECTED or header_value(headers, NOT_RUN) is not None,
+            misdirected=status == MISDIRECTED,
             at_fault=header_value(headers, AT_SERVER),
         )
 
