--- a/bluebellrun/gateway/_expert_maps.py
+++ b/bluebellrun/gateway/_expert_maps.py
@@ -31,10 +31,16 @@
 )
 from bluebellrun.telemetry import get_logger
 
-READ_INTERVAL_S = 0.1
+READ_INTERVAL_S = 0.12
 # Ranks are asked this often while a change is under way: passes last some dozens of milliseconds.
 CHANGE_INTERVAL_S = 0.02
+# While experts are copied, which takes some hundred milliseconds.
+COPYING_INTERVAL_S = 0.04
 IDLE_INTERVAL_S = 0.2
+# A jump of demand shows in any ranks' counts: only these many are read at each turn, and all at
+# times, as a call costs both hosts a few milliseconds.
+RANKS_READ = 4
+ALL_RANKS_INTERVAL_S = 0.5
 # States are read again this often in calm times, to notice ranks that left, joined or slowed.
 STATES_INTERVAL_S = 0.8
 PLAN_INTERVAL_S = 0.2
@@ -42,7 +48,7 @@
 LEAST_CHOICES_PER_EXPERT = 20
 # A change has to lessen the skew by this much, and by this much for each expert copied: copying
 # slows passes and what is planned for lasts a few seconds.
-LEAST_GAIN = 0.06
+LEAST_GAIN = 0.12
 GAIN_PER_COPY = 0.0008
 # Upstreams whose registration is gone are asked on for so long: they may still be ranks.
 REMEMBERED_S = 15.0
@@ -125,6 +131,7 @@
         self._ranks: dict[int, Upstream] = {}
         self._read_at = 0.0
         self._planned_at = 0.0
+        self._all_read_at = 0.0
         self._epoch: tuple[str, int] | None = None
         self._claimed: set[int] = set()
         self._current: Placement | None = None
@@ -134,23 +141,53 @@
 
     async def turn(self, fencing: int) -> float:
         """Do the next thing; return the seconds to the next turn."""
-        now = time.monotonic()
-        due = self._change is not None or now - self._read_at > STATES_INTERVAL_S
-        if due and not await self._read_states():
-            return READ_INTERVAL_S
-        if not self._ranks:
+        if not await self._look(time.monotonic()):
             return READ_INTERVAL_S
         if not await self._claim(fencing) or not await self._find_current():
             return CHANGE_INTERVAL_S
         if self._change is not None:
             await self._drive(self._change, fencing)
-            return CHANGE_INTERVAL_S
+            return COPYING_INTERVAL_S if self._unprepared() else CHANGE_INTERVAL_S
         await self._release_stray_holds(fencing)
         await self._read_counts()
         if time.monotonic() - self._planned_at > PLAN_INTERVAL_S:
             await self._plan(fencing)
         return READ_INTERVAL_S if self._change is None else 0.0
 
+    async def _look(self, now: float) -> bool:
+        """Read the states that matter now; return whether a whole group is known."""
+        unprepared = self._unprepared()
+        if unprepared and self._read_at:
+            return await self._read_again(unprepared)
+        if self._change is not None or now - self._read_at > STATES_INTERVAL_S:
+            return await self._read_states()
+        return bool(self._ranks)
+
+    def _unprepared(self) -> list[int]:
+        """Return the ranks that still copy experts for the change under way."""
+        change = self._change
+        if change is None or not change.preparing:
+            return []
+        return [rank for rank, s in self._states.items() if s.prepared != change.version]
+
+    async def _read_again(self, ranks: list[int]) -> bool:
+        """Read the states of some ranks; return whether the group is still the same."""
+
+        async def read(rank: int) -> None:
+            try:
+                state = await self._calls.state(self._ranks[rank])
+            except RankCallError as error:
+                _log.info("rank not read", rank=rank, reason=str(error))
+                return
+            if state is None or (state.group, state.epoch, state.rank) != (*epoch, rank):
+                self._read_at = 0.0
+                return
+            self._states[rank] = state
+
+        epoch = self._epoch or ("", 0)
+        await _all([(read, (rank,)) for rank in ranks])
+        return self._read_at > 0.0
+
     async def _read_states(self) -> bool:
         """Ask all upstreams for their state; return whether one whole group answered."""
         now = time.monotonic()
@@ -294,7 +331,13 @@
             self._read_at = 0.0
 
     async def _read_counts(self) -> None:
-        """Read the counts of all ranks."""
+        """Read the counts of some ranks, or of all if that was not done lately."""
+        now = time.monotonic()
+        ranks = sorted(self._ranks)
+        if now - self._all_read_at > ALL_RANKS_INTERVAL_S:
+            self._all_read_at = now
+        else:
+            ranks = ranks[:RANKS_READ]
 
         async def read(rank: int) -> None:
             try:
@@ -308,7 +351,7 @@
                 return
             self._demand.observe(counts, time.monotonic())
 
-        await _all([(read, (rank,)) for rank in self._ranks])
+        await _all([(read, (rank,)) for rank in ranks])
         distance = self._demand.distance()
         if self._demand.drop_past():
             self._planned_at = 0.0
--- a/bluebellrun/placement/_planner.py
+++ b/bluebellrun/placement/_planner.py
@@ -27,8 +27,8 @@
 
     slots: int
     most_new: int
-    target_skew: float = 1.04
-    least_step_gain: float = 0.01
+    target_skew: float = 1.1
+    least_step_gain: float = 0.06
     most_steps: int = 40
 
 
