--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -11,6 +11,7 @@
     Work,
 )
 from bluebellrun.admission._registry import ADMISSION_POLICIES, make_admission
+from bluebellrun.admission._service_gate import GateSettings, ServiceGate
 
 __all__ = [
     "ADMISSION_POLICIES",
@@ -18,8 +19,10 @@
     "AdmissionSettings",
     "FairAdmission",
     "FifoAdmission",
+    "GateSettings",
     "PriorityTarget",
     "Refusal",
+    "ServiceGate",
     "Work",
     "make_admission",
     "stated_answer_tokens",
--- a/bluebellrun/gateway/__init__.py
+++ b/bluebellrun/gateway/__init__.py
@@ -29,6 +29,7 @@
     OrderReply,
     RankCallError,
     RankCalls,
+    RankReplacedError,
     Wire,
 )
 from bluebellrun.gateway._relay import Relay
@@ -48,6 +49,7 @@
     "OrderReply",
     "RankCallError",
     "RankCalls",
+    "RankReplacedError",
     "RecordWritten",
     "Refused",
     "Relay",
--- a/bluebellrun/gateway/_expert_maps.py
+++ b/bluebellrun/gateway/_expert_maps.py
@@ -12,7 +12,7 @@
 from bluebellrun.deployment import Deployment, ExpertTerms, ServiceTerms
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._models import Upstream
-from bluebellrun.gateway._ports import OrderReply, RankCallError, RankCalls
+from bluebellrun.gateway._ports import OrderReply, RankCallError, RankCalls, RankReplacedError
 from bluebellrun.gateway._role import PlacementRole
 from bluebellrun.placement import (
     ChangeSettings,
@@ -42,7 +42,7 @@
 RANKS_READ = 4
 ALL_RANKS_INTERVAL_S = 0.5
 # States are read again this often in calm times, to notice ranks that left, joined or slowed.
-STATES_INTERVAL_S = 0.8
+STATES_INTERVAL_S = 1.5
 PLAN_INTERVAL_S = 0.2
 # Choices to have seen before a plan: a few dozen for each expert of a group.
 LEAST_CHOICES_PER_EXPERT = 20
@@ -197,6 +197,9 @@
         async def read(upstream: Upstream) -> None:
             try:
                 state = await self._calls.state(upstream)
+            except RankReplacedError:
+                self._forget(upstream.instance)
+                return
             except RankCallError as error:
                 _log.info("rank not read", upstream=upstream.instance, reason=str(error))
                 return
@@ -205,7 +208,9 @@
                 if known is None or known[1].epoch < state.epoch:
                     found[state.rank] = (upstream, state)
 
-        await _all([(read, (upstream,)) for upstream in self._upstreams.values()])
+        # Of two registrations with one address the later one is that of the life that goes on.
+        by_address = {upstream.address: upstream for upstream in self._upstreams.values()}
+        await _all([(read, (upstream,)) for upstream in by_address.values()])
         states = {rank: state for rank, (_, state) in sorted(found.items())}
         names = {(state.group, state.epoch, state.size) for state in states.values()}
         whole = (
@@ -232,6 +237,14 @@
         self._current = None
         self._change = None
 
+    def _forget(self, instance: str) -> None:
+        """Take it that an upstream's life is over."""
+        _log.info("upstream replaced", service=self._service, upstream=instance)
+        self._directory.note_replaced(instance)
+        self._seen_at.pop(instance, None)
+        self._upstreams.pop(instance, None)
+        self._read_at = 0.0
+
     def _meet_upstreams(self, now: float) -> None:
         """Take the service's upstreams, and keep those that went away for a while."""
         for upstream in self._directory.of_service(self._service):
@@ -402,6 +415,9 @@
             replies[rank] = None
             try:
                 replies[rank] = await self._calls.give(self._ranks[rank], order, epoch, fencing)
+            except RankReplacedError:
+                self._forget(self._ranks[rank].instance)
+                return
             except RankCallError as error:
                 _log.info("order not answered", rank=rank, reason=str(error))
                 return
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from bluebellrun.admission import GateSettings, ServiceGate
 from bluebellrun.deployment import Deployment, HostSettings, Route
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._models import (
@@ -46,6 +47,7 @@
         self._random = random
         self._deployment: Deployment | None = None
         self._budgets: dict[str, SendBudget] = {}
+        self._gates: dict[str, ServiceGate] = {}
         self._entries = ASSUMED_ENTRIES
         self._in_progress = 0
         self._refusing = False
@@ -140,6 +142,7 @@
             self._fleet,
             self._wire,
             self._budget(service),
+            self._gate(service),
             ends_at,
         )
         result: Result
@@ -216,6 +219,10 @@
         body = json.dumps({"status": status, "detail": reason}).encode()
         await exchange.answer(status, headers, body)
 
+    def _gate(self, service: str) -> ServiceGate:
+        """Return what is known of a service's outages."""
+        return self._gates.setdefault(service, ServiceGate(GateSettings()))
+
     def _budget(self, service: str) -> SendBudget:
         """Return the budget of further sends of a service."""
         budget = self._budgets.get(service)
--- a/bluebellrun/gateway/_ports.py
+++ b/bluebellrun/gateway/_ports.py
@@ -35,6 +35,10 @@
     """A rank did not answer, or its answer cannot be read; an order may still be carried out."""
 
 
+class RankReplacedError(RankCallError):
+    """Another upstream has the rank's address: this life of it is over."""
+
+
 class OrderReply(Enum):
     """What a rank said to an order."""
 
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -12,6 +12,7 @@
 
 import curio
 
+from bluebellrun.admission import ServiceGate
 from bluebellrun.deployment import Deployment, Route
 from bluebellrun.gateway._events import EventSplitter
 from bluebellrun.gateway._fleet import Fleet
@@ -46,8 +47,6 @@
 RESUME_PAUSE_S = 0.25
 # Callers give up a stream after a pause of two seconds or more.
 RESUME_WITHIN_S = 1.8
-# What a refused caller is told to wait where nothing better is known.
-RETRY_AFTER_S = 0.5
 # Upstreams that may refuse a request before it is refused: where a few are full, most are.
 MOST_REFUSALS = 1
 # Time left below which a send could not be answered.
@@ -62,6 +61,7 @@
 
     reason: str
     unreachable: bool = False
+    outage: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +103,7 @@
         fleet: Fleet,
         wire: Wire,
         budget: SendBudget,
+        gate: ServiceGate,
         ends_at: float,
     ) -> None:
         self._exchange = exchange
@@ -114,6 +115,7 @@
         self._fleet = fleet
         self._wire = wire
         self._budget = budget
+        self._gate = gate
         self._ends_at = ends_at
         self._sends = 0
         self._runs = 0
@@ -139,7 +141,9 @@
 
     async def run(self) -> Result:
         """Send the request until it is settled."""
-        outcome: _Outcome = _Declined(f"service {self._service!r} has no upstream")
+        if not self._gate.admits(time.monotonic()):
+            return self._refusal(f"service {self._service!r} is out of order")
+        outcome: _Outcome = _Declined(f"service {self._service!r} has no upstream", outage=True)
         while True:
             now = time.monotonic()
             upstream = self._fleet.choose(self._service, self._excluded, now)
@@ -167,7 +171,8 @@
         if self._sends == 0:
             self._budget.note_first(now)
             return True
-        if self._refusals > MOST_REFUSALS and not self._exchange.started:
+        started = self._exchange.started
+        if not started and (self._refusals > MOST_REFUSALS or self._gate.out_of_order(now)):
             return False
         return self._budget.take(now)
 
@@ -190,7 +195,10 @@
             case _Failed(answer, body):
                 await self._exchange.answer(answer.status, answer.headers, body)
                 return Answered(answer.status, "", self._sends)
-            case _Declined(reason) | _Lost(reason):
+            case _Declined(reason, outage=outage):
+                if outage:
+                    self._gate.note_outage(time.monotonic())
+            case _Lost(reason):
                 pass
             case _Done(status):
                 return Answered(status, "", self._sends)
@@ -198,7 +206,11 @@
             return BrokenOff(reason, self._sends)
         if self._runs:
             return Unresolved(BAD_GATEWAY, reason, self._sends)
-        return Refused(UNAVAILABLE, reason, RETRY_AFTER_S)
+        return self._refusal(reason)
+
+    def _refusal(self, reason: str) -> Refused:
+        """Return a refusal that tells when to come back."""
+        return Refused(UNAVAILABLE, reason, self._gate.retry_after_s(time.monotonic()))
 
     async def _send(self, upstream: Upstream) -> _Outcome:
         """Send the request to one upstream and pass on its answer."""
@@ -221,9 +233,11 @@
         """Keep account of what became of a send."""
         now = time.monotonic()
         match outcome:
-            case _Declined(reason, unreachable):
+            case _Declined(reason, unreachable, outage):
                 if unreachable:
                     self._fleet.note_unreachable(upstream.instance, now)
+                if outage:
+                    self._gate.note_outage(now)
             case _Lost(reason):
                 self._fleet.note_result(upstream.instance, True, now - started, now)
             case _Failed(answer, _):
@@ -283,7 +297,10 @@
             if answer.misdirected:
                 self._fleet.directory.note_replaced(upstream.instance)
             self._refusals += not answer.misdirected
-            return _Declined(f"upstream answered {answer.status}: not run")
+            blamed = answer.at_fault
+            outage = blamed is not None and blamed != str(upstream.address)
+            return _Declined(f"upstream answered {answer.status}: not run", outage=outage)
+        self._gate.note_taken_up()
         if self._route.streamed and answer.succeeded:
             return await self._pass_stream(upstream, answer, response)
         if self._exchange.started:
--- a/bluebellrun/gateway/_role.py
+++ b/bluebellrun/gateway/_role.py
@@ -18,28 +18,38 @@
 
 
 class PlacementRole:
-    """Take the role when nobody has it, and keep it."""
+    """Take the role when nobody has it, and keep it.
 
-    def __init__(self, holder: RoleHolder, view: StoreView, clock: Clock) -> None:
+    Where ranks refuse older fencing numbers, the holder acts on while the store cannot be asked:
+    should another process take the role meanwhile, the ranks tell the two apart.
+    """
+
+    def __init__(self, holder: RoleHolder, view: StoreView, clock: Clock, fenced: bool) -> None:
         self._holder = holder
         self._view = view
         self._clock = clock
+        self._fenced = fenced
         self._had: int | None = None
+        self._last: RoleLease | None = None
         self._refused: set[int] = set()
 
     def lease(self) -> RoleLease | None:
         """Return the lease if this process may act now, or none."""
         lease = self._holder.current(self._clock.now())
+        if lease is None and self._fenced:
+            lease = self._last
         return None if lease is None or lease.number in self._refused else lease
 
     async def lose(self, number: int) -> None:
         """Stop acting under a number: a rank has seen a higher one."""
         _log.warning("role lost to a higher fencing number", number=number)
         self._refused.add(number)
+        self._last = None
         await self._holder.release()
 
     async def release(self) -> None:
         """Let another process take the role at once."""
+        self._last = None
         if self._had is not None:
             await self._holder.release()
 
@@ -54,12 +64,12 @@
 
     async def _step(self) -> None:
         """Renew the role, or take it if it is free."""
-        if self._holder.current(self._clock.now()) is not None:
-            await self._holder.renew()
+        if self._last is not None or self._holder.current(self._clock.now()) is not None:
+            self._last = await self._holder.renew()
         elif self._view.confirmed_at is not None and self._is_free():
             await curio.sleep(TAKE_OVER_PAUSE_S)
             if self._is_free():
-                await self._holder.acquire()
+                self._last = await self._holder.acquire()
         self._note_change()
 
     def _is_free(self) -> bool:
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -106,7 +106,7 @@
     holder = RoleHolder(
         store, OWN_PREFIX.rstrip("/"), PLACEMENT_ROLE, settings.host, LEASE_S, boot, random
     )
-    role = PlacementRole(holder, view, boot)
+    role = PlacementRole(holder, view, boot, settings.bounds.fenced_orders)
     calls = EngineCalls(settings.ports.first)
     maps = ExpertMaps(role, calls, directory, lambda: gateway.deployment)
     incarnation = new_incarnation()
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -1,13 +1,15 @@
 """Calls to the ranks of a model group, by the process beside each where there is one."""
 
+import time
+from http import HTTPStatus
 from typing import Any
 
 import curio
 import msgspec
 
 from bluebellrun.core import Address
-from bluebellrun.gateway import OrderReply, RankCallError, Upstream
-from bluebellrun.http import ClientTimeouts, ConnectError, HttpClient, TransportError
+from bluebellrun.gateway import OrderReply, RankCallError, RankReplacedError, Upstream
+from bluebellrun.http import ClientTimeouts, HttpClient, TransportError
 from bluebellrun.placement import (
     ArmMap,
     ClaimRank,
@@ -20,18 +22,23 @@
     ReleasePass,
 )
 from bluebellrun.platform._names import EXPECT_INSTANCE, ORDER_PATH, PICKED_PATH, REPORT_PATH
+from bluebellrun.telemetry import get_logger
 
 OK = 200
-ACCEPTED = 202
-CONFLICT = 409
-FENCED = 412
+MISDIRECTED = 421
 # Calls within a region take a few milliseconds; a rank that leaves an order unanswered is asked
 # again soon, as the group may be waiting.
 CONNECT_TIMEOUT_S = 0.15
 CALL_TIMEOUT_S = 0.25
+# A process beside an engine that does not pass a call on in this time is passed over for a while:
+# its host may have stopped it, and the group may be waiting.
+RELAY_TIMEOUT_S = 0.08
+RELAY_AVOIDED_S = 2.0
 # A version that no rank ever has: disarming it changes nothing but the fencing number seen.
 NO_VERSION = 2_000_000_000
 
+_log = get_logger("engine-calls")
+
 
 class _Group(msgspec.Struct):
     """The group that a rank belongs to."""
@@ -99,6 +106,7 @@
         self._relay_port = relay_port
         self._relays: dict[str, HttpClient] = {}
         self._direct: dict[str, HttpClient] = {}
+        self._avoided_until: dict[str, float] = {}
 
     async def state(self, upstream: Upstream) -> RankState | None:
         """Return what an upstream says of its rank, none if it is no rank of a group."""
@@ -140,11 +148,11 @@
         body = msgspec.json.encode({**_order(order), "epoch": epoch, "fence": fencing})
         status, data = await self._call(upstream, "POST", ORDER_PATH, body)
         match status:
-            case 200 | 202:
+            case HTTPStatus.OK | HTTPStatus.ACCEPTED:
                 return OrderReply.ACCEPTED
-            case 409:
+            case HTTPStatus.CONFLICT:
                 return OrderReply.CONFLICT
-            case 412:
+            case HTTPStatus.PRECONDITION_FAILED:
                 return OrderReply.FENCED
             case _:
                 raise RankCallError(f"{upstream.instance} answered {status}: {data[:100]!r}")
@@ -160,33 +168,40 @@
         self, upstream: Upstream, method: str, target: str, body: bytes = b""
     ) -> tuple[int, bytes]:
         """Make a call by the process beside the upstream, else directly."""
-        beside = Address(upstream.address.ip, self._relay_port)
-        client = self._client(self._relays, upstream.instance, beside)
-        try:
-            return await self._fetch(client, upstream, method, target, body)
-        except ConnectError:
-            client = self._client(self._direct, upstream.instance, upstream.address)
-        try:
-            return await self._fetch(client, upstream, method, target, body)
-        except TransportError as error:
-            raise RankCallError(f"{upstream.instance}: {error}") from error
+        instance = upstream.instance
+        if time.monotonic() >= self._avoided_until.get(instance, 0.0):
+            beside = Address(upstream.address.ip, self._relay_port)
+            client = self._client(self._relays, instance, beside)
+            try:
+                return await self._fetch(client, upstream, method, target, body, RELAY_TIMEOUT_S)
+            except RankCallError as error:
+                self._avoided_until[instance] = time.monotonic() + RELAY_AVOIDED_S
+                _log.info("engine called directly", upstream=instance, reason=str(error))
+        client = self._client(self._direct, instance, upstream.address)
+        return await self._fetch(client, upstream, method, target, body, CALL_TIMEOUT_S)
 
     async def _fetch(
-        self, client: HttpClient, upstream: Upstream, method: str, target: str, body: bytes
+        self,
+        client: HttpClient,
+        upstream: Upstream,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
     ) -> tuple[int, bytes]:
-        """Make a call; raise ``ConnectError`` only if nothing was sent."""
+        """Make a call over one connection."""
         headers = [(EXPECT_INSTANCE, upstream.instance)]
         if body:
             headers.append(("content-type", "application/json"))
         try:
-            async with curio.timeout_after(CALL_TIMEOUT_S):
+            async with curio.timeout_after(timeout_s):
                 status, data = await client.fetch(method, target, headers, body)
         except curio.TaskTimeout:
             raise RankCallError(f"{upstream.instance} did not answer {target}") from None
-        except ConnectError:
-            raise
         except TransportError as error:
             raise RankCallError(f"{upstream.instance}: {error}") from error
+        if status == MISDIRECTED:
+            raise RankReplacedError(f"another upstream has the address of {upstream.instance}")
         if method == "GET" and status != OK:
             raise RankCallError(f"{upstream.instance} answered {status} to {target}")
         return status, data
