--- /dev/null
+++ b/tests/gateway/test_directory.py
@@ -0,0 +1,69 @@
+from bluebellrun.core import Address
+from bluebellrun.gateway import Upstream, UpstreamDirectory
+
+
+def upstream(instance, leaving=False, service="s"):
+    return Upstream(instance, service, Address("10.0.0.1", 80), "a", 6, leaving)
+
+
+def names(directory, now=0.0):
+    return sorted(item.instance for item in directory.usable("s", now))
+
+
+def test_an_upstream_that_leaves_gets_nothing_from_the_same_moment():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one"))
+    directory.put(upstream("two"))
+    directory.put(upstream("one", leaving=True))
+    assert names(directory) == ["two"]
+    assert [item.instance for item in directory.of_service("s")] == ["one", "two"]
+
+
+def test_a_registration_removed_in_calm_times_is_gone_at_once():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one"))
+    directory.remove("one", 10.0, store_in_trouble=False)
+    assert names(directory, 10.0) == []
+
+
+def test_a_registration_lapsed_in_an_outage_is_kept_until_it_should_be_back():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one"))
+    directory.remove("one", 10.0, store_in_trouble=True)
+    assert names(directory, 11.9) == ["one"]
+    assert names(directory, 12.0) == []
+
+
+def test_a_lapsed_registration_that_is_back_in_time_stays():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one"))
+    directory.remove("one", 10.0, store_in_trouble=True)
+    directory.put(upstream("one"))
+    assert names(directory, 60.0) == ["one"]
+
+
+def test_one_that_was_leaving_does_not_come_back_through_an_outage():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one", leaving=True))
+    directory.remove("one", 10.0, store_in_trouble=True)
+    assert list(directory.instances) == []
+
+
+def test_a_whole_reading_drops_what_it_does_not_hold():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one"))
+    directory.put(upstream("two"))
+    directory.replace_all({"two": upstream("two")}, 5.0, store_in_trouble=False)
+    assert names(directory, 5.0) == ["two"]
+    directory.replace_all({}, 6.0, store_in_trouble=True)
+    assert names(directory, 6.5) == ["two"]
+    assert names(directory, 8.1) == []
+
+
+def test_an_address_that_another_upstream_has_ends_the_first_one():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one"))
+    directory.note_replaced("one")
+    assert names(directory) == []
+    directory.put(upstream("one"))
+    assert names(directory) == ["one"]
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,42 @@
+from bluebellrun.gateway._peers import EntryNews, PeerTable, decode_news, encode_news
+
+
+def news(entry, number, running, incarnation="i", version=1):
+    return EntryNews(entry, incarnation, number, version, running)
+
+
+def test_news_survive_the_wire_and_noise_is_no_news():
+    sent = news("e", 3, {"u": 2})
+    assert decode_news(encode_news(sent)) == sent
+    assert decode_news(b"\xc1 noise") is None
+
+
+def test_the_work_of_all_other_entries_adds_up():
+    table = PeerTable("me")
+    table.take(news("a", 1, {"u": 2, "v": 1}), 0.0)
+    table.take(news("b", 1, {"u": 3}), 0.0)
+    table.take(news("me", 1, {"u": 50}), 0.0)
+    assert (table.running("u"), table.running("v"), table.running("w")) == (5, 1, 0)
+
+
+def test_a_datagram_that_was_overtaken_is_dropped():
+    table = PeerTable("me")
+    table.take(news("a", 5, {"u": 1}), 0.0)
+    assert not table.take(news("a", 4, {"u": 9}), 0.1)
+    assert table.running("u") == 1
+
+
+def test_an_entry_that_started_again_counts_from_one():
+    table = PeerTable("me")
+    table.take(news("a", 500, {"u": 9}), 0.0)
+    assert table.take(news("a", 1, {"u": 1}, incarnation="j"), 0.1)
+    assert table.running("u") == 1
+
+
+def test_a_silent_entry_counts_for_nothing():
+    table = PeerTable("me")
+    table.take(news("a", 1, {"u": 4}), 0.0)
+    table.expire(0.9)
+    assert table.running("u") == 4
+    table.expire(1.1)
+    assert table.running("u") == 0
--- /dev/null
+++ b/tests/placement/test_planner.py
@@ -0,0 +1,97 @@
+"""Load patterns: demand for experts that is skewed, moves, or meets a slow rank."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bluebellrun.placement import (
+    PlanSettings,
+    copies_needed,
+    dealt_placement,
+    plan_placement,
+    skew,
+)
+
+LAYERS, RANKS, EXPERTS, SLOTS, MOST_NEW = 2, 6, 24, 6, 3
+SETTINGS = PlanSettings(slots=SLOTS, most_new=MOST_NEW)
+
+
+def skewed_demand(random, layers=LAYERS, experts=EXPERTS, power=1.3):
+    demand = []
+    for _ in range(layers):
+        layer = [1000 / (place + 1) ** power for place in range(experts)]
+        random.shuffle(layer)
+        demand.append(layer)
+    return demand
+
+
+def plan(current, demand, slowness=None, settings=SETTINGS):
+    steps = plan_placement(current, demand, slowness or [1.0] * current.ranks, settings)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            return done.value
+
+
+def plan_until_done(current, demand, slowness=None, settings=SETTINGS, rounds=4):
+    for _ in range(rounds):
+        current = plan(current, demand, slowness, settings).placement
+    return current
+
+
+@given(st.integers(0, 10_000))
+def test_a_plan_places_every_expert_within_the_bounds_of_a_change(seed):
+    random = Random(seed)
+    current = dealt_placement(LAYERS, RANKS, EXPERTS)
+    for _ in range(3):
+        result = plan(current, skewed_demand(random))
+        for before, after in zip(current.layers, result.placement.layers, strict=True):
+            assert set().union(*after) == set(range(EXPERTS))
+            assert all(len(held) <= SLOTS for held in after)
+            assert all(len(new - old) <= MOST_NEW for old, new in zip(before, after, strict=True))
+        assert result.skew_after <= result.skew_before + 1e-9
+        assert result.copies == copies_needed(current, result.placement)
+        current = result.placement
+
+
+def test_skewed_demand_is_evened_out_compared_with_dealt_experts():
+    demand = skewed_demand(Random(7), layers=4, experts=72)
+    settings = PlanSettings(slots=8, most_new=3)
+    dealt = dealt_placement(4, 12, 72)
+    planned = plan_until_done(dealt, demand, settings=settings)
+    even = [1.0] * 12
+    assert skew(dealt, demand, even) > 2.0
+    assert skew(planned, demand, even) <= 1.2
+
+
+def test_demand_that_moves_is_followed_by_the_next_plans():
+    random = Random(3)
+    even = [1.0] * 12
+    settings = PlanSettings(slots=8, most_new=3)
+    current = dealt_placement(4, 12, 72)
+    for _ in range(5):
+        demand = skewed_demand(random, layers=4, experts=72)
+        left_alone = skew(current, demand, even)
+        current = plan_until_done(current, demand, settings=settings, rounds=3)
+        assert skew(current, demand, even) < 0.75 * left_alone
+
+
+def test_a_slow_rank_is_given_less():
+    demand = skewed_demand(Random(9), layers=1, experts=72)
+    settings = PlanSettings(slots=8, most_new=3)
+    slowness = [2.0] + [1.0] * 11
+    planned = plan_until_done(dealt_placement(1, 12, 72), demand, slowness, settings)
+    even = plan_until_done(dealt_placement(1, 12, 72), demand, [1.0] * 12, settings)
+    assert skew(planned, demand, slowness) < 0.8 * skew(even, demand, slowness)
+
+
+def test_even_demand_is_left_alone():
+    current = dealt_placement(LAYERS, RANKS, EXPERTS)
+    assert plan(current, [[5.0] * EXPERTS] * LAYERS).copies == 0
+
+
+def test_no_demand_at_all_is_no_reason_to_copy():
+    current = dealt_placement(LAYERS, RANKS, EXPERTS)
+    assert plan(current, [[0.0] * EXPERTS] * LAYERS).copies == 0
--- /dev/null
+++ b/tests/platform/fake_store.py
@@ -0,0 +1,132 @@
+"""A small stand-in for the platform's store, with the faults that its users name."""
+
+import base64
+import json
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import curio
+
+from bluebellrun.core import Address
+from bluebellrun.http import HttpExchange, HttpLimits, HttpServer
+
+PAGE = 3
+
+
+@dataclass
+class FakeStore:
+    """Keys with revisions, leases without time, and calls that can be refused or lost."""
+
+    items: dict[str, dict[str, Any]] = field(default_factory=dict)
+    events: list[dict[str, Any]] = field(default_factory=list)
+    revision: int = 1
+    compacted: int = 0
+    refuse: int = 0
+    lose_answers: bool = False
+    leases: set[int] = field(default_factory=set)
+    server: HttpServer | None = None
+
+    async def start(self) -> Address:
+        """Serve on loopback."""
+        self.server = HttpServer(Address("127.0.0.1", 0), self.handle, HttpLimits())
+        await curio.spawn(self.server.run, daemon=True)
+        return self.server.address
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write a key."""
+        self.revision += 1
+        created = self.items.get(key, {}).get("created", self.revision)
+        text = base64.b64encode(value).decode()
+        item = {"key": key, "value": text, "rev": self.revision, "created": created, "lease": lease}
+        self.items[key] = item
+        self.events.append(item)
+
+    def delete(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self.events.append({"key": key, "rev": self.revision, "tombstone": True})
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.compacted = self.revision
+        self.events.clear()
+
+    async def handle(self, exchange: HttpExchange) -> None:
+        """Answer a call."""
+        if self.refuse:
+            await exchange.answer_json(self.refuse, {})
+            return
+        url = urlsplit(exchange.request.target)
+        query = {
+            name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()
+        }
+        body = json.loads(exchange.request.body or b"{}")
+        status, answer = await self._answer(url.path, query, body)
+        if self.lose_answers:
+            await curio.sleep(30)
+        await exchange.answer_json(status, answer)
+
+    async def _answer(
+        self, path: str, query: dict[str, str], body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        match path:
+            case "/api/kv-key":
+                item = self.items.get(query["key"])
+                if item is None:
+                    return 404, {"store_revision": self.revision}
+                return 200, {**item, "store_revision": self.revision}
+            case "/api/kv-range":
+                keys = sorted(k for k in self.items if k.startswith(query["prefix"]))
+                keys = [key for key in keys if key > query.get("after", "")]
+                page = [self.items[key] for key in keys[:PAGE]]
+                more = len(keys) > PAGE
+                return 200, {
+                    "items": page,
+                    "has_more": more,
+                    "store_revision": self.revision,
+                }
+            case "/api/kv-watch":
+                return await self._watch(query)
+            case "/api/kv-txn":
+                return self._transact(body)
+            case "/api/kv-lease":
+                self.revision += 1
+                self.leases.add(self.revision)
+                return 200, {"lease": self.revision, "ttl_ms": body["ttl_ms"]}
+        lease = int(path.rpartition("/")[2])
+        if lease not in self.leases:
+            return 404, {}
+        if "lease-end" in path:
+            self.leases.discard(lease)
+            for key in [k for k, item in self.items.items() if item["lease"] == lease]:
+                self.delete(key)
+        return 200, {"ttl_ms": 2000}
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = int(query["after"])
+        for _ in range(int(query["wait_ms"]) // 20):
+            if after < self.compacted:
+                return 410, {}
+            found = [
+                event
+                for event in self.events
+                if event["rev"] > after and event["key"].startswith(query["prefix"])
+            ]
+            if found:
+                return 200, {"events": found, "store_revision": self.revision}
+            await curio.sleep(0.02)
+        return 200, {"events": [], "store_revision": self.revision}
+
+    def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for row in body["expected"]:
+            if self.items.get(row["key"], {}).get("rev", 0) != row["rev"]:
+                return 412, {"items": []}
+        for row in body["set_keys"]:
+            if row["lease"] and row["lease"] not in self.leases:
+                return 404, {}
+            self.put(row["key"], base64.b64decode(row["value"]), row["lease"])
+        for key in body["delete_keys"]:
+            self.delete(key)
+        return 200, {"rev": self.revision}
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,117 @@
+from typing import Any
+
+import curio
+import pytest
+
+from bluebellrun.platform import PlatformStore
+from bluebellrun.store import (
+    CompactedError,
+    Compare,
+    Put,
+    StoreAnswerLostError,
+    StoreTimeouts,
+    StoreUnavailableError,
+)
+from tests.platform.fake_store import FakeStore
+
+
+def play(check: Any, call_s: float = 1.0) -> None:
+    async def main() -> None:
+        fake = FakeStore()
+        store = PlatformStore(await fake.start(), StoreTimeouts(call_s))
+        await check(fake, store)
+
+    curio.run(main)
+
+
+def test_keys_are_written_under_conditions_and_read_back():
+    async def check(fake: FakeStore, store: PlatformStore) -> None:
+        first = await store.transact([Compare("a/1", 0)], [Put("a/1", b"\x00one")])
+        assert first.succeeded
+        assert not (await store.transact([Compare("a/1", 0)], [Put("a/1", b"two")])).succeeded
+        (item,) = (await store.get("a/1")).items
+        assert (item.value, item.mod_revision) == (b"\x00one", first.revision)
+        await store.transact([Compare("a/1", first.revision)], [Put("a/1", None)])
+        assert (await store.get("a/1")).items == ()
+
+    play(check)
+
+
+def test_a_prefix_is_read_over_all_pages():
+    async def check(fake: FakeStore, store: PlatformStore) -> None:
+        for number in range(8):
+            fake.put(f"a/{number}", b"x")
+        snapshot = await store.read_prefix("a/")
+        assert [item.key for item in snapshot.items] == [f"a/{number}" for number in range(8)]
+
+    play(check)
+
+
+def test_a_watch_gives_writes_and_removals_in_order():
+    async def check(fake: FakeStore, store: PlatformStore) -> None:
+        watch = await store.watch("a/", fake.revision + 1)
+        fake.put("a/1", b"x")
+        fake.put("b/1", b"x")
+        fake.delete("a/1")
+        events = await watch.next()
+        assert [(event.key, event.value) for event in events] == [("a/1", b"x"), ("a/1", None)]
+
+    play(check)
+
+
+def test_a_watch_whose_history_is_gone_says_so():
+    async def check(fake: FakeStore, store: PlatformStore) -> None:
+        fake.put("a/1", b"x")
+        fake.compact()
+        watch = await store.watch("a/", 1)
+        with pytest.raises(CompactedError):
+            await watch.next()
+
+    play(check)
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_a_refused_call_has_no_effect(status):
+    async def check(fake: FakeStore, store: PlatformStore) -> None:
+        fake.refuse = status
+        with pytest.raises(StoreUnavailableError):
+            await store.transact([], [Put("a", b"x")])
+        assert fake.items == {}
+
+    play(check)
+
+
+def test_a_write_whose_answer_is_lost_may_have_taken_effect():
+    async def check(fake: FakeStore, store: PlatformStore) -> None:
+        fake.lose_answers = True
+        with pytest.raises(StoreAnswerLostError):
+            await store.transact([], [Put("a", b"x")])
+        assert "a" in fake.items
+        with pytest.raises(StoreUnavailableError):
+            await store.get("a")
+
+    play(check, call_s=0.2)
+
+
+def test_an_ended_lease_cannot_be_renewed():
+    async def check(fake: FakeStore, store: PlatformStore) -> None:
+        lease = await store.grant_lease(2)
+        await store.transact([], [Put("a", b"x", lease)])
+        assert await store.keep_alive(lease) > 0
+        await store.revoke_lease(lease)
+        assert await store.keep_alive(lease) == 0
+        assert fake.items == {}
+
+    play(check)
+
+
+def test_bytes_that_are_no_answer_are_an_error_of_their_own():
+    async def check(fake: FakeStore, store: PlatformStore) -> None:
+        async def answer(*_: Any) -> tuple[int, Any]:
+            return 200, ["no", "item"]
+
+        fake._answer = answer  # type: ignore[method-assign]
+        with pytest.raises(StoreAnswerLostError, match="cannot be read"):
+            await store.transact([], [Put("a", b"x")])
+
+    play(check)
--- /dev/null
+++ b/tests/platform/test_view.py
@@ -0,0 +1,133 @@
+"""What the gateway knows from the store, through everything that can go wrong with it."""
+
+import json
+from random import Random
+from typing import Any
+
+import curio
+
+from bluebellrun.core import MonotonicClock
+from bluebellrun.gateway import StoreView, UpstreamDirectory
+from bluebellrun.platform import PlatformCatalogue, PlatformStore
+from bluebellrun.store import StoreTimeouts
+from tests.platform.fake_store import FakeStore
+
+
+def registration(state: str = "ready", **more: Any) -> bytes:
+    fields = {"service": "s", "addr": "10.0.0.1:80", "zone": "a", "state": state, "slots": 6}
+    return json.dumps({**fields, **more}).encode()
+
+
+def configuration(version: int) -> bytes:
+    return json.dumps({"version": version, "routes": [], "services": []}).encode()
+
+
+class Watched:
+    """A view of a fake store."""
+
+    def __init__(self) -> None:
+        self.fake = FakeStore()
+        self.directory = UpstreamDirectory()
+        self.versions: list[int] = []
+        self.view: StoreView | None = None
+
+    async def start(self) -> None:
+        store = PlatformStore(await self.fake.start(), StoreTimeouts(0.5))
+        clock = MonotonicClock()
+        self.view = StoreView(
+            store, PlatformCatalogue(), self.directory, self.take, clock, Random(1)
+        )
+        await curio.spawn(self.view.run, daemon=True)
+
+    def take(self, deployment: Any) -> bool:
+        self.versions.append(deployment.version)
+        return True
+
+    async def until(self, holds: Any) -> None:
+        async with curio.timeout_after(3):
+            while not holds():
+                await curio.sleep(0.02)
+
+    def usable(self) -> list[str]:
+        return sorted(u.instance for u in self.directory.usable("s", MonotonicClock().now()))
+
+
+def play(check: Any) -> None:
+    async def main() -> None:
+        watched = Watched()
+        await check(watched)
+
+    curio.run(main)
+
+
+def test_changes_are_in_force_at_once():
+    async def check(watched: Watched) -> None:
+        watched.fake.put("op/config", configuration(3))
+        watched.fake.put("servers/i1", registration())
+        await watched.start()
+        await watched.until(lambda: watched.versions == [3] and watched.usable() == ["i1"])
+        watched.fake.put("op/config", configuration(9))
+        watched.fake.put("servers/i2", registration())
+        await watched.until(lambda: watched.versions == [3, 9])
+        await watched.until(lambda: watched.usable() == ["i1", "i2"])
+        watched.fake.put("servers/i1", registration("draining"))
+        await watched.until(lambda: watched.usable() == ["i2"])
+        watched.fake.delete("servers/i2")
+        await watched.until(lambda: watched.usable() == [])
+
+    play(check)
+
+
+def test_what_other_writers_left_names_no_upstream():
+    async def check(watched: Watched) -> None:
+        for number, garbage in enumerate(
+            [
+                b"\xff\x00",
+                b"[]",
+                registration("resting"),
+                registration(slots="many"),
+                registration(slots=0),
+                registration(addr="nowhere"),
+                json.dumps({"service": "s"}).encode(),
+            ]
+        ):
+            watched.fake.put(f"servers/g{number}", garbage)
+        watched.fake.put("servers/good", registration())
+        watched.fake.put("op/config", b"{broken")
+        await watched.start()
+        await watched.until(lambda: watched.usable() == ["good"])
+        watched.fake.put("servers/good", b"garbage now")
+        await watched.until(lambda: watched.usable() == [])
+        assert watched.versions == []
+
+    play(check)
+
+
+def test_history_that_is_dropped_is_made_up_by_reading_all_again():
+    async def check(watched: Watched) -> None:
+        watched.fake.put("servers/i1", registration())
+        await watched.start()
+        await watched.until(lambda: watched.usable() == ["i1"])
+        watched.fake.refuse = 503
+        await curio.sleep(0.1)
+        watched.fake.put("servers/i2", registration())
+        watched.fake.delete("servers/i1")
+        watched.fake.compact()
+        watched.fake.refuse = 0
+        await watched.until(lambda: "i2" in watched.usable())
+        await watched.until(lambda: watched.usable() == ["i2"])
+
+    play(check)
+
+
+def test_own_records_are_known_until_they_are_removed():
+    async def check(watched: Watched) -> None:
+        watched.fake.put("bluebellrun/entries/e1", b"10.0.0.1:7000")
+        await watched.start()
+        assert watched.view is not None
+        view = watched.view
+        await watched.until(lambda: len(view.records_below("bluebellrun/entries/")) == 1)
+        watched.fake.delete("bluebellrun/entries/e1")
+        await watched.until(lambda: view.record("bluebellrun/entries/e1") is None)
+
+    play(check)
--- /dev/null
+++ b/tests/telemetry/test_serving.py
@@ -0,0 +1,53 @@
+import os
+import time
+
+from bluebellrun.telemetry import BoundedOutput
+
+
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    return reader, writer
+
+
+def test_a_reader_that_does_not_read_never_holds_a_line_up():
+    reader, writer = pipe()
+    output = BoundedOutput(writer)
+    line = "x" * 1_000 + "\n"
+    began = time.monotonic()
+    for _ in range(300):
+        output.write(line)
+    assert time.monotonic() - began < 0.5
+    assert output.left_out > 0
+    os.set_blocking(reader, False)
+    read = os.read(reader, 1_000_000)
+    output.write("after\n")
+    read += os.read(reader, 1_000_000)
+    assert b'"lines left out"' in read
+    assert read.endswith(b"after\n")
+
+
+def test_lines_are_never_torn_by_a_slow_reader():
+    reader, writer = pipe()
+    output = BoundedOutput(writer)
+    for number in range(200):
+        output.write(f"{number}:" + "y" * 997 + "\n")
+    os.set_blocking(reader, False)
+    read = b""
+    for _ in range(5):
+        try:
+            read += os.read(reader, 1_000_000)
+        except BlockingIOError:
+            break
+        output.flush()
+    for line in read.decode().splitlines()[:-1]:
+        assert line.endswith("y" * 997) or "left out" in line
+
+
+def test_a_flood_of_lines_is_cut_to_the_rate():
+    reader, writer = pipe()
+    output = BoundedOutput(writer)
+    for _ in range(5_000):
+        output.write("z\n")
+    assert os.read(reader, 1_000_000).count(b"\n") < 600
+    assert output.left_out > 4_000
