Send a lost order again in time, load only what each program translates

A relay now says within 50 ms that its engine did not answer, and maps are armed further ahead while orders are lost.

--- a/bluebellrun/gateway/_expert_maps.py
+++ b/bluebellrun/gateway/_expert_maps.py
@@ -52,6 +52,9 @@
 GAIN_PER_COPY = 0.0008
 # Upstreams whose registration is gone are asked on for so long: they may still be ranks.
 REMEMBERED_S = 15.0
+# While orders are lost a map is armed further ahead, so that they can be sent again in time.
+ORDERS_LOST_S = 5.0
+CAREFUL_CHANGE = ChangeSettings(margin_steps=5)
 # Versions of one holder of the role: below its fencing number times this, plus this.
 VERSIONS_PER_HOLDER = 1_000
 
@@ -132,6 +135,7 @@
         self._read_at = 0.0
         self._planned_at = 0.0
         self._all_read_at = 0.0
+        self._order_lost_at = -ORDERS_LOST_S
         self._epoch: tuple[str, int] | None = None
         self._claimed: set[int] = set()
         self._current: Placement | None = None
@@ -378,8 +382,8 @@
             return
         self._planned_at = time.monotonic()
         slowness = [self._states[rank].slowness for rank in sorted(self._states)]
-        settings = PlanSettings(slots=sizes.slots, most_new=sizes.most_new)
-        steps = plan_placement(self._current, self._demand.demand(), slowness, settings)
+        bounds = PlanSettings(slots=sizes.slots, most_new=sizes.most_new)
+        steps = plan_placement(self._current, self._demand.demand(), slowness, bounds)
         while True:
             try:
                 next(steps)
@@ -402,7 +406,10 @@
             return
         self._changes += 1
         version = fencing * VERSIONS_PER_HOLDER + self._changes
-        self._change = PlacementChange(version, plan.placement, ChangeSettings(), time.monotonic())
+        now = time.monotonic()
+        careful = now - self._order_lost_at < ORDERS_LOST_S
+        settings = CAREFUL_CHANGE if careful else ChangeSettings()
+        self._change = PlacementChange(version, plan.placement, settings, now)
 
     async def _give(
         self, orders: list[tuple[int, RankOrder]], fencing: int
@@ -419,6 +426,7 @@
                 self._forget(self._ranks[rank].instance)
                 return
             except RankCallError as error:
+                self._order_lost_at = time.monotonic()
                 _log.info("order not answered", rank=rank, reason=str(error))
                 return
             if replies[rank] is OrderReply.CONFLICT:
--- a/bluebellrun/placement/_change.py
+++ b/bluebellrun/placement/_change.py
@@ -81,7 +81,7 @@
     """
 
     prepare_timeout_s: float = 4.0
-    resend_s: float = 0.12
+    resend_s: float = 0.04
     margin_steps: int = 2
     most_margin_steps: int = 64
 
@@ -167,7 +167,7 @@
         if self._placement is None or now - self._began > self._settings.prepare_timeout_s:
             self._failed = True
             return []
-        return self._send(ranks, PrepareMap(self._version, self._placement), now, 4)
+        return self._send(ranks, PrepareMap(self._version, self._placement), now, 5)
 
     def _switch(self, states: Mapping[int, RankState], now: float) -> list[tuple[int, RankOrder]]:
         """Hold a pass, arm all ranks for it, release it."""
--- a/bluebellrun/platform/__init__.py
+++ b/bluebellrun/platform/__init__.py
@@ -1,15 +1,30 @@
-"""The users' platform: its names and messages, translated to and from the product's types."""
+"""The users' platform: its names and messages, translated to and from the product's types.
 
+Each program loads only the translations it uses.
+"""
+
+import importlib
 import os
 from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
-from bluebellrun.platform._catalogue import OWN_PREFIX, PlatformCatalogue
-from bluebellrun.platform._engine import EngineCalls
-from bluebellrun.platform._messages import PlatformWire
-from bluebellrun.platform._names import READY_PATH, SETTINGS_FILE_VARIABLE
-from bluebellrun.platform._relay import EngineRelay
+from bluebellrun.platform._names import OWN_PREFIX, READY_PATH, SETTINGS_FILE_VARIABLE
 from bluebellrun.platform._settings import SettingsError, read_settings
-from bluebellrun.platform._store import PlatformStore
+
+if TYPE_CHECKING:
+    from bluebellrun.platform._catalogue import PlatformCatalogue
+    from bluebellrun.platform._engine import EngineCalls
+    from bluebellrun.platform._messages import PlatformWire
+    from bluebellrun.platform._relay import EngineRelay
+    from bluebellrun.platform._store import PlatformStore
+
+_LOADED_AT_FIRST_USE = {
+    "EngineCalls": "_engine",
+    "EngineRelay": "_relay",
+    "PlatformCatalogue": "_catalogue",
+    "PlatformStore": "_store",
+    "PlatformWire": "_messages",
+}
 
 __all__ = [
     "OWN_PREFIX",
@@ -25,6 +40,14 @@
 ]
 
 
+def __getattr__(name: str) -> Any:
+    """Load a translation at its first use."""
+    module = _LOADED_AT_FIRST_USE.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
+
+
 def settings_path() -> Path:
     """Return the path of this process's settings file; raise ``SettingsError`` without one."""
     path = os.environ.get(SETTINGS_FILE_VARIABLE)
--- a/bluebellrun/platform/_catalogue.py
+++ b/bluebellrun/platform/_catalogue.py
@@ -9,11 +9,9 @@
     UpstreamWritten,
 )
 from bluebellrun.platform._configuration import ConfigurationError, read_configuration
-from bluebellrun.platform._names import CONFIGURATION_KEY, UPSTREAM_KEY_PREFIX
+from bluebellrun.platform._names import CONFIGURATION_KEY, OWN_PREFIX, UPSTREAM_KEY_PREFIX
 from bluebellrun.platform._registrations import RegistrationError, read_registration
 
-OWN_PREFIX = "bluebellrun/"
-
 
 class PlatformCatalogue:
     """Where things lie in the platform's store."""
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -26,6 +26,7 @@
 
 OK = 200
 MISDIRECTED = 421
+GATEWAY_TIMEOUT = 504
 # Calls within a region take a few milliseconds; a rank that leaves an order unanswered is asked
 # again soon, as the group may be waiting.
 CONNECT_TIMEOUT_S = 0.15
@@ -40,6 +41,10 @@
 _log = get_logger("engine-calls")
 
 
+class _NoAnswerError(RankCallError):
+    """The process beside an engine says that the engine did not answer."""
+
+
 class _Group(msgspec.Struct):
     """The group that a rank belongs to."""
 
@@ -174,6 +179,8 @@
             client = self._client(self._relays, instance, beside)
             try:
                 return await self._fetch(client, upstream, method, target, body, RELAY_TIMEOUT_S)
+            except (RankReplacedError, _NoAnswerError):
+                raise
             except RankCallError as error:
                 self._avoided_until[instance] = time.monotonic() + RELAY_AVOIDED_S
                 _log.info("engine called directly", upstream=instance, reason=str(error))
@@ -202,6 +209,8 @@
             raise RankCallError(f"{upstream.instance}: {error}") from error
         if status == MISDIRECTED:
             raise RankReplacedError(f"another upstream has the address of {upstream.instance}")
+        if status == GATEWAY_TIMEOUT:
+            raise _NoAnswerError(f"{upstream.instance} left {target} unanswered")
         if method == "GET" and status != OK:
             raise RankCallError(f"{upstream.instance} answered {status} to {target}")
         return status, data
--- a/bluebellrun/platform/_names.py
+++ b/bluebellrun/platform/_names.py
@@ -30,4 +30,6 @@
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_KEY_PREFIX = "servers/"
+# The project's own keys lie below this one.
+OWN_PREFIX = "bluebellrun/"
 SETTINGS_FILE_VARIABLE = "BLUEBELLRUN_NODE_FILE"
--- a/bluebellrun/platform/_relay.py
+++ b/bluebellrun/platform/_relay.py
@@ -12,10 +12,11 @@
 from bluebellrun.telemetry import get_logger
 
 NOT_FOUND = 404
-BAD_GATEWAY = 502
-CONNECT_TIMEOUT_S = 0.2
-# An engine that leaves a call unanswered for so long has not taken it in time.
-CALL_TIMEOUT_S = 1.0
+GATEWAY_TIMEOUT = 504
+CONNECT_TIMEOUT_S = 0.05
+# An engine answers its own host in a few milliseconds; one that leaves a call unanswered for so
+# long is asked again, as its group may be waiting.
+CALL_TIMEOUT_S = 0.05
 PASSED_ON = frozenset({("GET", REPORT_PATH), ("GET", PICKED_PATH), ("POST", ORDER_PATH)})
 
 _log = get_logger("engine-relay")
@@ -47,7 +48,7 @@
             body = await response.read_all(CALL_TIMEOUT_S)
         except TransportError as error:
             _log.warning("engine did not answer", call=request.path, reason=str(error))
-            exchange.abort()
+            await exchange.answer_json(GATEWAY_TIMEOUT, {"detail": str(error)})
             return
         answer = [(k, v) for k, v in end_to_end(response.headers) if k != "content-length"]
         await exchange.answer(response.status, answer, body)
