--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from collections.abc import Callable
 from random import Random
 
 import curio
@@ -34,17 +35,29 @@
 # Entries taken to share the budget of further sends until the register has been read.
 ASSUMED_ENTRIES = 6
 
+# Called with the service, the outcome's name, the status, the sends, the seconds that the request
+# took and those to the first byte of its answer, none where there was no answer's body.
+NoteRequest = Callable[[str, str, int, int, float, float | None], None]
+
 _log = get_logger("gateway")
 
 
 class Gateway:
     """Route, authenticate and relay requests; times in seconds of the monotonic clock."""
 
-    def __init__(self, settings: HostSettings, fleet: Fleet, wire: Wire, random: Random) -> None:
+    def __init__(
+        self,
+        settings: HostSettings,
+        fleet: Fleet,
+        wire: Wire,
+        random: Random,
+        note_request: NoteRequest | None = None,
+    ) -> None:
         self._settings = settings
         self._fleet = fleet
         self._wire = wire
         self._random = random
+        self._note_request = note_request
         self._deployment: Deployment | None = None
         self._budgets: dict[str, SendBudget] = {}
         self._gates: dict[str, ServiceGate] = {}
@@ -194,6 +207,24 @@
             case BrokenOff(reason, sends):
                 _log.info("broken off", reason=reason, sends=sends, **fields)
                 exchange.abort()
+        self._count(exchange, request, service, result, took_s)
+
+    def _count(
+        self,
+        exchange: HttpExchange,
+        request: CallerRequest,
+        service: str,
+        result: Result,
+        took_s: float,
+    ) -> None:
+        """Count a request that ended."""
+        if self._note_request is None:
+            return
+        sends = 0 if isinstance(result, Refused) else result.sends
+        first = exchange.first_body_at
+        first_byte_s = None if first is None else first - request.received
+        outcome = type(result).__name__.lower()
+        self._note_request(service, outcome, exchange.status, sends, took_s, first_byte_s)
 
     async def _refuse(
         self, exchange: HttpExchange, request_id: str, refused: Route | Refused
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from bluebellrun.core import Address, BootClock, MonotonicClock, new_incarnation
+from bluebellrun.core import Address, BootClock, Clock, MonotonicClock, new_incarnation
 from bluebellrun.deployment import Deployment, HostSettings
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._expert_maps import ExpertMaps
@@ -34,7 +34,7 @@
 )
 from bluebellrun.runtime import StopSignals, spawn_background
 from bluebellrun.store import StoreTimeouts
-from bluebellrun.telemetry import configure_serving_logs, get_logger
+from bluebellrun.telemetry import ServingMetrics, configure_serving_logs, get_logger
 
 EXIT_BAD_SETTING = 2
 OK = 200
@@ -42,6 +42,9 @@
 UNAVAILABLE = 503
 # Answers of a slow store take a quarter of a second; a caller's time to be served is a few.
 STORE_CALL_S = 1.5
+# The address of the metrics, as the deploy file names it.
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
 # The role of the process that keeps the expert maps.
 PLACEMENT_ROLE = "placement"
 # Upstreams that are gone are forgotten this often.
@@ -73,6 +76,39 @@
     return handle
 
 
+def _texts(metrics: ServingMetrics) -> HttpHandler:
+    """Return a handler that gives the metrics as text."""
+
+    async def handle(exchange: HttpExchange) -> None:
+        if exchange.request.path != METRICS_PATH:
+            await exchange.answer_json(NOT_FOUND, {"detail": f"only {METRICS_PATH} is here"})
+            return
+        await exchange.answer(OK, [("content-type", "text/plain; version=0.0.4")], metrics.text())
+
+    return handle
+
+
+def _show(
+    metrics: ServingMetrics, gateway: Gateway, view: StoreView, clock: Clock, role: PlacementRole
+) -> None:
+    """Show what the process believes."""
+
+    def version() -> float:
+        return 0 if gateway.deployment is None else gateway.deployment.version
+
+    def silence_s() -> float:
+        return -1.0 if view.confirmed_at is None else clock.now() - view.confirmed_at
+
+    metrics.gauge("bluebellrun_in_progress", "Requests in progress", lambda: gateway.in_progress)
+    metrics.gauge("bluebellrun_configuration_version", "Configuration in force", version)
+    metrics.gauge("bluebellrun_store_silence_seconds", "Seconds since the store spoke", silence_s)
+    metrics.gauge(
+        "bluebellrun_keeps_maps",
+        "1 if this process keeps the expert maps",
+        lambda: float(role.lease() is not None),
+    )
+
+
 async def _tidy(fleet: Fleet, gateway: Gateway, gossip: Gossip) -> None:
     """Forget upstreams that are gone and count the entries, for as long as the process runs."""
     while True:
@@ -89,7 +125,8 @@
     directory = UpstreamDirectory()
     table = PeerTable(settings.host)
     fleet = Fleet(directory, settings.failure_domain, random, table.running)
-    gateway = Gateway(settings, fleet, PlatformWire(), random)
+    metrics = ServingMetrics()
+    gateway = Gateway(settings, fleet, PlatformWire(), random, metrics.note_request)
     if settings.callers is None or settings.readiness is None:
         raise SettingsError("no address for callers or readiness; run the role where both are set")
     server = HttpServer(settings.callers, gateway.handle, HttpLimits())
@@ -121,7 +158,17 @@
     gossip = Gossip(inner, entry_key, store, view, table, news)
     lifecycle = Lifecycle(gateway, server, settings.bounds)
     readiness = HttpServer(settings.readiness, _readiness(lambda: lifecycle.ready), HttpLimits())
-    for task in (view.run, server.run, readiness.run, role.run, maps.run, gossip.run):
+    _show(metrics, gateway, view, clock, role)
+    collectors = HttpServer(Address(settings.ip, METRICS_PORT), _texts(metrics), HttpLimits())
+    for task in (
+        view.run,
+        server.run,
+        readiness.run,
+        role.run,
+        maps.run,
+        gossip.run,
+        collectors.run,
+    ):
         await spawn_background(task)
     await spawn_background(gossip.keep_registered)
     await spawn_background(_tidy, fleet, gateway, gossip)
