Tell a broken group by refusals of ranks with free places

Cause: a rank of a broken group names itself as the one at fault, as a full one does, so no outage was ever noticed: every request asked two ranks, and callers came back in mid-outage. Two ranks in a row that refuse with free places are an outage; services whose upstreams fail one by one have none. Ruled out: At-Server as a sign.

--- a/bluebellrun/admission/_service_gate.py
+++ b/bluebellrun/admission/_service_gate.py
@@ -12,21 +12,31 @@
 class GateSettings:
     """Times in seconds.
 
-    An outage is over once a request is taken up, or unproven after ``forgotten_s`` without a
-    refusal. It usually lasts ``usual_outage_s``: a stall, then the forming of the group.
+    An outage is taken for one when ``refusals`` upstreams in a row refuse work although they have
+    free places. It is over once a request is taken up, or unproven after ``forgotten_s`` without
+    a refusal. It usually lasts ``usual_outage_s`` from then on: hosts come back within a few
+    seconds, then the group forms again. Callers come back later than ``least_retry_s`` at least,
+    and than ``least_outage_retry_s`` in an outage: many have one more try only.
     """
 
-    usual_outage_s: float = 2.2
+    refusals: int = 2
+    usual_outage_s: float = 3.0
     forgotten_s: float = 1.0
     probe_interval_s: float = 0.15
     least_retry_s: float = 0.6
+    least_outage_retry_s: float = 1.0
 
 
 class ServiceGate:
-    """Follow the refusals of one service; times in seconds."""
+    """Follow the refusals of one service; times in seconds.
 
-    def __init__(self, settings: GateSettings) -> None:
+    Without ``shares_fate`` the upstreams fail one by one, and all requests are admitted.
+    """
+
+    def __init__(self, settings: GateSettings, shares_fate: bool = True) -> None:
         self._settings = settings
+        self._shares_fate = shares_fate
+        self._refusals = 0
         self._since: float | None = None
         self._refused_at = 0.0
         self._probed_at = 0.0
@@ -36,7 +46,7 @@
         if self._since is None:
             return False
         if now - self._refused_at > self._settings.forgotten_s:
-            self._since = None
+            self.note_taken_up()
             return False
         return True
 
@@ -49,19 +59,23 @@
         self._probed_at = now
         return True
 
-    def note_outage(self, now: float) -> None:
-        """Note that an upstream refused because of another one, or could not be reached."""
-        if not self.out_of_order(now):
-            self._since = now
+    def note_refusal(self, now: float) -> None:
+        """Note that an upstream refused work although it has free places, or is gone."""
+        if not self._shares_fate:
+            return
+        self._refusals += 1
         self._refused_at = now
+        if self._refusals >= self._settings.refusals and self._since is None:
+            self._since = now
 
     def note_taken_up(self) -> None:
         """Note that an upstream took up a request."""
         self._since = None
+        self._refusals = 0
 
     def retry_after_s(self, now: float) -> float:
         """Return when a refused request should come back."""
         settings = self._settings
         if self._since is None:
             return settings.least_retry_s
-        return max(settings.least_retry_s, self._since + settings.usual_outage_s - now)
+        return max(settings.least_outage_retry_s, self._since + settings.usual_outage_s - now)
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -252,7 +252,13 @@
 
     def _gate(self, service: str) -> ServiceGate:
         """Return what is known of a service's outages."""
-        return self._gates.setdefault(service, ServiceGate(GateSettings()))
+        gate = self._gates.get(service)
+        if gate is None:
+            terms = None if self._deployment is None else self._deployment.services.get(service)
+            engine = None if terms is None else terms.engine
+            shares_fate = engine is not None and engine.experts is not None
+            gate = self._gates[service] = ServiceGate(GateSettings(), shares_fate)
+        return gate
 
     def _budget(self, service: str) -> SendBudget:
         """Return the budget of further sends of a service."""
--- a/bluebellrun/gateway/_models.py
+++ b/bluebellrun/gateway/_models.py
@@ -63,15 +63,13 @@
     """The head of an upstream's answer; ``headers`` are those the caller gets.
 
     With ``not_run`` the upstream promises that the request did not run. With ``misdirected``
-    another upstream has its address by now. ``at_fault`` is the address that it blames for not
-    running the request, if it names one.
+    another upstream has its address by now.
     """
 
     status: int
     headers: Headers
     not_run: bool = False
     misdirected: bool = False
-    at_fault: str | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -61,7 +61,7 @@
 
     reason: str
     unreachable: bool = False
-    outage: bool = False
+    had_places: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +143,7 @@
         """Send the request until it is settled."""
         if not self._gate.admits(time.monotonic()):
             return self._refusal(f"service {self._service!r} is out of order")
-        outcome: _Outcome = _Declined(f"service {self._service!r} has no upstream", outage=True)
+        outcome: _Outcome = _Declined(f"service {self._service!r} has no upstream", had_places=True)
         while True:
             now = time.monotonic()
             upstream = self._fleet.choose(self._service, self._excluded, now)
@@ -195,10 +195,7 @@
             case _Failed(answer, body):
                 await self._exchange.answer(answer.status, answer.headers, body)
                 return Answered(answer.status, "", self._sends)
-            case _Declined(reason, outage=outage):
-                if outage:
-                    self._gate.note_outage(time.monotonic())
-            case _Lost(reason):
+            case _Declined(reason) | _Lost(reason):
                 pass
             case _Done(status):
                 return Answered(status, "", self._sends)
@@ -233,11 +230,11 @@
         """Keep account of what became of a send."""
         now = time.monotonic()
         match outcome:
-            case _Declined(reason, unreachable, outage):
+            case _Declined(reason, unreachable, had_places):
                 if unreachable:
                     self._fleet.note_unreachable(upstream.instance, now)
-                if outage:
-                    self._gate.note_outage(now)
+                if had_places:
+                    self._gate.note_refusal(now)
             case _Lost(reason):
                 self._fleet.note_result(upstream.instance, True, now - started, now)
             case _Failed(answer, _):
@@ -297,9 +294,9 @@
             if answer.misdirected:
                 self._fleet.directory.note_replaced(upstream.instance)
             self._refusals += not answer.misdirected
-            blamed = answer.at_fault
-            outage = blamed is not None and blamed != str(upstream.address)
-            return _Declined(f"upstream answered {answer.status}: not run", outage=outage)
+            running = self._fleet.running(upstream.instance)
+            had_places = not answer.misdirected and running <= upstream.slots
+            return _Declined(f"upstream answered {answer.status}: not run", had_places=had_places)
         self._gate.note_taken_up()
         if self._route.streamed and answer.succeeded:
             return await self._pass_stream(upstream, answer, response)
--- a/bluebellrun/platform/_messages.py
+++ b/bluebellrun/platform/_messages.py
@@ -3,7 +3,6 @@
 from bluebellrun.gateway import Attempt, BadRequestError, CallerRequest, UpstreamAnswer
 from bluebellrun.http import AcceptResponse, Headers, HttpRequest, end_to_end, header_value
 from bluebellrun.platform._names import (
-    AT_SERVER,
     DEADLINE_MS,
     EXPECT_INSTANCE,
     EXPECT_VERSION,
@@ -96,7 +95,6 @@
             headers=[(k, v) for k, v in end_to_end(headers) if k != "content-length"],
             not_run=status == MISDIRECTED or header_value(headers, NOT_RUN) is not None,
             misdirected=status == MISDIRECTED,
-            at_fault=header_value(headers, AT_SERVER),
         )
 
     def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
--- a/bluebellrun/platform/_names.py
+++ b/bluebellrun/platform/_names.py
@@ -13,7 +13,6 @@
 TOKEN_COUNT = "x-bluebellrun-token-count"
 LENGTH_HINT = "x-bluebellrun-length-hint"
 LAST_EVENT_ID = "last-event-id"
-AT_SERVER = "at-server"
 RETRY_AFTER = "retry-after"
 
 READY_PATH = "/api/ready"
