Refuse at once what would be late, the less urgent first

A request is refused when the places of all entries are taken for longer than a part of its objective; the part halves with each priority.

--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -10,6 +10,7 @@
     Refusal,
     Work,
 )
+from bluebellrun.admission._places import Places, PlacesAdmission, PlacesSettings
 from bluebellrun.admission._registry import ADMISSION_POLICIES, make_admission
 from bluebellrun.admission._service_gate import GateSettings, ServiceGate
 
@@ -20,6 +21,9 @@
     "FairAdmission",
     "FifoAdmission",
     "GateSettings",
+    "Places",
+    "PlacesAdmission",
+    "PlacesSettings",
     "PriorityTarget",
     "Refusal",
     "ServiceGate",
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from bluebellrun.admission import Places
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._models import Upstream
 from bluebellrun.http import ClientTimeouts, HttpClient
@@ -60,11 +61,12 @@
         chosen = self._routing.choose(works)
         return None if chosen is None else self._directory.find(chosen.name)
 
-    def places(self, service: str, now: float) -> tuple[int, int]:
-        """Return the places of a service's upstreams and how many of them are taken."""
+    def places(self, service: str, now: float) -> Places:
+        """Return the places of a service and how many requests have or await one."""
         usable = self._directory.usable(service, now)
-        taken = sum(min(item.slots, self.running(item.instance)) for item in usable)
-        return sum(item.slots for item in usable), taken
+        usual_s, _ = self._averages(usable)
+        taken = sum(self.running(item.instance) for item in usable)
+        return Places(sum(item.slots for item in usable), taken, usual_s)
 
     def running(self, instance: str) -> int:
         """Return the requests that all entries have at an upstream."""
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from bluebellrun.admission import GateSettings, ServiceGate
+from bluebellrun.admission import GateSettings, PlacesAdmission, PlacesSettings, ServiceGate
 from bluebellrun.deployment import Deployment, HostSettings, Route
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._models import (
@@ -60,6 +60,7 @@
         self._note_request = note_request
         self._deployment: Deployment | None = None
         self._budgets: dict[str, SendBudget] = {}
+        self._admission = PlacesAdmission(PlacesSettings())
         self._gates: dict[str, ServiceGate] = {}
         self._entries = ASSUMED_ENTRIES
         self._in_progress = 0
@@ -156,6 +157,7 @@
             self._wire,
             self._budget(service),
             self._gate(service),
+            self._admission,
             ends_at,
         )
         result: Result
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from bluebellrun.admission import ServiceGate
+from bluebellrun.admission import PlacesAdmission, ServiceGate
 from bluebellrun.deployment import Deployment, Route
 from bluebellrun.gateway._events import EventSplitter
 from bluebellrun.gateway._fleet import Fleet
@@ -104,6 +104,7 @@
         wire: Wire,
         budget: SendBudget,
         gate: ServiceGate,
+        admission: PlacesAdmission,
         ends_at: float,
     ) -> None:
         self._exchange = exchange
@@ -116,6 +117,7 @@
         self._wire = wire
         self._budget = budget
         self._gate = gate
+        self._admission = admission
         self._ends_at = ends_at
         self._sends = 0
         self._runs = 0
@@ -143,6 +145,10 @@
         """Send the request until it is settled."""
         if not self._gate.admits(time.monotonic()):
             return self._refusal(f"service {self._service!r} is out of order")
+        places = self._fleet.places(self._service, time.monotonic())
+        if not self._admission.admits(places, self._urgency, self._route.objective_s):
+            reason = f"{places.taken} requests for {places.total} places: it would be late"
+            return Refused(UNAVAILABLE, reason, self._admission.retry_after_s(places))
         outcome: _Outcome = _Declined(f"service {self._service!r} has no upstream", had_places=True)
         while True:
             now = time.monotonic()
