Learn from another entry what the store says, tell a lapse from a removal

Found beside it: opening a watch counted as contact with the store without a call, so an outage was never noticed and registrations that lapsed with it were dropped at once. With that call taken out again three tests of the store client fail. Ruled out: a slow watch on the other entries (they had the version within 20 ms).

--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -10,15 +10,17 @@
 
 
 class EntryNews(msgspec.Struct, frozen=True, array_like=True):
-    """One entry's news: its requests at each upstream, and the configuration it has in force.
+    """One entry's news: its requests at each upstream, and how it stands with the store.
 
-    ``number`` grows with each message of one ``incarnation``.
+    ``number`` grows with each message of one ``incarnation``. ``address`` is where it tells what
+    it read from the store, and ``silence_s`` how long ago it heard the store, in seconds.
     """
 
     entry: str
     incarnation: str
     number: int
-    version: int
+    address: str
+    silence_s: float
     running: dict[str, int]
 
 
@@ -58,10 +60,10 @@
         self._heard: dict[str, _Heard] = {}
         self._running: dict[str, int] = {}
 
-    @property
-    def newest_version(self) -> int:
-        """Return the newest configuration that any entry has in force."""
-        return max((heard.news.version for heard in self._heard.values()), default=0)
+    def best_informed(self) -> EntryNews | None:
+        """Return the news of the entry that heard the store last, or none."""
+        news = (heard.news for heard in self._heard.values())
+        return min(news, key=lambda item: item.silence_s, default=None)
 
     def take(self, news: EntryNews, now: float) -> bool:
         """Take an entry's news; return false for old news."""
--- a/bluebellrun/gateway/_store_view.py
+++ b/bluebellrun/gateway/_store_view.py
@@ -1,11 +1,12 @@
 """Follow the store and keep what it says in force: configuration, upstreams, own records."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from bluebellrun.core import Clock
 from bluebellrun.deployment import Deployment
 from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.gateway._models import Upstream
 from bluebellrun.gateway._news import (
     ConfigurationWritten,
     News,
@@ -15,15 +16,13 @@
     UpstreamRemoved,
     UpstreamWritten,
 )
-from bluebellrun.store import KeyValueStore, PrefixFollower, Snapshot, WatchEvent
+from bluebellrun.store import KeyValue, KeyValueStore, PrefixFollower, Snapshot, WatchEvent
 from bluebellrun.telemetry import get_logger
 
 # A store that comes back is read again within this time.
 LONGEST_PAUSE_S = 0.4
 # Removals that reach this process this soon after it could not reach the store may be lapses.
 TROUBLE_LASTS_S = 1.0
-# A store that says nothing for so long is in trouble: a watch answers every few seconds.
-SILENCE_S = 4.5
 
 _log = get_logger("store-view")
 
@@ -45,8 +44,7 @@
         self._put_in_force = put_in_force
         self._clock = clock
         self._records: dict[str, RecordWritten] = {}
-        self._heard_at: float | None = None
-        self._trouble_until = 0.0
+        self._shared: dict[str, KeyValue] = {}
         self._follower = PrefixFollower(
             store,
             reader.prefix,
@@ -70,6 +68,29 @@
         """Return the project's own records below a prefix."""
         return [item for key, item in self._records.items() if key.startswith(prefix)]
 
+    @property
+    def shared(self) -> list[KeyValue]:
+        """Return the keys that another entry may be told, as they were last read."""
+        return list(self._shared.values())
+
+    def silence_s(self) -> float:
+        """Return the seconds since the store was heard; infinite before the first time."""
+        confirmed_at = self._follower.confirmed_at
+        return float("inf") if confirmed_at is None else self._clock.now() - confirmed_at
+
+    def is_cut_off(self, seconds: float) -> bool:
+        """Return whether the store has failed this process for so long."""
+        broken_at = self._follower.broken_at
+        return broken_at is not None and self._clock.now() - broken_at >= seconds
+
+    def take_from_peer(self, items: list[KeyValue]) -> None:
+        """Take what another entry read from the store while this one cannot ask it."""
+        now = self._clock.now()
+        self._take_whole(items, now, store_in_trouble=True)
+        _log.info(
+            "store read by another entry", keys=len(items), silent_s=round(self.silence_s(), 3)
+        )
+
     async def run(self) -> None:
         """Follow until cancelled."""
         await self._follower.run()
@@ -77,35 +98,41 @@
     async def _take_snapshot(self, snapshot: Snapshot) -> None:
         """Take all keys at once."""
         now = self._clock.now()
-        self._note_contact(now)
-        news = [
-            item
-            for pair in snapshot.items
-            if (item := self._reader.read(pair.key, pair.value, pair.mod_revision)) is not None
-        ]
-        upstreams = {
-            item.upstream.instance: item.upstream
-            for item in news
-            if isinstance(item, UpstreamWritten)
-        }
-        self._directory.replace_all(upstreams, now, self._in_trouble(now))
         self._records.clear()
-        for item in news:
-            if not isinstance(item, UpstreamWritten):
+        upstreams = self._take_whole(snapshot.items, now, self._in_trouble(now))
+        _log.info("store read", revision=snapshot.revision, upstreams=upstreams)
+
+    def _take_whole(self, items: Iterable[KeyValue], now: float, store_in_trouble: bool) -> int:
+        """Take all keys at once; return how many upstreams are registered."""
+        upstreams: dict[str, Upstream] = {}
+        self._shared.clear()
+        for pair in items:
+            item = self._reader.read(pair.key, pair.value, pair.mod_revision)
+            if self._reader.concerns_all(pair.key):
+                self._shared[pair.key] = pair
+            if isinstance(item, UpstreamWritten):
+                upstreams[item.upstream.instance] = item.upstream
+            elif item is not None:
                 self._take(item, now)
-        _log.info(
-            "store read", revision=snapshot.revision, upstreams=len(upstreams), keys=len(news)
-        )
+        self._directory.replace_all(upstreams, now, store_in_trouble)
+        return len(upstreams)
 
     async def _take_events(self, events: list[WatchEvent]) -> None:
         """Take changes in order."""
         now = self._clock.now()
-        self._note_contact(now)
         for event in events:
+            self._share(event)
             item = self._reader.read(event.key, event.value, event.mod_revision)
             if item is not None:
                 self._take(item, now)
 
+    def _share(self, event: WatchEvent) -> None:
+        """Keep a change for entries that cannot ask the store."""
+        if event.value is None:
+            self._shared.pop(event.key, None)
+        elif self._reader.concerns_all(event.key):
+            self._shared[event.key] = KeyValue(event.key, event.value, event.mod_revision)
+
     def _take(self, news: News, now: float) -> None:
         """Take one change."""
         match news:
@@ -134,13 +161,9 @@
                     self._directory.remove(instance, now, store_in_trouble=False)
                 _log.warning("key ignored", key=key, reason=reason)
 
-    def _note_contact(self, now: float) -> None:
-        """Note that the store was heard; after a silence, what it removed may be lapses."""
-        last = self._follower.confirmed_at
-        if last is not None and now - last > SILENCE_S:
-            self._trouble_until = now + TROUBLE_LASTS_S
-            _log.info("store regained", silent_s=round(now - last, 3))
-
     def _in_trouble(self, now: float) -> bool:
-        """Return whether a removal that is read now may be a lapse."""
-        return now < self._trouble_until
+        """Return whether a removal that is read now may be a lapse of the store's outage."""
+        if self._follower.broken_at is not None:
+            return True
+        regained_at = self._follower.regained_at
+        return regained_at is not None and now - regained_at < TROUBLE_LASTS_S
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -8,8 +8,9 @@
 
 import curio
 
-from bluebellrun.core import Address, BootClock, Clock, MonotonicClock, new_incarnation
+from bluebellrun.core import Address, BootClock, MonotonicClock, new_incarnation
 from bluebellrun.deployment import Deployment, HostSettings
+from bluebellrun.gateway._catch_up import UNHEARD_S, CatchUp
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._expert_maps import ExpertMaps
 from bluebellrun.gateway._fleet import Fleet
@@ -88,20 +89,17 @@
     return handle
 
 
-def _show(
-    metrics: ServingMetrics, gateway: Gateway, view: StoreView, clock: Clock, role: PlacementRole
-) -> None:
+def _show(metrics: ServingMetrics, gateway: Gateway, view: StoreView, role: PlacementRole) -> None:
     """Show what the process believes."""
 
     def version() -> float:
         return 0 if gateway.deployment is None else gateway.deployment.version
 
-    def silence_s() -> float:
-        return -1.0 if view.confirmed_at is None else clock.now() - view.confirmed_at
-
     metrics.gauge("bluebellrun_in_progress", "Requests in progress", lambda: gateway.in_progress)
     metrics.gauge("bluebellrun_configuration_version", "Configuration in force", version)
-    metrics.gauge("bluebellrun_store_silence_seconds", "Seconds since the store spoke", silence_s)
+    metrics.gauge(
+        "bluebellrun_store_silence_seconds", "Seconds since the store spoke", view.silence_s
+    )
     metrics.gauge(
         "bluebellrun_keeps_maps",
         "1 if this process keeps the expert maps",
@@ -149,28 +147,24 @@
     incarnation = new_incarnation()
     numbers = itertools.count(1)
 
+    inner = Address(settings.ip, settings.ports.first)
+
     def news() -> EntryNews:
-        version = 0 if gateway.deployment is None else gateway.deployment.version
-        return EntryNews(settings.host, incarnation, next(numbers), version, fleet.running_here())
+        silence_s = min(view.silence_s(), UNHEARD_S)
+        running = fleet.running_here()
+        return EntryNews(settings.host, incarnation, next(numbers), str(inner), silence_s, running)
 
-    inner = Address(settings.ip, settings.ports.first)
+    catch_up = CatchUp(inner, view, table)
     entry_key = f"{OWN_PREFIX}entries/{settings.host}"
     gossip = Gossip(inner, entry_key, store, view, table, news)
     lifecycle = Lifecycle(gateway, server, settings.bounds)
     readiness = HttpServer(settings.readiness, _readiness(lambda: lifecycle.ready), HttpLimits())
-    _show(metrics, gateway, view, clock, role)
+    _show(metrics, gateway, view, role)
     collectors = HttpServer(Address(settings.ip, METRICS_PORT), _texts(metrics), HttpLimits())
-    for task in (
-        view.run,
-        server.run,
-        readiness.run,
-        role.run,
-        maps.run,
-        gossip.run,
-        collectors.run,
-    ):
+    servers = (server.run, readiness.run, collectors.run, catch_up.serve)
+    upkeep = (view.run, catch_up.run, role.run, maps.run, gossip.run, gossip.keep_registered)
+    for task in (*servers, *upkeep):
         await spawn_background(task)
-    await spawn_background(gossip.keep_registered)
     await spawn_background(_tidy, fleet, gateway, gossip)
     _log.info("started", callers=str(settings.callers), domain=settings.failure_domain)
     while (number := await signals.next()) == signal.SIGHUP:
--- a/bluebellrun/platform/_catalogue.py
+++ b/bluebellrun/platform/_catalogue.py
@@ -21,6 +21,10 @@
         """Return the prefix of all keys: one watch follows everything."""
         return ""
 
+    def concerns_all(self, key: str) -> bool:
+        """Return whether a key tells all entries the same, so that one may tell another."""
+        return key == CONFIGURATION_KEY or key.startswith(UPSTREAM_KEY_PREFIX)
+
     def read(self, key: str, value: bytes | None, revision: int) -> News | None:
         """Read a key, or its deletion when the value is none."""
         if key == CONFIGURATION_KEY:
--- a/bluebellrun/platform/_store.py
+++ b/bluebellrun/platform/_store.py
@@ -182,14 +182,16 @@
 
     async def watch(self, prefix: str, from_revision: int) -> "PlatformWatch":
         """Follow changes below a prefix from a revision on."""
-        return PlatformWatch(self, prefix, from_revision - 1)
+        watch = PlatformWatch(self, prefix, from_revision - 1)
+        await watch.begin()
+        return watch
 
-    async def wait_for_changes(self, prefix: str, after: int) -> _Changes:
-        """Return the changes after a revision, none if there are none for some seconds."""
-        wait_ms = int(WATCH_WAIT_S * 1000)
+    async def wait_for_changes(self, prefix: str, after: int, wait_s: float) -> _Changes:
+        """Return the changes after a revision, none if there are none in time."""
+        wait_ms = max(1, int(wait_s * 1000))
         query = urlencode({"prefix": prefix, "after": after, "wait_ms": wait_ms})
         target = f"{STORE_WATCH_PATH}?{query}"
-        status, data = await self._read(target, WATCH_WAIT_S + self._timeouts.call_s)
+        status, data = await self._read(target, wait_s + self._timeouts.call_s)
         if status == GONE:
             raise CompactedError(after)
         return self._decode(_changes, status, data)
@@ -256,10 +258,20 @@
         self._store = store
         self._prefix = prefix
         self._after = after
+        self._first: list[WatchEvent] = []
+
+    async def begin(self) -> None:
+        """Ask once without waiting: the store answers, and has the history that is needed."""
+        self._first = await self._ask(0.0)
 
     async def next(self) -> list[WatchEvent]:
         """Return the next changes, in order; an empty list after a wait without any."""
-        changes = await self._store.wait_for_changes(self._prefix, self._after)
+        first, self._first = self._first, []
+        return first or await self._ask(WATCH_WAIT_S)
+
+    async def _ask(self, wait_s: float) -> list[WatchEvent]:
+        """Return the changes since the last ones."""
+        changes = await self._store.wait_for_changes(self._prefix, self._after, wait_s)
         self._after = max(self._after, changes.store_revision)
         return [_watch_event(item) for item in changes.events]
 
--- a/bluebellrun/store/_follow.py
+++ b/bluebellrun/store/_follow.py
@@ -48,6 +48,8 @@
         self._revision = from_revision
         self._seen = from_revision
         self._confirmed_at: float | None = None
+        self._broken_at: float | None = None
+        self._regained_at: float | None = None
         self._longest_pause_s = longest_pause_s
 
     @property
@@ -55,6 +57,16 @@
         """Return when the store last confirmed that nothing was missed, or none."""
         return self._confirmed_at
 
+    @property
+    def broken_at(self) -> float | None:
+        """Return when the store first failed since it last confirmed, or none."""
+        return self._broken_at
+
+    @property
+    def regained_at(self) -> float | None:
+        """Return when the store confirmed again after it had failed, or none."""
+        return self._regained_at
+
     async def run(self) -> None:
         """Follow until cancelled."""
         backoff = Backoff(self._random, longest_s=self._longest_pause_s)
@@ -64,6 +76,8 @@
             except CompactedError:
                 self._revision = 0
             except PlatformError as error:
+                if self._broken_at is None:
+                    self._broken_at = self._clock.now()
                 _log.info("store not followed", prefix=self._prefix, error=str(error))
             await curio.sleep(backoff.pause_s())
 
@@ -122,3 +136,6 @@
     def _confirm(self) -> None:
         """Note that the store and this process agree now."""
         self._confirmed_at = self._clock.now()
+        if self._broken_at is not None:
+            self._regained_at = self._confirmed_at
+        self._broken_at = None
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,8 +1,8 @@
 from bluebellrun.gateway._peers import EntryNews, PeerTable, decode_news, encode_news
 
 
-def news(entry, number, running, incarnation="i", version=1):
-    return EntryNews(entry, incarnation, number, version, running)
+def news(entry, number, running, incarnation="i", silence_s=1.0):
+    return EntryNews(entry, incarnation, number, "10.0.0.1:7000", silence_s, running)
 
 
 def test_news_survive_the_wire_and_noise_is_no_news():
@@ -40,3 +40,11 @@
     assert table.running("u") == 4
     table.expire(1.1)
     assert table.running("u") == 0
+
+
+def test_the_entry_that_heard_the_store_last_is_the_one_to_ask():
+    table = PeerTable("me")
+    assert table.best_informed() is None
+    table.take(news("a", 1, {}, silence_s=5.0), 0.0)
+    table.take(news("b", 1, {}, silence_s=0.5), 0.0)
+    assert table.best_informed().entry == "b"
--- a/tests/platform/fake_store.py
+++ b/tests/platform/fake_store.py
@@ -106,7 +106,10 @@
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query["after"])
-        for _ in range(int(query["wait_ms"]) // 20):
+        turns = int(query["wait_ms"]) // 20
+        while True:
+            if self.refuse:
+                return self.refuse, {}
             if after < self.compacted:
                 return 410, {}
             found = [
@@ -114,10 +117,10 @@
                 for event in self.events
                 if event["rev"] > after and event["key"].startswith(query["prefix"])
             ]
-            if found:
+            if found or turns <= 0:
                 return 200, {"events": found, "store_revision": self.revision}
+            turns -= 1
             await curio.sleep(0.02)
-        return 200, {"events": [], "store_revision": self.revision}
 
     def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         for row in body["expected"]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -59,13 +59,32 @@
     play(check)
 
 
+def test_changes_before_a_watch_began_come_first():
+    async def check(fake: FakeStore, store: PlatformStore) -> None:
+        fake.put("a/1", b"x")
+        watch = await store.watch("a/", 1)
+        fake.put("a/2", b"y")
+        assert [event.key for event in await watch.next()] == ["a/1"]
+        assert [event.key for event in await watch.next()] == ["a/2"]
+
+    play(check)
+
+
+def test_a_store_that_is_down_lets_no_watch_begin():
+    async def check(fake: FakeStore, store: PlatformStore) -> None:
+        fake.refuse = 503
+        with pytest.raises(StoreUnavailableError):
+            await store.watch("a/", 1)
+
+    play(check)
+
+
 def test_a_watch_whose_history_is_gone_says_so():
     async def check(fake: FakeStore, store: PlatformStore) -> None:
         fake.put("a/1", b"x")
         fake.compact()
-        watch = await store.watch("a/", 1)
         with pytest.raises(CompactedError):
-            await watch.next()
+            await store.watch("a/", 1)
 
     play(check)
 
--- a/tests/platform/test_view.py
+++ b/tests/platform/test_view.py
@@ -6,8 +6,10 @@
 
 import curio
 
-from bluebellrun.core import MonotonicClock
+from bluebellrun.core import Address, MonotonicClock
 from bluebellrun.gateway import StoreView, UpstreamDirectory
+from bluebellrun.gateway._catch_up import CatchUp
+from bluebellrun.gateway._peers import EntryNews, PeerTable
 from bluebellrun.platform import PlatformCatalogue, PlatformStore
 from bluebellrun.store import StoreTimeouts
 from tests.platform.fake_store import FakeStore
@@ -120,6 +122,47 @@
     play(check)
 
 
+def test_a_registration_that_lapsed_with_the_store_is_kept_for_a_moment():
+    async def check(watched: Watched) -> None:
+        watched.fake.put("servers/i1", registration())
+        await watched.start()
+        await watched.until(lambda: watched.usable() == ["i1"])
+        watched.fake.refuse = 503
+        assert watched.view is not None
+        await watched.until(lambda: watched.view.is_cut_off(0.0))
+        watched.fake.delete("servers/i1")
+        watched.fake.put("servers/i2", registration())
+        watched.fake.refuse = 0
+        await watched.until(lambda: "i2" in watched.usable())
+        assert watched.usable() == ["i1", "i2"]
+        await watched.until(lambda: watched.usable() == ["i2"])
+
+    play(check)
+
+
+def test_an_entry_that_the_store_turns_away_learns_from_another_one():
+    async def check(watched: Watched) -> None:
+        other = Watched()
+        watched.fake.put("op/config", configuration(3))
+        watched.fake.put("servers/i1", registration())
+        await watched.start()
+        await other.start()
+        other.fake.refuse = 503
+        await watched.until(lambda: watched.versions == [3])
+        await other.until(lambda: other.view.is_cut_off(0.0))
+        table = PeerTable("b")
+        first = CatchUp(Address("127.0.0.1", 0), watched.view, PeerTable("a"))
+        await curio.spawn(first.serve, daemon=True)
+        second = CatchUp(Address("127.0.0.1", 0), other.view, table)
+        await curio.spawn(second.run, daemon=True)
+        table.take(EntryNews("a", "i", 1, str(first.address), 0.1, {}), 0.0)
+        await other.until(lambda: other.versions == [3] and other.usable() == ["i1"])
+        watched.fake.put("op/config", configuration(7))
+        await other.until(lambda: 7 in other.versions)
+
+    play(check)
+
+
 def test_own_records_are_known_until_they_are_removed():
     async def check(watched: Watched) -> None:
         watched.fake.put("bluebellrun/entries/e1", b"10.0.0.1:7000")
