--- /dev/null
+++ b/tests/platform/test_engine.py
@@ -0,0 +1,163 @@
+"""Calls to ranks: through the process beside an engine, and past it when it does not answer."""
+
+import json
+import time
+from typing import Any
+
+import curio
+import pytest
+
+from bluebellrun.core import Address
+from bluebellrun.gateway import OrderReply, RankCallError, RankReplacedError, Upstream
+from bluebellrun.http import HttpExchange, HttpLimits, HttpServer, Listener
+from bluebellrun.placement import ArmMap, HoldPass, PrepareMap, dealt_placement
+from bluebellrun.platform import EngineCalls, EngineRelay
+
+REPORT = {
+    "group": {"name": "g", "epoch": 3, "rank": 1, "state": "open"},
+    "size": 2,
+    "born": 99,
+    "pace": 1.5,
+    "step": 40,
+    "map": 7,
+    "prepared": 8,
+    "armed": {"version": 8, "step": 44},
+    "held": None,
+    "kv_used": 0,
+}
+
+
+class Engine:
+    """An engine with one answer to orders."""
+
+    def __init__(self, status: int = 202) -> None:
+        self.status = status
+        self.silent = False
+        self.orders: list[dict[str, Any]] = []
+
+    async def handle(self, exchange: HttpExchange) -> None:
+        if self.silent:
+            await curio.sleep(5)
+        match exchange.request.path:
+            case "/api/report":
+                await exchange.answer_json(200, REPORT)
+            case "/api/picked":
+                await exchange.answer_json(
+                    200, {"step": 1, "epoch": 3, "counts": [1, 2], "born": 9}
+                )
+            case _:
+                self.orders.append(json.loads(exchange.request.body))
+                await exchange.answer(self.status, [], b"")
+
+
+async def serve(handler: Any) -> Address:
+    server = HttpServer(Address("127.0.0.1", 0), handler, HttpLimits())
+    await curio.spawn(server.run, daemon=True)
+    return server.address
+
+
+def play(check: Any, status: int = 202, relayed: bool = True) -> None:
+    async def main() -> None:
+        engine = Engine(status)
+        address = await serve(engine.handle)
+        port = (await serve(EngineRelay(address).handle)).port if relayed else 1
+        upstream = Upstream("i1", "s", address, "a", 6)
+        await check(engine, EngineCalls(port), upstream)
+
+    curio.run(main)
+
+
+def test_a_report_is_read_into_a_state():
+    async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
+        state = await calls.state(upstream)
+        assert state is not None
+        assert (state.rank, state.size, state.epoch, state.step, state.active) == (1, 2, 3, 40, 7)
+        assert (state.prepared, state.armed_version, state.armed_step) == (8, 8, 44)
+        assert (state.held, state.slowness, state.is_open) == (None, 1.5, True)
+        assert (await calls.counts(upstream, 1)).counts == (1, 2)
+
+    play(check)
+
+
+@pytest.mark.parametrize("relayed", [True, False])
+def test_orders_reach_the_engine_with_or_without_the_process_beside_it(relayed):
+    async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
+        prepare = PrepareMap(5, dealt_placement(1, 2, 4))
+        assert await calls.give(upstream, prepare, 3, 12) is OrderReply.ACCEPTED
+        await calls.give(upstream, ArmMap(5, 60), 3, 12)
+        assert engine.orders[0] == {
+            "op": "prepare",
+            "version": 5,
+            "map": [[[0, 2], [1, 3]]],
+            "epoch": 3,
+            "fence": 12,
+        }
+        assert engine.orders[1] == {"op": "arm", "version": 5, "step": 60, "epoch": 3, "fence": 12}
+
+    play(check, relayed=relayed)
+
+
+@pytest.mark.parametrize(
+    ("status", "reply"), [(200, "ACCEPTED"), (409, "CONFLICT"), (412, "FENCED")]
+)
+def test_a_rank_s_word_on_an_order(status, reply):
+    async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
+        assert await calls.give(upstream, HoldPass(4), 3, 12) is OrderReply[reply]
+
+    play(check, status)
+
+
+def test_another_upstream_at_the_address_is_told_apart():
+    async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
+        with pytest.raises(RankReplacedError):
+            await calls.give(upstream, HoldPass(4), 3, 12)
+
+    play(check, 421)
+
+
+def test_an_order_that_the_engine_leaves_unanswered_is_known_soon():
+    async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
+        await calls.state(upstream)
+        engine.silent = True
+        began = time.monotonic()
+        with pytest.raises(RankCallError):
+            await calls.give(upstream, HoldPass(4), 3, 12)
+        assert time.monotonic() - began < 0.25
+
+    play(check)
+
+
+def test_a_frozen_process_beside_an_engine_is_passed_over():
+    async def main() -> None:
+        engine = Engine()
+        address = await serve(engine.handle)
+
+        async def frozen(sock: Any) -> None:
+            await curio.sleep(30)
+
+        listener = Listener(Address("127.0.0.1", 0), frozen)
+        await curio.spawn(listener.run, daemon=True)
+        calls = EngineCalls(listener.address.port)
+        upstream = Upstream("i1", "s", address, "a", 6)
+        began = time.monotonic()
+        assert await calls.give(upstream, HoldPass(4), 3, 12) is OrderReply.ACCEPTED
+        first_s = time.monotonic() - began
+        assert await calls.give(upstream, HoldPass(4), 3, 12) is OrderReply.ACCEPTED
+        assert first_s < 0.3
+        assert time.monotonic() - began - first_s < 0.07
+
+    curio.run(main)
+
+
+def test_nothing_else_is_passed_on_to_an_engine():
+    async def main() -> None:
+        engine = Engine()
+        relay = await serve(EngineRelay(await serve(engine.handle)).handle)
+        for method, path in [("POST", "/api/report"), ("GET", "/secret"), ("GET", "/api/order")]:
+            sock = await curio.open_connection(relay.ip, relay.port)
+            async with sock:
+                await sock.sendall(f"{method} {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+                assert b" 404 " in await sock.recv(4096)
+        assert engine.orders == []
+
+    curio.run(main)
