Split the gateway's wiring and the keeper of one group; renew all claims under a new number

A holder that lost and regained the role between two turns went on with its old claims; versions of a holder could reach those of the next after a thousand changes.

--- /dev/null
+++ b/bluebellrun/gateway/_service_group.py
@@ -0,0 +1,414 @@
+"""One model group: its ranks, the demand for its experts and the change of its map under way."""
+
+import time
+from collections.abc import Callable
+
+import curio
+
+from bluebellrun.deployment import ExpertTerms
+from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.gateway._models import Upstream
+from bluebellrun.gateway._ports import OrderReply, RankCallError, RankCalls, RankReplacedError
+from bluebellrun.gateway._role import PlacementRole
+from bluebellrun.placement import (
+    ChangeSettings,
+    ClaimRank,
+    DemandEstimator,
+    DemandSettings,
+    Placement,
+    PlacementChange,
+    PlanSettings,
+    PrepareMap,
+    RankOrder,
+    RankState,
+    ReleasePass,
+    dealt_placement,
+    plan_placement,
+)
+from bluebellrun.telemetry import get_logger
+
+READ_INTERVAL_S = 0.12
+# Ranks are asked this often while a change is under way: passes last some dozens of milliseconds.
+CHANGE_INTERVAL_S = 0.02
+# While experts are copied, which takes some hundred milliseconds.
+COPYING_INTERVAL_S = 0.04
+# A jump of demand shows in any ranks' counts: only these many are read at each turn, and all at
+# times, as a call costs both hosts a few milliseconds.
+RANKS_READ = 4
+ALL_RANKS_INTERVAL_S = 0.5
+# States are read again this often in calm times, to notice ranks that left, joined or slowed.
+STATES_INTERVAL_S = 1.5
+PLAN_INTERVAL_S = 0.2
+# Choices to have seen before a plan: a few dozen for each expert of a group.
+LEAST_CHOICES_PER_EXPERT = 20
+# A change has to lessen the skew by this much, and by this much for each expert copied: copying
+# slows passes and what is planned for lasts a few seconds.
+LEAST_GAIN = 0.12
+GAIN_PER_COPY = 0.0008
+# Upstreams whose registration is gone are asked on for so long: they may still be ranks.
+REMEMBERED_S = 15.0
+# While orders are lost a map is armed further ahead, so that they can be sent again in time.
+ORDERS_LOST_S = 5.0
+CAREFUL_CHANGE = ChangeSettings(margin_steps=5)
+# Versions of one holder of the role lie between its fencing number times this and the next
+# number's; a holder that has used them up takes the role anew.
+VERSIONS_PER_HOLDER = 1_000_000
+
+_log = get_logger("expert-maps")
+
+
+class FencedError(Exception):
+    """A rank has seen a higher fencing number."""
+
+
+class ServiceGroup:
+    """One group: its ranks, the demand for its experts and the change under way."""
+
+    def __init__(
+        self,
+        service: str,
+        experts: ExpertTerms,
+        calls: RankCalls,
+        directory: UpstreamDirectory,
+        role: PlacementRole,
+    ) -> None:
+        self._service = service
+        self._experts = experts
+        self._calls = calls
+        self._directory = directory
+        self._role = role
+        self._seen_at: dict[str, float] = {}
+        self._upstreams: dict[str, Upstream] = {}
+        self._states: dict[int, RankState] = {}
+        self._ranks: dict[int, Upstream] = {}
+        self._read_at = 0.0
+        self._planned_at = 0.0
+        self._all_read_at = 0.0
+        self._order_lost_at = -ORDERS_LOST_S
+        self._epoch: tuple[str, int] | None = None
+        self._fencing = 0
+        self._claimed: set[int] = set()
+        self._current: Placement | None = None
+        self._change: PlacementChange | None = None
+        self._demand = DemandEstimator(experts.layers, experts.experts, DemandSettings())
+        self._changes = 0
+
+    async def turn(self, fencing: int) -> float:
+        """Do the next thing; return the seconds to the next turn."""
+        if fencing != self._fencing:
+            self._begin_role(fencing)
+        if not await self._look(time.monotonic()):
+            return READ_INTERVAL_S
+        if not await self._claim(fencing) or not await self._find_current():
+            return CHANGE_INTERVAL_S
+        if self._change is not None:
+            await self._drive(self._change, fencing)
+            return COPYING_INTERVAL_S if self._unprepared() else CHANGE_INTERVAL_S
+        await self._release_stray_holds(fencing)
+        await self._read_counts()
+        if time.monotonic() - self._planned_at > PLAN_INTERVAL_S:
+            await self._plan(fencing)
+        return READ_INTERVAL_S if self._change is None else 0.0
+
+    async def _look(self, now: float) -> bool:
+        """Read the states that matter now; return whether a whole group is known."""
+        unprepared = self._unprepared()
+        if unprepared and self._read_at:
+            return await self._read_again(unprepared)
+        if self._change is not None or now - self._read_at > STATES_INTERVAL_S:
+            return await self._read_states()
+        return bool(self._ranks)
+
+    def _unprepared(self) -> list[int]:
+        """Return the ranks that still copy experts for the change under way."""
+        change = self._change
+        if change is None or not change.preparing:
+            return []
+        return [rank for rank, s in self._states.items() if s.prepared != change.version]
+
+    async def _read_again(self, ranks: list[int]) -> bool:
+        """Read the states of some ranks; return whether the group is still the same."""
+
+        async def read(rank: int) -> None:
+            try:
+                state = await self._calls.state(self._ranks[rank])
+            except RankCallError as error:
+                _log.info("rank not read", rank=rank, reason=str(error))
+                return
+            if state is None or (state.group, state.epoch, state.rank) != (*epoch, rank):
+                self._read_at = 0.0
+                return
+            self._states[rank] = state
+
+        epoch = self._epoch or ("", 0)
+        await _all([(read, (rank,)) for rank in ranks])
+        return self._read_at > 0.0
+
+    async def _read_states(self) -> bool:
+        """Ask all upstreams for their state; return whether one whole group answered."""
+        now = time.monotonic()
+        await self._meet_upstreams(now)
+        found: dict[int, tuple[Upstream, RankState]] = {}
+
+        async def read(upstream: Upstream) -> None:
+            try:
+                state = await self._calls.state(upstream)
+            except RankReplacedError:
+                await self._forget(upstream.instance)
+                return
+            except RankCallError as error:
+                _log.info("rank not read", upstream=upstream.instance, reason=str(error))
+                return
+            if state is not None:
+                known = found.get(state.rank)
+                if known is None or known[1].epoch < state.epoch:
+                    found[state.rank] = (upstream, state)
+
+        # Of two registrations with one address the later one is that of the life that goes on.
+        by_address = {upstream.address: upstream for upstream in self._upstreams.values()}
+        await _all([(read, (upstream,)) for upstream in by_address.values()])
+        states = {rank: state for rank, (_, state) in sorted(found.items())}
+        names = {(state.group, state.epoch, state.size) for state in states.values()}
+        whole = (
+            len(names) == 1
+            and all(state.is_open for state in states.values())
+            and sorted(states) == list(range(next(iter(states.values())).size))
+        )
+        if not whole:
+            self._read_at = 0.0
+            return False
+        self._read_at = now
+        self._states = states
+        self._ranks = {rank: upstream for rank, (upstream, _) in found.items()}
+        first = states[0]
+        if self._epoch != (first.group, first.epoch):
+            self._begin_epoch(first)
+        return True
+
+    def _begin_role(self, fencing: int) -> None:
+        """Start anew under a fencing number: another process may have acted meanwhile."""
+        self._fencing = fencing
+        self._changes = 0
+        self._read_at = 0.0
+        self._claimed.clear()
+        self._current = None
+        self._change = None
+
+    def _begin_epoch(self, state: RankState) -> None:
+        """Start anew: the group has formed again, with nothing prepared, armed or held."""
+        _log.info("group formed", service=self._service, group=state.group, epoch=state.epoch)
+        self._epoch = (state.group, state.epoch)
+        self._claimed.clear()
+        self._current = None
+        self._change = None
+
+    async def _forget(self, instance: str) -> None:
+        """Take it that an upstream's life is over."""
+        _log.info("upstream replaced", service=self._service, upstream=instance)
+        self._directory.note_replaced(instance)
+        self._seen_at.pop(instance, None)
+        self._upstreams.pop(instance, None)
+        self._read_at = 0.0
+        await self._calls.forget(instance)
+
+    async def _meet_upstreams(self, now: float) -> None:
+        """Take the service's upstreams, and keep those that went away for a while."""
+        for upstream in self._directory.of_service(self._service):
+            self._upstreams[upstream.instance] = upstream
+            self._seen_at[upstream.instance] = now
+        for instance, seen in list(self._seen_at.items()):
+            if now - seen > REMEMBERED_S:
+                del self._seen_at[instance], self._upstreams[instance]
+                await self._calls.forget(instance)
+
+    async def _claim(self, fencing: int) -> bool:
+        """Let every rank refuse older numbers; return whether all do."""
+        unclaimed = [rank for rank in self._ranks if rank not in self._claimed]
+        if not unclaimed:
+            return True
+        replies = await self._give([(rank, ClaimRank()) for rank in unclaimed], fencing)
+        self._claimed.update(rank for rank, reply in replies.items() if reply is not None)
+        if len(self._claimed) < len(self._ranks):
+            return False
+        return await self._read_states()
+
+    async def _find_current(self) -> bool:
+        """Find out which map is in use and take up a change that another process began."""
+        if self._current is not None or self._change is not None:
+            return True
+        versions = {state.active for state in self._states.values()}
+        if len(versions) != 1:
+            return False
+        if versions == {0}:
+            sizes = self._experts
+            self._current = dealt_placement(sizes.layers, len(self._ranks), sizes.experts)
+        else:
+            self._current = await self._read_placement()
+        if self._current is None:
+            return False
+        self._take_up()
+        return True
+
+    def _take_up(self) -> None:
+        """Go on with a change for which a rank is armed."""
+        armed = [state for state in self._states.values() if state.armed_step is not None]
+        if not armed or self._current is None:
+            return
+        version, step = armed[0].armed_version, armed[0].armed_step
+        if version is None or step is None:
+            return
+        _log.info("change taken up", service=self._service, version=version, step=step)
+        self._change = PlacementChange(version, None, ChangeSettings(), time.monotonic())
+        self._change.armed_for(step)
+
+    async def _read_placement(self) -> Placement | None:
+        """Read the map in use from the ranks that hold it."""
+        held: dict[int, list[frozenset[int]]] = {}
+
+        async def read(rank: int) -> None:
+            try:
+                held[rank] = await self._calls.placement_held(self._ranks[rank])
+            except RankCallError as error:
+                _log.info("map not read", rank=rank, reason=str(error))
+
+        await _all([(read, (rank,)) for rank in self._ranks])
+        if len(held) < len(self._ranks):
+            return None
+        layers = range(self._experts.layers)
+        return Placement(
+            tuple(tuple(held[rank][layer] for rank in sorted(held)) for layer in layers)
+        )
+
+    async def _drive(self, change: PlacementChange, fencing: int) -> None:
+        """Send a change's orders for as long as ranks accept them at once."""
+        orders = change.decide(self._states, time.monotonic())
+        while orders:
+            replies = await self._give(orders, fencing)
+            for rank, order in orders:
+                if replies.get(rank) is OrderReply.ACCEPTED:
+                    self._states[rank] = change.accepted(self._states[rank], order)
+            if OrderReply.ACCEPTED not in replies.values():
+                break
+            orders = change.decide(self._states, time.monotonic())
+        if change.done:
+            _log.info("map in use", service=self._service, version=change.version)
+            self._current = change.placement
+            self._change = None
+        elif change.failed:
+            _log.warning("map given up", service=self._service, version=change.version)
+            self._change = None
+
+    async def _release_stray_holds(self, fencing: int) -> None:
+        """Release passes that are held for no change: an order may be carried out late."""
+        held = [
+            (rank, ReleasePass(state.held))
+            for rank, state in self._states.items()
+            if state.held is not None
+        ]
+        if held:
+            _log.info("stray holds released", service=self._service, ranks=len(held))
+            await self._give(list(held), fencing)
+            self._read_at = 0.0
+
+    async def _read_counts(self) -> None:
+        """Read the counts of some ranks, or of all if that was not done lately."""
+        now = time.monotonic()
+        ranks = sorted(self._ranks)
+        if now - self._all_read_at > ALL_RANKS_INTERVAL_S:
+            self._all_read_at = now
+        else:
+            ranks = ranks[:RANKS_READ]
+
+        async def read(rank: int) -> None:
+            try:
+                counts = await self._calls.counts(self._ranks[rank], rank)
+            except RankCallError as error:
+                _log.info("counts not read", rank=rank, reason=str(error))
+                self._read_at = 0.0
+                return
+            if self._epoch is not None and counts.epoch != self._epoch[1]:
+                self._read_at = 0.0
+                return
+            self._demand.observe(counts, time.monotonic())
+
+        await _all([(read, (rank,)) for rank in ranks])
+        distance = self._demand.distance()
+        if self._demand.drop_past():
+            self._planned_at = 0.0
+            _log.info("demand moved", service=self._service, distance=round(distance, 3))
+
+    async def _plan(self, fencing: int) -> None:
+        """Plan a better map and begin a change to it if that repays."""
+        sizes = self._experts
+        needed = LEAST_CHOICES_PER_EXPERT * sizes.layers * sizes.experts
+        if self._current is None or self._demand.total < needed:
+            return
+        self._planned_at = time.monotonic()
+        slowness = [self._states[rank].slowness for rank in sorted(self._states)]
+        bounds = PlanSettings(slots=sizes.slots, most_new=sizes.most_new)
+        steps = plan_placement(self._current, self._demand.demand(), slowness, bounds)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as done:
+                plan = done.value
+                break
+            await curio.sleep(0)
+        gain = plan.skew_before - plan.skew_after
+        worthwhile = plan.copies > 0 and gain >= LEAST_GAIN + GAIN_PER_COPY * plan.copies
+        _log.info(
+            "map planned",
+            service=self._service,
+            skew_before=round(plan.skew_before, 3),
+            skew_after=round(plan.skew_after, 3),
+            copies=plan.copies,
+            worthwhile=worthwhile,
+            took_ms=round(1000 * (time.monotonic() - self._planned_at)),
+        )
+        if not worthwhile or self._role.lease() is None:
+            return
+        self._changes += 1
+        if self._changes >= VERSIONS_PER_HOLDER:
+            raise FencedError
+        version = fencing * VERSIONS_PER_HOLDER + self._changes
+        now = time.monotonic()
+        careful = now - self._order_lost_at < ORDERS_LOST_S
+        settings = CAREFUL_CHANGE if careful else ChangeSettings()
+        self._change = PlacementChange(version, plan.placement, settings, now)
+
+    async def _give(
+        self, orders: list[tuple[int, RankOrder]], fencing: int
+    ) -> dict[int, OrderReply | None]:
+        """Give orders to ranks at once; a reply is none where none came."""
+        replies: dict[int, OrderReply | None] = {}
+        epoch = 0 if self._epoch is None else self._epoch[1]
+
+        async def give(rank: int, order: RankOrder) -> None:
+            replies[rank] = None
+            try:
+                replies[rank] = await self._calls.give(self._ranks[rank], order, epoch, fencing)
+            except RankReplacedError:
+                await self._forget(self._ranks[rank].instance)
+                return
+            except RankCallError as error:
+                self._order_lost_at = time.monotonic()
+                _log.info("order not answered", rank=rank, reason=str(error))
+                return
+            if replies[rank] is OrderReply.CONFLICT:
+                _log.info("order refused", rank=rank, order=type(order).__name__)
+                if isinstance(order, PrepareMap) and self._change is not None:
+                    self._change.fail()
+
+        if self._role.lease() is None:
+            return replies
+        await _all([(give, pair) for pair in orders])
+        if OrderReply.FENCED in replies.values():
+            raise FencedError
+        return replies
+
+
+async def _all(calls: list[tuple[Callable[..., object], tuple[object, ...]]]) -> None:
+    """Run calls at the same time and wait for all."""
+    async with curio.TaskGroup() as group:
+        for function, arguments in calls:
+            await group.spawn(function, *arguments)
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -107,73 +107,129 @@
     )
 
 
-async def _tidy(fleet: Fleet, gateway: Gateway, gossip: Gossip) -> None:
-    """Forget upstreams that are gone and count the entries, for as long as the process runs."""
-    while True:
-        await curio.sleep(TIDY_INTERVAL_S)
-        gateway.set_entries(1 + len(gossip.peers))
-        await fleet.forget_gone()
-
-
-async def _serve(settings: HostSettings) -> int:
-    """Run until told to stop; return the exit status."""
-    signals = StopSignals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
-    configure_serving_logs(process=settings.host)
-    clock, random = MonotonicClock(), Random()
-    directory = UpstreamDirectory()
-    table = PeerTable(settings.host)
-    fleet = Fleet(directory, settings.failure_domain, random, table.running)
-    metrics = ServingMetrics()
-    gateway = Gateway(settings, fleet, PlatformWire(), random, metrics.note_request)
-    if settings.callers is None or settings.readiness is None:
-        raise SettingsError("no address for callers or readiness; run the role where both are set")
-    server = HttpServer(settings.callers, gateway.handle, HttpLimits())
-
-    def put_in_force(deployment: Deployment) -> bool:
-        in_force = gateway.put_in_force(deployment)
+class _Process:
+    """The parts of a gateway, joined."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        if settings.callers is None or settings.readiness is None:
+            raise SettingsError(
+                "no address for callers or readiness; run the role where both are set"
+            )
+        self._settings = settings
+        self._random = Random()
+        self._directory = UpstreamDirectory()
+        self._peers = PeerTable(settings.host)
+        self._metrics = ServingMetrics()
+        self._fleet = Fleet(
+            self._directory, settings.failure_domain, self._random, self._peers.running
+        )
+        self._gateway = Gateway(
+            settings, self._fleet, PlatformWire(), self._random, self._metrics.note_request
+        )
+        self._server = HttpServer(settings.callers, self._gateway.handle, HttpLimits())
+        self._store = PlatformStore(settings.store.address, StoreTimeouts(STORE_CALL_S))
+        self._view = StoreView(
+            self._store,
+            PlatformCatalogue(),
+            self._directory,
+            self._put_in_force,
+            MonotonicClock(),
+            self._random,
+        )
+        self._role = self._make_role()
+        self._maps = ExpertMaps(
+            self._role,
+            EngineCalls(settings.ports.first),
+            self._directory,
+            lambda: self._gateway.deployment,
+        )
+        self._join_entries()
+        self._lifecycle = Lifecycle(self._gateway, self._server, settings.bounds)
+        self._readiness = HttpServer(
+            settings.readiness, _readiness(lambda: self._lifecycle.ready), HttpLimits()
+        )
+        _show(self._metrics, self._gateway, self._view, self._role)
+        address = Address(settings.ip, METRICS_PORT)
+        self._collectors = HttpServer(address, _texts(self._metrics), HttpLimits())
+
+    async def run(self) -> None:
+        """Serve until told to stop, then stop gracefully."""
+        signals = StopSignals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+        await self._start()
+        while (number := await signals.next()) == signal.SIGHUP:
+            _reload(self._settings)
+        _log.info("stopping", signal=number.name, in_progress=self._gateway.in_progress)
+        await self._role.release()
+        await self._lifecycle.stop()
+        _log.info("stopped", in_progress=self._gateway.in_progress)
+
+    async def _start(self) -> None:
+        """Start the servers and what goes on beside them."""
+        servers = (self._server, self._readiness, self._collectors)
+        for task in (*(server.run for server in servers), self._catch_up.serve):
+            await spawn_background(task)
+        gossip = self._gossip
+        for task in (self._view.run, self._catch_up.run, gossip.run, gossip.keep_registered):
+            await spawn_background(task)
+        for task in (self._role.run, self._maps.run, self._tidy):
+            await spawn_background(task)
+        settings = self._settings
+        _log.info("started", callers=str(settings.callers), domain=settings.failure_domain)
+
+    def _make_role(self) -> PlacementRole:
+        """Return the role of keeping the expert maps."""
+        clock = BootClock()
+        holder = RoleHolder(
+            self._store,
+            OWN_PREFIX.rstrip("/"),
+            PLACEMENT_ROLE,
+            self._settings.host,
+            LEASE_S,
+            clock,
+            self._random,
+        )
+        return PlacementRole(holder, self._view, clock, self._settings.bounds.fenced_orders)
+
+    def _join_entries(self) -> None:
+        """Make what this entry and the others tell each other."""
+        settings = self._settings
+        self._inner = Address(settings.ip, settings.ports.first)
+        self._incarnation = new_incarnation()
+        self._numbers = itertools.count(1)
+        self._catch_up = CatchUp(self._inner, self._view, self._peers)
+        key = f"{OWN_PREFIX}entries/{settings.host}"
+        self._gossip = Gossip(self._inner, key, self._store, self._view, self._peers, self._news)
+
+    def _news(self) -> EntryNews:
+        """Return what the other entries are told next."""
+        return EntryNews(
+            self._settings.host,
+            self._incarnation,
+            next(self._numbers),
+            str(self._inner),
+            min(self._view.silence_s(), UNHEARD_S),
+            self._fleet.running_here(),
+        )
+
+    def _put_in_force(self, deployment: Deployment) -> bool:
+        """Take a configuration and the limits on callers that it declares."""
+        in_force = self._gateway.put_in_force(deployment)
         if in_force:
-            server.limits = _limits(deployment)
+            self._server.limits = _limits(deployment)
         return in_force
 
-    store = PlatformStore(settings.store.address, StoreTimeouts(STORE_CALL_S))
-    view = StoreView(store, PlatformCatalogue(), directory, put_in_force, clock, random)
-    boot = BootClock()
-    holder = RoleHolder(
-        store, OWN_PREFIX.rstrip("/"), PLACEMENT_ROLE, settings.host, LEASE_S, boot, random
-    )
-    role = PlacementRole(holder, view, boot, settings.bounds.fenced_orders)
-    calls = EngineCalls(settings.ports.first)
-    maps = ExpertMaps(role, calls, directory, lambda: gateway.deployment)
-    incarnation = new_incarnation()
-    numbers = itertools.count(1)
-
-    inner = Address(settings.ip, settings.ports.first)
-
-    def news() -> EntryNews:
-        silence_s = min(view.silence_s(), UNHEARD_S)
-        running = fleet.running_here()
-        return EntryNews(settings.host, incarnation, next(numbers), str(inner), silence_s, running)
-
-    catch_up = CatchUp(inner, view, table)
-    entry_key = f"{OWN_PREFIX}entries/{settings.host}"
-    gossip = Gossip(inner, entry_key, store, view, table, news)
-    lifecycle = Lifecycle(gateway, server, settings.bounds)
-    readiness = HttpServer(settings.readiness, _readiness(lambda: lifecycle.ready), HttpLimits())
-    _show(metrics, gateway, view, role)
-    collectors = HttpServer(Address(settings.ip, METRICS_PORT), _texts(metrics), HttpLimits())
-    servers = (server.run, readiness.run, collectors.run, catch_up.serve)
-    upkeep = (view.run, catch_up.run, role.run, maps.run, gossip.run, gossip.keep_registered)
-    for task in (*servers, *upkeep):
-        await spawn_background(task)
-    await spawn_background(_tidy, fleet, gateway, gossip)
-    _log.info("started", callers=str(settings.callers), domain=settings.failure_domain)
-    while (number := await signals.next()) == signal.SIGHUP:
-        _reload(settings)
-    _log.info("stopping", signal=number.name, in_progress=gateway.in_progress)
-    await role.release()
-    await lifecycle.stop()
-    _log.info("stopped", in_progress=gateway.in_progress)
-    return 0
+    async def _tidy(self) -> None:
+        """Forget upstreams that are gone and count the entries, until cancelled."""
+        while True:
+            await curio.sleep(TIDY_INTERVAL_S)
+            self._gateway.set_entries(1 + len(self._gossip.peers))
+            await self._fleet.forget_gone()
+
+
+async def _serve(settings: HostSettings) -> None:
+    """Run until told to stop."""
+    configure_serving_logs(process=settings.host)
+    await _Process(settings).run()
 
 
 def _reload(settings: HostSettings) -> None:
@@ -192,12 +248,10 @@
 def run() -> None:
     """Start the program."""
     try:
-        settings = read_settings(settings_path())
-        status = curio.run(_serve, settings)
+        curio.run(_serve, read_settings(settings_path()))
     except SettingsError as error:
         sys.stderr.write(f"bluebellrun-gateway: {error}\n")
         sys.exit(EXIT_BAD_SETTING)
-    sys.exit(status)
 
 
 if __name__ == "__main__":
