--- a/bluebellrun/core/__init__.py
+++ b/bluebellrun/core/__init__.py
@@ -12,6 +12,7 @@
     parse_address,
 )
 from bluebellrun.core._invariants import InvariantError, Invariants, invariants
+from bluebellrun.core._lazy import load_at_first_use
 from bluebellrun.core._outcomes import AlreadyRan, NotRun, Outcome, Ran, Unknown, outcome_name
 
 __all__ = [
@@ -33,6 +34,7 @@
     "Unknown",
     "attempt_id",
     "invariants",
+    "load_at_first_use",
     "new_incarnation",
     "new_request_id",
     "outcome_name",
--- a/bluebellrun/platform/__init__.py
+++ b/bluebellrun/platform/__init__.py
@@ -3,11 +3,11 @@
 Each program loads only the translations it uses.
 """
 
-import importlib
 import os
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+from bluebellrun.core import load_at_first_use
 from bluebellrun.platform._names import OWN_PREFIX, READY_PATH, SETTINGS_FILE_VARIABLE
 from bluebellrun.platform._settings import SettingsError, read_settings
 
@@ -39,13 +39,7 @@
     "settings_path",
 ]
 
-
-def __getattr__(name: str) -> Any:
-    """Load a translation at its first use."""
-    module = _LOADED_AT_FIRST_USE.get(name)
-    if module is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
+__getattr__ = load_at_first_use(__name__, _LOADED_AT_FIRST_USE)
 
 
 def settings_path() -> Path:
--- a/bluebellrun/runtime/__init__.py
+++ b/bluebellrun/runtime/__init__.py
@@ -1,8 +1,8 @@
 """What every long-running process needs: signals and background tasks."""
 
-import importlib
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+from bluebellrun.core import load_at_first_use
 from bluebellrun.runtime._signals import StopSignals
 from bluebellrun.runtime._tasks import spawn_background
 
@@ -13,6 +13,12 @@
         warn_of_plain_links,
     )
 
+_LOADED_AT_FIRST_USE = {
+    "configure_link_security": "_security",
+    "make_caller_tls": "_security",
+    "warn_of_plain_links": "_security",
+}
+
 __all__ = [
     "StopSignals",
     "configure_link_security",
@@ -21,9 +27,5 @@
     "warn_of_plain_links",
 ]
 
-
-def __getattr__(name: str) -> Any:
-    """Load the security settings at their first use: not every process has them."""
-    if name not in __all__:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    return getattr(importlib.import_module(f"{__name__}._security"), name)
+# Not every process has settings of security.
+__getattr__ = load_at_first_use(__name__, _LOADED_AT_FIRST_USE)
--- a/bluebellrun/store/__init__.py
+++ b/bluebellrun/store/__init__.py
@@ -4,9 +4,9 @@
 cost start-up time and memory.
 """
 
-import importlib
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+from bluebellrun.core import load_at_first_use
 from bluebellrun.store._backoff import Backoff
 from bluebellrun.store._breaker import CircuitBreaker
 from bluebellrun.store._budget import CallAccount, RatePart, StoreRates, TokenBucket
@@ -83,10 +83,4 @@
     "transact_with_nonce",
 ]
 
-
-def __getattr__(name: str) -> Any:
-    """Load a client at its first use."""
-    module = _LOADED_AT_FIRST_USE.get(name)
-    if module is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
+__getattr__ = load_at_first_use(__name__, _LOADED_AT_FIRST_USE)
--- a/bluebellrun/telemetry/__init__.py
+++ b/bluebellrun/telemetry/__init__.py
@@ -1,8 +1,8 @@
 """Structured logs and metrics."""
 
-import importlib
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+from bluebellrun.core import load_at_first_use
 from bluebellrun.telemetry._logs import configure_logs, get_logger
 from bluebellrun.telemetry._serving import BoundedOutput, configure_serving_logs
 
@@ -21,10 +21,4 @@
     "get_logger",
 ]
 
-
-def __getattr__(name: str) -> Any:
-    """Load the clients of metrics at their first use: not every process has them."""
-    module = _LOADED_AT_FIRST_USE.get(name)
-    if module is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
+__getattr__ = load_at_first_use(__name__, _LOADED_AT_FIRST_USE)
--- a/bluebellrun/telemetry/_serving.py
+++ b/bluebellrun/telemetry/_serving.py
@@ -5,10 +5,11 @@
 """
 
 import os
-import time
 
 import structlog
 
+from bluebellrun.core import Clock, MonotonicClock
+
 # Lines a second that a process may write on average, and how many at once after a calm time.
 LINES_PER_S = 100.0
 LINES_AT_ONCE = 400.0
@@ -18,10 +19,11 @@
 class BoundedOutput:
     """A file that leaves out lines instead of waiting."""
 
-    def __init__(self, descriptor: int = STANDARD_OUTPUT) -> None:
+    def __init__(self, descriptor: int = STANDARD_OUTPUT, clock: Clock | None = None) -> None:
         self._descriptor = descriptor
+        self._clock = MonotonicClock() if clock is None else clock
         self._allowance = LINES_AT_ONCE
-        self._refilled = time.monotonic()
+        self._refilled = self._clock.now()
         self._left_out = 0
         self._rest = b""
 
@@ -49,7 +51,7 @@
 
     def _take_allowance(self) -> bool:
         """Return whether the rate allows one more line."""
-        now = time.monotonic()
+        now = self._clock.now()
         refill = (now - self._refilled) * LINES_PER_S
         self._allowance = min(LINES_AT_ONCE, self._allowance + refill)
         self._refilled = now
--- a/tests/telemetry/test_serving.py
+++ b/tests/telemetry/test_serving.py
@@ -1,6 +1,7 @@
 import os
 import time
 
+from bluebellrun.core import ManualClock
 from bluebellrun.telemetry import BoundedOutput
 
 
@@ -46,8 +47,15 @@
 
 def test_a_flood_of_lines_is_cut_to_the_rate():
     reader, writer = pipe()
-    output = BoundedOutput(writer)
+    clock = ManualClock()
+    output = BoundedOutput(writer, clock)
+    for _ in range(5_000):
+        output.write("z\n")
+    assert os.read(reader, 1_000_000) == b"z\n" * 400
+    assert output.left_out == 4_600
+    clock.advance(0.5)
     for _ in range(5_000):
         output.write("z\n")
-    assert os.read(reader, 1_000_000).count(b"\n") < 600
-    assert output.left_out > 4_000
+    read = os.read(reader, 1_000_000)
+    assert read.count(b"z\n") == 50
+    assert b'"lines": 4600' in read
