Test streaming, relays and callers that leave by events instead of wall time

The new tests held bounds of some hundredths of a second that a busy machine misses; they now wait for what has to happen (the reader's first event, the number of calls to a frozen relay).

--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -13,6 +13,7 @@
 from bluebellrun.placement import ArmMap, HoldPass, PrepareMap, dealt_placement
 from bluebellrun.platform import EngineCalls, EngineRelay
 
+SILENCE_S = 5
 REPORT = {
     "group": {"name": "g", "epoch": 3, "rank": 1, "state": "open"},
     "size": 2,
@@ -37,7 +38,7 @@
 
     async def handle(self, exchange: HttpExchange) -> None:
         if self.silent:
-            await curio.sleep(5)
+            await curio.sleep(SILENCE_S)
         match exchange.request.path:
             case "/api/report":
                 await exchange.answer_json(200, REPORT)
@@ -122,7 +123,7 @@
         began = time.monotonic()
         with pytest.raises(RankCallError):
             await calls.give(upstream, HoldPass(4), 3, 12)
-        assert time.monotonic() - began < 0.25
+        assert time.monotonic() - began < SILENCE_S / 2
 
     play(check)
 
@@ -131,20 +132,20 @@
     async def main() -> None:
         engine = Engine()
         address = await serve(engine.handle)
+        asked: list[Any] = []
 
         async def frozen(sock: Any) -> None:
+            asked.append(sock)
             await curio.sleep(30)
 
         listener = Listener(Address("127.0.0.1", 0), frozen)
         await curio.spawn(listener.run, daemon=True)
         calls = EngineCalls(listener.address.port)
         upstream = Upstream("i1", "s", address, "a", 6)
-        began = time.monotonic()
-        assert await calls.give(upstream, HoldPass(4), 3, 12) is OrderReply.ACCEPTED
-        first_s = time.monotonic() - began
-        assert await calls.give(upstream, HoldPass(4), 3, 12) is OrderReply.ACCEPTED
-        assert first_s < 0.3
-        assert time.monotonic() - began - first_s < 0.07
+        for _ in range(3):
+            assert await calls.give(upstream, HoldPass(4), 3, 12) is OrderReply.ACCEPTED
+        assert len(asked) == 1
+        assert len(engine.orders) == 3
 
     curio.run(main)
 
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -207,38 +207,37 @@
 
 
 def test_events_are_passed_on_as_they_come():
-    gaps: list[float] = []
+    read = curio.Event()
 
-    async def slowly(sock: Any, arrival: Any) -> None:
+    async def waits_for_its_reader(sock: Any, arrival: Any) -> None:
         await sock.sendall(stream(1, ended=False))
-        await curio.sleep(0.5)
+        await read.wait()
         await sock.sendall(stream(2, begun=False))
 
     async def check(scene: Scene) -> None:
         sock = await scene.connect()
-        async with sock:
+        async with sock, curio.timeout_after(5):
             await sock.sendall(request_bytes("/talk/a", "POST", b"x", {}))
-            began = time.monotonic()
             data = b""
             while b"id: 1" not in data:
                 data += await sock.recv(4096)
-            gaps.append(time.monotonic() - began)
+            await read.set()
+            while b"id: 2" not in data:
+                data += await sock.recv(4096)
 
-    play(check, ("u1", slowly))
-    assert gaps[0] < 0.4
+    play(check, ("u1", waits_for_its_reader))
 
 
 def test_work_ends_when_its_caller_leaves():
     async def check(scene: Scene) -> None:
         sock = await scene.connect()
-        await sock.sendall(request_bytes("/ask/a", "GET", b"", {}))
+        await sock.sendall(request_bytes("/talk/a", "POST", b"x", {}))
         while not scene.arrivals:
             await curio.sleep(0.01)
         await sock.close()
-        async with curio.timeout_after(0.5):
-            while not scene.closed and scene.gateway.in_progress:
+        async with curio.timeout_after(4):
+            while not scene.closed or scene.gateway.in_progress:
                 await curio.sleep(0.01)
-        assert scene.gateway.in_progress == 0
 
     play(check, ("u1", is_silent))
 
--- a/tests/platform/upstreams.py
+++ b/tests/platform/upstreams.py
@@ -199,8 +199,9 @@
 
 
 async def is_silent(sock: Any, arrival: Arrival) -> None:
-    """Say nothing."""
-    await sock.recv(1)
+    """Say nothing until the connection ends."""
+    while await sock.recv(1_000):
+        pass
 
 
 def stream(*numbers: int, begun: bool = True, ended: bool = True, torn: bytes = b"") -> bytes:
