Hold the metrics page to the gateway's metrics too

The page's check knew only metrics sent by statsd and failed on the counters and histograms that the gateway serves as text. It now collects both kinds from the code; the page must still name them all and no other.

--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -105,13 +105,17 @@
 
 
 METRIC = re.compile(r'etrics\.(?:count|gauge|timing)\(\s*f?"([^"]+)"')
+SERVED_METRIC = re.compile(r'= (Counter|Histogram)\(\s*"([^"]+)"')
 
 
 def test_every_metric_that_is_sent_is_on_its_page_and_no_other():
     sent = set()
     for path in (ROOT / "bluebellrun").rglob("*.py"):
-        for name in METRIC.findall(path.read_text(encoding="utf-8")):
+        code = path.read_text(encoding="utf-8")
+        for name in METRIC.findall(code):
             sent.add(re.sub(r"\{[^}]+\}", "*", name))
+        for kind, name in SERVED_METRIC.findall(code):
+            sent.add(name + "_total" if kind == "Counter" else name)
     page = (DOCS / "reference" / "metrics.md").read_text(encoding="utf-8")
     rows = [line.split("|")[1] for line in page.splitlines() if line.startswith("| `")]
     named = {re.sub(r"[A-Z]+", "*", name) for row in rows for name in re.findall(r"`([^`]+)`", row)}
