--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -89,10 +89,6 @@
         """Return the requests that other entries have at an upstream."""
         return self._running.get(instance, 0)
 
-    def entries_heard(self) -> int:
-        """Return how many other entries were heard lately."""
-        return len(self._heard)
-
     def _sum_up(self) -> None:
         """Add up the work of all entries."""
         self._running = {}
--- a/bluebellrun/http/_client.py
+++ b/bluebellrun/http/_client.py
@@ -119,18 +119,12 @@
         self._timeouts = timeouts
         self._max_idle = max_idle
         self._idle: list[_ClientConnection] = []
-        self._opened = 0
 
     @property
     def address(self) -> Address:
         """Return the address requests are sent to."""
         return self._address
 
-    @property
-    def opened(self) -> int:
-        """Return how many connections were asked for."""
-        return self._opened
-
     async def open(
         self,
         method: str,
@@ -186,11 +180,6 @@
         while self._idle:
             await self._idle.pop().close()
 
-    async def warm(self, count: int) -> None:
-        """Open connections until as many as ``count`` are kept; raise ``ConnectError``."""
-        while len(self._idle) < count:
-            self._idle.append(await self._connect())
-
     async def _take(self, max_idle_s: float | None) -> "_ClientConnection":
         """Return a kept connection that is still open, or a new one."""
         while self._idle:
@@ -202,7 +191,6 @@
 
     async def _connect(self) -> "_ClientConnection":
         """Return a new connection."""
-        self._opened += 1
         sock = await connect(self._address, self._timeouts.connect_s, self._tls)
         return _ClientConnection(sock)
 
--- a/bluebellrun/placement/_demand.py
+++ b/bluebellrun/placement/_demand.py
@@ -39,18 +39,12 @@
         self._sums = [0.0] * (layers * experts)
         self._latest = [0.0] * (layers * experts)
         self._decayed_at: float | None = None
-        self._jumps = 0
 
     @property
     def total(self) -> float:
         """Return the remembered choices over all layers and experts."""
         return sum(self._sums)
 
-    @property
-    def jumps(self) -> int:
-        """Return how often demand moved at once."""
-        return self._jumps
-
     def distance(self) -> float:
         """Return how far the latest choices differ from the usual ones, 0 to 2."""
         usual_total, latest_total = sum(self._sums), sum(self._latest)
@@ -67,7 +61,6 @@
         if self.distance() < self._settings.jump:
             return False
         self._sums = list(self._latest)
-        self._jumps += 1
         return True
 
     def observe(self, read: RankCounts, now: float) -> bool:
