Empty ranks that say they are slow: their pace is told to all entries

Only the keeper of the maps read the pace. Ruled out: the time that requests take at each rank, which is the same for all.

The keeper tells paces with its news; each entry leaves ranks of 1.5 times and more out, a quarter of a group at most. What is left: streams that run at the slow rank go on there for seconds and hold up all the others.

--- a/bluebellrun/gateway/_expert_maps.py
+++ b/bluebellrun/gateway/_expert_maps.py
@@ -4,6 +4,7 @@
 drives changes. All it needs to go on from another process it reads from the ranks.
 """
 
+import time
 from collections.abc import Callable
 
 import curio
@@ -13,6 +14,7 @@
 from bluebellrun.gateway._ports import RankCalls
 from bluebellrun.gateway._role import PlacementRole
 from bluebellrun.gateway._service_group import READ_INTERVAL_S, FencedError, ServiceGroup
+from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 
 # How often a process without the role looks whether it has it.
 IDLE_INTERVAL_S = 0.2
@@ -27,11 +29,13 @@
         calls: RankCalls,
         directory: UpstreamDirectory,
         deployment: Callable[[], Deployment | None],
+        slow: SlowUpstreams,
     ) -> None:
         self._role = role
         self._calls = calls
         self._directory = directory
         self._deployment = deployment
+        self._slow = slow
         self._groups: dict[str, ServiceGroup] = {}
 
     async def run(self) -> None:
@@ -54,8 +58,16 @@
                 pause_s = min(pause_s, await group.turn(lease.number))
             except FencedError:
                 await self._role.lose(lease.number)
+        self._tell_slow()
         return pause_s
 
+    def _tell_slow(self) -> None:
+        """Tell routing which ranks are slow."""
+        slowness: dict[str, float] = {}
+        for group in self._groups.values():
+            slowness.update(group.slowness)
+        self._slow.replace(slowness, time.monotonic())
+
     def _group(self, terms: ServiceTerms, experts: ExpertTerms) -> "ServiceGroup":
         """Return the keeper of a service's group."""
         group = self._groups.get(terms.name)
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -8,7 +8,12 @@
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._models import Upstream
 from bluebellrun.http import ClientTimeouts, HttpClient
-from bluebellrun.routing import LeastWorkRouting, OutlierEjection, UpstreamWork
+from bluebellrun.routing import (
+    LeastWorkRouting,
+    OutlierEjection,
+    UpstreamWork,
+    ranks_to_empty,
+)
 
 # A connection within a region is made in milliseconds; a lost packet costs a second.
 CONNECT_TIMEOUT_S = 0.4
@@ -36,6 +41,7 @@
         failure_domain: str,
         random: Random,
         running_elsewhere: Callable[[str], int] = lambda instance: 0,
+        slowness_told: Callable[[str, float], float] = lambda instance, now: 1.0,
     ) -> None:
         self._directory = directory
         self._routing = LeastWorkRouting(random, failure_domain)
@@ -43,6 +49,7 @@
         self._clients: dict[str, HttpClient] = {}
         self._stats: dict[str, UpstreamStats] = {}
         self._running_elsewhere = running_elsewhere
+        self._slowness_told = slowness_told
 
     @property
     def directory(self) -> UpstreamDirectory:
@@ -56,6 +63,7 @@
         names = [upstream.instance for upstream in candidates]
         ejected = self._ejection.ejected(names, now)
         sound = [item for item in candidates if item.instance not in ejected] or candidates
+        sound = self._without_slow(sound, len(usable), now)
         usual_s, failing = self._averages(sound)
         works = [self._work(item, usual_s, failing) for item in sound]
         chosen = self._routing.choose(works)
@@ -64,6 +72,7 @@
     def places(self, service: str, now: float) -> Places:
         """Return the places of a service and how many requests have or await one."""
         usable = self._directory.usable(service, now)
+        usable = self._without_slow(usable, len(usable), now)
         usual_s, _ = self._averages(usable)
         taken = sum(self.running(item.instance) for item in usable)
         return Places(sum(item.slots for item in usable), taken, usual_s)
@@ -121,6 +130,14 @@
         for client in self._clients.values():
             await client.close()
 
+    def _without_slow(
+        self, upstreams: Collection[Upstream], group_size: int, now: float
+    ) -> list[Upstream]:
+        """Leave out the ranks that hold up their group, if they are few."""
+        told = {item.instance: self._slowness_told(item.instance, now) for item in upstreams}
+        emptied = ranks_to_empty(told, group_size)
+        return [item for item in upstreams if item.instance not in emptied]
+
     def _averages(self, upstreams: Collection[Upstream]) -> tuple[float, float]:
         """Return the usual time and share of failures over upstreams that have served."""
         served = [s for u in upstreams if (s := self.stats(u.instance)).usual_s > 0]
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -8,6 +8,7 @@
 
 from bluebellrun.core import Address, parse_address
 from bluebellrun.gateway._peers import EntryNews, PeerTable, decode_news, encode_news
+from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView
 from bluebellrun.runtime import spawn_background
 from bluebellrun.store import KeyValueStore, PlatformError, Put
@@ -34,6 +35,7 @@
         store: KeyValueStore,
         view: StoreView,
         table: PeerTable,
+        slow: SlowUpstreams,
         news: Callable[[], EntryNews],
     ) -> None:
         self._address = address
@@ -41,6 +43,7 @@
         self._store = store
         self._view = view
         self._table = table
+        self._slow = slow
         self._news = news
         self._lease = 0
 
@@ -114,5 +117,7 @@
                 await curio.sleep(SEND_INTERVAL_S)
                 continue
             news = decode_news(data)
-            if news is not None:
-                self._table.take(news, time.monotonic())
+            if news is None or not self._table.take(news, time.monotonic()):
+                continue
+            if news.slow is not None:
+                self._slow.replace(news.slow, time.monotonic())
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -14,6 +14,8 @@
 
     ``number`` grows with each message of one ``incarnation``. ``address`` is where it tells what
     it read from the store, and ``silence_s`` how long ago it heard the store, in seconds.
+    ``slow`` is told by the entry that keeps the expert maps alone: the ranks that say they take
+    longer than usual, and how many times as long.
     """
 
     entry: str
@@ -22,6 +24,7 @@
     address: str
     silence_s: float
     running: dict[str, int]
+    slow: dict[str, float] | None = None
 
 
 _decoder = msgspec.msgpack.Decoder(EntryNews)
--- a/bluebellrun/gateway/_service_group.py
+++ b/bluebellrun/gateway/_service_group.py
@@ -93,6 +93,16 @@
         self._demand = DemandEstimator(experts.layers, experts.experts, DemandSettings())
         self._changes = 0
 
+    @property
+    def slowness(self) -> dict[str, float]:
+        """Return how many times as long as usual each upstream says that it takes."""
+        states = self._states
+        return {
+            upstream.instance: states[rank].slowness
+            for rank, upstream in self._ranks.items()
+            if rank in states
+        }
+
     async def turn(self, fencing: int) -> float:
         """Do the next thing; return the seconds to the next turn."""
         if fencing != self._fencing:
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -19,6 +19,7 @@
 from bluebellrun.gateway._lifecycle import Lifecycle
 from bluebellrun.gateway._peers import EntryNews, PeerTable
 from bluebellrun.gateway._role import LEASE_S, PlacementRole
+from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView
 from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
 from bluebellrun.leases import RoleHolder
@@ -120,8 +121,13 @@
         self._directory = UpstreamDirectory()
         self._peers = PeerTable(settings.host)
         self._metrics = ServingMetrics()
+        self._slow = SlowUpstreams()
         self._fleet = Fleet(
-            self._directory, settings.failure_domain, self._random, self._peers.running
+            self._directory,
+            settings.failure_domain,
+            self._random,
+            self._peers.running,
+            self._slow.of,
         )
         self._gateway = Gateway(
             settings, self._fleet, PlatformWire(), self._random, self._metrics.note_request
@@ -142,6 +148,7 @@
             EngineCalls(settings.ports.first),
             self._directory,
             lambda: self._gateway.deployment,
+            self._slow,
         )
         self._join_entries()
         self._lifecycle = Lifecycle(self._gateway, self._server, settings.bounds)
@@ -198,7 +205,9 @@
         self._numbers = itertools.count(1)
         self._catch_up = CatchUp(self._inner, self._view, self._peers)
         key = f"{OWN_PREFIX}entries/{settings.host}"
-        self._gossip = Gossip(self._inner, key, self._store, self._view, self._peers, self._news)
+        self._gossip = Gossip(
+            self._inner, key, self._store, self._view, self._peers, self._slow, self._news
+        )
 
     def _news(self) -> EntryNews:
         """Return what the other entries are told next."""
@@ -209,6 +218,7 @@
             str(self._inner),
             min(self._view.silence_s(), UNHEARD_S),
             self._fleet.running_here(),
+            None if self._role.lease() is None else dict(self._slow.slowness),
         )
 
     def _put_in_force(self, deployment: Deployment) -> bool:
--- /dev/null
+++ b/tests/gateway/test_slow_upstreams.py
@@ -0,0 +1,60 @@
+from random import Random
+
+from bluebellrun.core import parse_address
+from bluebellrun.gateway import Fleet, Upstream, UpstreamDirectory
+from bluebellrun.gateway._peers import EntryNews, PeerTable, decode_news, encode_news
+from bluebellrun.gateway._slow_upstreams import KEPT_S, SlowUpstreams
+
+
+def directory(count: int) -> UpstreamDirectory:
+    found = UpstreamDirectory()
+    for number in range(count):
+        address = parse_address(f"10.0.0.{number + 1}:80")
+        found.put(Upstream(f"u{number}", "model", address, "a", slots=6))
+    return found
+
+
+def fleet(slow: SlowUpstreams, count: int = 12) -> Fleet:
+    return Fleet(directory(count), "a", Random(1), slowness_told=slow.of)
+
+
+def chosen(subject: Fleet, now: float) -> set[str]:
+    return {subject.choose("model", (), now).instance for _ in range(200)}
+
+
+def test_a_rank_that_is_told_to_be_slow_gets_no_requests_and_gives_no_places():
+    slow = SlowUpstreams()
+    subject = fleet(slow)
+    assert "u4" in chosen(subject, 0.0)
+    slow.replace({"u4": 4.0}, 0.0)
+    assert chosen(subject, 0.0) == {f"u{n}" for n in range(12)} - {"u4"}
+    assert subject.places("model", 0.0).total == 11 * 6
+
+
+def test_a_rank_that_is_sound_again_gets_requests_again():
+    slow = SlowUpstreams()
+    slow.replace({"u4": 4.0}, 0.0)
+    slow.replace({"u4": 1.0}, 0.1)
+    assert "u4" in chosen(fleet(slow), 0.1)
+
+
+def test_what_nobody_repeats_is_forgotten():
+    slow = SlowUpstreams()
+    slow.replace({"u4": 4.0}, 0.0)
+    assert slow.of("u4", KEPT_S - 0.1) == 4.0
+    assert slow.of("u4", KEPT_S + 0.1) == 1.0
+
+
+def test_when_all_sound_ranks_are_excluded_the_slow_one_still_serves():
+    slow = SlowUpstreams()
+    slow.replace({"u0": 4.0}, 0.0)
+    subject = fleet(slow, 3)
+    assert subject.choose("model", ("u1", "u2"), 0.0).instance == "u0"
+
+
+def test_only_the_keeper_of_the_maps_tells_of_slow_ranks():
+    news = EntryNews("a", "i", 1, "10.0.0.1:7000", 0.0, {}, {"u1": 2.0})
+    assert decode_news(encode_news(news)).slow == {"u1": 2.0}
+    table = PeerTable("me")
+    assert table.take(EntryNews("b", "i", 1, "10.0.0.1:7000", 0.0, {}), 0.0)
+    assert table.best_informed().slow is None
--- /dev/null
+++ b/tests/routing/test_lockstep.py
@@ -0,0 +1,79 @@
+"""Load pattern: one rank of a group that takes its steps together turns slow."""
+
+from random import Random
+
+import pytest
+
+from bluebellrun.routing import LeastWorkRouting, UpstreamWork, ranks_to_empty
+
+RANKS, SLOTS = 12, 6
+STEP_MS, REQUEST_MS, READ_PER_MS, CHUNK = 5.85, 0.426, 61.2, 512
+PROMPT, STEPS, STEPS_A_PASS = 820, 140, 6
+
+
+def told(**slow):
+    return {str(rank): 1.0 for rank in range(RANKS)} | {k.strip("_"): v for k, v in slow.items()}
+
+
+def first_tokens_in_time(empty_slow: bool, pace: float, seed: int) -> float:
+    """Play 20 s of requests at a group with one slow rank; return the share in time."""
+    random = Random(seed)
+    slowness = [pace if rank == 3 else 1.0 for rank in range(RANKS)]
+    emptied = ranks_to_empty({str(r): p for r, p in enumerate(slowness)}, RANKS)
+    routing = LeastWorkRouting(random, "a")
+    now, next_at = 0.0, 0.0
+    # Each request: when it came, prompt tokens left to read, steps left to write.
+    held: list[list[list[float]]] = [[] for _ in range(RANKS)]
+    first: list[float] = []
+    while now < 20_000:
+        while next_at <= now:
+            works = [
+                UpstreamWork(str(rank), "a", SLOTS, len(held[rank]))
+                for rank in range(RANKS)
+                if not (empty_slow and str(rank) in emptied)
+            ]
+            held[int(routing.choose(works).name)].append([next_at, PROMPT, STEPS])
+            next_at += random.expovariate(22 / 1000)
+        parts = []
+        for requests, pace_of_rank in zip(held, slowness, strict=True):
+            batch = requests[:SLOTS]
+            left = CHUNK
+            for request in batch:
+                read = min(left, request[1])
+                request[1] -= read
+                left -= read
+            reading = (CHUNK - left) / READ_PER_MS
+            writing = any(request[1] <= 0 for request in batch)
+            steps = STEPS_A_PASS if writing else 1
+            own = steps * (STEP_MS + REQUEST_MS * len(batch)) + reading if batch else STEP_MS
+            parts.append(own * pace_of_rank)
+        now += max(parts)
+        for requests in held:
+            for request in requests[:SLOTS]:
+                if request[1] <= 0:
+                    if request[2] == STEPS:
+                        first.append(now - request[0])
+                    request[2] -= STEPS_A_PASS
+            requests[:] = [request for request in requests if request[2] > 0]
+    waiting = sum(request[2] == STEPS for requests in held for request in requests)
+    return sum(took <= 403 for took in first) / (len(first) + waiting)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_emptying_a_slow_rank_serves_more_of_the_group_s_callers_in_time(seed):
+    before = first_tokens_in_time(False, 4.0, seed)
+    after = first_tokens_in_time(True, 4.0, seed)
+    assert after > before + 0.2, (before, after)
+
+
+def test_a_slow_rank_is_emptied_and_a_varying_one_is_not():
+    assert ranks_to_empty(told(_3=4.0, _5=1.3), RANKS) == {"3"}
+
+
+def test_no_more_than_a_quarter_is_emptied_the_slowest_first():
+    slow = {f"_{rank}": 2.0 + rank for rank in range(6)}
+    assert ranks_to_empty(told(**slow), RANKS) == {"5", "4", "3"}
+
+
+def test_the_last_usable_rank_is_never_emptied():
+    assert ranks_to_empty({"0": 4.0}, RANKS) == frozenset()
