Move streams off a rank that holds up its group

Cause: after a slow rank was emptied of new requests, the streams that ran there went on for seconds, and every step of the group waited for them.

A stream that may be resumed leaves a slow rank after a whole event, within its route's attempts and the budget, of which three sends are left for failures.

--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -9,6 +9,7 @@
 from bluebellrun.gateway._models import Upstream
 from bluebellrun.http import ClientTimeouts, HttpClient
 from bluebellrun.routing import (
+    SLOWNESS_TO_EMPTY,
     LeastWorkRouting,
     OutlierEjection,
     UpstreamWork,
@@ -69,6 +70,13 @@
         chosen = self._routing.choose(works)
         return None if chosen is None else self._directory.find(chosen.name)
 
+    def is_emptied(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an upstream holds up its group and gets no more work."""
+        if self._slowness_told(upstream.instance, now) < SLOWNESS_TO_EMPTY:
+            return False
+        usable = self._directory.usable(upstream.service, now)
+        return upstream not in self._without_slow(usable, len(usable), now)
+
     def places(self, service: str, now: float) -> Places:
         """Return the places of a service and how many requests have or await one."""
         usable = self._directory.usable(service, now)
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -49,6 +49,8 @@
 RESUME_WITHIN_S = 1.8
 # Upstreams that may refuse a request before it is refused: where a few are full, most are.
 MOST_REFUSALS = 1
+# Further sends that streams of slow ranks leave over for requests that would fail without.
+SENDS_KEPT_FOR_FAILURES = 3
 # Time left below which a send could not be answered.
 LEAST_LEFT_S = 0.02
 
@@ -79,6 +81,13 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class _Moved:
+    """The stream was ended here to go on at another upstream; that send is granted."""
+
+    reason: str = "the upstream is slow and holds up its group"
+
+
 @dataclass(frozen=True, slots=True)
 class _Done:
     """The caller has the whole answer."""
@@ -86,7 +95,7 @@
     status: int
 
 
-_Outcome = _Declined | _Lost | _Failed | _Done
+_Outcome = _Declined | _Lost | _Failed | _Moved | _Done
 
 
 class Relay:
@@ -153,7 +162,7 @@
         while True:
             now = time.monotonic()
             upstream = self._fleet.choose(self._service, self._excluded, now)
-            if upstream is None or not self._may_send(now):
+            if upstream is None or not (isinstance(outcome, _Moved) or self._may_send(now)):
                 return await self._give_up(outcome)
             outcome = await self._send(upstream)
             match outcome:
@@ -167,7 +176,7 @@
                     if not self._may_run_again():
                         return await self._give_up(outcome)
             self._excluded.add(upstream.instance)
-            if self._exchange.started:
+            if self._exchange.started and not isinstance(outcome, _Moved):
                 await self._await_resumption()
 
     def _may_send(self, now: float) -> bool:
@@ -182,6 +191,16 @@
             return False
         return self._budget.take(now)
 
+    def _may_move(self, upstream: Upstream) -> bool:
+        """Return whether a stream leaves its upstream; its further send is then granted."""
+        now = time.monotonic()
+        return (
+            self._fleet.is_emptied(upstream, now)
+            and self._may_run_again()
+            and self._budget.left(now) > SENDS_KEPT_FOR_FAILURES
+            and self._budget.take(now)
+        )
+
     def _may_run_again(self) -> bool:
         """Return whether the request may run at one more upstream."""
         return self._route.repeatable and self._runs < self._route.attempts
@@ -201,7 +220,7 @@
             case _Failed(answer, body):
                 await self._exchange.answer(answer.status, answer.headers, body)
                 return Answered(answer.status, "", self._sends)
-            case _Declined(reason) | _Lost(reason):
+            case _Declined(reason) | _Lost(reason) | _Moved(reason):
                 pass
             case _Done(status):
                 return Answered(status, "", self._sends)
@@ -246,11 +265,13 @@
             case _Failed(answer, _):
                 reason = f"upstream answered {answer.status}"
                 self._fleet.note_result(upstream.instance, True, now - started, now)
+            case _Moved(reason):
+                pass
             case _Done():
                 self._fleet.note_result(upstream.instance, False, now - started, now)
                 return
         _log.info(
-            "send failed",
+            "send moved" if isinstance(outcome, _Moved) else "send failed",
             request=self._request.id,
             upstream=upstream.instance,
             send=self._sends,
@@ -348,6 +369,8 @@
             self._last_event_at = time.monotonic()
             self._last_id = whole.last_id
             await self._exchange.send_body(whole.data)
+            if self._may_move(upstream):
+                return _Moved()
         if events.partial.strip():
             return _Lost("the stream ended within an event")
         if not self._exchange.started:
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -196,6 +196,39 @@
     assert [item.headers.get("last-event-id") for item in scene.arrivals] == [None, "2"]
 
 
+@pytest.mark.parametrize(
+    ("path", "sends", "told_slow"),
+    [("/talk/a", 2, True), ("/talk/a", 1, False), ("/tell/a", 1, True)],
+)
+def test_a_stream_leaves_a_rank_that_turns_slow_if_it_may_be_resumed(path, sends, told_slow):
+    async def check(scene: Scene) -> None:
+        answer = await scene.ask(path, "POST", b"x")
+        assert (answer.body, answer.whole) == (events(1, 2, 3, 4), True)
+
+    async def turns_slow(sock: Any, arrival: Any) -> None:
+        after = int(arrival.headers.get("last-event-id", 0))
+        if after:
+            await sock.sendall(stream(*range(after + 1, 5)))
+            return
+        await sock.sendall(stream(1, ended=False))
+        if told_slow:
+            scene.slow.replace({arrival.upstream: 4.0}, time.monotonic())
+        await curio.sleep(0.02)
+        await sock.sendall(stream(2, begun=False, ended=False))
+        await curio.sleep(0.05)
+        await sock.sendall(stream(3, 4, begun=False))
+
+    scene = Scene()
+
+    async def main() -> None:
+        await scene.start(*((f"u{number}", turns_slow) for number in range(4)))
+        await check(scene)
+
+    curio.run(main)
+    assert len(scene.arrivals) == sends
+    assert len({item.upstream for item in scene.arrivals}) == sends
+
+
 def test_a_stream_that_may_not_be_resumed_does_not_look_complete():
     async def check(scene: Scene) -> None:
         answer = await scene.ask("/tell/a", "POST", b"x")
--- a/tests/platform/upstreams.py
+++ b/tests/platform/upstreams.py
@@ -11,6 +11,7 @@
 from bluebellrun.core import Address
 from bluebellrun.deployment import HostSettings, ReservedPorts, StoreTerms
 from bluebellrun.gateway import Fleet, Gateway, Upstream, UpstreamDirectory
+from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.http import HttpLimits, HttpServer, Listener
 from bluebellrun.platform import PlatformWire
 from bluebellrun.platform._configuration import read_configuration
@@ -61,7 +62,8 @@
         self.directory = UpstreamDirectory()
         store = StoreTerms(Address("127.0.0.1", 1), 1, 1, 1)
         settings = HostSettings("h", "127.0.0.1", "a", "r", store, ReservedPorts(1, 2))
-        self.fleet = Fleet(self.directory, "a", Random(1))
+        self.slow = SlowUpstreams()
+        self.fleet = Fleet(self.directory, "a", Random(1), slowness_told=self.slow.of)
         self.gateway = Gateway(settings, self.fleet, PlatformWire(), Random(1))
         self.server: HttpServer | None = None
 
