Notice from a group's steps that one of its ranks turned slow

Cause: the ranks' paces were read every 1.5 s; until then the slow rank got requests. The counts, read eight times a second, tell the group's step: when its steps turn longer by half, all ranks are asked at once.

--- a/bluebellrun/gateway/_service_group.py
+++ b/bluebellrun/gateway/_service_group.py
@@ -22,6 +22,8 @@
     RankOrder,
     RankState,
     ReleasePass,
+    StepTimes,
+    StepTimesSettings,
     dealt_placement,
     plan_placement,
 )
@@ -91,6 +93,7 @@
         self._current: Placement | None = None
         self._change: PlacementChange | None = None
         self._demand = DemandEstimator(experts.layers, experts.experts, DemandSettings())
+        self._step_times = StepTimes(StepTimesSettings())
         self._changes = 0
 
     @property
@@ -328,8 +331,9 @@
             self._all_read_at = now
         else:
             ranks = ranks[:RANKS_READ]
+        read: list[int] = []
 
-        async def read(rank: int) -> None:
+        async def read_one(rank: int) -> None:
             try:
                 counts = await self._calls.counts(self._ranks[rank], rank)
             except RankCallError as error:
@@ -340,8 +344,12 @@
                 self._read_at = 0.0
                 return
             self._demand.observe(counts, time.monotonic())
+            read.append(counts.step)
 
-        await _all([(read, (rank,)) for rank in ranks])
+        await _all([(read_one, (rank,)) for rank in ranks])
+        if read and self._step_times.observe(max(read), now):
+            _log.info("steps turned longer", service=self._service, step=max(read))
+            self._read_at = min(self._read_at, now - STATES_INTERVAL_S)
         distance = self._demand.distance()
         if self._demand.drop_past():
             self._planned_at = 0.0
--- a/bluebellrun/placement/__init__.py
+++ b/bluebellrun/placement/__init__.py
@@ -14,6 +14,7 @@
 from bluebellrun.placement._demand import DemandEstimator, DemandSettings, RankCounts
 from bluebellrun.placement._maps import Placement, copies_needed, dealt_placement, rank_loads, skew
 from bluebellrun.placement._planner import PlacementPlan, PlanSettings, plan_placement
+from bluebellrun.placement._step_times import StepTimes, StepTimesSettings
 
 __all__ = [
     "ArmMap",
@@ -31,6 +32,8 @@
     "RankOrder",
     "RankState",
     "ReleasePass",
+    "StepTimes",
+    "StepTimesSettings",
     "copies_needed",
     "dealt_placement",
     "plan_placement",
--- a/bluebellrun/placement/_demand.py
+++ b/bluebellrun/placement/_demand.py
@@ -5,12 +5,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RankCounts:
-    """A rank's counts since its start, layer after layer; ``epoch`` and ``born`` name its life."""
+    """A rank's counts since its start, layer after layer; ``epoch`` and ``born`` name its life.
+
+    ``step`` is the latest step of its group.
+    """
 
     rank: int
     epoch: int
     born: int
     counts: tuple[int, ...]
+    step: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -84,6 +84,8 @@
     epoch: int
     counts: list[int]
     born: int = 0
+    # The last pass that was begun.
+    step: int = 0
 
 
 class _Held(msgspec.Struct):
@@ -139,7 +141,7 @@
     async def counts(self, upstream: Upstream, rank: int) -> RankCounts:
         """Return how often the rank's requests chose each expert."""
         picked = _decode(_picked, await self._call(upstream, "GET", PICKED_PATH))
-        return RankCounts(rank, picked.epoch, picked.born, tuple(picked.counts))
+        return RankCounts(rank, picked.epoch, picked.born, tuple(picked.counts), picked.step)
 
     async def placement_held(self, upstream: Upstream) -> list[frozenset[int]]:
         """Return the experts that a rank holds in use, layer by layer."""
