Plan maps of large groups as finely as those of small ones; count peers' work step by step

Cause: a step of a plan had to lessen the measure of the whole group by 6%; with 63 ranks one rank's relief is a few per cent of that, so planning stopped at 1.46 times the mean. The bound is now taken from the mean rank's part: the same for 12 ranks, finer for 63. The sum of the other entries' work is kept up to date by differences instead of being added up anew with each datagram.

--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -77,24 +77,26 @@
         if same_life and known is not None and news.number <= known.news.number:
             return False
         self._heard[news.entry] = _Heard(news, now)
-        self._sum_up()
+        if known is not None:
+            self._add(known.news, -1)
+        self._add(news, 1)
         return True
 
     def expire(self, now: float) -> None:
         """Forget the work of entries that are silent."""
         silent = [name for name, heard in self._heard.items() if now - heard.at > SILENT_S]
         for name in silent:
-            del self._heard[name]
-        if silent:
-            self._sum_up()
+            self._add(self._heard.pop(name).news, -1)
 
     def running(self, instance: str) -> int:
         """Return the requests that other entries have at an upstream."""
         return self._running.get(instance, 0)
 
-    def _sum_up(self) -> None:
-        """Add up the work of all entries."""
-        self._running = {}
-        for heard in self._heard.values():
-            for instance, running in heard.news.running.items():
-                self._running[instance] = self._running.get(instance, 0) + running
+    def _add(self, news: EntryNews, sign: int) -> None:
+        """Count an entry's work in, or out again."""
+        for instance, running in news.running.items():
+            total = self._running.get(instance, 0) + sign * running
+            if total:
+                self._running[instance] = total
+            else:
+                self._running.pop(instance, None)
--- a/bluebellrun/gateway/_service_group.py
+++ b/bluebellrun/gateway/_service_group.py
@@ -43,10 +43,10 @@
 PLAN_INTERVAL_S = 0.2
 # Choices to have seen before a plan: a few dozen for each expert of a group.
 LEAST_CHOICES_PER_EXPERT = 20
-# A change has to lessen the skew by this much, and by this much for each expert copied: copying
-# slows passes and what is planned for lasts a few seconds.
+# A change has to lessen the skew by this much, and by this much for each expert that a rank copies
+# on average: copying slows passes and what is planned for lasts a few seconds.
 LEAST_GAIN = 0.12
-GAIN_PER_COPY = 0.0008
+GAIN_PER_COPY_OF_RANK = 0.01
 # Upstreams whose registration is gone are asked on for so long: they may still be ranks.
 REMEMBERED_S = 15.0
 # While orders are lost a map is armed further ahead, so that they can be sent again in time.
@@ -373,7 +373,9 @@
                 break
             await curio.sleep(0)
         gain = plan.skew_before - plan.skew_after
-        worthwhile = plan.copies > 0 and gain >= LEAST_GAIN + GAIN_PER_COPY * plan.copies
+        copies_of_rank = plan.copies / len(slowness)
+        needed_gain = LEAST_GAIN + GAIN_PER_COPY_OF_RANK * copies_of_rank
+        worthwhile = plan.copies > 0 and gain >= needed_gain
         _log.info(
             "map planned",
             service=self._service,
--- a/bluebellrun/placement/_planner.py
+++ b/bluebellrun/placement/_planner.py
@@ -22,13 +22,14 @@
 
     A rank holds ``slots`` experts of a layer, of which one change may replace ``most_new``. A
     layer is left alone below ``target_skew``; a step has to lessen the measure by
-    ``least_step_gain`` of it.
+    ``least_step_gain`` of the mean rank's part of it, so that one rank's relief counts as much in
+    a large group as in a small one.
     """
 
     slots: int
     most_new: int
     target_skew: float = 1.1
-    least_step_gain: float = 0.06
+    least_step_gain: float = 0.72
     most_steps: int = 40
 
 
@@ -118,7 +119,7 @@
             return False
         source = self._loads.index(longest)
         measure = sum((load / self._mean) ** POWER for load in self._loads)
-        best, best_gain = None, self._settings.least_step_gain * measure
+        best, best_gain = None, self._settings.least_step_gain * measure / len(self._loads)
         for step in self._candidates(source):
             gain = self._gain(step)
             if gain > best_gain:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,3 +1,5 @@
+from random import Random
+
 from bluebellrun.gateway._peers import EntryNews, PeerTable, decode_news, encode_news
 
 
@@ -42,6 +44,19 @@
     assert table.running("u") == 0
 
 
+def test_the_sum_stays_right_over_many_changes():
+    random, table, latest = Random(1), PeerTable("me"), {}
+    for number in range(1, 200):
+        entry = random.choice("abcd")
+        running = {u: random.randint(0, 3) for u in random.sample("uvwx", random.randint(0, 4))}
+        assert table.take(news(entry, number, running), 0.01 * number)
+        latest[entry] = running
+        for upstream in "uvwx":
+            assert table.running(upstream) == sum(r.get(upstream, 0) for r in latest.values())
+    table.expire(60.0)
+    assert not any(table.running(upstream) for upstream in "uvwx")
+
+
 def test_the_entry_that_heard_the_store_last_is_the_one_to_ask():
     table = PeerTable("me")
     assert table.best_informed() is None
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -66,6 +66,16 @@
     assert skew(planned, demand, even) <= 1.2
 
 
+def test_a_large_group_is_evened_out_as_well_as_a_small_one():
+    demand = skewed_demand(Random(7), layers=4, experts=252, power=0.65)
+    settings = PlanSettings(slots=5, most_new=2)
+    dealt = dealt_placement(4, 63, 252)
+    planned = plan_until_done(dealt, demand, settings=settings, rounds=2)
+    even = [1.0] * 63
+    assert skew(dealt, demand, even) > 3.0
+    assert skew(planned, demand, even) <= 1.2
+
+
 def test_demand_that_moves_is_followed_by_the_next_plans():
     random = Random(3)
     even = [1.0] * 12
