Change the maps of large groups with fewer and smaller calls

Ruled out: the plan itself (2 to 60 ms), the map's quality (1.15 to 1.4 by the keeper's figures).

Counts travel as differences, from a few ranks always and from the others in turn, and engines are never asked for them from afar. A map travels compressed. The process beside an engine answers an order to prepare when the copy is complete. While a map is armed only the rank that holds the pass is read. Hosts with slow links leave the role to others. A watch gathers changes for 0.1 s.

--- a/bluebellrun/deployment/_host.py
+++ b/bluebellrun/deployment/_host.py
@@ -46,7 +46,8 @@
 class HostSettings:
     """What a process is told at its start.
 
-    ``callers`` is none where it serves no callers, ``upstream`` where no upstream runs beside it.
+    ``link_bits_s`` is 0 where it is not told. ``callers`` is none where it serves no callers,
+    ``upstream`` where no upstream runs beside it.
     """
 
     host: str
@@ -59,5 +60,6 @@
     readiness: Address | None = None
     upstream: Address | None = None
     memory_bytes: int = 0
+    link_bits_s: float = 0.0
     bounds: Bounds = field(default_factory=Bounds)
     regions: dict[str, str] = field(default_factory=dict)
--- a/bluebellrun/gateway/_ports.py
+++ b/bluebellrun/gateway/_ports.py
@@ -42,7 +42,10 @@
 class OrderReply(Enum):
     """What a rank said to an order."""
 
+    # The order has begun or is noted.
     ACCEPTED = "accepted"
+    # What was ordered is already so.
+    DONE = "done"
     # The order does not fit the rank's state; look at the state again.
     CONFLICT = "conflict"
     # The rank has seen a higher fencing number: another process acts for the group.
--- a/bluebellrun/gateway/_role.py
+++ b/bluebellrun/gateway/_role.py
@@ -13,6 +13,10 @@
 LEASE_S = 2
 # A process that finds the role free waits a moment, so that its holder renews after an outage.
 TAKE_OVER_PAUSE_S = 0.1
+# One on a host with a slow link leaves the role to others for longer: a map of a group of 64 ranks
+# and their counts take a megabyte a second.
+SLOW_LINK_BITS_S = 50e6
+SLOW_LINK_PAUSE_S = 0.6
 
 _log = get_logger("role")
 
@@ -24,11 +28,19 @@
     should another process take the role meanwhile, the ranks tell the two apart.
     """
 
-    def __init__(self, holder: RoleHolder, view: StoreView, clock: Clock, fenced: bool) -> None:
+    def __init__(
+        self,
+        holder: RoleHolder,
+        view: StoreView,
+        clock: Clock,
+        fenced: bool,
+        take_over_pause_s: float = TAKE_OVER_PAUSE_S,
+    ) -> None:
         self._holder = holder
         self._view = view
         self._clock = clock
         self._fenced = fenced
+        self._take_over_pause_s = take_over_pause_s
         self._had: int | None = None
         self._last: RoleLease | None = None
         self._refused: set[int] = set()
@@ -67,7 +79,7 @@
         if self._last is not None or self._holder.current(self._clock.now()) is not None:
             self._last = await self._holder.renew()
         elif self._view.confirmed_at is not None and self._is_free():
-            await curio.sleep(TAKE_OVER_PAUSE_S)
+            await curio.sleep(self._take_over_pause_s)
             if self._is_free():
                 self._last = await self._holder.acquire()
         self._note_change()
@@ -83,3 +95,8 @@
         if number != self._had:
             _log.info("role held" if number is not None else "role not held", number=number)
             self._had = number
+
+
+def take_over_pause_s(link_bits_s: float) -> float:
+    """Return how long a process leaves the free role to others, by its host's link."""
+    return SLOW_LINK_PAUSE_S if 0 < link_bits_s < SLOW_LINK_BITS_S else TAKE_OVER_PAUSE_S
--- a/bluebellrun/gateway/_service_group.py
+++ b/bluebellrun/gateway/_service_group.py
@@ -11,6 +11,7 @@
 from bluebellrun.gateway._ports import OrderReply, RankCallError, RankCalls, RankReplacedError
 from bluebellrun.gateway._role import PlacementRole
 from bluebellrun.placement import (
+    ArmMap,
     ChangeSettings,
     ClaimRank,
     DemandEstimator,
@@ -32,12 +33,10 @@
 READ_INTERVAL_S = 0.12
 # Ranks are asked this often while a change is under way: passes last some dozens of milliseconds.
 CHANGE_INTERVAL_S = 0.02
-# While experts are copied, which takes some hundred milliseconds.
-COPYING_INTERVAL_S = 0.04
-# A jump of demand shows in any ranks' counts: only these many are read at each turn, and all at
-# times, as a call costs both hosts a few milliseconds.
-RANKS_READ = 4
-ALL_RANKS_INTERVAL_S = 0.5
+# A jump of demand shows in any ranks' counts: these many are read at each turn, and of the others
+# so many in turn, as a call costs both hosts about a millisecond.
+RANKS_READ_ALWAYS = 4
+RANKS_READ_IN_TURN = 8
 # States are read again this often in calm times, to notice ranks that left, joined or slowed.
 STATES_INTERVAL_S = 1.5
 PLAN_INTERVAL_S = 0.2
@@ -51,11 +50,16 @@
 REMEMBERED_S = 15.0
 # While orders are lost a map is armed further ahead, so that they can be sent again in time.
 ORDERS_LOST_S = 5.0
-CAREFUL_CHANGE = ChangeSettings(margin_steps=5)
+MARGIN_STEPS = 2
+CAREFUL_MARGIN_STEPS = 5
+# Orders to so many ranks take a small host about as long as a step.
+RANKS_ARMED_IN_A_STEP = 32
 # Versions of one holder of the role lie between its fencing number times this and the next
 # number's; a holder that has used them up takes the role anew.
 VERSIONS_PER_HOLDER = 1_000_000
 
+TAKEN = frozenset({OrderReply.ACCEPTED, OrderReply.DONE})
+
 _log = get_logger("expert-maps")
 
 
@@ -85,7 +89,7 @@
         self._ranks: dict[int, Upstream] = {}
         self._read_at = 0.0
         self._planned_at = 0.0
-        self._all_read_at = 0.0
+        self._next_read = 0
         self._order_lost_at = -ORDERS_LOST_S
         self._epoch: tuple[str, int] | None = None
         self._fencing = 0
@@ -116,7 +120,7 @@
             return CHANGE_INTERVAL_S
         if self._change is not None:
             await self._drive(self._change, fencing)
-            return COPYING_INTERVAL_S if self._unprepared() else CHANGE_INTERVAL_S
+            return CHANGE_INTERVAL_S
         await self._release_stray_holds(fencing)
         await self._read_counts()
         if time.monotonic() - self._planned_at > PLAN_INTERVAL_S:
@@ -125,20 +129,12 @@
 
     async def _look(self, now: float) -> bool:
         """Read the states that matter now; return whether a whole group is known."""
-        unprepared = self._unprepared()
-        if unprepared and self._read_at:
-            return await self._read_again(unprepared)
-        if self._change is not None or now - self._read_at > STATES_INTERVAL_S:
+        if self._change is not None and self._read_at:
+            return await self._read_again(self._change.ranks_to_read(self._states))
+        if now - self._read_at > STATES_INTERVAL_S:
             return await self._read_states()
         return bool(self._ranks)
 
-    def _unprepared(self) -> list[int]:
-        """Return the ranks that still copy experts for the change under way."""
-        change = self._change
-        if change is None or not change.preparing:
-            return []
-        return [rank for rank, s in self._states.items() if s.prepared != change.version]
-
     async def _read_again(self, ranks: list[int]) -> bool:
         """Read the states of some ranks; return whether the group is still the same."""
 
@@ -298,9 +294,11 @@
         while orders:
             replies = await self._give(orders, fencing)
             for rank, order in orders:
-                if replies.get(rank) is OrderReply.ACCEPTED:
-                    self._states[rank] = change.accepted(self._states[rank], order)
-            if OrderReply.ACCEPTED not in replies.values():
+                reply = replies.get(rank)
+                if reply in TAKEN:
+                    done = reply is OrderReply.DONE
+                    self._states[rank] = change.accepted(self._states[rank], order, done)
+            if not TAKEN.intersection(replies.values()):
                 break
             orders = change.decide(self._states, time.monotonic())
         if change.done:
@@ -324,13 +322,13 @@
             self._read_at = 0.0
 
     async def _read_counts(self) -> None:
-        """Read the counts of some ranks, or of all if that was not done lately."""
+        """Read the counts of some ranks: a few always, the others in turn."""
         now = time.monotonic()
         ranks = sorted(self._ranks)
-        if now - self._all_read_at > ALL_RANKS_INTERVAL_S:
-            self._all_read_at = now
-        else:
-            ranks = ranks[:RANKS_READ]
+        others = ranks[RANKS_READ_ALWAYS:]
+        start = self._next_read % max(1, len(others))
+        self._next_read = start + RANKS_READ_IN_TURN
+        chosen = (others[start:] + others[:start])[:RANKS_READ_IN_TURN]
         read: list[int] = []
 
         async def read_one(rank: int) -> None:
@@ -338,7 +336,6 @@
                 counts = await self._calls.counts(self._ranks[rank], rank)
             except RankCallError as error:
                 _log.info("counts not read", rank=rank, reason=str(error))
-                self._read_at = 0.0
                 return
             if self._epoch is not None and counts.epoch != self._epoch[1]:
                 self._read_at = 0.0
@@ -346,7 +343,7 @@
             self._demand.observe(counts, time.monotonic())
             read.append(counts.step)
 
-        await _all([(read_one, (rank,)) for rank in ranks])
+        await _all([(read_one, (rank,)) for rank in (*ranks[:RANKS_READ_ALWAYS], *chosen)])
         if read and self._step_times.observe(max(read), now):
             _log.info("steps turned longer", service=self._service, step=max(read))
             self._read_at = min(self._read_at, now - STATES_INTERVAL_S)
@@ -393,7 +390,8 @@
         version = fencing * VERSIONS_PER_HOLDER + self._changes
         now = time.monotonic()
         careful = now - self._order_lost_at < ORDERS_LOST_S
-        settings = CAREFUL_CHANGE if careful else ChangeSettings()
+        margin = CAREFUL_MARGIN_STEPS if careful else MARGIN_STEPS
+        settings = ChangeSettings(margin_steps=margin + len(self._ranks) // RANKS_ARMED_IN_A_STEP)
         self._change = PlacementChange(version, plan.placement, settings, now)
 
     async def _give(
@@ -418,6 +416,8 @@
                 _log.info("order refused", rank=rank, order=type(order).__name__)
                 if isinstance(order, PrepareMap) and self._change is not None:
                     self._change.fail()
+                elif isinstance(order, ArmMap):
+                    self._read_at = 0.0
 
         if self._role.lease() is None:
             return replies
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -18,7 +18,7 @@
 from bluebellrun.gateway._gossip import Gossip
 from bluebellrun.gateway._lifecycle import Lifecycle
 from bluebellrun.gateway._peers import EntryNews, PeerTable
-from bluebellrun.gateway._role import LEASE_S, PlacementRole
+from bluebellrun.gateway._role import LEASE_S, PlacementRole, take_over_pause_s
 from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView
 from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
@@ -195,7 +195,9 @@
             clock,
             self._random,
         )
-        return PlacementRole(holder, self._view, clock, self._settings.bounds.fenced_orders)
+        settings = self._settings
+        pause_s = take_over_pause_s(settings.link_bits_s)
+        return PlacementRole(holder, self._view, clock, settings.bounds.fenced_orders, pause_s)
 
     def _join_entries(self) -> None:
         """Make what this entry and the others tell each other."""
--- a/bluebellrun/placement/_change.py
+++ b/bluebellrun/placement/_change.py
@@ -139,6 +139,20 @@
         if self._step is None:
             self._failed = True
 
+    def ranks_to_read(self, states: Mapping[int, RankState]) -> list[int]:
+        """Return the ranks whose states the next decision depends on.
+
+        What ranks accept is known from their replies. Besides, it takes the group's step, which
+        the rank that holds a pass tells, and at the end whether each rank uses the map.
+        """
+        if self._step is None:
+            unprepared = [r for r, state in states.items() if state.prepared != self._version]
+            return unprepared or [min(states)]
+        waiting = [rank for rank, state in states.items() if state.active != self._version]
+        if all(self._is_armed(states[rank]) for rank in waiting):
+            return waiting
+        return [min(states)]
+
     def decide(self, states: Mapping[int, RankState], now: float) -> list[tuple[int, RankOrder]]:
         """Return the orders to send now; ``states`` are those of all ranks, in one epoch."""
         if all(state.active == self._version for state in states.values()):
@@ -150,9 +164,11 @@
                 return self._prepare(unprepared, now)
         return self._switch(states, now)
 
-    def accepted(self, state: RankState, order: RankOrder) -> RankState:
-        """Return a rank's state after it accepted an order; what it has to copy takes longer."""
+    def accepted(self, state: RankState, order: RankOrder, done: bool = False) -> RankState:
+        """Return a rank's state after it accepted an order; ``done`` if it has copied its part."""
         match order:
+            case PrepareMap(version) if done:
+                return replace(state, prepared=version)
             case HoldPass(step):
                 return replace(state, held=step)
             case ArmMap(version, step):
--- a/bluebellrun/placement/_demand.py
+++ b/bluebellrun/placement/_demand.py
@@ -1,6 +1,7 @@
 """Follow how often each expert is chosen, from counts that ranks keep since their start."""
 
 from dataclasses import dataclass
+from math import log
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +41,7 @@
         self._experts = experts
         self._settings = settings
         self._seen: dict[int, RankCounts] = {}
+        self._seen_at: dict[int, float] = {}
         self._sums = [0.0] * (layers * experts)
         self._latest = [0.0] * (layers * experts)
         self._decayed_at: float | None = None
@@ -70,8 +72,8 @@
     def observe(self, read: RankCounts, now: float) -> bool:
         """Take a rank's counts; return false if they only give a new start to count from."""
         self._decay(now)
-        before = self._seen.get(read.rank)
-        self._seen[read.rank] = read
+        before, before_at = self._seen.get(read.rank), self._seen_at.get(read.rank, now)
+        self._seen[read.rank], self._seen_at[read.rank] = read, now
         if len(read.counts) != len(self._sums):
             del self._seen[read.rank]
             return False
@@ -80,8 +82,9 @@
         gained = [new - old for new, old in zip(read.counts, before.counts, strict=True)]
         if min(gained) < 0:
             return False
+        latest = _weight(now - before_at, self._settings.short_half_life_s)
         self._sums = [have + new for have, new in zip(self._sums, gained, strict=True)]
-        self._latest = [have + new for have, new in zip(self._latest, gained, strict=True)]
+        self._latest = [have + latest * new for have, new in zip(self._latest, gained, strict=True)]
         return True
 
     def demand(self) -> list[list[float]]:
@@ -102,3 +105,9 @@
         self._sums = [value * kept for value in self._sums]
         kept = 0.5 ** (passed / self._settings.short_half_life_s)
         self._latest = [value * kept for value in self._latest]
+
+
+def _weight(passed_s: float, half_life_s: float) -> float:
+    """Return what is remembered of choices that came evenly over the time that passed."""
+    turns = passed_s / half_life_s
+    return (1 - 0.5**turns) / (turns * log(2)) if turns > 0 else 1.0
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -2,6 +2,7 @@
 
 import time
 from http import HTTPStatus
+from operator import add
 from typing import Any
 
 import curio
@@ -9,7 +10,7 @@
 
 from bluebellrun.core import Address
 from bluebellrun.gateway import OrderReply, RankCallError, RankReplacedError, Upstream
-from bluebellrun.http import ClientTimeouts, HttpClient, TransportError
+from bluebellrun.http import ClientTimeouts, Headers, HttpClient, TransportError
 from bluebellrun.placement import (
     ArmMap,
     ClaimRank,
@@ -21,6 +22,14 @@
     RankState,
     ReleasePass,
 )
+from bluebellrun.platform._engine_messages import (
+    COUNTS_KNOWN,
+    COUNTS_PATH,
+    PACKED,
+    PACKED_FROM_BYTES,
+    RankCountsTold,
+    pack,
+)
 from bluebellrun.platform._names import EXPECT_INSTANCE, ORDER_PATH, PICKED_PATH, REPORT_PATH
 from bluebellrun.telemetry import get_logger
 
@@ -41,6 +50,14 @@
 _log = get_logger("engine-calls")
 
 
+# Counts are read again a moment later, so that a late answer costs nothing.
+COUNTS_TIMEOUT_S = 0.4
+# An engine copies experts within this time, unless its group waits.
+PREPARE_TIMEOUT_S = 0.5
+# Each call has its own time-out; this one only bounds them all.
+LONGEST_CALL_S = 1.0
+
+
 class _NoAnswerError(RankCallError):
     """The process beside an engine says that the engine did not answer."""
 
@@ -78,16 +95,6 @@
     born: int = 0
 
 
-class _Picked(msgspec.Struct):
-    """How often each expert was chosen, set after set."""
-
-    epoch: int
-    counts: list[int]
-    born: int = 0
-    # The last pass that was begun.
-    step: int = 0
-
-
 class _Held(msgspec.Struct):
     """A map as one rank holds it: its experts, set by set."""
 
@@ -102,7 +109,7 @@
 
 
 _report = msgspec.json.Decoder(_Report)
-_picked = msgspec.json.Decoder(_Picked)
+_counts_told = msgspec.msgpack.Decoder(RankCountsTold)
 _lists = msgspec.json.Decoder(_Lists)
 
 
@@ -114,6 +121,9 @@
         self._relays: dict[str, HttpClient] = {}
         self._direct: dict[str, HttpClient] = {}
         self._avoided_until: dict[str, float] = {}
+        # By instance, the number of the counts that are known, and those.
+        self._counts: dict[str, tuple[int, tuple[int, ...]]] = {}
+        self._last_order: tuple[tuple[RankOrder, int, int], bytes] | None = None
 
     async def state(self, upstream: Upstream) -> RankState | None:
         """Return what an upstream says of its rank, none if it is no rank of a group."""
@@ -139,9 +149,26 @@
         )
 
     async def counts(self, upstream: Upstream, rank: int) -> RankCounts:
-        """Return how often the rank's requests chose each expert."""
-        picked = _decode(_picked, await self._call(upstream, "GET", PICKED_PATH))
-        return RankCounts(rank, picked.epoch, picked.born, tuple(picked.counts), picked.step)
+        """Return how often the rank's requests chose each expert.
+
+        Only the process beside an engine is asked: a group rests while an engine answers other
+        hosts. Of counts that are known it tells the differences.
+        """
+        instance = upstream.instance
+        known = self._counts.get(instance)
+        number = 0 if known is None else known[0]
+        headers = [(EXPECT_INSTANCE, instance), (COUNTS_KNOWN, str(number))]
+        client = self._client(self._relays, instance, self._beside(upstream))
+        status, data = await self._fetch(
+            client, upstream, "GET", COUNTS_PATH, headers, b"", COUNTS_TIMEOUT_S
+        )
+        told = _decode_counts(status, data)
+        if told.since and known is not None:
+            counts = tuple(map(add, known[1], told.counts))
+        else:
+            counts = tuple(told.counts)
+        self._counts[instance] = (told.number, counts)
+        return RankCounts(rank, told.epoch, told.born, counts, told.step)
 
     async def placement_held(self, upstream: Upstream) -> list[frozenset[int]]:
         """Return the experts that a rank holds in use, layer by layer."""
@@ -152,10 +179,13 @@
         self, upstream: Upstream, order: RankOrder, epoch: int, fencing: int
     ) -> OrderReply:
         """Give an order."""
-        body = msgspec.json.encode({**_order(order), "epoch": epoch, "fence": fencing})
-        status, data = await self._call(upstream, "POST", ORDER_PATH, body)
+        body = self._order_body(order, epoch, fencing)
+        relay_timeout_s = PREPARE_TIMEOUT_S if isinstance(order, PrepareMap) else RELAY_TIMEOUT_S
+        status, data = await self._call(upstream, "POST", ORDER_PATH, body, relay_timeout_s)
         match status:
-            case HTTPStatus.OK | HTTPStatus.ACCEPTED:
+            case HTTPStatus.OK:
+                return OrderReply.DONE
+            case HTTPStatus.ACCEPTED:
                 return OrderReply.ACCEPTED
             case HTTPStatus.CONFLICT:
                 return OrderReply.CONFLICT
@@ -166,28 +196,38 @@
 
     async def forget(self, instance: str) -> None:
         """Close what is kept open to an upstream that is gone."""
+        self._counts.pop(instance, None)
         for clients in (self._relays, self._direct):
             client = clients.pop(instance, None)
             if client is not None:
                 await client.close()
 
     async def _call(
-        self, upstream: Upstream, method: str, target: str, body: bytes = b""
+        self,
+        upstream: Upstream,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        relay_timeout_s: float = RELAY_TIMEOUT_S,
     ) -> tuple[int, bytes]:
         """Make a call by the process beside the upstream, else directly."""
         instance = upstream.instance
+        headers = [(EXPECT_INSTANCE, instance)]
+        if body:
+            headers.append(("content-type", "application/json"))
         if time.monotonic() >= self._avoided_until.get(instance, 0.0):
-            beside = Address(upstream.address.ip, self._relay_port)
-            client = self._client(self._relays, instance, beside)
+            client = self._client(self._relays, instance, self._beside(upstream))
             try:
-                return await self._fetch(client, upstream, method, target, body, RELAY_TIMEOUT_S)
+                return await self._fetch(
+                    client, upstream, method, target, *_packed(headers, body), relay_timeout_s
+                )
             except (RankReplacedError, _NoAnswerError):
                 raise
             except RankCallError as error:
                 self._avoided_until[instance] = time.monotonic() + RELAY_AVOIDED_S
                 _log.info("engine called directly", upstream=instance, reason=str(error))
         client = self._client(self._direct, instance, upstream.address)
-        return await self._fetch(client, upstream, method, target, body, CALL_TIMEOUT_S)
+        return await self._fetch(client, upstream, method, target, headers, body, CALL_TIMEOUT_S)
 
     async def _fetch(
         self,
@@ -195,13 +235,11 @@
         upstream: Upstream,
         method: str,
         target: str,
+        headers: Headers,
         body: bytes,
         timeout_s: float,
     ) -> tuple[int, bytes]:
         """Make a call over one connection."""
-        headers = [(EXPECT_INSTANCE, upstream.instance)]
-        if body:
-            headers.append(("content-type", "application/json"))
         try:
             async with curio.timeout_after(timeout_s):
                 status, data = await client.fetch(method, target, headers, body)
@@ -217,13 +255,25 @@
             raise RankCallError(f"{upstream.instance} answered {status} to {target}")
         return status, data
 
+    def _beside(self, upstream: Upstream) -> Address:
+        """Return the address of the process beside an engine."""
+        return Address(upstream.address.ip, self._relay_port)
+
+    def _order_body(self, order: RankOrder, epoch: int, fencing: int) -> bytes:
+        """Return an order's body; that of the last order is kept, as all ranks get the same."""
+        told = (order, epoch, fencing)
+        if self._last_order is None or self._last_order[0] != told:
+            body = msgspec.json.encode({**_order(order), "epoch": epoch, "fence": fencing})
+            self._last_order = (told, body)
+        return self._last_order[1]
+
     def _client(
         self, clients: dict[str, HttpClient], instance: str, address: Address
     ) -> HttpClient:
         """Return the client for an upstream."""
         client = clients.get(instance)
         if client is None:
-            timeouts = ClientTimeouts(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S)
+            timeouts = ClientTimeouts(CONNECT_TIMEOUT_S, LONGEST_CALL_S, LONGEST_CALL_S)
             client = clients[instance] = HttpClient(address, timeouts)
         return client
 
@@ -236,6 +286,21 @@
         raise RankCallError(f"an engine's answer cannot be read: {error}") from error
 
 
+def _decode_counts(status: int, data: bytes) -> RankCountsTold:
+    """Return counts as the process beside an engine tells them."""
+    try:
+        return _counts_told.decode(data)
+    except msgspec.DecodeError as error:
+        raise RankCallError(f"counts cannot be read ({status}): {error}") from error
+
+
+def _packed(headers: Headers, body: bytes) -> tuple[Headers, bytes]:
+    """Return headers and body of a call to the process beside an engine."""
+    if len(body) < PACKED_FROM_BYTES:
+        return headers, body
+    return [*headers, PACKED], pack(body)
+
+
 def _order(order: RankOrder) -> dict[str, Any]:
     """Return an order's body."""
     match order:
--- a/bluebellrun/platform/_settings.py
+++ b/bluebellrun/platform/_settings.py
@@ -11,6 +11,7 @@
 
 MILLISECOND_S = 0.001
 MEGABYTE = 1_000_000
+MEGABIT = 1_000_000
 
 
 class SettingsError(Exception):
@@ -21,6 +22,7 @@
     """What the host gives to one process."""
 
     ram_mb: float = 0
+    link_mbps: float = 0
 
 
 class _Bounds(msgspec.Struct):
@@ -119,6 +121,7 @@
         callers=_address(file.listen.front),
         readiness=_address(file.listen.ready),
         upstream=_address(file.app),
+        link_bits_s=file.limits.link_mbps * MEGABIT,
         memory_bytes=int(file.limits.ram_mb * MEGABYTE),
         bounds=bounds,
         regions=dict(file.zones),
--- a/bluebellrun/platform/_store.py
+++ b/bluebellrun/platform/_store.py
@@ -40,6 +40,9 @@
 NOTHING_DONE = (429, 503)
 CONNECT_SHARE = 0.5
 # A waiting watch is one call; a short wait finds a silent connection before a change is overdue.
+# Registrations come in bursts of dozens, and each call to the store is paid for; what is in the
+# store has to be in force within seconds.
+GATHER_CHANGES_S = 0.1
 WATCH_WAIT_S = 3.0
 JSON_HEADERS = [("content-type", "application/json")]
 
@@ -259,15 +262,24 @@
         self._prefix = prefix
         self._after = after
         self._first: list[WatchEvent] = []
+        self._changed = False
 
     async def begin(self) -> None:
         """Ask once without waiting: the store answers, and has the history that is needed."""
         self._first = await self._ask(0.0)
 
     async def next(self) -> list[WatchEvent]:
-        """Return the next changes, in order; an empty list after a wait without any."""
-        first, self._first = self._first, []
-        return first or await self._ask(WATCH_WAIT_S)
+        """Return the next changes, in order; an empty list after a wait without any.
+
+        After changes the next call waits a moment, so that what changes together comes together.
+        """
+        if self._changed:
+            await curio.sleep(GATHER_CHANGES_S)
+        events, self._first = self._first, []
+        if not events:
+            events = await self._ask(WATCH_WAIT_S)
+        self._changed = bool(events)
+        return events
 
     async def _ask(self, wait_s: float) -> list[WatchEvent]:
         """Return the changes since the last ones."""
--- a/tests/placement/test_change.py
+++ b/tests/placement/test_change.py
@@ -40,6 +40,51 @@
     return None
 
 
+def drive_reading_little(group, change, turns, states=None):
+    """Let a driver act that reads only the ranks it is told to; return its last turn, or none."""
+    states = states if states is not None else dict(group.states)
+    for turn in range(turns):
+        for rank in change.ranks_to_read(states):
+            states[rank] = group.states[rank]
+        for rank, order in change.decide(states, turn * TURN_S):
+            if group.give(rank, order, 1) == ACCEPTED:
+                states[rank] = change.accepted(states[rank], order)
+        if change.done or change.failed:
+            return turn
+        group.begin_pass()
+    return None
+
+
+@given(st.integers(0, 10_000), st.floats(0, 0.4), st.floats(0, 0.4))
+def test_a_driver_that_reads_few_ranks_ends_its_changes_and_never_mixes_maps(seed, lost, late):
+    random = Random(seed)
+    group = FakeGroup(4, random, lost, late)
+    for number in range(1, 4):
+        change = PlacementChange(1000 + number, new_map(), ChangeSettings(), 0.0)
+        assert drive_reading_little(group, change, MOST_TURNS) is not None
+        if change.done:
+            assert {state.active for state in group.states.values()} == {1000 + number}
+        for _ in range(random.randint(0, 80)):
+            group.begin_pass()
+    assert not group.mixed
+
+
+def test_while_ranks_are_armed_only_the_one_that_holds_is_read():
+    group = FakeGroup(8, Random(1))
+    change = PlacementChange(1001, dealt_placement(1, 8, 16), ChangeSettings(), 0.0)
+    states, reads = dict(group.states), 0
+    while not change.done:
+        asked = change.ranks_to_read(states)
+        reads += len(asked)
+        for rank in asked:
+            states[rank] = group.states[rank]
+        for rank, order in change.decide(states, 0.0):
+            assert group.give(rank, order, 1) == ACCEPTED
+            states[rank] = change.accepted(states[rank], order, done=True)
+        group.begin_pass()
+    assert reads <= 4 * 8
+
+
 def test_a_change_reaches_all_ranks_without_holding_the_group_up():
     group = FakeGroup(4, Random(1))
     change = PlacementChange(1001, new_map(), ChangeSettings(), 0.0)
--- a/tests/platform/fake_store.py
+++ b/tests/platform/fake_store.py
@@ -24,6 +24,7 @@
     compacted: int = 0
     refuse: int = 0
     lose_answers: bool = False
+    calls: int = 0
     leases: set[int] = field(default_factory=set)
     server: HttpServer | None = None
 
@@ -55,6 +56,7 @@
 
     async def handle(self, exchange: HttpExchange) -> None:
         """Answer a call."""
+        self.calls += 1
         if self.refuse:
             await exchange.answer_json(self.refuse, {})
             return
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -14,6 +14,7 @@
 from bluebellrun.platform import EngineCalls, EngineRelay
 
 SILENCE_S = 5
+PREPARED = 9
 REPORT = {
     "group": {"name": "g", "epoch": 3, "rank": 1, "state": "open"},
     "size": 2,
@@ -35,19 +36,23 @@
         self.status = status
         self.silent = False
         self.orders: list[dict[str, Any]] = []
+        self.picked = {"step": 1, "epoch": 3, "counts": [1, 2], "born": 9}
+        self.prepared_after = 0
+        self.encodings: list[str | None] = []
 
     async def handle(self, exchange: HttpExchange) -> None:
         if self.silent:
             await curio.sleep(SILENCE_S)
         match exchange.request.path:
             case "/api/report":
-                await exchange.answer_json(200, REPORT)
+                self.prepared_after -= 1
+                prepared = REPORT["prepared"] if self.prepared_after > 0 else PREPARED
+                await exchange.answer_json(200, {**REPORT, "prepared": prepared})
             case "/api/picked":
-                await exchange.answer_json(
-                    200, {"step": 1, "epoch": 3, "counts": [1, 2], "born": 9}
-                )
+                await exchange.answer_json(200, self.picked)
             case _:
                 self.orders.append(json.loads(exchange.request.body))
+                self.encodings.append(exchange.request.header("content-encoding"))
                 await exchange.answer(self.status, [], b"")
 
 
@@ -73,7 +78,7 @@
         state = await calls.state(upstream)
         assert state is not None
         assert (state.rank, state.size, state.epoch, state.step, state.active) == (1, 2, 3, 40, 7)
-        assert (state.prepared, state.armed_version, state.armed_step) == (8, 8, 44)
+        assert (state.prepared, state.armed_version, state.armed_step) == (PREPARED, 8, 44)
         assert (state.held, state.slowness, state.is_open) == (None, 1.5, True)
         assert (await calls.counts(upstream, 1)).counts == (1, 2)
 
@@ -99,7 +104,8 @@
 
 
 @pytest.mark.parametrize(
-    ("status", "reply"), [(200, "ACCEPTED"), (409, "CONFLICT"), (412, "FENCED")]
+    ("status", "reply"),
+    [(200, "DONE"), (202, "ACCEPTED"), (409, "CONFLICT"), (412, "FENCED")],
 )
 def test_a_rank_s_word_on_an_order(status, reply):
     async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
@@ -108,6 +114,69 @@
     play(check, status)
 
 
+def test_counts_are_whole_again_after_what_was_told_is_not_known():
+    async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
+        relays = calls._relay_port
+        for counts in ([1, 2], [4, 2], [300, 70_000]):
+            engine.picked = {"step": 7, "epoch": 3, "counts": counts, "born": 9}
+            read = await calls.counts(upstream, 1)
+            assert (read.counts, read.step, read.epoch, read.born) == (tuple(counts), 7, 3, 9)
+        engine.picked = {"step": 1, "epoch": 4, "counts": [5, 0], "born": 10}
+        assert (await calls.counts(upstream, 1)).counts == (5, 0)
+        other = EngineCalls(relays)
+        assert (await other.counts(upstream, 1)).counts == (5, 0)
+        engine.picked = {"step": 2, "epoch": 4, "counts": [6, 1], "born": 10}
+        assert (await calls.counts(upstream, 1)).counts == (6, 1)
+        await calls.forget(upstream.instance)
+        assert (await calls.counts(upstream, 1)).counts == (6, 1)
+
+    play(check)
+
+
+def test_counts_are_never_asked_of_an_engine_from_another_host():
+    async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
+        with pytest.raises(RankCallError):
+            await calls.counts(upstream, 1)
+
+    play(check, relayed=False)
+
+
+@pytest.mark.parametrize(("asked", "reply"), [(3, "DONE"), (1_000, "ACCEPTED")])
+def test_an_order_to_prepare_is_answered_when_the_copy_is_complete_if_that_is_soon(asked, reply):
+    async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
+        engine.prepared_after = asked
+        prepare = PrepareMap(PREPARED, dealt_placement(1, 2, 4))
+        assert await calls.give(upstream, prepare, 3, 12) is OrderReply[reply]
+        assert len(engine.orders) == 1
+
+    play(check)
+
+
+def test_a_large_map_travels_compressed_and_reaches_the_engine_as_it_was():
+    async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
+        placement = dealt_placement(8, 63, 252)
+        await calls.give(upstream, PrepareMap(PREPARED, placement), 3, 12)
+        assert engine.orders[0]["map"][0][0] == sorted(placement.layers[0][0])
+        assert len(engine.orders[0]["map"]) == 8
+        assert engine.encodings == [None]
+
+    play(check)
+
+
+def test_a_body_that_is_not_compressed_as_it_says_is_refused():
+    async def main() -> None:
+        engine = Engine()
+        relay = await serve(EngineRelay(await serve(engine.handle)).handle)
+        sock = await curio.open_connection(relay.ip, relay.port)
+        async with sock:
+            head = "POST /api/order HTTP/1.1\r\nHost: h\r\nContent-Encoding: deflate\r\n"
+            await sock.sendall(f"{head}Content-Length: 5\r\n\r\nnoise".encode())
+            assert b" 400 " in await sock.recv(4096)
+        assert engine.orders == []
+
+    curio.run(main)
+
+
 def test_another_upstream_at_the_address_is_told_apart():
     async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
         with pytest.raises(RankReplacedError):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -70,6 +70,27 @@
     play(check)
 
 
+def test_a_burst_of_changes_takes_few_calls():
+    async def check(fake: FakeStore, store: PlatformStore) -> None:
+        watch = await store.watch("a/", fake.revision + 1)
+        before = fake.calls
+
+        async def register() -> None:
+            for number in range(20):
+                fake.put(f"a/{number}", b"x")
+                await curio.sleep(0.01)
+
+        await curio.spawn(register, daemon=True)
+        seen: list[str] = []
+        async with curio.timeout_after(5):
+            while len(seen) < 20:
+                seen += [event.key for event in await watch.next()]
+        assert seen == [f"a/{number}" for number in range(20)]
+        assert fake.calls - before <= 6
+
+    play(check)
+
+
 def test_a_store_that_is_down_lets_no_watch_begin():
     async def check(fake: FakeStore, store: PlatformStore) -> None:
         fake.refuse = 503
