Soak the programs of the users' platform: real processes, stand-ins, faults from outside

Gateways and sidecars run as processes; links on loopback delay, reset or cut one way; processes are killed, frozen, stopped by signals; the stand-in store refuses, is silent, loses answers or its history; ranks and replicas crash, drain, turn slow, break answers off; orders come late. Three series of faults run at a time; between them only signals are sent. Callers keep their connections. Checked: whole and own answers, no second run, nothing refused that ran, attempts, deadlines, customers, streams in order, mixed maps, cut requests, recovery, exits. The stand-ins moved from the tests, the store's leases run out now.

--- /dev/null
+++ b/bench/platform_soak/_checks.py
@@ -0,0 +1,97 @@
+"""The promises, checked against what callers were told and what the upstreams ran."""
+
+from collections import Counter
+
+from bench.platform_soak._callers import Told
+from bench.platform_soak._upstreams import Record, Run, event, event_count, whole_answer
+from bench.platform_soak._world import DEADLINE_S
+
+# Statuses that promise that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+OK = 200
+MOST_ATTEMPTS = {"draft": 3, "order": 1, "look": 2}
+DEADLINE_SLACK_S = 0.5
+# Of the requests that began after the faults had ended, this part has to be served.
+LEAST_SERVED_AFTER = 0.95
+
+
+def find_violations(told: list[Told], record: Record) -> list[str]:
+    """Return each broken promise in one line."""
+    found: list[str] = []
+    by_id = {item.request_id: item for item in told}
+    for request_id, runs in record.runs.items():
+        caller = by_id.get(request_id)
+        if caller is None:
+            found.append(f"{request_id!r} ran and no caller sent it")
+            continue
+        found += _check_runs(caller, runs)
+    for item in told:
+        found += _check_answer(item, record.runs.get(item.request_id, []))
+    return found
+
+
+def _check_runs(told: Told, runs: list[Run]) -> list[str]:
+    """Check what ran for one request."""
+    what, found = f"{told.kind} {told.request_id}", []
+    if told.kind == "order" and len(runs) > 1:
+        found.append(f"{what} ran {len(runs)} times")
+    if told.status in NOT_RUN_STATUSES:
+        found.append(f"{what} was told {told.status} and ran")
+    if len({run.upstream for run in runs}) > MOST_ATTEMPTS[told.kind]:
+        found.append(f"{what} ran at {[run.upstream for run in runs]}")
+    for run in runs:
+        if run.body != told.sent:
+            found.append(f"{what} ran with another body")
+        if run.customer != told.customer or run.keyed:
+            found.append(f"{what} ran for {run.customer!r}, key passed on: {run.keyed}")
+        left_s = DEADLINE_S - (run.began - told.began)
+        if told.disturbed and run.deadline_ms is not None:
+            continue
+        if run.deadline_ms is None or run.deadline_ms / 1000 > left_s + DEADLINE_SLACK_S:
+            found.append(f"{what} was handed {run.deadline_ms} ms with {left_s:.1f} s left")
+    return found
+
+
+def _check_answer(told: Told, runs: list[Run]) -> list[str]:
+    """Check the answer to one request."""
+    what = f"{told.kind} {told.request_id} at {told.gateway.name}"
+    if told.ending == "silent" and not told.disturbed:
+        return [f"{what} got no answer in time"]
+    if told.ending == "cut" and not told.disturbed:
+        return [f"{what} was cut off with {told.status} and {len(told.body)} bytes"]
+    if told.status == OK and told.kind == "draft":
+        return _check_stream(what, told)
+    if told.ending != "whole":
+        return []
+    if told.status == OK:
+        right = whole_answer(told.request_id, told.sent)
+        if told.body != right or not any(run.ended for run in runs):
+            return [f"{what} got a body that is not the upstream's: {told.body[:60]!r}"]
+        if not told.stamp.endswith(f".{told.request_id}"):
+            return [f"{what} has the stamp {told.stamp!r}"]
+    if told.status in (400, 401, 403, 404):
+        return [f"{what} was refused with {told.status}"]
+    if told.status == 503 and not told.retry_after:
+        return [f"{what} was refused without a time to come back"]
+    return []
+
+
+def _check_stream(what: str, told: Told) -> list[str]:
+    """Check that a stream holds each event once and in order, and ends whole only if it is."""
+    count = event_count(told.sent)
+    right = b"".join(event(told.request_id, number) for number in range(1, count + 1))
+    if not right.startswith(told.body):
+        return [f"{what} has events missing, twice or of another: {told.body[-80:]!r}"]
+    if told.ending == "whole" and told.body != right:
+        return [f"{what} ends as complete after {len(told.body)} of {len(right)} bytes"]
+    return []
+
+
+def find_unrecovered(told: list[Told], whole_since: float) -> list[str]:
+    """Return a line if too few of the requests after the faults were served."""
+    after = [item for item in told if item.began >= whole_since]
+    served = sum(item.status == OK and item.ending == "whole" for item in after)
+    if after and served >= LEAST_SERVED_AFTER * len(after):
+        return []
+    endings = Counter(f"{item.kind} {item.status} {item.ending}" for item in after)
+    return [f"after the faults {served} of {len(after)} were served: {dict(endings)}"]
--- /dev/null
+++ b/bench/platform_soak/_world.py
@@ -0,0 +1,177 @@
+"""All that a soak runs: stand-ins, links, processes, and what is known of their faults."""
+
+import json
+import time
+from pathlib import Path
+from random import Random
+
+import curio
+
+from bench.platform_soak._links import FaultyLink
+from bench.platform_soak._programs import Program
+from bench.platform_soak._upstreams import (
+    EXPERTS,
+    LAYERS,
+    PLACES,
+    SLOTS,
+    SPARE,
+    ModelGroup,
+    RankUpstream,
+    Record,
+    Upstream,
+)
+from bluebellrun.core import Address
+from standins.users_platform import FakeStore
+
+GATEWAYS, RANKS, PLAIN = 3, 4, 2
+ZONES = ("a", "b", "c")
+PORT = 8100
+KEYS = {"key-one": "one", "key-two": "two"}
+HOST = "soak.example"
+DEADLINE_S = 6.0
+LEASES_CHECKED_S = 0.2
+# A soak that is itself late by this much cannot tell whose fault lateness is.
+OWN_PACE_S, LATE_S = 0.1, 0.3
+# After a fault of the store or a process others may still feel it for so long.
+AFTERMATH_S = 4.0
+
+
+class World:
+    """The stand-ins, the links to them and the processes, on addresses that begin with ``net``."""
+
+    def __init__(self, net: str, folder: Path, seed: int) -> None:
+        self.random = Random(f"world/{seed}")
+        self.record = Record()
+        self.store = FakeStore()
+        self.group = ModelGroup(RANKS, self.random)
+        self.links: dict[str, FaultyLink] = {}
+        self.upstreams: list[Upstream] = []
+        self.version = 1
+        # While this lies ahead, answers may be cut or late for reasons outside one process.
+        self.disturbed_until = 0.0
+        self._net = net
+        store = Address(f"{net}.9.1", PORT)
+        self._store_address = store
+        for number in range(1, RANKS + 1):
+            link, engine = Address(f"{net}.2.{number}", PORT), Address(f"{net}.3.{number}", PORT)
+            self.upstreams.append(
+                RankUpstream(engine, f"rank{number}", self.record, number - 1, self.group)
+            )
+            self.links[f"rank{number}"] = FaultyLink(link, engine)
+        for number in range(1, PLAIN + 1):
+            link, replica = Address(f"{net}.4.{number}", PORT), Address(f"{net}.5.{number}", PORT)
+            self.upstreams.append(Upstream(replica, "job-ledger", f"job{number}", self.record))
+            self.links[f"job{number}"] = FaultyLink(link, replica)
+        self.gateways = []
+        for number in range(1, GATEWAYS + 1):
+            through = Address(f"{net}.8.{number}", PORT)
+            self.links[f"store{number}"] = FaultyLink(through, store)
+            ip, zone = f"{net}.1.{number}", ZONES[number - 1]
+            self.gateways.append(Program(f"gateway{number}", "gateway", ip, zone, through, folder))
+        self.sidecars = [
+            Program(
+                *(f"sidecar{number}", "sidecar", f"{net}.2.{number}", "a", store, folder),
+                app=Address(f"{net}.3.{number}", PORT),
+            )
+            for number in range(1, RANKS + 1)
+        ]
+
+    @property
+    def programs(self) -> list[Program]:
+        """Return all processes."""
+        return [*self.gateways, *self.sidecars]
+
+    def disturb(self, seconds: float) -> None:
+        """Note that faults outside the processes may be felt for some seconds from now."""
+        until = time.monotonic() + seconds + AFTERMATH_S
+        self.disturbed_until = max(self.disturbed_until, until)
+
+    async def start(self) -> None:
+        """Start everything and wait until all gateways are ready."""
+        await self.store.start(self._store_address)
+        for link in self.links.values():
+            await curio.spawn(link.run, daemon=True)
+        for upstream in self.upstreams:
+            await upstream.start()
+            self.register(upstream)
+        self.write_configuration()
+        await curio.spawn(self.group.run, daemon=True)
+        await curio.spawn(self._expire_leases, daemon=True)
+        await curio.spawn(self._watch_own_pace, daemon=True)
+        for program in self.programs:
+            program.start()
+
+    async def _expire_leases(self) -> None:
+        """End leases that nobody renews, until cancelled."""
+        while True:
+            await curio.sleep(LEASES_CHECKED_S)
+            self.store.expire_leases()
+
+    async def _watch_own_pace(self) -> None:
+        """Note when the machine gives this process no time, until cancelled."""
+        while True:
+            began = time.monotonic()
+            await curio.sleep(OWN_PACE_S)
+            if time.monotonic() - began > OWN_PACE_S + LATE_S:
+                self.disturb(0.0)
+
+    def link_of(self, upstream: Upstream) -> Address:
+        """Return the address at which an upstream is reached through its link."""
+        net, kind, number = self._net, upstream.instance.split("-")[1], upstream.address.ip[-1]
+        return Address(f"{net}.{2 if kind.startswith('rank') else 4}.{number}", PORT)
+
+    def register(self, upstream: Upstream, state: str = "ready") -> None:
+        """Write an upstream's registration."""
+        told = {
+            "service": upstream.service,
+            "addr": str(self.link_of(upstream)),
+            "zone": ZONES[int(upstream.address.ip[-1]) % len(ZONES)],
+            "version": "1",
+            "slots": SLOTS,
+            "state": state,
+            "seq": 0,
+        }
+        self.store.put(f"servers/{upstream.instance}", json.dumps(told).encode())
+
+    def write_configuration(self) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        engine = {
+            "slots": SLOTS,
+            "sets": LAYERS,
+            "experts": EXPERTS,
+            "places": PLACES,
+            "spare": SPARE,
+            "expert_mb": 1,
+        }
+        stream = {"kind": "stream", "service": "draft-pool", "goal_ms": 2000, "can_resume": True}
+        routes = [
+            {"name": "draft", "prefix": "/draft/", "attempts": 3, **stream},
+            {"name": "order", "prefix": "/order/", "kind": "non_idempotent", "attempts": 2},
+            {"name": "look", "prefix": "/look/", "kind": "idempotent", "attempts": 2},
+        ]
+        written = {
+            "version": self.version,
+            "routes": [
+                {"service": "job-ledger", "host": HOST, "timeout_ms": DEADLINE_S * 1000, **route}
+                for route in routes
+            ],
+            "services": [{"name": "draft-pool", "engine": engine}, {"name": "job-ledger"}],
+            "tenants": [{"name": name, "api_keys": [key]} for key, name in KEYS.items()],
+        }
+        self.store.put("op/config", json.dumps(written).encode())
+
+    async def replace(self, upstream: Upstream, down_s: float, registered_s: float = 0.0) -> None:
+        """End an upstream's life; its entry goes later, and a new life begins at its address."""
+        old = upstream.instance
+        is_rank = upstream.service == "draft-pool"
+        if is_rank:
+            self.group.is_open = False
+        await upstream.crash()
+        await curio.sleep(min(down_s, registered_s))
+        self.store.delete(f"servers/{old}")
+        await curio.sleep(max(0.0, down_s - registered_s))
+        await upstream.start()
+        self.register(upstream)
+        if is_rank and all(u.alive for u in self.upstreams if u.service == "draft-pool"):
+            self.group.form_again()
--- a/tests/placement/group.py
+++ b/standins/users_platform/_group.py
@@ -14,7 +14,6 @@
 )
 
 ACCEPTED, CONFLICT, FENCED, LOST = "accepted", "conflict", "fenced", "lost"
-FIRST_STATE = {"group": "g", "epoch": 1, "born": 1, "is_open": True, "step": 0, "active": 0}
 
 
 @dataclass
@@ -35,7 +34,7 @@
 
     def __post_init__(self) -> None:
         for rank in range(self.size):
-            self.states[rank] = RankState(rank=rank, size=self.size, **FIRST_STATE)
+            self.states[rank] = _first_state(rank, self.size, 1)
             self.maps[rank] = {0: None}
 
     def give(self, rank: int, order: RankOrder, fence: int) -> str:
@@ -88,20 +87,26 @@
             self.waited += 1
             return
         for rank, state in self.states.items():
-            if state.armed_step == step:
+            if state.armed_step == step and state.armed_version is not None:
                 state = replace(
                     state, active=state.armed_version, armed_step=None, armed_version=None
                 )
             self.states[rank] = replace(state, step=step)
-        in_use = {(s.active, id(self.maps[r][s.active])) for r, s in self.states.items()}
+        in_use = {(s.active, self.maps[r][s.active]) for r, s in self.states.items()}
         if len(in_use) > 1:
-            self.mixed.append(f"pass {step}: {sorted(in_use)}")
+            self.mixed.append(f"pass {step}: versions {sorted(v for v, _ in in_use)}")
 
     def form_again(self) -> None:
         """Form the group in a new epoch, as after a rank was gone."""
         epoch = self.states[0].epoch + 1
         for rank in range(self.size):
-            first = {**FIRST_STATE, "epoch": epoch}
-            self.states[rank] = RankState(rank=rank, size=self.size, **first)
+            self.states[rank] = _first_state(rank, self.size, epoch)
             self.maps[rank] = {0: None}
         self.fences.clear()
+
+
+def _first_state(rank: int, size: int, epoch: int) -> RankState:
+    """Return the state of a rank whose group has just formed."""
+    return RankState(
+        rank=rank, size=size, group="g", epoch=epoch, born=1, is_open=True, step=0, active=0
+    )
--- a/tests/platform/fake_store.py
+++ b/standins/users_platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import time
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -12,11 +13,15 @@
 from bluebellrun.http import HttpExchange, HttpLimits, HttpServer
 
 PAGE = 3
+ANY_ADDRESS = Address("127.0.0.1", 0)
 
 
 @dataclass
 class FakeStore:
-    """Keys with revisions, leases without time, and calls that can be refused or lost."""
+    """Keys with revisions, leases, and calls that can be refused, delayed or lost.
+
+    Leases run out only when ``expire_leases`` is called.
+    """
 
     items: dict[str, dict[str, Any]] = field(default_factory=dict)
     events: list[dict[str, Any]] = field(default_factory=list)
@@ -25,12 +30,15 @@
     refuse: int = 0
     lose_answers: bool = False
     calls: int = 0
-    leases: set[int] = field(default_factory=set)
+    silent: bool = False
+    delay_s: float = 0.0
+    leases: dict[int, float] = field(default_factory=dict)
+    lasting_s: dict[int, float] = field(default_factory=dict)
     server: HttpServer | None = None
 
-    async def start(self) -> Address:
+    async def start(self, address: Address = ANY_ADDRESS) -> Address:
         """Serve on loopback."""
-        self.server = HttpServer(Address("127.0.0.1", 0), self.handle, HttpLimits())
+        self.server = HttpServer(address, self.handle, HttpLimits())
         await curio.spawn(self.server.run, daemon=True)
         return self.server.address
 
@@ -57,6 +65,10 @@
     async def handle(self, exchange: HttpExchange) -> None:
         """Answer a call."""
         self.calls += 1
+        if self.silent:
+            await curio.sleep(30)
+        if self.delay_s:
+            await curio.sleep(self.delay_s)
         if self.refuse:
             await exchange.answer_json(self.refuse, {})
             return
@@ -95,17 +107,30 @@
                 return self._transact(body)
             case "/api/kv-lease":
                 self.revision += 1
-                self.leases.add(self.revision)
+                self.lasting_s[self.revision] = body["ttl_ms"] / 1000
+                self.leases[self.revision] = time.monotonic() + body["ttl_ms"] / 1000
                 return 200, {"lease": self.revision, "ttl_ms": body["ttl_ms"]}
         lease = int(path.rpartition("/")[2])
         if lease not in self.leases:
             return 404, {}
         if "lease-end" in path:
-            self.leases.discard(lease)
-            for key in [k for k, item in self.items.items() if item["lease"] == lease]:
-                self.delete(key)
+            self.end_lease(lease)
+        else:
+            self.leases[lease] = time.monotonic() + self.lasting_s[lease]
         return 200, {"ttl_ms": 2000}
 
+    def end_lease(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+        self.leases.pop(lease, None)
+        for key in [k for k, item in self.items.items() if item["lease"] == lease]:
+            self.delete(key)
+
+    def expire_leases(self) -> None:
+        """End the leases that nobody renewed in time."""
+        now = time.monotonic()
+        for lease in [number for number, until in self.leases.items() if until < now]:
+            self.end_lease(lease)
+
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query["after"])
         turns = int(query["wait_ms"]) // 20
--- a/tests/placement/test_change.py
+++ b/tests/placement/test_change.py
@@ -14,7 +14,7 @@
     ReleasePass,
     dealt_placement,
 )
-from tests.placement.group import ACCEPTED, FENCED, FakeGroup
+from standins.users_platform import ACCEPTED, FENCED, FakeGroup
 
 TURN_S = 0.05
 MOST_TURNS = 3_000
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,7 +12,7 @@
     StoreTimeouts,
     StoreUnavailableError,
 )
-from tests.platform.fake_store import FakeStore
+from standins.users_platform import FakeStore
 
 
 def play(check: Any, call_s: float = 1.0) -> None:
--- a/tests/platform/test_view.py
+++ b/tests/platform/test_view.py
@@ -12,7 +12,7 @@
 from bluebellrun.gateway._peers import EntryNews, PeerTable
 from bluebellrun.platform import PlatformCatalogue, PlatformStore
 from bluebellrun.store import StoreTimeouts
-from tests.platform.fake_store import FakeStore
+from standins.users_platform import FakeStore
 
 
 def registration(state: str = "ready", **more: Any) -> bytes:
