Take a caller that leaves for no crash of its handler

The server takes the error now, logs one line and ends the connection. The test fails without the change.

--- a/bluebellrun/gateway/_service_group.py
+++ b/bluebellrun/gateway/_service_group.py
@@ -26,6 +26,7 @@
     StepTimes,
     StepTimesSettings,
     dealt_placement,
+    demand_settings,
     plan_placement,
 )
 from bluebellrun.telemetry import get_logger
@@ -36,7 +37,7 @@
 # A jump of demand shows in any ranks' counts: these many are read at each turn, and of the others
 # so many in turn, as a call costs both hosts about a millisecond.
 RANKS_READ_ALWAYS = 4
-RANKS_READ_IN_TURN = 8
+RANKS_READ_IN_TURN = 20
 # States are read again this often in calm times, to notice ranks that left, joined or slowed.
 STATES_INTERVAL_S = 1.5
 PLAN_INTERVAL_S = 0.2
@@ -97,6 +98,7 @@
         self._current: Placement | None = None
         self._change: PlacementChange | None = None
         self._demand = DemandEstimator(experts.layers, experts.experts, DemandSettings())
+        self._demand_ranks = 0
         self._step_times = StepTimes(StepTimesSettings())
         self._changes = 0
 
@@ -192,6 +194,9 @@
         first = states[0]
         if self._epoch != (first.group, first.epoch):
             self._begin_epoch(first)
+        if first.size != self._demand_ranks:
+            self._demand_ranks = first.size
+            self._demand.settings = demand_settings(first.size)
         return True
 
     def _begin_role(self, fencing: int) -> None:
--- a/bluebellrun/http/_server.py
+++ b/bluebellrun/http/_server.py
@@ -17,6 +17,7 @@
 from bluebellrun.http._listener import Listener
 from bluebellrun.http._models import Headers, HttpLimits, HttpRequest, decode_headers
 from bluebellrun.http._tls import Tls
+from bluebellrun.telemetry import get_logger
 
 READ_SIZE = 65_536
 BAD_REQUEST = 400
@@ -27,6 +28,8 @@
 NO_BODY_STATUSES = frozenset({204, 304})
 LINGER_S = 0.5
 
+_log = get_logger("http-server")
+
 
 class CallerGoneError(Exception):
     """The caller closed its connection."""
@@ -218,7 +221,7 @@
         """Run the handler until it ends or the caller hangs up."""
         try:
             async with curio.TaskGroup(wait=any) as group:
-                handler = await group.spawn(self._handler, exchange)
+                handler = await group.spawn(self._handle, exchange)
                 watcher = await group.spawn(connection.wait_until_gone)
         except (OSError, CallerGoneError, h11.LocalProtocolError):
             return
@@ -230,6 +233,14 @@
         ):
             raise handler.exception
 
+    async def _handle(self, exchange: HttpExchange) -> None:
+        """Run the handler; that its caller left is no fault of it."""
+        try:
+            await self._handler(exchange)
+        except CallerGoneError as error:
+            _log.info("caller left", target=exchange.request.path, reason=str(error))
+            exchange.abort()
+
 
 class _Connection:
     """The state of one connection from a caller."""
--- a/bluebellrun/placement/__init__.py
+++ b/bluebellrun/placement/__init__.py
@@ -11,7 +11,12 @@
     RankState,
     ReleasePass,
 )
-from bluebellrun.placement._demand import DemandEstimator, DemandSettings, RankCounts
+from bluebellrun.placement._demand import (
+    DemandEstimator,
+    DemandSettings,
+    RankCounts,
+    demand_settings,
+)
 from bluebellrun.placement._maps import Placement, copies_needed, dealt_placement, rank_loads, skew
 from bluebellrun.placement._planner import PlacementPlan, PlanSettings, plan_placement
 from bluebellrun.placement._step_times import StepTimes, StepTimesSettings
@@ -36,6 +41,7 @@
     "StepTimesSettings",
     "copies_needed",
     "dealt_placement",
+    "demand_settings",
     "plan_placement",
     "rank_loads",
     "skew",
--- a/bluebellrun/placement/_demand.py
+++ b/bluebellrun/placement/_demand.py
@@ -33,6 +33,21 @@
     jump: float = 0.35
 
 
+# The usual half-life averages over as many requests in a large group as in one of so many ranks.
+RANKS_OF_USUAL_HALF_LIFE = 12
+# Counts of all ranks of a large group are read within less than this.
+SHORTEST_HALF_LIFE_S = 0.4
+
+
+def demand_settings(ranks: int) -> DemandSettings:
+    """Return the settings for a group of so many ranks: the more, the sooner demand is known."""
+    usual = DemandSettings()
+    half_life_s = usual.half_life_s * min(1.0, RANKS_OF_USUAL_HALF_LIFE / max(1, ranks))
+    return DemandSettings(
+        max(SHORTEST_HALF_LIFE_S, half_life_s), usual.short_half_life_s, usual.jump
+    )
+
+
 class DemandEstimator:
     """Sum up the ranks' counts, the older the less; times in seconds."""
 
@@ -46,6 +61,15 @@
         self._latest = [0.0] * (layers * experts)
         self._decayed_at: float | None = None
 
+    @property
+    def settings(self) -> DemandSettings:
+        """Return how fast the past is forgotten."""
+        return self._settings
+
+    @settings.setter
+    def settings(self, settings: DemandSettings) -> None:
+        self._settings = settings
+
     @property
     def total(self) -> float:
         """Return the remembered choices over all layers and experts."""
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -99,6 +99,34 @@
     assert not answer.endswith(b"0\r\n\r\n")
 
 
+def test_a_caller_that_leaves_before_its_answer_is_no_crash_of_the_handler(caplog):
+    answered: list[str] = []
+
+    async def answers_late(exchange: HttpExchange) -> None:
+        try:
+            for _ in range(40):
+                await exchange.send_head(200, []) if not exchange.started else None
+                await exchange.send_body(b"x" * 100_000)
+        except BaseException as error:
+            answered.append(type(error).__name__)
+            raise
+
+    async def main() -> None:
+        server = HttpServer(Address("127.0.0.1", 0), answers_late, HttpLimits(write_timeout_s=0.2))
+        await curio.spawn(server.run, daemon=True)
+        sock = await curio.open_connection(*_pair(server))
+        await sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        async with curio.timeout_after(5):
+            while not answered or server.open_connections:
+                await curio.sleep(0.02)
+        await sock.close()
+        await server.close()
+
+    curio.run(main)
+    assert answered == ["CallerGoneError"]
+    assert "Task Crash" not in caplog.text
+
+
 def test_a_connection_beyond_the_limit_is_told_to_come_back():
     async def main() -> bytes:
         server = HttpServer(Address("127.0.0.1", 0), echo, HttpLimits(max_connections=1))
