--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,4 @@
 
 soak: $(STAMP)
 	$(BIN)/python -m bench.soak --seed $(SEED) --duration $(DURATION)
+	$(BIN)/python -m bench.platform_soak --seed $(SEED) --duration $(DURATION)
