--- /dev/null
+++ b/tests/placement/test_demand_of_large_groups.py
@@ -0,0 +1,66 @@
+"""Load pattern: half of what is liked changes every few seconds, in a small and a large group."""
+
+from random import Random
+
+from bluebellrun.placement import (
+    DemandEstimator,
+    DemandSettings,
+    RankCounts,
+    dealt_placement,
+    demand_settings,
+    plan_placement,
+    skew,
+)
+from bluebellrun.placement._planner import PlanSettings
+
+LAYERS, READ_S, SHIFT_S, UNTIL_S = 2, 0.12, 3.7, 15.0
+
+
+def planned(current, demand, settings):
+    steps = plan_placement(current, demand, [1.0] * current.ranks, settings)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            return done.value.placement
+
+
+def mean_skew(ranks, experts, slots, settings, seed=1):
+    """Follow demand that shifts; return the skew of the true demand, averaged over time."""
+    random = Random(seed)
+    liked = [[random.paretovariate(1.2) for _ in range(experts)] for _ in range(LAYERS)]
+    estimator = DemandEstimator(LAYERS, experts, settings)
+    current = dealt_placement(LAYERS, ranks, experts)
+    totals = [[0] * (LAYERS * experts) for _ in range(ranks)]
+    now, shifted, plan_at, seen = 0.0, 0.0, 0.5, []
+    while now < UNTIL_S:
+        now += READ_S
+        if now - shifted > SHIFT_S:
+            shifted = now
+            for layer in liked:
+                for expert in random.sample(range(experts), experts // 2):
+                    layer[expert] = random.paretovariate(1.2)
+        for rank in range(ranks):
+            for layer in range(LAYERS):
+                for expert in random.choices(range(experts), liked[layer], k=60):
+                    totals[rank][layer * experts + expert] += 1
+            estimator.observe(RankCounts(rank, 1, 1, tuple(totals[rank])), now)
+        estimator.drop_past()
+        if now >= plan_at:
+            plan_at = now + 0.4
+            plan = PlanSettings(slots=slots, most_new=2)
+            current = planned(current, estimator.demand(), plan)
+        seen.append(skew(current, liked, [1.0] * ranks))
+    return sum(seen) / len(seen)
+
+
+def test_a_large_group_follows_shifts_sooner_than_with_a_small_group_s_half_life():
+    before = mean_skew(48, 96, 4, DemandSettings())
+    after = mean_skew(48, 96, 4, demand_settings(48))
+    assert after < before - 0.05, (before, after)
+
+
+def test_a_small_group_keeps_the_usual_half_life():
+    assert demand_settings(12) == DemandSettings()
+    assert demand_settings(63).half_life_s < DemandSettings().half_life_s
+    assert demand_settings(0) == DemandSettings()
