Change maps of calm groups only for a larger gain

The gain a plan needs grows with the square of how much less than 80% of the places are taken, to eight times at most.

--- a/bluebellrun/gateway/_expert_maps.py
+++ b/bluebellrun/gateway/_expert_maps.py
@@ -30,12 +30,14 @@
         directory: UpstreamDirectory,
         deployment: Callable[[], Deployment | None],
         slow: SlowUpstreams,
+        load: Callable[[str], float],
     ) -> None:
         self._role = role
         self._calls = calls
         self._directory = directory
         self._deployment = deployment
         self._slow = slow
+        self._load = load
         self._groups: dict[str, ServiceGroup] = {}
 
     async def run(self) -> None:
@@ -72,6 +74,8 @@
         """Return the keeper of a service's group."""
         group = self._groups.get(terms.name)
         if group is None:
-            group = ServiceGroup(terms.name, experts, self._calls, self._directory, self._role)
+            group = ServiceGroup(
+                terms.name, experts, self._calls, self._directory, self._role, self._load
+            )
             self._groups[terms.name] = group
         return group
--- a/bluebellrun/gateway/_service_group.py
+++ b/bluebellrun/gateway/_service_group.py
@@ -25,8 +25,10 @@
     ReleasePass,
     StepTimes,
     StepTimesSettings,
+    WorthSettings,
     dealt_placement,
     demand_settings,
+    needed_gain,
     plan_placement,
 )
 from bluebellrun.telemetry import get_logger
@@ -43,10 +45,6 @@
 PLAN_INTERVAL_S = 0.2
 # Choices to have seen before a plan: a few dozen for each expert of a group.
 LEAST_CHOICES_PER_EXPERT = 20
-# A change has to lessen the skew by this much, and by this much for each expert that a rank copies
-# on average: copying slows passes and what is planned for lasts a few seconds.
-LEAST_GAIN = 0.12
-GAIN_PER_COPY_OF_RANK = 0.01
 # Upstreams whose registration is gone are asked on for so long: they may still be ranks.
 REMEMBERED_S = 15.0
 # While orders are lost a map is armed further ahead, so that they can be sent again in time.
@@ -78,12 +76,14 @@
         calls: RankCalls,
         directory: UpstreamDirectory,
         role: PlacementRole,
+        load: Callable[[str], float],
     ) -> None:
         self._service = service
         self._experts = experts
         self._calls = calls
         self._directory = directory
         self._role = role
+        self._load = load
         self._seen_at: dict[str, float] = {}
         self._upstreams: dict[str, Upstream] = {}
         self._states: dict[int, RankState] = {}
@@ -360,8 +360,8 @@
     async def _plan(self, fencing: int) -> None:
         """Plan a better map and begin a change to it if that repays."""
         sizes = self._experts
-        needed = LEAST_CHOICES_PER_EXPERT * sizes.layers * sizes.experts
-        if self._current is None or self._demand.total < needed:
+        least_choices = LEAST_CHOICES_PER_EXPERT * sizes.layers * sizes.experts
+        if self._current is None or self._demand.total < least_choices:
             return
         self._planned_at = time.monotonic()
         slowness = [self._states[rank].slowness for rank in sorted(self._states)]
@@ -375,15 +375,16 @@
                 break
             await curio.sleep(0)
         gain = plan.skew_before - plan.skew_after
-        copies_of_rank = plan.copies / len(slowness)
-        needed_gain = LEAST_GAIN + GAIN_PER_COPY_OF_RANK * copies_of_rank
-        worthwhile = plan.copies > 0 and gain >= needed_gain
+        load = self._load(self._service)
+        needed = needed_gain(plan.copies, len(slowness), load, WorthSettings())
+        worthwhile = plan.copies > 0 and gain >= needed
         _log.info(
             "map planned",
             service=self._service,
             skew_before=round(plan.skew_before, 3),
             skew_after=round(plan.skew_after, 3),
             copies=plan.copies,
+            load=round(load, 2),
             worthwhile=worthwhile,
             took_ms=round(1000 * (time.monotonic() - self._planned_at)),
         )
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -3,6 +3,7 @@
 import itertools
 import signal
 import sys
+import time
 from collections.abc import Callable
 from random import Random
 
@@ -149,6 +150,7 @@
             self._directory,
             lambda: self._gateway.deployment,
             self._slow,
+            self._load,
         )
         self._join_entries()
         self._lifecycle = Lifecycle(self._gateway, self._server, settings.bounds)
@@ -199,6 +201,11 @@
         pause_s = take_over_pause_s(settings.link_bits_s)
         return PlacementRole(holder, self._view, clock, settings.bounds.fenced_orders, pause_s)
 
+    def _load(self, service: str) -> float:
+        """Return the part of a service's places that is taken, by all entries."""
+        places = self._fleet.places(service, time.monotonic())
+        return places.taken / places.total if places.total else 0.0
+
     def _join_entries(self) -> None:
         """Make what this entry and the others tell each other."""
         settings = self._settings
--- a/bluebellrun/placement/__init__.py
+++ b/bluebellrun/placement/__init__.py
@@ -20,6 +20,7 @@
 from bluebellrun.placement._maps import Placement, copies_needed, dealt_placement, rank_loads, skew
 from bluebellrun.placement._planner import PlacementPlan, PlanSettings, plan_placement
 from bluebellrun.placement._step_times import StepTimes, StepTimesSettings
+from bluebellrun.placement._worth import WorthSettings, needed_gain
 
 __all__ = [
     "ArmMap",
@@ -39,9 +40,11 @@
     "ReleasePass",
     "StepTimes",
     "StepTimesSettings",
+    "WorthSettings",
     "copies_needed",
     "dealt_placement",
     "demand_settings",
+    "needed_gain",
     "plan_placement",
     "rank_loads",
     "skew",
--- /dev/null
+++ b/tests/placement/test_worth.py
@@ -0,0 +1,28 @@
+"""Load pattern: calm hours, in which a better map brings nothing that a caller would notice."""
+
+import pytest
+
+from bluebellrun.placement import WorthSettings, needed_gain
+
+SETTINGS = WorthSettings()
+
+
+def needed(load, copies=24, ranks=12):
+    return needed_gain(copies, ranks, load, SETTINGS)
+
+
+def test_a_busy_group_changes_for_a_small_gain():
+    assert needed(1.0) == needed(0.8) == pytest.approx(0.14)
+
+
+def test_a_calm_group_leaves_a_small_skew_alone_and_a_large_one_not():
+    assert needed(0.4) == pytest.approx(0.56)
+    assert needed(0.3) < 1.2
+
+
+def test_an_idle_group_needs_eight_times_the_gain_at_most():
+    assert needed(0.0) == needed(0.1) == pytest.approx(1.12)
+
+
+def test_the_price_of_copies_is_that_of_a_rank_s_whatever_the_group_s_size():
+    assert needed(1.0, copies=24, ranks=12) == needed(1.0, copies=126, ranks=63)
