--- a/bench/platform_soak/__main__.py
+++ b/bench/platform_soak/__main__.py
@@ -43,7 +43,9 @@
     callers.stopping = True
     await task.join()
     await curio.sleep(LATE_RUNS_S)
-    found = faults.failures + find_violations(callers.told, world.record)
+    # The stand-ins serve on until the last process has ended.
+    ended = await curio.run_in_thread(_stop, world)
+    found = ended + faults.failures + find_violations(callers.told, world.record)
     found += find_unrecovered(callers.told, whole_since)
     found += [f"maps mixed: {line}" for line in world.group.mixed + world.group.ranks.mixed]
     _report(callers, faults, world)
@@ -92,8 +94,9 @@
     try:
         violations = curio.run(_play, world, seed, duration_s)
     finally:
-        ended = _stop(world)
-    violations += ended + _logged(folder)
+        for program in world.programs:
+            program.end(0.0)
+    violations += _logged(folder)
     for line in violations[:SHOWN]:
         sys.stdout.write(f"VIOLATION {line}\n")
     sys.stdout.write(f"violations: {len(violations)}\n")
