Tell a bounded number of entries at a time; break a stream off when its caller has gone

What an entry sends and hears grew with the number of entries (all to all). It tells 16 at a turn now, the next ones at the next turn; with fewer than 17 nothing changes. A stream whose last event lies further back than its caller waits (2 s, four times the objective or eight times the longest pause) is broken off; before, it was asked on for without a pause as long as the budget lasted.

--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -7,7 +7,13 @@
 from curio import socket
 
 from bluebellrun.core import Address, parse_address
-from bluebellrun.gateway._peers import EntryNews, PeerTable, decode_news, encode_news
+from bluebellrun.gateway._peers import (
+    SILENT_S,
+    EntryNews,
+    PeerTable,
+    decode_news,
+    encode_news,
+)
 from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView
 from bluebellrun.runtime import spawn_background
@@ -16,10 +22,15 @@
 
 # Load changes with every request; at this rate the news of an entry cost some kilobytes a second.
 SEND_INTERVAL_S = 0.1
+# So many entries are told at a time, the next ones at the next turn: what an entry sends and hears
+# does not grow with the number of entries; with more than these, news are older instead.
+TOLD_AT_A_TIME = 16
 # An entry that ended without a word is out of the register after this.
 REGISTRATION_S = 12
 RENEW_INTERVAL_S = 4.0
 RETRY_INTERVAL_S = 0.5
+# Datagrams are lost now and then; after so many turns without one an entry is taken to be gone.
+TURNS_TO_BE_SILENT = 4
 MAX_DATAGRAM_BYTES = 60_000
 
 _log = get_logger("gossip")
@@ -46,6 +57,7 @@
         self._slow = slow
         self._news = news
         self._lease = 0
+        self._told = 0
 
     @property
     def peers(self) -> list[Address]:
@@ -68,7 +80,7 @@
         await spawn_background(self._receive, sock)
         while True:
             await curio.sleep(SEND_INTERVAL_S)
-            self._table.expire(time.monotonic())
+            self._table.expire(time.monotonic(), silent_after_s(len(self.peers)))
             await self._send(sock)
 
     async def keep_registered(self) -> None:
@@ -101,12 +113,20 @@
         if len(data) > MAX_DATAGRAM_BYTES:
             _log.warning("news not sent", bytes=len(data), limit=MAX_DATAGRAM_BYTES)
             return
-        for peer in peers:
+        for peer in self._next_told(peers):
             try:
                 await sock.sendto(data, (peer.ip, peer.port))  # type: ignore[attr-defined]
             except OSError as error:
                 _log.info("news not sent", peer=str(peer), reason=str(error))
 
+    def _next_told(self, peers: list[Address]) -> list[Address]:
+        """Return the entries whose turn it is."""
+        if len(peers) <= TOLD_AT_A_TIME:
+            return peers
+        start = self._told % len(peers)
+        self._told = start + TOLD_AT_A_TIME
+        return (peers[start:] + peers[:start])[:TOLD_AT_A_TIME]
+
     async def _receive(self, sock: object) -> None:
         """Take the others' news until cancelled."""
         while True:
@@ -121,3 +141,8 @@
                 continue
             if news.slow is not None:
                 self._slow.replace(news.slow, time.monotonic())
+
+
+def silent_after_s(peers: int) -> float:
+    """Return after how long without news an entry counts as silent, by the number of entries."""
+    return max(SILENT_S, TURNS_TO_BE_SILENT * SEND_INTERVAL_S * peers / TOLD_AT_A_TIME)
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -82,9 +82,9 @@
         self._add(news, 1)
         return True
 
-    def expire(self, now: float) -> None:
+    def expire(self, now: float, silent_after_s: float = SILENT_S) -> None:
         """Forget the work of entries that are silent."""
-        silent = [name for name, heard in self._heard.items() if now - heard.at > SILENT_S]
+        silent = [name for name, heard in self._heard.items() if now - heard.at > silent_after_s]
         for name in silent:
             self._add(self._heard.pop(name).news, -1)
 
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -45,8 +45,13 @@
 WHOLE_ANSWER_BYTES = 262_144
 # Pause before a group that refuses work is asked again; it forms again in some tenths of a second.
 RESUME_PAUSE_S = 0.25
-# Callers give up a stream after a pause of two seconds or more.
-RESUME_WITHIN_S = 1.8
+# Callers give up a stream after a pause of two seconds, so many times the objective, or so many
+# times the longest pause that is still in time, whichever is longest.
+PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4
+PATIENCE_PAUSES = 8
+# Less this, as a resumed stream needs time to go on.
+RESUMING_TAKES_S = 0.2
 # Upstreams that may refuse a request before it is refused: where a few are full, most are.
 MOST_REFUSALS = 1
 # Further sends that streams of slow ranks leave over for requests that would fail without.
@@ -176,8 +181,9 @@
                     if not self._may_run_again():
                         return await self._give_up(outcome)
             self._excluded.add(upstream.instance)
-            if self._exchange.started and not isinstance(outcome, _Moved):
-                await self._await_resumption()
+            resumes = self._exchange.started and not isinstance(outcome, _Moved)
+            if resumes and not await self._await_resumption():
+                return await self._give_up(outcome)
 
     def _may_send(self, now: float) -> bool:
         """Return whether there is time for a send and, after the first, budget."""
@@ -205,14 +211,27 @@
         """Return whether the request may run at one more upstream."""
         return self._route.repeatable and self._runs < self._route.attempts
 
-    async def _await_resumption(self) -> None:
-        """Pause before a stream is resumed, and try all upstreams again once each has refused."""
+    async def _await_resumption(self) -> bool:
+        """Pause before a stream is resumed; return false once its caller has given it up.
+
+        All upstreams are tried again once each has refused.
+        """
+        if time.monotonic() - self._last_event_at > self._patience_s() - RESUMING_TAKES_S:
+            return False
         usable = self._fleet.directory.usable(self._service, time.monotonic())
         if all(upstream.instance in self._excluded for upstream in usable):
             self._excluded.clear()
-        if self._runs == 0 or time.monotonic() - self._last_event_at > RESUME_WITHIN_S:
-            return
         await curio.sleep(RESUME_PAUSE_S)
+        return True
+
+    def _patience_s(self) -> float:
+        """Return how long a caller waits for a stream's next event."""
+        route = self._route
+        return max(
+            PATIENCE_S,
+            PATIENCE_OBJECTIVES * route.objective_s,
+            PATIENCE_PAUSES * (route.longest_pause_s or 0.0),
+        )
 
     async def _give_up(self, outcome: _Outcome) -> Result:
         """Return what is left to tell the caller."""
