--- a/bluebellrun/placement/_change.py
+++ b/bluebellrun/placement/_change.py
@@ -115,11 +115,6 @@
         """Return the placement of the map, none for a change that another process began."""
         return self._placement
 
-    @property
-    def preparing(self) -> bool:
-        """Return whether ranks still copy experts, so that none can be armed."""
-        return self._step is None
-
     @property
     def done(self) -> bool:
         """Return whether all ranks use the map."""
