--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -165,6 +165,7 @@
             async with curio.timeout_after(max(0.0, ends_at - time.monotonic())):
                 result = await relay.run()
         except curio.TaskTimeout:
+            _log.info("time over", request=request.id, upstream=relay.upstream, sends=relay.sends)
             result = self._out_of_time(exchange, relay)
         except CallerGoneError as error:
             _log.info("caller left", request=request.id, reason=str(error))
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -136,6 +136,7 @@
         self._sends = 0
         self._runs = 0
         self._refusals = 0
+        self._upstream = ""
         self._excluded: set[str] = set()
         self._last_id = request.last_event_id
         self._last_event_at = 0.0
@@ -145,6 +146,11 @@
         """Return how often the request was sent."""
         return self._sends
 
+    @property
+    def upstream(self) -> str:
+        """Return the upstream that was asked last, empty before the first."""
+        return self._upstream
+
     @property
     def runs(self) -> int:
         """Return how often the request may have run."""
@@ -256,6 +262,7 @@
     async def _send(self, upstream: Upstream) -> _Outcome:
         """Send the request to one upstream and pass on its answer."""
         stats = self._fleet.stats(upstream.instance)
+        self._upstream = upstream.instance
         stats.running += 1
         stats.unread_tokens += self._request.prompt_tokens
         self._unread = self._request.prompt_tokens
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -5,6 +5,7 @@
 
 import curio
 import pytest
+import structlog
 
 from bluebellrun.core import Address
 from bluebellrun.gateway import Upstream
@@ -303,6 +304,16 @@
     play(check, ("u1", is_silent))
 
 
+def test_the_log_tells_which_upstream_had_a_request_whose_time_is_over():
+    async def check(scene: Scene) -> None:
+        with structlog.testing.capture_logs() as lines:
+            assert (await scene.ask("/ask/a")).status == 504
+        (line,) = [line for line in lines if line["event"] == "time over"]
+        assert (line["request"], line["upstream"], line["sends"]) == ("r1", "u1", 1)
+
+    play(check, ("u1", is_silent))
+
+
 def test_an_upstream_that_is_gone_is_passed_over():
     scene = Scene()
 
