Release a hold that was left over before a pass is held for a change

Cause: a rank holds one pass at a time. Found by drawing failed requests at random and following the log. The test fails without the change.

--- a/bluebellrun/placement/_change.py
+++ b/bluebellrun/placement/_change.py
@@ -197,6 +197,10 @@
         ]
         if not unarmed:
             return self._release(states)
+        stray = states[holder].held
+        if stray is not None and stray != self._step:
+            # A rank holds one pass at a time; this one is left over from an order that came late.
+            return self._send([holder], ReleasePass(stray), now, 1)
         if states[holder].held != self._step:
             if armed:
                 return self._send(unarmed, ArmMap(self._version, self._step), now, 1)
--- a/tests/placement/test_change.py
+++ b/tests/placement/test_change.py
@@ -108,6 +108,16 @@
     assert ReleasePass not in kinds[:first_arm]
 
 
+@pytest.mark.parametrize("rank", [0, 2])
+def test_a_hold_left_over_at_a_far_pass_does_not_stop_a_change(rank):
+    group = FakeGroup(4, Random(1))
+    assert group.give(rank, HoldPass(500), 1) == ACCEPTED
+    change = PlacementChange(1001, new_map(), ChangeSettings(), 0.0)
+    assert drive(group, change, 1, 100) is not None
+    assert change.done
+    assert not group.mixed
+
+
 def test_a_rank_that_cannot_prepare_ends_the_change_before_anything_is_held():
     group = FakeGroup(4, Random(1), lost=1.0)
     change = PlacementChange(1001, new_map(), ChangeSettings(prepare_timeout_s=1.0), 0.0)
