End a program's tasks in rounds, so that its exit status is that of its main task

Its log: curio's 'New tasks created during shutdown'. A task that is cancelled at the end may begin another one, as a connection just accepted does, and curio takes that for an error. The four programs cancel what is left until nothing is left, and log it. Ruled out: an invariant of the agent (none logged), the time of the stop (it had ended).

--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -31,6 +31,7 @@
 from bluebellrun.runtime import (
     StopSignals,
     configure_link_security,
+    run_program,
     spawn_background,
     warn_of_plain_links,
 )
@@ -174,7 +175,7 @@
 def _start(settings: AgentSettings) -> int:
     """Run the agent in curio's loop."""
     try:
-        return int(curio.run(_serve, settings))
+        return int(run_program(_serve, settings))
     except TlsError as error:
         sys.stderr.write(f"{error}\n")
         return EXIT_BAD_SETTING
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -25,6 +25,7 @@
     StopSignals,
     configure_link_security,
     make_caller_tls,
+    run_program,
     spawn_background,
     warn_of_plain_links,
 )
@@ -112,7 +113,7 @@
 def _start(settings: EntrySettings) -> int:
     """Run the entry in curio's loop."""
     try:
-        return int(curio.run(_serve, settings))
+        return int(run_program(_serve, settings))
     except TlsError as error:
         sys.stderr.write(f"{error}\n")
         return EXIT_BAD_SETTING
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -35,7 +35,7 @@
     read_settings,
     settings_path,
 )
-from bluebellrun.runtime import StopSignals, spawn_background
+from bluebellrun.runtime import StopSignals, run_program, spawn_background
 from bluebellrun.store import StoreTimeouts
 from bluebellrun.telemetry import ServingMetrics, configure_serving_logs, get_logger
 
@@ -267,7 +267,7 @@
 def run() -> None:
     """Start the program."""
     try:
-        curio.run(_serve, read_settings(settings_path()))
+        run_program(_serve, read_settings(settings_path()))
     except SettingsError as error:
         sys.stderr.write(f"bluebellrun-gateway: {error}\n")
         sys.exit(EXIT_BAD_SETTING)
--- a/bluebellrun/runtime/__init__.py
+++ b/bluebellrun/runtime/__init__.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from bluebellrun.core import load_at_first_use
+from bluebellrun.runtime._program import run_program
 from bluebellrun.runtime._signals import StopSignals
 from bluebellrun.runtime._tasks import spawn_background
 
@@ -23,6 +24,7 @@
     "StopSignals",
     "configure_link_security",
     "make_caller_tls",
+    "run_program",
     "spawn_background",
     "warn_of_plain_links",
 ]
--- a/bluebellrun/sidecar/main.py
+++ b/bluebellrun/sidecar/main.py
@@ -3,13 +3,11 @@
 import signal
 import sys
 
-import curio
-
 from bluebellrun.core import Address
 from bluebellrun.deployment import HostSettings
 from bluebellrun.http import HttpLimits, HttpServer
 from bluebellrun.platform import EngineRelay, SettingsError, read_settings, settings_path
-from bluebellrun.runtime import StopSignals, spawn_background
+from bluebellrun.runtime import StopSignals, run_program, spawn_background
 from bluebellrun.telemetry import configure_serving_logs, get_logger
 
 EXIT_BAD_SETTING = 2
@@ -39,7 +37,7 @@
 def run() -> None:
     """Start the program."""
     try:
-        status = curio.run(_serve, read_settings(settings_path()))
+        status = run_program(_serve, read_settings(settings_path()))
     except SettingsError as error:
         sys.stderr.write(f"bluebellrun-sidecar: {error}\n")
         sys.exit(EXIT_BAD_SETTING)
