Make one piece serve where the change had written a twin

Read of the whole change; behaviour stays as it is. - The log's allowance was a third token bucket beside the store's: TokenBucket moved to core, and the log uses it. Both log set-ups share their first processors. - Releasing held passes stood in the change and in its keeper: release_held_passes. - Counts were decoded by a copy of the engine calls' decoder. - Routing asked for each upstream's pace on every request, also when none is slow: it asks once, and does nothing more when the answer is empty. SLOWNESS_TO_EMPTY is used in one place again. - The keeper kept the size that the demand's settings were made for; it sets them anew instead. - Settings that nobody reads are gone: stall, recovery, regions. Tests keep their assertions; two pass the slow upstreams by the new name, one imports the bucket from core.

--- a/bluebellrun/core/__init__.py
+++ b/bluebellrun/core/__init__.py
@@ -14,6 +14,7 @@
 from bluebellrun.core._invariants import InvariantError, Invariants, invariants
 from bluebellrun.core._lazy import load_at_first_use
 from bluebellrun.core._outcomes import AlreadyRan, NotRun, Outcome, Ran, Unknown, outcome_name
+from bluebellrun.core._token_bucket import TokenBucket
 
 __all__ = [
     "Address",
@@ -30,6 +31,7 @@
     "Outcome",
     "Ran",
     "RequestId",
+    "TokenBucket",
     "UnixClock",
     "Unknown",
     "attempt_id",
--- a/bluebellrun/deployment/_host.py
+++ b/bluebellrun/deployment/_host.py
@@ -37,8 +37,6 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 90.0
-    stall_s: float = 1.5
-    recover_s: float = 12.0
     fenced_orders: bool = True
 
 
@@ -62,4 +60,3 @@
     memory_bytes: int = 0
     link_bits_s: float = 0.0
     bounds: Bounds = field(default_factory=Bounds)
-    regions: dict[str, str] = field(default_factory=dict)
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -1,6 +1,6 @@
 """The upstreams that this process sends to: their connections, work in flight and health."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from random import Random
 
@@ -9,7 +9,6 @@
 from bluebellrun.gateway._models import Upstream
 from bluebellrun.http import ClientTimeouts, HttpClient
 from bluebellrun.routing import (
-    SLOWNESS_TO_EMPTY,
     LeastWorkRouting,
     OutlierEjection,
     UpstreamWork,
@@ -42,7 +41,7 @@
         failure_domain: str,
         random: Random,
         running_elsewhere: Callable[[str], int] = lambda instance: 0,
-        slowness_told: Callable[[str, float], float] = lambda instance, now: 1.0,
+        slow_now: Callable[[float], Mapping[str, float]] = lambda now: {},
     ) -> None:
         self._directory = directory
         self._routing = LeastWorkRouting(random, failure_domain)
@@ -50,7 +49,7 @@
         self._clients: dict[str, HttpClient] = {}
         self._stats: dict[str, UpstreamStats] = {}
         self._running_elsewhere = running_elsewhere
-        self._slowness_told = slowness_told
+        self._slow_now = slow_now
 
     @property
     def directory(self) -> UpstreamDirectory:
@@ -72,7 +71,7 @@
 
     def is_emptied(self, upstream: Upstream, now: float) -> bool:
         """Return whether an upstream holds up its group and gets no more work."""
-        if self._slowness_told(upstream.instance, now) < SLOWNESS_TO_EMPTY:
+        if upstream.instance not in self._slow_now(now):
             return False
         usable = self._directory.usable(upstream.service, now)
         return upstream not in self._without_slow(usable, len(usable), now)
@@ -142,7 +141,10 @@
         self, upstreams: Collection[Upstream], group_size: int, now: float
     ) -> list[Upstream]:
         """Leave out the ranks that hold up their group, if they are few."""
-        told = {item.instance: self._slowness_told(item.instance, now) for item in upstreams}
+        slow = self._slow_now(now)
+        if not slow:
+            return list(upstreams)
+        told = {item.instance: slow.get(item.instance, 1.0) for item in upstreams}
         emptied = ranks_to_empty(told, group_size)
         return [item for item in upstreams if item.instance not in emptied]
 
--- a/bluebellrun/gateway/_service_group.py
+++ b/bluebellrun/gateway/_service_group.py
@@ -22,7 +22,6 @@
     PrepareMap,
     RankOrder,
     RankState,
-    ReleasePass,
     StepTimes,
     StepTimesSettings,
     WorthSettings,
@@ -30,6 +29,7 @@
     demand_settings,
     needed_gain,
     plan_placement,
+    release_held_passes,
 )
 from bluebellrun.telemetry import get_logger
 
@@ -98,7 +98,6 @@
         self._current: Placement | None = None
         self._change: PlacementChange | None = None
         self._demand = DemandEstimator(experts.layers, experts.experts, DemandSettings())
-        self._demand_ranks = 0
         self._step_times = StepTimes(StepTimesSettings())
         self._changes = 0
 
@@ -194,9 +193,7 @@
         first = states[0]
         if self._epoch != (first.group, first.epoch):
             self._begin_epoch(first)
-        if first.size != self._demand_ranks:
-            self._demand_ranks = first.size
-            self._demand.settings = demand_settings(first.size)
+        self._demand.settings = demand_settings(first.size)
         return True
 
     def _begin_role(self, fencing: int) -> None:
@@ -316,14 +313,10 @@
 
     async def _release_stray_holds(self, fencing: int) -> None:
         """Release passes that are held for no change: an order may be carried out late."""
-        held = [
-            (rank, ReleasePass(state.held))
-            for rank, state in self._states.items()
-            if state.held is not None
-        ]
-        if held:
-            _log.info("stray holds released", service=self._service, ranks=len(held))
-            await self._give(list(held), fencing)
+        orders = release_held_passes(self._states)
+        if orders:
+            _log.info("stray holds released", service=self._service, ranks=len(orders))
+            await self._give(orders, fencing)
             self._read_at = 0.0
 
     async def _read_counts(self) -> None:
--- a/bluebellrun/gateway/_slow_upstreams.py
+++ b/bluebellrun/gateway/_slow_upstreams.py
@@ -37,8 +37,10 @@
         self._slowness = told
         self._told_at = now
 
+    def current(self, now: float) -> Mapping[str, float]:
+        """Return how many times as long as usual each slow upstream takes, if that still holds."""
+        return {} if now - self._told_at > KEPT_S else self._slowness
+
     def of(self, instance: str, now: float) -> float:
         """Return how many times as long as usual an upstream takes; 1 if nothing is known."""
-        if not self._slowness or now - self._told_at > KEPT_S:
-            return 1.0
-        return self._slowness.get(instance, 1.0)
+        return self.current(now).get(instance, 1.0)
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -128,7 +128,7 @@
             settings.failure_domain,
             self._random,
             self._peers.running,
-            self._slow.of,
+            self._slow.current,
         )
         self._gateway = Gateway(
             settings, self._fleet, PlatformWire(), self._random, self._metrics.note_request
--- a/bluebellrun/ledger/_ledger.py
+++ b/bluebellrun/ledger/_ledger.py
@@ -8,7 +8,7 @@
 import curio
 import msgspec
 
-from bluebellrun.core import Clock
+from bluebellrun.core import Clock, TokenBucket
 from bluebellrun.ledger._keys import shard_of
 from bluebellrun.ledger._log import Commit, ReadShard, ShardLog
 from bluebellrun.ledger._models import Decision, Declined, LedgerLimits, LedgerRecord
@@ -18,7 +18,6 @@
     PlatformError,
     Put,
     StoreAnswerLostError,
-    TokenBucket,
 )
 from bluebellrun.telemetry import get_logger
 
--- a/bluebellrun/placement/__init__.py
+++ b/bluebellrun/placement/__init__.py
@@ -10,6 +10,7 @@
     RankOrder,
     RankState,
     ReleasePass,
+    release_held_passes,
 )
 from bluebellrun.placement._demand import (
     DemandEstimator,
@@ -47,5 +48,6 @@
     "needed_gain",
     "plan_placement",
     "rank_loads",
+    "release_held_passes",
     "skew",
 ]
--- a/bluebellrun/placement/_change.py
+++ b/bluebellrun/placement/_change.py
@@ -152,7 +152,7 @@
         """Return the orders to send now; ``states`` are those of all ranks, in one epoch."""
         if all(state.active == self._version for state in states.values()):
             self._done = True
-            return self._release(states)
+            return release_held_passes(states)
         if self._step is None:
             unprepared = [r for r, state in states.items() if state.prepared != self._version]
             if unprepared:
@@ -196,7 +196,7 @@
             and state.active != self._version
         ]
         if not unarmed:
-            return self._release(states)
+            return release_held_passes(states)
         stray = states[holder].held
         if stray is not None and stray != self._step:
             # A rank holds one pass at a time; this one is left over from an order that came late.
@@ -211,14 +211,6 @@
         """Return whether a rank is armed for this map."""
         return state.armed_version == self._version
 
-    def _release(self, states: Mapping[int, RankState]) -> list[tuple[int, RankOrder]]:
-        """Release every pass that is held."""
-        return [
-            (rank, ReleasePass(state.held))
-            for rank, state in states.items()
-            if state.held is not None
-        ]
-
     def _send(
         self, ranks: list[int], order: RankOrder, now: float, patience: int
     ) -> list[tuple[int, RankOrder]]:
@@ -231,3 +223,10 @@
             self._sent[rank, order] = now
             orders.append((rank, order))
         return orders
+
+
+def release_held_passes(states: Mapping[int, RankState]) -> list[tuple[int, RankOrder]]:
+    """Return the orders that release every pass that is held."""
+    return [
+        (rank, ReleasePass(state.held)) for rank, state in states.items() if state.held is not None
+    ]
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -159,10 +159,10 @@
         number = 0 if known is None else known[0]
         headers = [(EXPECT_INSTANCE, instance), (COUNTS_KNOWN, str(number))]
         client = self._client(self._relays, instance, self._beside(upstream))
-        status, data = await self._fetch(
+        answer = await self._fetch(
             client, upstream, "GET", COUNTS_PATH, headers, b"", COUNTS_TIMEOUT_S
         )
-        told = _decode_counts(status, data)
+        told = _decode(_counts_told, answer)
         if told.since and known is not None:
             counts = tuple(map(add, known[1], told.counts))
         else:
@@ -286,14 +286,6 @@
         raise RankCallError(f"an engine's answer cannot be read: {error}") from error
 
 
-def _decode_counts(status: int, data: bytes) -> RankCountsTold:
-    """Return counts as the process beside an engine tells them."""
-    try:
-        return _counts_told.decode(data)
-    except msgspec.DecodeError as error:
-        raise RankCallError(f"counts cannot be read ({status}): {error}") from error
-
-
 def _packed(headers: Headers, body: bytes) -> tuple[Headers, bytes]:
     """Return headers and body of a call to the process beside an engine."""
     if len(body) < PACKED_FROM_BYTES:
--- a/bluebellrun/platform/_settings.py
+++ b/bluebellrun/platform/_settings.py
@@ -34,8 +34,6 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10
     retry_slack: float = 90
-    stall_ms: float = 1500
-    recover_s: float = 12
     need_fence: bool = True
 
 
@@ -66,7 +64,6 @@
     region: str = ""
     # The address of the upstream on the same host.
     app: str | None = None
-    zones: dict[str, str] = {}
     listen: _Listen = msgspec.field(default_factory=_Listen)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -107,8 +104,6 @@
         retry_ratio=file.bounds.retry_ratio,
         retry_window_s=file.bounds.retry_window_s,
         retry_slack=file.bounds.retry_slack,
-        stall_s=file.bounds.stall_ms * MILLISECOND_S,
-        recover_s=file.bounds.recover_s,
         fenced_orders=file.bounds.need_fence,
     )
     return HostSettings(
@@ -124,7 +119,6 @@
         link_bits_s=file.limits.link_mbps * MEGABIT,
         memory_bytes=int(file.limits.ram_mb * MEGABYTE),
         bounds=bounds,
-        regions=dict(file.zones),
     )
 
 
--- a/bluebellrun/routing/__init__.py
+++ b/bluebellrun/routing/__init__.py
@@ -4,7 +4,7 @@
 from bluebellrun.routing._ejection import OutlierEjection
 from bluebellrun.routing._expected_finish import ExpectedFinishRouting
 from bluebellrun.routing._least_work import LeastWorkRouting, UpstreamWork
-from bluebellrun.routing._lockstep import SLOWNESS_TO_EMPTY, ranks_to_empty
+from bluebellrun.routing._lockstep import ranks_to_empty
 from bluebellrun.routing._models import Candidate, RoutedWork, RoutingPolicy, UpstreamLoad
 from bluebellrun.routing._registry import ROUTING_POLICIES, make_routing
 from bluebellrun.routing._retry_budget import RetryBudget, RetrySettings
@@ -12,7 +12,6 @@
 
 __all__ = [
     "ROUTING_POLICIES",
-    "SLOWNESS_TO_EMPTY",
     "Candidate",
     "ExpectedFinishRouting",
     "LeastRequestsRouting",
--- a/bluebellrun/store/__init__.py
+++ b/bluebellrun/store/__init__.py
@@ -9,7 +9,7 @@
 from bluebellrun.core import load_at_first_use
 from bluebellrun.store._backoff import Backoff
 from bluebellrun.store._breaker import CircuitBreaker
-from bluebellrun.store._budget import CallAccount, RatePart, StoreRates, TokenBucket
+from bluebellrun.store._budget import CallAccount, RatePart, StoreRates
 from bluebellrun.store._exceptions import (
     CallRefusedError,
     CompactedError,
@@ -71,7 +71,6 @@
     "StoreRates",
     "StoreTimeouts",
     "StoreUnavailableError",
-    "TokenBucket",
     "TransactionResult",
     "Watch",
     "WatchEvent",
--- a/bluebellrun/store/_budget.py
+++ b/bluebellrun/store/_budget.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass
 
+from bluebellrun.core import TokenBucket
+
 ORDINARY_SHARE = 0.3
 WATCHER_SHARE = 0.2
 OWNER_SHARE = 0.4
@@ -58,32 +60,6 @@
         return RatePart(self.reads_per_s * part, self.writes_per_s * part)
 
 
-class TokenBucket:
-    """Allow a number of calls a second, with a burst after a quiet time."""
-
-    def __init__(self, rate_per_s: float, burst: float, now: float) -> None:
-        self._rate = rate_per_s
-        self._burst = burst
-        self._tokens = burst
-        self._filled_at = now
-
-    def take(self, now: float) -> float:
-        """Take one token; return how long to wait before the call may be made, in seconds."""
-        self._fill(now)
-        self._tokens -= 1
-        return 0.0 if self._tokens >= 0 else -self._tokens / self._rate
-
-    def give_back(self) -> None:
-        """Return a token whose call was not made."""
-        self._tokens = min(self._burst, self._tokens + 1)
-
-    def _fill(self, now: float) -> None:
-        """Add the tokens that time has brought."""
-        elapsed_s = max(0.0, now - self._filled_at)
-        self._filled_at = now
-        self._tokens = min(self._burst, self._tokens + elapsed_s * self._rate)
-
-
 def _bucket(rate_per_s: float, now: float) -> TokenBucket:
     """Return a bucket whose burst is small beside the fleet's rate."""
     return TokenBucket(rate_per_s, max(LEAST_BURST, rate_per_s * BURST_S), now)
--- a/bluebellrun/store/_guard.py
+++ b/bluebellrun/store/_guard.py
@@ -10,10 +10,10 @@
 
 import curio
 
-from bluebellrun.core import Clock
+from bluebellrun.core import Clock, TokenBucket
 from bluebellrun.store._backoff import Backoff
 from bluebellrun.store._breaker import CircuitBreaker
-from bluebellrun.store._budget import CallAccount, CallBudget, RatePart, TokenBucket
+from bluebellrun.store._budget import CallAccount, CallBudget, RatePart
 from bluebellrun.store._exceptions import (
     CallRefusedError,
     PlatformError,
--- a/bluebellrun/telemetry/_logs.py
+++ b/bluebellrun/telemetry/_logs.py
@@ -10,6 +10,13 @@
 from bluebellrun.core import invariants
 
 EXIT_VIOLATED = 4
+# What every line goes through first, wherever it is written.
+SHARED_PROCESSORS: tuple[Any, ...] = (
+    structlog.contextvars.merge_contextvars,
+    structlog.processors.add_log_level,
+    structlog.processors.TimeStamper(fmt="iso", utc=True),
+    structlog.processors.format_exc_info,
+)
 SECRET_FIELDS = frozenset({"authorization", "token", "key", "api_key", "password", "secret"})
 
 
@@ -43,10 +50,7 @@
         renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
     structlog.configure(
         processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
+            *SHARED_PROCESSORS,
             _hide_secrets,
             renderer,
         ],
--- a/bluebellrun/telemetry/_serving.py
+++ b/bluebellrun/telemetry/_serving.py
@@ -8,7 +8,8 @@
 
 import structlog
 
-from bluebellrun.core import Clock, MonotonicClock
+from bluebellrun.core import Clock, MonotonicClock, TokenBucket
+from bluebellrun.telemetry._logs import SHARED_PROCESSORS
 
 # Lines a second that a process may write on average, and how many at once after a calm time.
 LINES_PER_S = 100.0
@@ -22,8 +23,7 @@
     def __init__(self, descriptor: int = STANDARD_OUTPUT, clock: Clock | None = None) -> None:
         self._descriptor = descriptor
         self._clock = MonotonicClock() if clock is None else clock
-        self._allowance = LINES_AT_ONCE
-        self._refilled = self._clock.now()
+        self._allowance = TokenBucket(LINES_PER_S, LINES_AT_ONCE, self._clock.now())
         self._left_out = 0
         self._rest = b""
 
@@ -34,7 +34,7 @@
 
     def write(self, text: str) -> int:
         """Write a line, or count it as left out."""
-        if not self._take_allowance() or not self._flush_rest():
+        if not self._allowance.take_if_free(self._clock.now()) or not self._flush_rest():
             self._left_out += 1
             return len(text)
         data = text.encode()
@@ -49,17 +49,6 @@
         """Write what is left of the last line, if there is room."""
         self._flush_rest()
 
-    def _take_allowance(self) -> bool:
-        """Return whether the rate allows one more line."""
-        now = self._clock.now()
-        refill = (now - self._refilled) * LINES_PER_S
-        self._allowance = min(LINES_AT_ONCE, self._allowance + refill)
-        self._refilled = now
-        if self._allowance < 1:
-            return False
-        self._allowance -= 1
-        return True
-
     def _flush_rest(self) -> bool:
         """Write what is left of the last line; return whether all is written."""
         while self._rest:
@@ -76,10 +65,7 @@
     os.set_blocking(STANDARD_OUTPUT, False)
     structlog.configure(
         processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
+            *SHARED_PROCESSORS,
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(20),
--- a/tests/gateway/test_slow_upstreams.py
+++ b/tests/gateway/test_slow_upstreams.py
@@ -15,7 +15,7 @@
 
 
 def fleet(slow: SlowUpstreams, count: int = 12) -> Fleet:
-    return Fleet(directory(count), "a", Random(1), slowness_told=slow.of)
+    return Fleet(directory(count), "a", Random(1), slow_now=slow.current)
 
 
 def chosen(subject: Fleet, now: float) -> set[str]:
--- a/tests/platform/upstreams.py
+++ b/tests/platform/upstreams.py
@@ -63,7 +63,7 @@
         store = StoreTerms(Address("127.0.0.1", 1), 1, 1, 1)
         settings = HostSettings("h", "127.0.0.1", "a", "r", store, ReservedPorts(1, 2))
         self.slow = SlowUpstreams()
-        self.fleet = Fleet(self.directory, "a", Random(1), slowness_told=self.slow.of)
+        self.fleet = Fleet(self.directory, "a", Random(1), slow_now=self.slow.current)
         self.gateway = Gateway(settings, self.fleet, PlatformWire(), Random(1))
         self.server: HttpServer | None = None
 
--- a/tests/store/test_guard.py
+++ b/tests/store/test_guard.py
@@ -3,7 +3,7 @@
 import curio
 import pytest
 
-from bluebellrun.core import ManualClock, MonotonicClock
+from bluebellrun.core import ManualClock, MonotonicClock, TokenBucket
 from bluebellrun.store import (
     CallRefusedError,
     CircuitBreaker,
@@ -15,7 +15,6 @@
     StoreAnswerLostError,
     StoreRates,
     StoreUnavailableError,
-    TokenBucket,
     transact_with_nonce,
 )
 from standins.platform import DirectStore
