Bound every answer in bytes and in time; let nobody wait for one without end

Cause: read_all renewed its gap at each piece and kept all bytes, so a slow endless 503 never ended and a fast one filled memory; a socket that always has more never let other tasks run, so no deadline passed either (curio's recv returns without a turn of the loop). Heads that announce a response, and responses to other requests, were read without a count. Of a refused request the server read on for as long as its caller sent.

Ruled out: h11 bounds heads, chunk headers and trailers itself (16 KiB); caller's heads and bodies had their bounds of bytes and time.

A refusal's rest has 0.1 s and 64 KiB: its head has said that the request did not run. Changes of the store that are too many to be read are read anew as a whole. A sidecar's call that failed in the body left its connection open.

--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -29,10 +29,12 @@
 )
 from bluebellrun.gateway._ports import Wire
 from bluebellrun.http import (
+    AnswerTooLongError,
     ConnectError,
     HttpExchange,
     HttpResponse,
     TransportError,
+    header_value,
 )
 from bluebellrun.routing import SendBudget
 from bluebellrun.telemetry import get_logger
@@ -43,6 +45,12 @@
 ONCE_MAX_IDLE_S = 1.0
 # Answers up to this size are read whole before the caller gets them, so that they can be repeated.
 WHOLE_ANSWER_BYTES = 262_144
+# Bytes of an answer that does not say how long it is; a longer one is taken to have no end.
+MAX_UNDECLARED_BYTES = 67_108_864
+# The rest of a refusal is read so that its connection can be kept; a longer or slower one costs
+# the request more than a new connection would.
+REFUSAL_REST_BYTES = 65_536
+REFUSAL_REST_S = 0.1
 # Pause before a group that refuses work is asked again; it forms again in some tenths of a second.
 RESUME_PAUSE_S = 0.25
 # Callers give up a stream after a pause of two seconds, so many times the objective, or so many
@@ -343,7 +351,7 @@
         answer = self._wire.read_answer(response.status, response.headers)
         if answer.not_run:
             self._runs -= 1
-            await response.read_all(self.left_s)
+            await self._read_refusal(upstream, response)
             if answer.misdirected:
                 self._fleet.directory.note_replaced(upstream.instance)
             self._refusals += not answer.misdirected
@@ -357,6 +365,13 @@
             return _Lost(f"upstream answered {answer.status} to a resumed stream")
         return await self._pass_answer(answer, response)
 
+    async def _read_refusal(self, upstream: Upstream, response: HttpResponse) -> None:
+        """Read the rest of a refusal; its head has said that the request did not run."""
+        try:
+            await response.read_all(min(self.left_s, REFUSAL_REST_S), REFUSAL_REST_BYTES)
+        except TransportError as error:
+            _log.info("refusal not read", upstream=upstream.instance, reason=str(error))
+
     async def _pass_answer(self, answer: UpstreamAnswer, response: HttpResponse) -> _Outcome:
         """Pass on an answer: whole if it is small, else piece by piece."""
         body = bytearray()
@@ -375,8 +390,13 @@
         """Pass on an answer that is too large to be kept."""
         await self._exchange.send_head(answer.status, answer.headers)
         await self._exchange.send_body(begun)
+        declared = header_value(response.headers, "content-length") is not None
+        passed = len(begun)
         while piece := await response.read(self.left_s):
             await self._exchange.send_body(piece)
+            passed += len(piece)
+            if not declared and passed > MAX_UNDECLARED_BYTES:
+                raise AnswerTooLongError(f"an answer is over {MAX_UNDECLARED_BYTES} bytes")
         await self._exchange.finish()
         return _Done(answer.status)
 
--- a/bluebellrun/http/__init__.py
+++ b/bluebellrun/http/__init__.py
@@ -2,6 +2,7 @@
 
 from bluebellrun.http._client import AcceptResponse, HttpClient, HttpResponse, connect
 from bluebellrun.http._exceptions import (
+    AnswerTooLongError,
     BadResponseError,
     ConnectError,
     ConnectionLostError,
@@ -34,6 +35,7 @@
 
 __all__ = [
     "AcceptResponse",
+    "AnswerTooLongError",
     "BadResponseError",
     "CallerGoneError",
     "ClientTimeouts",
--- a/bluebellrun/http/_client.py
+++ b/bluebellrun/http/_client.py
@@ -11,6 +11,7 @@
 
 from bluebellrun.core import Address
 from bluebellrun.http._exceptions import (
+    AnswerTooLongError,
     BadResponseError,
     ConnectError,
     ConnectionLostError,
@@ -31,7 +32,16 @@
 USER_TIMEOUT_MS = 3_000
 # A kept connection is not used this close to its end: the request needs time to arrive.
 IDLE_MARGIN_S = 0.5
+# What has arrived already is read past a deadline too: this process may have been paused.
+LEAST_WAIT_S = 0.001
 MAX_STRAY_RESPONSES = 4
+# Bytes of responses to other requests that are skipped: they are second copies of small answers.
+MAX_SKIPPED_BYTES = 262_144
+# Heads that only announce a response; servers send one or two.
+MAX_INFORMATIONAL = 16
+# A body that is read whole may have as many bytes unless the client's owner says otherwise: the
+# largest that the project's own calls get are pages of a store, about a megabyte.
+MAX_WHOLE_BYTES = 16_777_216
 
 AcceptResponse = Callable[[int, Headers], bool]
 
@@ -95,11 +105,19 @@
             return b""
         raise BadResponseError(f"unexpected {type(event).__name__} in a body")
 
-    async def read_all(self, gap_s: float) -> bytes:
-        """Return the rest of the body."""
+    async def read_all(self, within_s: float, max_bytes: int | None = None) -> bytes:
+        """Return the rest of the body if it ends within ``within_s`` seconds from now.
+
+        Raises ``AnswerTooLongError`` when it is over ``max_bytes``, or the client's limit, and
+        otherwise what ``read`` raises. The caller closes the response then.
+        """
+        limit = self._client.max_whole_bytes if max_bytes is None else max_bytes
+        deadline = time.monotonic() + within_s
         body = bytearray()
-        while piece := await self.read(gap_s):
+        while piece := await self.read(max(LEAST_WAIT_S, deadline - time.monotonic())):
             body += piece
+            if len(body) > limit:
+                raise AnswerTooLongError(f"the answer's body is over {limit} bytes")
         return bytes(body)
 
     async def close(self) -> None:
@@ -112,9 +130,15 @@
     """Send requests to one address over kept connections."""
 
     def __init__(
-        self, address: Address, timeouts: ClientTimeouts, max_idle: int = 32, tls: Any = None
+        self,
+        address: Address,
+        timeouts: ClientTimeouts,
+        max_whole_bytes: int = MAX_WHOLE_BYTES,
+        max_idle: int = 32,
+        tls: Any = None,
     ) -> None:
         self._address = address
+        self._max_whole_bytes = max_whole_bytes
         self._tls = tls
         self._timeouts = timeouts
         self._max_idle = max_idle
@@ -125,6 +149,11 @@
         """Return the address requests are sent to."""
         return self._address
 
+    @property
+    def max_whole_bytes(self) -> int:
+        """Return how many bytes a body that is read whole may have."""
+        return self._max_whole_bytes
+
     async def open(
         self,
         method: str,
@@ -158,12 +187,22 @@
         return response
 
     async def fetch(
-        self, method: str, target: str, headers: Headers, body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes = b"",
+        within_s: float | None = None,
     ) -> tuple[int, bytes]:
-        """Send a request and return the response's status and whole body."""
-        response = await self.open(method, target, headers, body)
+        """Send a request and return the response's status and whole body.
+
+        ``within_s`` bounds the head and the body, each, instead of the client's timeouts. Raises
+        what ``open`` and ``HttpResponse.read_all`` raise.
+        """
+        response = await self.open(method, target, headers, body, within_s)
+        whole_s = self._timeouts.whole_s if within_s is None else within_s
         try:
-            return response.status, await response.read_all(self._timeouts.gap_s)
+            return response.status, await response.read_all(whole_s)
         except BaseException:
             await response.close()
             raise
@@ -204,6 +243,7 @@
         self._request: h11.Request | None = None
         self._sender: Any = None
         self._keep_s: float | None = None
+        self._more_waits = False
         self._idle_since = time.monotonic()
 
     def usable(self, max_idle_s: float | None) -> bool:
@@ -264,9 +304,9 @@
     async def read_head(self, timeout_s: float, accept: AcceptResponse | None = None) -> Any:
         """Return the head of the response that answers the request."""
         deadline = await curio.clock() + timeout_s
-        strays = 0
+        strays = informational = 0
         while True:
-            event = await self.next_event(max(0.001, deadline - await curio.clock()))
+            event = await self.next_event(max(LEAST_WAIT_S, deadline - await curio.clock()))
             if isinstance(event, h11.Response):
                 if accept is None or accept(event.status_code, decode_headers(event.headers)):
                     return event
@@ -274,15 +314,26 @@
                 if strays > MAX_STRAY_RESPONSES:
                     raise BadResponseError(f"{strays} responses to other requests")
                 await self._skip_response(deadline)
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse):
+                informational += 1
+                if informational > MAX_INFORMATIONAL:
+                    raise BadResponseError(f"{informational} heads that announce a response")
+            else:
                 raise ConnectionLostError("closed before the response")
 
     async def _skip_response(self, deadline: float) -> None:
         """Read a response to another request to its end and await the next one."""
+        skipped = 0
         while True:
-            event = await self.next_event(max(0.001, deadline - await curio.clock()))
+            event = await self.next_event(max(LEAST_WAIT_S, deadline - await curio.clock()))
             if isinstance(event, h11.EndOfMessage):
                 break
+            if isinstance(event, h11.Data):
+                skipped += len(event.data)
+            if skipped > MAX_SKIPPED_BYTES:
+                raise AnswerTooLongError(
+                    f"a response to another request is over {MAX_SKIPPED_BYTES} bytes"
+                )
         rest, closed = self._protocol.trailing_data
         if closed or self._request is None:
             raise ConnectionLostError("closed after a response to another request")
@@ -308,9 +359,16 @@
         return event
 
     async def _read_event(self) -> Any:
-        """Read from the socket until an event is complete."""
+        """Read from the socket until an event is complete.
+
+        A socket that always has more would never let other tasks run, nor a deadline pass.
+        """
         while True:
+            if self._more_waits:
+                self._more_waits = False
+                await curio.sleep(0)
             data = await self._socket.recv(READ_SIZE)
+            self._more_waits = len(data) == READ_SIZE
             if not data and self._protocol.their_state is h11.SEND_RESPONSE:
                 self._protocol.receive_data(data)
                 raise ConnectionLostError("closed before the response")
--- a/bluebellrun/http/_exceptions.py
+++ b/bluebellrun/http/_exceptions.py
@@ -19,3 +19,7 @@
 
 class BadResponseError(TransportError):
     """The peer's bytes do not follow the protocol."""
+
+
+class AnswerTooLongError(BadResponseError):
+    """An answer, or a part of it that has to be kept, is over its limit of bytes."""
--- a/bluebellrun/http/_models.py
+++ b/bluebellrun/http/_models.py
@@ -34,11 +34,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientTimeouts:
-    """Deadlines of one HTTP request, in seconds."""
+    """Deadlines of one HTTP request, in seconds.
+
+    ``first_byte_s`` bounds the whole head of an answer and ``whole_s`` the body of one that is
+    fetched, from its head on, however its bytes are spread over that time.
+    """
 
     connect_s: float = 1.0
     first_byte_s: float = 30.0
-    gap_s: float = 30.0
+    whole_s: float = 30.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellrun/http/_server.py
+++ b/bluebellrun/http/_server.py
@@ -27,6 +27,8 @@
 HEADERS_TOO_LARGE = 431
 NO_BODY_STATUSES = frozenset({204, 304})
 LINGER_S = 0.5
+# What is read of a refused request so that its caller reads the refusal: a socket's usual buffer.
+LINGER_BYTES = 262_144
 
 _log = get_logger("http-server")
 
@@ -363,9 +365,11 @@
 
     async def _linger(self) -> None:
         """Discard what the caller still sends, so that it can read the refusal."""
+        left = LINGER_BYTES
         async with curio.ignore_after(LINGER_S):
-            while await self._socket.recv(READ_SIZE):
-                pass
+            while left > 0 and (data := await self._socket.recv(READ_SIZE)):
+                left -= len(data)
+                await curio.sleep(0)
 
     async def _read_head(self) -> Any:
         """Read the request line and headers within the deadline."""
@@ -433,6 +437,9 @@
             if event is not h11.NEED_DATA:
                 return event
             data = await self._socket.recv(READ_SIZE)
+            if len(data) == READ_SIZE:
+                # A caller that sends faster than this process reads lets other tasks run.
+                await curio.sleep(0)
             if self._on_bytes is not None:
                 self._on_bytes()
                 self._on_bytes = None
--- a/bluebellrun/load/_client.py
+++ b/bluebellrun/load/_client.py
@@ -63,7 +63,7 @@
     With ``verify``, answers are kept until the end and checked then, so that the checks don't
     disturb the load; one with a wrong digest does not count as whole.
     """
-    timeouts = ClientTimeouts(connect_s=5.0, first_byte_s=patience_s, gap_s=patience_s)
+    timeouts = ClientTimeouts(connect_s=5.0, first_byte_s=patience_s, whole_s=patience_s)
     clients = [HttpClient(entry, timeouts, max_idle=512) for entry in entries]
     samples = [Sample(arrival.stream.name, arrival.at_s) for arrival in arrivals]
     bodies: dict[int, bytes] = {}
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -25,6 +25,7 @@
 from bluebellrun.platform._engine_messages import (
     COUNTS_KNOWN,
     COUNTS_PATH,
+    MAX_ANSWER_BYTES,
     PACKED,
     PACKED_FROM_BYTES,
     RankCountsTold,
@@ -274,7 +275,7 @@
         client = clients.get(instance)
         if client is None:
             timeouts = ClientTimeouts(CONNECT_TIMEOUT_S, LONGEST_CALL_S, LONGEST_CALL_S)
-            client = clients[instance] = HttpClient(address, timeouts)
+            client = clients[instance] = HttpClient(address, timeouts, MAX_ANSWER_BYTES)
         return client
 
 
--- a/bluebellrun/platform/_engine_messages.py
+++ b/bluebellrun/platform/_engine_messages.py
@@ -17,6 +17,9 @@
 # The fastest level: it saves nearly as much on numbers as the others.
 COMPRESSION_LEVEL = 1
 LONGEST_UNPACKED_BYTES = 4_000_000
+# A rank's counts and lists have some ten kilobytes, those of 60 layers of 256 experts a hundred; as
+# many answers as a group has ranks may come at once.
+MAX_ANSWER_BYTES = 524_288
 
 
 class Picked(msgspec.Struct):
--- a/bluebellrun/platform/_relay.py
+++ b/bluebellrun/platform/_relay.py
@@ -20,6 +20,7 @@
 from bluebellrun.platform._engine_messages import (
     COUNTS_KNOWN,
     COUNTS_PATH,
+    MAX_ANSWER_BYTES,
     PACKED,
     Picked,
     RankCountsTold,
@@ -68,9 +69,8 @@
     """
 
     def __init__(self, engine: Address) -> None:
-        self._client = HttpClient(
-            engine, ClientTimeouts(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S)
-        )
+        timeouts = ClientTimeouts(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S)
+        self._client = HttpClient(engine, timeouts, MAX_ANSWER_BYTES)
         self._told: RankCountsTold | None = None
 
     async def handle(self, exchange: HttpExchange) -> None:
@@ -139,7 +139,10 @@
     async def _ask(self, method: str, target: str, headers: Headers, body: bytes = b"") -> _Answer:
         """Make a call to the engine."""
         response = await self._client.open(method, target, headers, body)
-        data = await response.read_all(CALL_TIMEOUT_S)
+        try:
+            data = await response.read_all(CALL_TIMEOUT_S)
+        finally:
+            await response.close()
         answered = [(k, v) for k, v in end_to_end(response.headers) if k != "content-length"]
         return response.status, answered, data
 
--- a/bluebellrun/platform/_store.py
+++ b/bluebellrun/platform/_store.py
@@ -10,7 +10,13 @@
 import msgspec
 
 from bluebellrun.core import Address
-from bluebellrun.http import ClientTimeouts, ConnectError, HttpClient, TransportError
+from bluebellrun.http import (
+    AnswerTooLongError,
+    ClientTimeouts,
+    ConnectError,
+    HttpClient,
+    TransportError,
+)
 from bluebellrun.platform._names import (
     STORE_KEEP_PATH,
     STORE_KEY_PATH,
@@ -27,11 +33,13 @@
     Put,
     Snapshot,
     StoreAnswerLostError,
+    StoreAnswerTooLongError,
     StoreTimeouts,
     StoreUnavailableError,
     TransactionResult,
     WatchEvent,
 )
+from bluebellrun.telemetry import get_logger
 
 OK = 200
 NOT_FOUND = 404
@@ -46,6 +54,8 @@
 WATCH_WAIT_S = 3.0
 JSON_HEADERS = [("content-type", "application/json")]
 
+_log = get_logger("platform-store")
+
 
 class _Item(msgspec.Struct):
     """A key as the store sends it; ``value`` is base64, absent from a tombstone."""
@@ -190,11 +200,19 @@
         return watch
 
     async def wait_for_changes(self, prefix: str, after: int, wait_s: float) -> _Changes:
-        """Return the changes after a revision, none if there are none in time."""
+        """Return the changes after a revision, none if there are none in time.
+
+        Raises ``CompactedError`` where all keys have to be read anew: the history is gone, or the
+        changes are too many to be read at once.
+        """
         wait_ms = max(1, int(wait_s * 1000))
         query = urlencode({"prefix": prefix, "after": after, "wait_ms": wait_ms})
         target = f"{STORE_WATCH_PATH}?{query}"
-        status, data = await self._read(target, wait_s + self._timeouts.call_s)
+        try:
+            status, data = await self._read(target, wait_s + self._timeouts.call_s)
+        except StoreAnswerTooLongError as error:
+            _log.warning("changes not read", after=after, reason=str(error))
+            raise CompactedError(after) from error
         if status == GONE:
             raise CompactedError(after)
         return self._decode(_changes, status, data)
@@ -207,6 +225,8 @@
         """Make a call without effect, so that a lost answer only means it is unavailable."""
         try:
             return await self._call("GET", target, None, timeout_s)
+        except StoreAnswerTooLongError:
+            raise
         except StoreAnswerLostError as error:
             raise StoreUnavailableError(str(error)) from error
 
@@ -216,15 +236,19 @@
         """Make one call; raise unless the store did what was asked or says why it cannot be."""
         self._calls += 1
         data = b"" if body is None else msgspec.json.encode(body)
+        headers = JSON_HEADERS if data else []
         timeout_s = self._timeouts.call_s if timeout_s is None else timeout_s
         try:
             async with curio.timeout_after(timeout_s):
-                status, answer = await self._fetch(method, target, data, timeout_s)
+                status, answer = await self._client.fetch(method, target, headers, data, timeout_s)
         except curio.TaskTimeout:
             await self._client.close()
             raise StoreAnswerLostError(f"no answer to {target} within {timeout_s} s") from None
         except ConnectError as error:
             raise StoreUnavailableError(str(error)) from error
+        except AnswerTooLongError as error:
+            await self._client.close()
+            raise StoreAnswerTooLongError(f"{target}: {error}") from error
         except TransportError as error:
             await self._client.close()
             raise StoreAnswerLostError(str(error)) from error
@@ -232,18 +256,6 @@
             raise StoreUnavailableError(f"the store answered {status} to {target}")
         return status, answer
 
-    async def _fetch(
-        self, method: str, target: str, data: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
-        """Send a call and return the answer's status and body."""
-        headers = JSON_HEADERS if data else []
-        response = await self._client.open(method, target, headers, data, timeout_s)
-        try:
-            return response.status, await response.read_all(timeout_s)
-        except BaseException:
-            await response.close()
-            raise
-
     def _decode(self, decoder: Any, status: int, data: bytes) -> Any:
         """Return the answer's content; raise for another status or content of another form."""
         if status != OK:
--- a/bluebellrun/store/_etcd.py
+++ b/bluebellrun/store/_etcd.py
@@ -40,6 +40,8 @@
 SERVER_ERROR = 500
 UNKNOWN_EFFECT = (b"timed out", b"leader changed", b"deadline exceeded", b"stopped")
 WATCH_SILENCE_S = 3600.0
+# The changes that a watch tells on one line; a transaction has at most a few megabytes.
+MAX_LINE_BYTES = 16_777_216
 
 
 def _encode(text: str | bytes) -> str:
@@ -218,7 +220,7 @@
 
     def __init__(self, response: HttpResponse) -> None:
         self._response = response
-        self._partial = b""
+        self._partial = bytearray()
 
     async def next(self) -> list[WatchEvent]:
         """Return the next changes, in order."""
@@ -233,7 +235,11 @@
 
     async def _next_line(self) -> bytes:
         """Return the next line."""
-        while b"\n" not in self._partial:
+        searched = 0
+        while (end := self._partial.find(b"\n", searched)) < 0:
+            searched = len(self._partial)
+            if searched > MAX_LINE_BYTES:
+                raise StoreUnavailableError(f"a line of the watch is over {MAX_LINE_BYTES} bytes")
             try:
                 data = await self._response.read(WATCH_SILENCE_S)
             except TransportError as error:
@@ -241,7 +247,8 @@
             if not data:
                 raise StoreUnavailableError("the watch ended")
             self._partial += data
-        line, _, self._partial = self._partial.partition(b"\n")
+        line = bytes(self._partial[:end])
+        del self._partial[: end + 1]
         return line
 
     def _events(self, line: bytes) -> list[WatchEvent]:
--- a/bluebellrun/store/_exceptions.py
+++ b/bluebellrun/store/_exceptions.py
@@ -17,6 +17,10 @@
     """The call may have taken effect; its answer did not arrive."""
 
 
+class StoreAnswerTooLongError(StoreAnswerLostError):
+    """The store's answer was over its limit of bytes, so it was not read."""
+
+
 class CompactedError(PlatformError):
     """A watch asked for a revision that has been compacted."""
 
--- a/bluebellrun/store/_hosts.py
+++ b/bluebellrun/store/_hosts.py
@@ -16,7 +16,7 @@
 
 OK = 200
 NOT_MODIFIED = 304
-READ_GAP_S = 2.0
+LIST_READ_S = 2.0
 
 
 class HostState(StrEnum):
@@ -64,7 +64,10 @@
         try:
             response = await self._client.open("GET", "/hosts", headers, b"")
             tag = header_value(response.headers, "etag") or ""
-            data = await response.read_all(READ_GAP_S)
+            try:
+                data = await response.read_all(LIST_READ_S)
+            finally:
+                await response.close()
         except TransportError as error:
             raise StoreUnavailableError(f"host list: {error}") from error
         match response.status:
