Hold the answers of a stand-in until the outage is there, instead of for half a second

On a busy host the orders had ended and stood in the ledger before the outage began, so the agent rightly ended with status 0 where the test finds it waiting.

Cause of the second: the first test then left the store stopped, and the next test's entry could not become ready without it. Ruled out: readiness that hangs on a connection that failed once.

The stand-in holds its answers until the store is down; the fixture starts the store again. No wait was made longer and the assertions are the same.

--- a/standins/plain/_app.py
+++ b/standins/plain/_app.py
@@ -8,6 +8,8 @@
 
 from bluebellrun.http import HttpExchange
 
+# Requests that are held look this often whether they may be answered.
+HELD_POLL_S = 0.01
 READ_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
@@ -17,6 +19,7 @@
     def __init__(self, name: str, delay_s: float = 0.0) -> None:
         self.name = name
         self.delay_s = delay_s
+        self.held = False
         self.runs_by_key: Counter[str] = Counter()
         self.runs_by_request: Counter[str] = Counter()
         self.lose_next = 0
@@ -31,6 +34,8 @@
             self._count_run(exchange)
         if self.delay_s:
             await curio.sleep(self.delay_s)
+        while self.held:
+            await curio.sleep(HELD_POLL_S)
         if self.lose_next > 0:
             self.lose_next -= 1
             exchange.abort()
@@ -60,5 +65,6 @@
             return
         body = json.loads(exchange.request.body or b"{}")
         self.delay_s = float(body.get("delay_s", self.delay_s))
+        self.held = bool(body.get("held", self.held))
         self.lose_next = int(body.get("lose_next", self.lose_next))
         await exchange.answer_json(200, {})
--- a/tests/integration/test_outcomes.py
+++ b/tests/integration/test_outcomes.py
@@ -43,13 +43,14 @@
 @pytest.fixture
 def fleet(shared_fleet) -> LocalFleet:
     """Return the fleet with every process alive and no fault ordered."""
+    shared_fleet.order("platform", "/standin/faults", {"down": False})
     for name in shared_fleet.names:
         if shared_fleet[name].process.poll() is not None:
             shared_fleet.restart(name)
     for name in ("entry-1", "entry-2"):
         shared_fleet.wait_ready(name)
     for name in ("plain-1", "plain-2"):
-        shared_fleet.order(name, "/standin/faults", {"delay_s": 0, "lose_next": 0})
+        shared_fleet.order(name, "/standin/faults", {"delay_s": 0, "held": False, "lose_next": 0})
     shared_fleet.order("engine-1", "/standin/faults", {"break_after": 0})
     return shared_fleet
 
@@ -133,9 +134,13 @@
     return thread, results
 
 
+def runs_at(fleet: LocalFleet, name: str, key: str) -> int:
+    return fleet.ask(name, "/standin/counts")["by_key"].get(key, 0)
+
+
 def runs_of(fleet: LocalFleet, key: str) -> int:
     plains = [name for name in ("plain-1", "plain-2") if name in fleet.names]
-    return sum(fleet.ask(name, "/standin/counts")["by_key"].get(key, 0) for name in plains)
+    return sum(runs_at(fleet, name, key) for name in plains)
 
 
 def engine_digest(fleet: LocalFleet, answer: Answer) -> str:
@@ -330,10 +335,12 @@
     fleet, key
 ):
     for name in ("plain-1", "plain-2"):
-        fleet.order(name, "/standin/faults", {"delay_s": 0.5})
+        fleet.order(name, "/standin/faults", {"held": True})
     work = [later(order, fleet, f"{key}{number}") for number in range(4)]
-    wait_until(lambda: sum(runs_of(fleet, f"{key}{number}") for number in range(4)) == 4)
+    wait_until(lambda: any(runs_at(fleet, "plain-1", f"{key}{n}") for n in range(4)))
     fleet.order("platform", "/standin/faults", {"down": True})
+    for name in ("plain-1", "plain-2"):
+        fleet.order(name, "/standin/faults", {"held": False})
     for thread, _ in work:
         thread.join()
     fleet.send_signal("jobs-1", signal.SIGTERM)
