--- a/tests/integration/test_outcomes.py
+++ b/tests/integration/test_outcomes.py
@@ -138,6 +138,12 @@
     return fleet.ask(name, "/standin/counts")["by_key"].get(key, 0)
 
 
+def takes_orders(fleet: LocalFleet, name: str, key: str) -> bool:
+    """Send an order with a new key; return whether a plain service ran it."""
+    fresh = f"{key}-{name}-{time.monotonic_ns()}"
+    return order(fleet, fresh).outcome == "ran" and runs_at(fleet, name, fresh) == 1
+
+
 def runs_of(fleet: LocalFleet, key: str) -> int:
     plains = [name for name in ("plain-1", "plain-2") if name in fleet.names]
     return sum(runs_at(fleet, name, key) for name in plains)
@@ -334,10 +340,12 @@
 def test_an_agent_stopped_in_an_outage_of_the_store_waits_and_says_what_it_could_not_write(
     fleet, key
 ):
+    for name in ("plain-1", "plain-2"):
+        wait_until(partial(takes_orders, fleet, name, key))
     for name in ("plain-1", "plain-2"):
         fleet.order(name, "/standin/faults", {"held": True})
     work = [later(order, fleet, f"{key}{number}") for number in range(4)]
-    wait_until(lambda: any(runs_at(fleet, "plain-1", f"{key}{n}") for n in range(4)))
+    wait_until(lambda: sum(runs_of(fleet, f"{key}{number}") for number in range(4)) == 4)
     fleet.order("platform", "/standin/faults", {"down": True})
     for name in ("plain-1", "plain-2"):
         fleet.order(name, "/standin/faults", {"held": False})
