Bound the places in use by the pauses of running streams

All ranks make their passes together; a pass over 150 ms makes every running stream late at once. With 129 ranks, 3 places each full and the most loaded rank 2.4 times the mean a pass takes about that (calculated from the engine's terms: 47 ms fixed, 25 ms of writers at an even map).

Each entry sees the passes in the pauses of its own streams, so no message is needed. The slowest of the latest seven seconds, in proportion to the load at that time, tell which part of the places may be taken if the next shift of demand is to be in time; the less urgent may take a little less. Pauses of outages bound nothing, nor does the bound go under three quarters of the places.

--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -10,6 +10,7 @@
     Refusal,
     Work,
 )
+from bluebellrun.admission._pauses import PauseLimit, PauseSettings
 from bluebellrun.admission._places import Places, PlacesAdmission, PlacesSettings
 from bluebellrun.admission._registry import ADMISSION_POLICIES, make_admission
 from bluebellrun.admission._service_gate import GateSettings, ServiceGate
@@ -21,6 +22,8 @@
     "FairAdmission",
     "FifoAdmission",
     "GateSettings",
+    "PauseLimit",
+    "PauseSettings",
     "Places",
     "PlacesAdmission",
     "PlacesSettings",
--- a/bluebellrun/admission/_places.py
+++ b/bluebellrun/admission/_places.py
@@ -45,8 +45,13 @@
     def __init__(self, settings: PlacesSettings) -> None:
         self._settings = settings
 
-    def admits(self, places: Places, priority: int, objective_s: float) -> bool:
-        """Return whether a request of a priority should be in time."""
+    def admits(self, places: Places, priority: int, objective_s: float, part: float = 1.0) -> bool:
+        """Return whether a request of a priority should be in time.
+
+        ``part`` of all places may be taken by requests of its priority; 1 is no bound.
+        """
+        if places.total > 0 and part < 1.0 and places.taken >= part * places.total:
+            return False
         if objective_s <= 0 or places.total <= 0:
             return True
         settings = self._settings
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -7,8 +7,15 @@
 
 import curio
 
-from bluebellrun.admission import GateSettings, PlacesAdmission, PlacesSettings, ServiceGate
-from bluebellrun.deployment import Deployment, HostSettings, Route
+from bluebellrun.admission import (
+    GateSettings,
+    PauseLimit,
+    PauseSettings,
+    PlacesAdmission,
+    PlacesSettings,
+    ServiceGate,
+)
+from bluebellrun.deployment import Deployment, EngineTerms, HostSettings, Route
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._models import (
     Answered,
@@ -62,6 +69,7 @@
         self._budgets: dict[str, SendBudget] = {}
         self._admission = PlacesAdmission(PlacesSettings())
         self._gates: dict[str, ServiceGate] = {}
+        self._pauses: dict[str, PauseLimit] = {}
         self._entries = ASSUMED_ENTRIES
         self._in_progress = 0
         self._refusing = False
@@ -157,6 +165,7 @@
             self._wire,
             self._budget(service),
             self._gate(service),
+            self._pause_limit(service),
             self._admission,
             ends_at,
         )
@@ -257,12 +266,27 @@
         """Return what is known of a service's outages."""
         gate = self._gates.get(service)
         if gate is None:
-            terms = None if self._deployment is None else self._deployment.services.get(service)
-            engine = None if terms is None else terms.engine
-            shares_fate = engine is not None and engine.experts is not None
+            shares_fate = self._group_terms(service) is not None
             gate = self._gates[service] = ServiceGate(GateSettings(), shares_fate)
         return gate
 
+    def _group_terms(self, service: str) -> EngineTerms | None:
+        """Return the terms of a service whose upstreams work in step, none of any other."""
+        terms = None if self._deployment is None else self._deployment.services.get(service)
+        engine = None if terms is None else terms.engine
+        return engine if engine is not None and engine.experts is not None else None
+
+    def _pause_limit(self, service: str) -> PauseLimit | None:
+        """Return the bound by the pauses of streams, none of a service without passes."""
+        engine = self._group_terms(service)
+        if engine is None:
+            return None
+        fixed_s = engine.stride * engine.step_s
+        limit = self._pauses.get(service)
+        if limit is None or limit.fixed_s != fixed_s:
+            limit = self._pauses[service] = PauseLimit(PauseSettings(), fixed_s)
+        return limit
+
     def _budget(self, service: str) -> SendBudget:
         """Return the budget of further sends of a service."""
         budget = self._budgets.get(service)
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from bluebellrun.admission import PlacesAdmission, ServiceGate
+from bluebellrun.admission import PauseLimit, PlacesAdmission, ServiceGate
 from bluebellrun.deployment import Deployment, Route
 from bluebellrun.gateway._events import EventSplitter
 from bluebellrun.gateway._fleet import Fleet
@@ -126,6 +126,7 @@
         wire: Wire,
         budget: SendBudget,
         gate: ServiceGate,
+        pauses: PauseLimit | None,
         admission: PlacesAdmission,
         ends_at: float,
     ) -> None:
@@ -139,6 +140,7 @@
         self._wire = wire
         self._budget = budget
         self._gate = gate
+        self._pauses = pauses
         self._admission = admission
         self._ends_at = ends_at
         self._sends = 0
@@ -174,8 +176,12 @@
         if not self._gate.admits(time.monotonic()):
             return self._refusal(f"service {self._service!r} is out of order")
         places = self._fleet.places(self._service, time.monotonic())
-        if not self._admission.admits(places, self._urgency, self._route.objective_s):
-            reason = f"{places.taken} requests for {places.total} places: it would be late"
+        part = self._part_of_places()
+        if not self._admission.admits(places, self._urgency, self._route.objective_s, part):
+            reason = (
+                f"{places.taken} requests for {places.total} places, of which {part:.2f} may be "
+                "taken: it would be late"
+            )
             return Refused(UNAVAILABLE, reason, self._admission.retry_after_s(places))
         outcome: _Outcome = _Declined(f"service {self._service!r} has no upstream", had_places=True)
         while True:
@@ -199,6 +205,18 @@
             if resumes and not await self._await_resumption():
                 return await self._give_up(outcome)
 
+    def _part_of_places(self) -> float:
+        """Return the part of the places that this request may find taken."""
+        longest_s = self._route.longest_pause_s
+        if self._pauses is None or not longest_s:
+            return 1.0
+        return self._pauses.part(longest_s, self._urgency, time.monotonic())
+
+    def _load(self) -> float:
+        """Return the part of the service's places that is taken."""
+        places = self._fleet.places(self._service, time.monotonic())
+        return places.taken / places.total if places.total else 0.0
+
     def _may_send(self, now: float) -> bool:
         """Return whether there is time for a send and, after the first, budget."""
         if self._ends_at - now < LEAST_LEFT_S:
@@ -405,6 +423,7 @@
     ) -> _Outcome:
         """Pass on whole events as they arrive."""
         events = EventSplitter(self._last_id)
+        before: float | None = None
         while piece := await response.read(max(0.001, self.left_s)):
             whole = events.feed(piece)
             if whole is None:
@@ -412,7 +431,9 @@
             self._note_read(upstream)
             if not self._exchange.started:
                 await self._exchange.send_head(answer.status, answer.headers)
-            self._last_event_at = time.monotonic()
+            now = time.monotonic()
+            self._note_pause(before, now)
+            before = self._last_event_at = now
             self._last_id = whole.last_id
             await self._exchange.send_body(whole.data)
             if self._may_move(upstream):
@@ -424,6 +445,12 @@
         await self._exchange.finish()
         return _Done(answer.status)
 
+    def _note_pause(self, before: float | None, now: float) -> None:
+        """Take note of the pause between two events of one upstream."""
+        longest_s = self._route.longest_pause_s
+        if self._pauses is not None and before is not None and longest_s:
+            self._pauses.observe(now - before, longest_s, self._load, now)
+
 
 def choose_service(route: Route, random: Random) -> str:
     """Return the service of one request: the route's, or one of them by their shares."""
