Watch the store as seldom as the bounds allow, and gather what changes together

Both times were constants made for bounds of 2 and 3 s. They now follow from the installation's own bounds: a silent connection is found before a change is overdue, and changes are gathered for a tenth of the time in which they have to be in force. The check of a quiet watch follows too; at 3 to 5 s it would have cut longer waits.

--- a/bluebellrun/gateway/_store_view.py
+++ b/bluebellrun/gateway/_store_view.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from bluebellrun.core import Clock
-from bluebellrun.deployment import Deployment
+from bluebellrun.deployment import Bounds, Deployment
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._models import Upstream
 from bluebellrun.gateway._news import (
@@ -16,9 +16,25 @@
     UpstreamRemoved,
     UpstreamWritten,
 )
-from bluebellrun.store import KeyValue, KeyValueStore, PrefixFollower, Snapshot, WatchEvent
+from bluebellrun.store import (
+    CHECK_INTERVAL_S,
+    KeyValue,
+    KeyValueStore,
+    PrefixFollower,
+    Snapshot,
+    WatchEvent,
+    WatchTiming,
+)
 from bluebellrun.telemetry import get_logger
 
+# Part of the time for a change to be in force that is left to gathering changes: each call to the
+# store is paid for, and registrations come in bursts of dozens.
+GATHER_PART = 0.1
+# Left of the time in which a silent connection to the store has to be found, for the next call.
+FIND_SILENCE_MARGIN_S = 0.5
+LEAST_WATCH_WAIT_S = 1.0
+# The interval of checks is spread between this part of it and as much more.
+SHORTEST_PART_OF_CHECK = 0.75
 # A store that comes back is read again within this time.
 LONGEST_PAUSE_S = 0.4
 # Removals that reach this process this soon after it could not reach the store may be lapses.
@@ -27,6 +43,24 @@
 _log = get_logger("store-view")
 
 
+def watch_check_s(timing: WatchTiming, call_s: float) -> float:
+    """Return how long a watch may say nothing before it is compared with the store.
+
+    Its calls end sooner, however the interval is spread.
+    """
+    return (timing.wait_s + call_s) / SHORTEST_PART_OF_CHECK
+
+
+def watch_timing(bounds: Bounds, call_s: float) -> WatchTiming:
+    """Return how to watch the store, so that changes are in force in time.
+
+    A connection may go silent without a word: a waiting call ends ``call_s`` seconds after its
+    wait, and a change has to be in force when calm and the time to apply it are over.
+    """
+    found_s = bounds.calm_s + bounds.apply_s - call_s - FIND_SILENCE_MARGIN_S
+    return WatchTiming(max(LEAST_WATCH_WAIT_S, found_s), GATHER_PART * bounds.apply_s)
+
+
 class StoreView:
     """What this process knows from the store; times in seconds of ``clock``."""
 
@@ -38,6 +72,7 @@
         put_in_force: Callable[[Deployment], bool],
         clock: Clock,
         random: Random,
+        check_interval_s: float = CHECK_INTERVAL_S,
     ) -> None:
         self._reader = reader
         self._directory = directory
@@ -53,6 +88,7 @@
             clock,
             random,
             longest_pause_s=LONGEST_PAUSE_S,
+            check_interval_s=check_interval_s,
         )
 
     @property
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -21,7 +21,7 @@
 from bluebellrun.gateway._peers import EntryNews, PeerTable
 from bluebellrun.gateway._role import LEASE_S, PlacementRole, take_over_pause_s
 from bluebellrun.gateway._slow_upstreams import SlowUpstreams
-from bluebellrun.gateway._store_view import StoreView
+from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
 from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
 from bluebellrun.leases import RoleHolder
 from bluebellrun.platform import (
@@ -134,7 +134,8 @@
             settings, self._fleet, PlatformWire(), self._random, self._metrics.note_request
         )
         self._server = HttpServer(settings.callers, self._gateway.handle, HttpLimits())
-        self._store = PlatformStore(settings.store.address, StoreTimeouts(STORE_CALL_S))
+        watching = watch_timing(settings.bounds, STORE_CALL_S)
+        self._store = PlatformStore(settings.store.address, StoreTimeouts(STORE_CALL_S), watching)
         self._view = StoreView(
             self._store,
             PlatformCatalogue(),
@@ -142,6 +143,7 @@
             self._put_in_force,
             MonotonicClock(),
             self._random,
+            watch_check_s(watching, STORE_CALL_S),
         )
         self._role = self._make_role()
         self._maps = ExpertMaps(
--- a/bluebellrun/platform/_store.py
+++ b/bluebellrun/platform/_store.py
@@ -38,6 +38,7 @@
     StoreUnavailableError,
     TransactionResult,
     WatchEvent,
+    WatchTiming,
 )
 from bluebellrun.telemetry import get_logger
 
@@ -47,11 +48,6 @@
 CONDITION_FAILED = 412
 NOTHING_DONE = (429, 503)
 CONNECT_SHARE = 0.5
-# A waiting watch is one call; a short wait finds a silent connection before a change is overdue.
-# Registrations come in bursts of dozens, and each call to the store is paid for; what is in the
-# store has to be in force within seconds.
-GATHER_CHANGES_S = 0.1
-WATCH_WAIT_S = 3.0
 JSON_HEADERS = [("content-type", "application/json")]
 
 _log = get_logger("platform-store")
@@ -120,8 +116,11 @@
 class PlatformStore:
     """A client of the platform's store."""
 
-    def __init__(self, address: Address, timeouts: StoreTimeouts) -> None:
+    def __init__(
+        self, address: Address, timeouts: StoreTimeouts, watching: WatchTiming | None = None
+    ) -> None:
         self._timeouts = timeouts
+        self._watching = watching or WatchTiming()
         limits = ClientTimeouts(timeouts.call_s * CONNECT_SHARE, timeouts.call_s, timeouts.call_s)
         self._client = HttpClient(address, limits)
         self._calls = 0
@@ -195,7 +194,7 @@
 
     async def watch(self, prefix: str, from_revision: int) -> "PlatformWatch":
         """Follow changes below a prefix from a revision on."""
-        watch = PlatformWatch(self, prefix, from_revision - 1)
+        watch = PlatformWatch(self, prefix, from_revision - 1, self._watching)
         await watch.begin()
         return watch
 
@@ -269,8 +268,9 @@
 class PlatformWatch:
     """A watch: one waiting call after another."""
 
-    def __init__(self, store: PlatformStore, prefix: str, after: int) -> None:
+    def __init__(self, store: PlatformStore, prefix: str, after: int, timing: WatchTiming) -> None:
         self._store = store
+        self._timing = timing
         self._prefix = prefix
         self._after = after
         self._first: list[WatchEvent] = []
@@ -286,10 +286,10 @@
         After changes the next call waits a moment, so that what changes together comes together.
         """
         if self._changed:
-            await curio.sleep(GATHER_CHANGES_S)
+            await curio.sleep(self._timing.gather_s)
         events, self._first = self._first, []
         if not events:
-            events = await self._ask(WATCH_WAIT_S)
+            events = await self._ask(self._timing.wait_s)
         self._changed = bool(events)
         return events
 
--- a/bluebellrun/store/__init__.py
+++ b/bluebellrun/store/__init__.py
@@ -21,7 +21,7 @@
     WeightsError,
     WeightsNotFoundError,
 )
-from bluebellrun.store._follow import PrefixFollower
+from bluebellrun.store._follow import CHECK_INTERVAL_S, PrefixFollower
 from bluebellrun.store._guard import GuardedStore
 from bluebellrun.store._models import (
     Compare,
@@ -31,6 +31,7 @@
     StoreTimeouts,
     TransactionResult,
     WatchEvent,
+    WatchTiming,
 )
 from bluebellrun.store._nonce import transact_with_nonce
 from bluebellrun.store._ports import KeyValueStore, Watch
@@ -50,6 +51,7 @@
 }
 
 __all__ = [
+    "CHECK_INTERVAL_S",
     "Backoff",
     "CallAccount",
     "CallRefusedError",
@@ -76,6 +78,7 @@
     "TransactionResult",
     "Watch",
     "WatchEvent",
+    "WatchTiming",
     "WeightStore",
     "Weights",
     "WeightsBusyError",
--- a/bluebellrun/store/_follow.py
+++ b/bluebellrun/store/_follow.py
@@ -38,6 +38,7 @@
         random: Random,
         from_revision: int = 0,
         longest_pause_s: float = LONGEST_S,
+        check_interval_s: float = CHECK_INTERVAL_S,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -51,6 +52,7 @@
         self._broken_at: float | None = None
         self._regained_at: float | None = None
         self._longest_pause_s = longest_pause_s
+        self._quiet_s = check_interval_s
 
     @property
     def confirmed_at(self) -> float | None:
@@ -127,7 +129,7 @@
 
     def _check_interval_s(self) -> float:
         """Return the quiet time after which the watch is checked, jittered."""
-        return CHECK_INTERVAL_S * (0.75 + 0.5 * self._random.random())
+        return self._quiet_s * (0.75 + 0.5 * self._random.random())
 
     def _note(self, revisions: Iterable[int]) -> None:
         """Remember the newest revision that was handed over."""
--- a/bluebellrun/store/_models.py
+++ b/bluebellrun/store/_models.py
@@ -10,6 +10,18 @@
     call_s: float = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class WatchTiming:
+    """How a watch asks for changes, in seconds.
+
+    A call waits for ``wait_s`` until something changes; after changes the next call is made
+    ``gather_s`` later, so that what changes together comes together.
+    """
+
+    wait_s: float = 3.0
+    gather_s: float = 0.1
+
+
 @dataclass(frozen=True, slots=True)
 class KeyValue:
     """A key with its value and the revision of its last change."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,14 +11,15 @@
     StoreAnswerLostError,
     StoreTimeouts,
     StoreUnavailableError,
+    WatchTiming,
 )
 from standins.users_platform import FakeStore
 
 
-def play(check: Any, call_s: float = 1.0) -> None:
+def play(check: Any, call_s: float = 1.0, timing: WatchTiming | None = None) -> None:
     async def main() -> None:
         fake = FakeStore()
-        store = PlatformStore(await fake.start(), StoreTimeouts(call_s))
+        store = PlatformStore(await fake.start(), StoreTimeouts(call_s), timing)
         await check(fake, store)
 
     curio.run(main)
@@ -70,9 +71,9 @@
     play(check)
 
 
-def test_a_burst_of_changes_takes_few_calls(monkeypatch):
+def test_a_burst_of_changes_takes_few_calls():
     # Far longer than the burst, so that a slow machine makes no difference.
-    monkeypatch.setattr("bluebellrun.platform._store.GATHER_CHANGES_S", 1.5)
+    timing = WatchTiming(gather_s=1.5)
 
     async def check(fake: FakeStore, store: PlatformStore) -> None:
         watch = await store.watch("a/", fake.revision + 1)
@@ -91,7 +92,7 @@
         assert seen == [f"a/{number}" for number in range(20)]
         assert fake.calls - before <= 3
 
-    play(check)
+    play(check, timing=timing)
 
 
 def test_a_store_that_is_down_lets_no_watch_begin():
