Serve what waits to be accepted, or has arrived unread, when a process stops

Can a request that has just been accepted be cut off at a planned stop under load? Yes, twice: the listening socket was closed with connections in its queue, which resets them; and a kept connection was closed as idle while its next request lay unread in the socket.

--- a/bluebellrun/gateway/_lifecycle.py
+++ b/bluebellrun/gateway/_lifecycle.py
@@ -42,6 +42,8 @@
         self._gateway.refuse_new_requests()
         await self._server.close_idle()
         last = began + self._bounds.stop_grace_s - KILL_MARGIN_S
+        # Requests that had arrived unread are read in the next turns.
+        await curio.sleep(POLL_S)
         while self._gateway.in_progress and time.monotonic() < last:
             await curio.sleep(POLL_S)
 
--- a/bluebellrun/http/_client.py
+++ b/bluebellrun/http/_client.py
@@ -1,6 +1,5 @@
 """An HTTP/1.1 client for one address, with kept connections and deadlines on each wait."""
 
-import select
 import time
 from collections.abc import Callable
 from typing import Any
@@ -17,6 +16,7 @@
     ConnectionLostError,
     PeerTimeoutError,
 )
+from bluebellrun.http._listener import is_readable
 from bluebellrun.http._models import ClientTimeouts, Headers, decode_headers
 from bluebellrun.http._tls import Tls
 
@@ -265,9 +265,7 @@
 
     def fresh(self) -> bool:
         """Return whether the server has neither closed nor sent anything unasked."""
-        poll = select.poll()
-        poll.register(self._socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not is_readable(self._socket)
 
     async def send_request(
         self, address: Address, method: str, target: str, headers: Headers, body: bytes
--- a/bluebellrun/http/_listener.py
+++ b/bluebellrun/http/_listener.py
@@ -1,5 +1,6 @@
 """A listening TCP socket that hands each connection to its own task."""
 
+import select
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -17,6 +18,13 @@
 ConnectionHandler = Callable[[Any], Awaitable[None]]
 
 
+def is_readable(sock: Any) -> bool:
+    """Return whether bytes, a connection or an end wait to be read from a socket."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Listener:
     """Accept connections on one address until closed."""
 
@@ -73,7 +81,7 @@
         await curio.spawn(self._serve, client, handler, daemon=True)
 
     async def close(self) -> None:
-        """Stop accepting; connections already open go on.
+        """Stop accepting; connections already open, or waiting to be accepted, go on.
 
         The accepting task is ended first: the number of a socket that is closed under a waiting
         task may be given to another one.
@@ -81,8 +89,20 @@
         self._closed = True
         if self._accepting is not None:
             await self._accepting.cancel()
+            await self._admit_waiting()
         await self._socket.close()
 
+    async def _admit_waiting(self) -> None:
+        """Serve the connections that wait to be accepted: their requests are on the way."""
+        for _ in range(ACCEPT_BACKLOG):
+            if not is_readable(self._socket):
+                return
+            try:
+                client, _ = await self._socket.accept()
+            except OSError:
+                return
+            await self._admit(client)
+
     async def _serve(self, client: Any, handler: ConnectionHandler) -> None:
         """Run a handler on one connection and close it."""
         try:
--- a/bluebellrun/http/_server.py
+++ b/bluebellrun/http/_server.py
@@ -14,7 +14,7 @@
 import h11
 
 from bluebellrun.core import Address, new_request_id
-from bluebellrun.http._listener import Listener
+from bluebellrun.http._listener import Listener, is_readable
 from bluebellrun.http._models import Headers, HttpLimits, HttpRequest, decode_headers
 from bluebellrun.http._tls import Tls
 from bluebellrun.telemetry import get_logger
@@ -273,6 +273,8 @@
 
     async def end_idle(self) -> None:
         """End a connection that waits for a request of which no byte has arrived."""
+        if is_readable(self._socket):
+            return
         if self._reader is not None and self._on_bytes is not None:
             await self._reader.cancel(blocking=False)
 
