Leave another entry's news of the store that are older than one's own

Can an upstream that has left, or a key that was withdrawn, be in use again from a peer's older news? Yes: an entry that the store turned away believed the peer that had heard the store last, by an age that the peer had stated up to a second before; one that had been frozen meanwhile could tell what was true before this entry's own last reading. News now bear the revision up to which they go, and older ones are left (test fails before: i1 was usable again).

A silence of the store is found by the installation's own wait of a watch, no longer by 3.6 s. Late second copies on a connection in use again, slow but sound streams and stalled ones that trickle have their tests now; none of the three was possible.

--- a/bluebellrun/gateway/_catch_up.py
+++ b/bluebellrun/gateway/_catch_up.py
@@ -18,12 +18,12 @@
     HttpServer,
     TransportError,
 )
-from bluebellrun.store import KeyValue
+from bluebellrun.store import KeyValue, Snapshot
 from bluebellrun.telemetry import get_logger
 
-# A store that is followed speaks every three seconds at least; one call may take a while.
 SILENCE_S = 1.0
-WATCHED_SILENCE_S = 3.6
+# A store that is watched speaks at the end of each wait; its answer may take a while.
+ANSWER_TAKES_S = 0.6
 INTERVAL_S = 0.5
 CALL_TIMEOUT_S = 0.5
 # What stands for never having heard the store, as a number that travels.
@@ -43,13 +43,26 @@
     revision: int
 
 
-_decoder = msgspec.msgpack.Decoder(list[_Key])
+class _Told(msgspec.Struct, frozen=True, array_like=True):
+    """What one entry read, and the revision of the store up to which it did."""
+
+    revision: int
+    keys: list[_Key]
+
+
+_decoder = msgspec.msgpack.Decoder(_Told)
 
 
 class CatchUp:
-    """Tell other entries what this one read, and ask them when the store is silent."""
+    """Tell other entries what this one read, and ask them when the store is silent.
+
+    A watch of the store waits for ``watch_wait_s`` seconds at a time.
+    """
 
-    def __init__(self, address: Address, view: StoreView, table: PeerTable) -> None:
+    def __init__(
+        self, address: Address, view: StoreView, table: PeerTable, watch_wait_s: float
+    ) -> None:
+        self._watched_silence_s = watch_wait_s + ANSWER_TAKES_S
         self._view = view
         self._table = table
         self._server = HttpServer(address, self._tell, HttpLimits(max_connections=64))
@@ -78,7 +91,7 @@
     def _peer_to_ask(self) -> EntryNews | None:
         """Return the entry that knows more of the store, or none."""
         silence_s = self._view.silence_s()
-        if silence_s < WATCHED_SILENCE_S and not self._view.is_cut_off(SILENCE_S):
+        if silence_s < self._watched_silence_s and not self._view.is_cut_off(SILENCE_S):
             return None
         peer = self._table.best_informed()
         if peer is None or peer.silence_s > silence_s - FRESHER_S:
@@ -95,11 +108,12 @@
             await client.close()
         if status != OK:
             raise ValueError(f"{address} answered {status}; it has nothing to tell")
-        keys = _decoder.decode(data)
-        self._view.take_from_peer([KeyValue(item.key, item.value, item.revision) for item in keys])
+        told = _decoder.decode(data)
+        items = tuple(KeyValue(item.key, item.value, item.revision) for item in told.keys)
+        self._view.take_from_peer(Snapshot(items, told.revision))
 
     async def _tell(self, exchange: HttpExchange) -> None:
         """Tell another entry what this one read."""
         keys = [_Key(item.key, item.value, item.mod_revision) for item in self._view.shared]
-        body = msgspec.msgpack.encode(keys)
+        body = msgspec.msgpack.encode(_Told(self._view.revision, keys))
         await exchange.answer(OK, [("content-type", "application/msgpack")], body)
--- a/bluebellrun/gateway/_store_view.py
+++ b/bluebellrun/gateway/_store_view.py
@@ -80,6 +80,7 @@
         self._clock = clock
         self._records: dict[str, RecordWritten] = {}
         self._shared: dict[str, KeyValue] = {}
+        self._told_revision = 0
         self._follower = PrefixFollower(
             store,
             reader.prefix,
@@ -119,13 +120,30 @@
         broken_at = self._follower.broken_at
         return broken_at is not None and self._clock.now() - broken_at >= seconds
 
-    def take_from_peer(self, items: list[KeyValue]) -> None:
-        """Take what another entry read from the store while this one cannot ask it."""
+    @property
+    def revision(self) -> int:
+        """Return the revision of the store up to which this entry knows it."""
+        return max(self._follower.revision, self._told_revision)
+
+    def take_from_peer(self, told: Snapshot) -> bool:
+        """Take what another entry read from the store while this one cannot ask it.
+
+        Older news than this entry's own are left: an upstream that has left, or a key that was
+        withdrawn, would be in use again. Return whether they were taken.
+        """
         now = self._clock.now()
-        self._take_whole(items, now, store_in_trouble=True)
+        taken = told.revision >= self.revision
+        if taken:
+            self._told_revision = told.revision
+            self._take_whole(told.items, now, store_in_trouble=True)
         _log.info(
-            "store read by another entry", keys=len(items), silent_s=round(self.silence_s(), 3)
+            "store read by another entry" if taken else "older news of the store left",
+            keys=len(told.items),
+            revision=told.revision,
+            known_revision=self.revision,
+            silent_s=round(self.silence_s(), 3),
         )
+        return taken
 
     async def run(self) -> None:
         """Follow until cancelled."""
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -134,8 +134,10 @@
             settings, self._fleet, PlatformWire(), self._random, self._metrics.note_request
         )
         self._server = HttpServer(settings.callers, self._gateway.handle, HttpLimits())
-        watching = watch_timing(settings.bounds, STORE_CALL_S)
-        self._store = PlatformStore(settings.store.address, StoreTimeouts(STORE_CALL_S), watching)
+        self._watching = watch_timing(settings.bounds, STORE_CALL_S)
+        self._store = PlatformStore(
+            settings.store.address, StoreTimeouts(STORE_CALL_S), self._watching
+        )
         self._view = StoreView(
             self._store,
             PlatformCatalogue(),
@@ -143,7 +145,7 @@
             self._put_in_force,
             MonotonicClock(),
             self._random,
-            watch_check_s(watching, STORE_CALL_S),
+            watch_check_s(self._watching, STORE_CALL_S),
         )
         self._role = self._make_role()
         self._maps = ExpertMaps(
@@ -214,7 +216,7 @@
         self._inner = Address(settings.ip, settings.ports.first)
         self._incarnation = new_incarnation()
         self._numbers = itertools.count(1)
-        self._catch_up = CatchUp(self._inner, self._view, self._peers)
+        self._catch_up = CatchUp(self._inner, self._view, self._peers, self._watching.wait_s)
         key = f"{OWN_PREFIX}entries/{settings.host}"
         self._gossip = Gossip(
             self._inner, key, self._store, self._view, self._peers, self._slow, self._news
--- a/bluebellrun/store/_follow.py
+++ b/bluebellrun/store/_follow.py
@@ -54,6 +54,14 @@
         self._longest_pause_s = longest_pause_s
         self._quiet_s = check_interval_s
 
+    @property
+    def revision(self) -> int:
+        """Return the revision up to which everything was handed over, 0 before the first.
+
+        It never goes back, also while all keys have to be read again.
+        """
+        return self._seen
+
     @property
     def confirmed_at(self) -> float | None:
         """Return when the store last confirmed that nothing was missed, or none."""
@@ -89,7 +97,7 @@
             snapshot = await self._store.read_prefix(self._prefix)
             await self._take_snapshot(snapshot)
             self._revision = snapshot.revision
-            self._note(item.mod_revision for item in snapshot.items)
+            self._note((snapshot.revision, *(item.mod_revision for item in snapshot.items)))
         watch = await self._store.watch(self._prefix, self._revision + 1)
         self._confirm()
         try:
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -165,6 +165,55 @@
     play(check, ("u1", says(extra)))
 
 
+@pytest.mark.parametrize("path", ["/once/a", "/ask/a", "/talk/a"])
+@pytest.mark.parametrize("cut", [1, 30, 60])
+def test_a_late_second_copy_of_an_answer_on_a_connection_in_use_again_is_not_the_next_answer(
+    path, cut
+):
+    """The copy comes after the next request was written, whole or in pieces."""
+    copy = reply(200, b"id: 1\nfirst\n\n", request="r0")
+
+    async def script(sock: Any, arrival: Any) -> None:
+        if arrival.headers["x-bluebellrun-request-id"] == "r0":
+            await sock.sendall(copy)
+            return
+        await sock.sendall(copy[:cut])
+        await curio.sleep(0.03)
+        await sock.sendall(copy[cut:] + reply(200, b"id: 1\nsecond\n\n"))
+
+    async def check(scene: Scene) -> None:
+        assert (await scene.ask(path, "POST", b"x", request="r0")).status == 200
+        answer = await scene.ask(path, "POST", b"x")
+        assert (answer.status, answer.body) == (200, b"id: 1\nsecond\n\n")
+
+    scene = play(check, ("u1", script))
+    assert len(scene.arrivals) == 2
+
+
+@pytest.mark.parametrize("early", [1, 40])
+def test_a_second_copy_of_which_a_byte_came_early_ends_the_connection(early):
+    """Its first bytes lie in the socket when the next request is about to be written."""
+    copy = reply(200, b"first", request="r0")
+    connections: set[Any] = set()
+
+    async def script(sock: Any, arrival: Any) -> None:
+        connections.add(sock.getpeername())
+        if arrival.headers["x-bluebellrun-request-id"] == "r0":
+            await sock.sendall(copy)
+            await curio.sleep(0.02)
+            await sock.sendall(copy[:early])
+        else:
+            await sock.sendall(reply(200, b"second"))
+
+    async def check(scene: Scene) -> None:
+        assert (await scene.ask("/once/a", "POST", b"x", request="r0")).body == b"first"
+        await curio.sleep(0.1)
+        assert (await scene.ask("/once/a", "POST", b"x")).body == b"second"
+        assert len(connections) == 2
+
+    play(check, ("u1", script))
+
+
 def test_an_answer_without_a_length_ends_with_its_connection():
     async def check(scene: Scene) -> None:
         answer = await scene.ask("/ask/a")
@@ -279,6 +328,42 @@
     play(check, ("u1", waits_for_its_reader))
 
 
+@pytest.mark.parametrize("path", ["/talk/a", "/tell/a"])
+def test_a_slow_but_sound_stream_is_passed_on_to_its_end(path):
+    """Its pauses are many times the longest that is in time, and longer than usual patience."""
+
+    async def script(sock: Any, arrival: Any) -> None:
+        await sock.sendall(stream(1, ended=False))
+        for number in (2, 3):
+            await curio.sleep(2.2)
+            await sock.sendall(stream(number, begun=False, ended=number == 3))
+
+    async def check(scene: Scene) -> None:
+        answer = await scene.ask(path, deadline="8000")
+        assert (answer.body, answer.whole) == (events(1, 2, 3), True)
+
+    assert len(play(check, ("u1", script)).arrivals) == 1
+
+
+@pytest.mark.parametrize("path", ["/talk/a", "/tell/a"])
+def test_a_stalled_stream_that_sends_a_byte_now_and_then_ends_in_its_time(path):
+    """Whole events are progress; bytes are not."""
+
+    async def script(sock: Any, arrival: Any) -> None:
+        await sock.sendall(stream(1, ended=False))
+        for _ in range(200):
+            await curio.sleep(0.05)
+            await sock.sendall(b"1\r\nx\r\n")
+
+    async def check(scene: Scene) -> None:
+        began = time.monotonic()
+        answer = await scene.ask(path, deadline="1500")
+        assert (answer.body, answer.whole) == (events(1), False)
+        assert time.monotonic() - began < 1.5 + 0.5
+
+    play(check, ("u1", script), ("u2", script))
+
+
 def test_work_ends_when_its_caller_leaves():
     async def check(scene: Scene) -> None:
         sock = await scene.connect()
--- a/tests/platform/test_view.py
+++ b/tests/platform/test_view.py
@@ -11,7 +11,7 @@
 from bluebellrun.gateway._catch_up import CatchUp
 from bluebellrun.gateway._peers import EntryNews, PeerTable
 from bluebellrun.platform import PlatformCatalogue, PlatformStore
-from bluebellrun.store import StoreTimeouts
+from bluebellrun.store import Snapshot, StoreTimeouts
 from standins.users_platform import FakeStore
 
 
@@ -20,6 +20,9 @@
     return json.dumps({**fields, **more}).encode()
 
 
+WAIT_S = 3.0
+
+
 def configuration(version: int) -> bytes:
     return json.dumps({"version": version, "routes": [], "services": []}).encode()
 
@@ -151,9 +154,9 @@
         await watched.until(lambda: watched.versions == [3])
         await other.until(lambda: other.view.is_cut_off(0.0))
         table = PeerTable("b")
-        first = CatchUp(Address("127.0.0.1", 0), watched.view, PeerTable("a"))
+        first = CatchUp(Address("127.0.0.1", 0), watched.view, PeerTable("a"), WAIT_S)
         await curio.spawn(first.serve, daemon=True)
-        second = CatchUp(Address("127.0.0.1", 0), other.view, table)
+        second = CatchUp(Address("127.0.0.1", 0), other.view, table, WAIT_S)
         await curio.spawn(second.run, daemon=True)
         table.take(EntryNews("a", "i", 1, str(first.address), 0.1, {}), 0.0)
         await other.until(lambda: other.versions == [3] and other.usable() == ["i1"])
@@ -163,6 +166,26 @@
     play(check)
 
 
+def test_older_news_of_another_entry_bring_no_upstream_back():
+    async def check(watched: Watched) -> None:
+        other = Watched()
+        for side in (watched, other):
+            side.fake.put("servers/i1", registration())
+            side.fake.put("servers/i2", registration())
+            await side.start()
+            await side.until(lambda side=side: side.usable() == ["i1", "i2"])
+        watched.fake.delete("servers/i1")
+        await watched.until(lambda: watched.usable() == ["i2"])
+        older = Snapshot(tuple(other.view.shared), other.view.revision)
+        assert not watched.view.take_from_peer(older)
+        assert watched.usable() == ["i2"]
+        newer = Snapshot(tuple(watched.view.shared), watched.view.revision)
+        assert other.view.take_from_peer(newer)
+        await other.until(lambda: other.usable() == ["i2"])
+
+    play(check)
+
+
 def test_own_records_are_known_until_they_are_removed():
     async def check(watched: Watched) -> None:
         watched.fake.put("bluebellrun/entries/e1", b"10.0.0.1:7000")
--- a/tests/platform/upstreams.py
+++ b/tests/platform/upstreams.py
@@ -134,7 +134,8 @@
 
 def request_bytes(path: str, method: str, body: bytes, headers: dict[str, str]) -> bytes:
     """Return a caller's request."""
-    lines = [f"{method} {path} HTTP/1.1", "Host: h.example", "X-Bluebellrun-Request-Id: r1"]
+    lines = [f"{method} {path} HTTP/1.1", "Host: h.example"]
+    lines.append(f"X-Bluebellrun-Request-Id: {headers.pop('request', 'r1')}")
     if "key" not in headers:
         lines.append("X-Bluebellrun-Key: k1")
     known = {"deadline": "X-Bluebellrun-Deadline-Ms", "key": "X-Bluebellrun-Key"}
