Log when the bound by pauses moves; start a new window after a silence

The test of the log found that a window which had begun before a silence was ended by the first pause after it, and counted old pauses as new.

--- a/bluebellrun/admission/_pauses.py
+++ b/bluebellrun/admission/_pauses.py
@@ -20,7 +20,8 @@
     highest is remembered for ``remembered_s``, as demand shifts every few seconds. Pauses are to
     take ``wanted`` of the longest that is in time, as news of the load are some tenths of a second
     old. Longer ones than ``outlier`` times that come of an outage, not of the load. At least
-    ``least_part`` of the places is used, less by ``less_urgent`` for each step of priority.
+    ``least_part`` of the places is used, less by ``less_urgent`` for each step of priority. A
+    bound that has moved by ``told_step`` is told.
     """
 
     window_s: float = 0.2
@@ -30,6 +31,7 @@
     outlier: float = 2.0
     least_part: float = 0.75
     less_urgent: float = 0.05
+    told_step: float = 0.05
 
 
 class PauseLimit:
@@ -44,6 +46,7 @@
         self._pauses: list[float] = []
         self._window_began: float | None = None
         self._growths: deque[tuple[float, float]] = deque()
+        self._told = 1.0
 
     @property
     def fixed_s(self) -> float:
@@ -52,22 +55,26 @@
 
     def observe(
         self, pause_s: float, longest_pause_s: float, load: Callable[[], float], now: float
-    ) -> None:
+    ) -> float | None:
         """Take a pause between two events of a stream.
 
-        ``load`` tells the part of all places that is taken; it is asked once in a window.
+        ``load`` tells the part of all places that is taken; it is asked once in a window. Return
+        the part that the most urgent may take if it has moved, else none.
         """
         if pause_s > self._settings.outlier * longest_pause_s:
-            return
-        if self._window_began is None:
+            return None
+        if self._window_began is None or now - self._window_began > 2 * self._settings.window_s:
+            # Nothing was heard for a while: what was gathered before it says nothing of now.
+            self._pauses.clear()
             self._window_began = now
         self._pauses.append(pause_s)
         if now - self._window_began < self._settings.window_s:
-            return
+            return None
         if len(self._pauses) >= self._settings.least_pauses:
             self._remember(max(0.0, median(self._pauses) - self._fixed_s), load(), now)
         self._pauses.clear()
         self._window_began = None
+        return self._moved(self.part(longest_pause_s, 0, now))
 
     def part(self, longest_pause_s: float, priority: int, now: float) -> float:
         """Return the part of all places that requests of a priority may take; 1 is no bound."""
@@ -79,6 +86,13 @@
         part = room_s / growth - self._settings.less_urgent * max(0, priority)
         return min(1.0, max(self._settings.least_part, part))
 
+    def _moved(self, part: float) -> float | None:
+        """Return the part if it has moved enough since it was last told, else none."""
+        if abs(part - self._told) < self._settings.told_step and (part < 1.0 or self._told == 1.0):
+            return None
+        self._told = part
+        return part
+
     def _remember(self, grown_s: float, load: float, now: float) -> None:
         """Remember by how much a pass would grow if all places were taken."""
         if load <= 0:
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -448,8 +448,17 @@
     def _note_pause(self, before: float | None, now: float) -> None:
         """Take note of the pause between two events of one upstream."""
         longest_s = self._route.longest_pause_s
-        if self._pauses is not None and before is not None and longest_s:
-            self._pauses.observe(now - before, longest_s, self._load, now)
+        if self._pauses is None or before is None or not longest_s:
+            return
+        part = self._pauses.observe(now - before, longest_s, self._load, now)
+        if part is not None:
+            _log.info(
+                "places bound by pauses" if part < 1.0 else "places no longer bound",
+                service=self._service,
+                part=round(part, 2),
+                pause_s=round(now - before, 3),
+                load=round(self._load(), 2),
+            )
 
 
 def choose_service(route: Route, random: Random) -> str:
--- a/tests/admission/test_pauses.py
+++ b/tests/admission/test_pauses.py
@@ -142,3 +142,12 @@
     for turn in range(50):
         limit.observe(0.29, LONGEST_S, lambda: 0.5, 0.1 * turn)
     assert limit.part(LONGEST_S, 0, 5.0) == PauseSettings().least_part
+
+
+def test_a_bound_is_told_when_it_comes_and_when_it_goes():
+    limit = PauseLimit(PauseSettings(), FIXED_S)
+    told = [limit.observe(0.17, LONGEST_S, lambda: 1.0, 0.1 * turn) for turn in range(50)]
+    told += [limit.observe(0.09, LONGEST_S, lambda: 1.0, 20 + 0.1 * turn) for turn in range(50)]
+    (bound, free) = [part for part in told if part is not None]
+    assert bound < 0.85
+    assert free == 1.0
