--- a/bluebellrun/core/_identifiers.py
+++ b/bluebellrun/core/_identifiers.py
@@ -9,6 +9,8 @@
 Incarnation = NewType("Incarnation", str)
 
 MAX_PORT = 65_535
+# Digits of the largest whole number that is read from outside: those of 64 bits.
+MOST_DIGITS = 20
 ADDRESSES_KEPT = 8_192
 
 
@@ -25,10 +27,18 @@
 
 
 @lru_cache(maxsize=ADDRESSES_KEPT)
+def is_whole_number(text: str) -> bool:
+    """Return whether a text is a whole number that ``int`` reads: some digits are none to it.
+
+    More digits than any number of the project has are not read: that takes time, or is refused.
+    """
+    return text.isascii() and text.isdigit() and len(text) <= MOST_DIGITS
+
+
 def parse_address(text: str) -> Address:
     """Read ``IP:PORT``; raise ``ValueError`` that names the bad value."""
     ip, separator, port = text.rpartition(":")
-    if not separator or not ip or not port.isdigit() or int(port) > MAX_PORT:
+    if not separator or not ip or not is_whole_number(port) or int(port) > MAX_PORT:
         raise ValueError(f"{text!r} is not an address; write IP:PORT, such as 127.0.0.1:8080")
     return Address(ip, int(port))
 
--- a/bluebellrun/gateway/_events.py
+++ b/bluebellrun/gateway/_events.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from bluebellrun.core import is_whole_number
 from bluebellrun.http import AnswerTooLongError
 
 # Bytes of one event: a few tokens with their names and numbers take some hundred.
@@ -69,6 +70,6 @@
     """Return the id of an event, or none."""
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
-            text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            text = line[3:].strip().decode("latin-1")
+            return int(text) if is_whole_number(text) else None
     return None
--- a/bluebellrun/http/_client.py
+++ b/bluebellrun/http/_client.py
@@ -8,7 +8,7 @@
 import h11
 from curio import socket
 
-from bluebellrun.core import Address
+from bluebellrun.core import Address, is_whole_number
 from bluebellrun.http._exceptions import (
     AnswerTooLongError,
     BadResponseError,
@@ -260,7 +260,7 @@
                 continue
             for part in value.split(","):
                 name, _, seconds = part.strip().partition("=")
-                if name == "timeout" and seconds.isdigit():
+                if name == "timeout" and is_whole_number(seconds):
                     self._keep_s = float(seconds)
 
     def fresh(self) -> bool:
--- a/bluebellrun/platform/_messages.py
+++ b/bluebellrun/platform/_messages.py
@@ -1,5 +1,6 @@
 """Translate requests and answers between callers, the gateway and upstreams."""
 
+from bluebellrun.core import is_whole_number
 from bluebellrun.gateway import Attempt, BadRequestError, CallerRequest, UpstreamAnswer
 from bluebellrun.http import AcceptResponse, Headers, HttpRequest, end_to_end, header_value
 from bluebellrun.platform._names import (
@@ -112,7 +113,7 @@
     text = headers.get(name)
     if text is None:
         return None
-    if not text.strip().isdigit():
+    if not is_whole_number(text.strip()):
         raise BadRequestError(f"{name} is {text!r}; send a whole number")
     return int(text)
 
@@ -122,6 +123,6 @@
     if text is None:
         return 0, 0
     prompt, _, answer = text.partition(",")
-    if not prompt.strip().isdigit() or not answer.strip().isdigit():
+    if not is_whole_number(prompt.strip()) or not is_whole_number(answer.strip()):
         raise BadRequestError(f"{TOKEN_COUNT} is {text!r}; send PROMPT,ANSWER in tokens")
     return int(prompt), int(answer)
