--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -168,9 +168,12 @@
             news = decode_news(data)
             if isinstance(news, WorkChange):
                 self._table.take_change(news)
-            elif news is not None and self._table.take(news, time.monotonic()):
-                if news.slow is not None:
-                    self._slow.replace(news.slow, time.monotonic())
+            elif (
+                news is not None
+                and self._table.take(news, time.monotonic())
+                and news.slow is not None
+            ):
+                self._slow.replace(news.slow, time.monotonic())
 
 
 def silent_after_s(peers: int) -> float:
