--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -67,6 +67,7 @@
         self._lease = 0
         self._told = 0
         self._told_at_once: list[Address] = []
+        self._next_at_once = 0
         self._changes_told = TokenBucket(CHANGES_TOLD_PER_S, CHANGES_TOLD_AT_ONCE, time.monotonic())
         self._sender = plain_socket.socket(plain_socket.AF_INET, plain_socket.SOCK_DGRAM)
         self._sender.setblocking(False)
@@ -99,14 +100,18 @@
     def tell_change(self, instance: str, running: int) -> None:
         """Tell the others how many requests this entry has at an upstream from now on.
 
-        A datagram that cannot be sent at once is left out: the next news make up for it.
+        A datagram that cannot be sent at once is left out: the next news make up for it. Where
+        there are too many to tell, the next change goes on with those that were left out.
         """
-        if not self._told_at_once:
+        peers = self._told_at_once
+        if not peers:
             return
         data = encode_news(self._change(instance, running))
-        for peer in self._told_at_once:
+        start = self._next_at_once % len(peers)
+        for peer in peers[start:] + peers[:start]:
             if not self._changes_told.take_if_free(time.monotonic()):
                 return
+            self._next_at_once += 1
             try:
                 self._sender.sendto(data, (peer.ip, peer.port))
             except OSError as error:
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -87,3 +87,17 @@
     except BlockingIOError:
         listener.close()
     assert CHANGES_TOLD_AT_ONCE <= told < 2 * CHANGES_TOLD_AT_ONCE
+
+
+def test_where_changes_are_too_many_all_entries_hear_of_some():
+    listeners = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(200)]
+    for listener in listeners:
+        listener.bind(("127.0.0.1", 0))
+        listener.setblocking(False)
+    subject = gossip()
+    subject._told_at_once = [Address(*listener.getsockname()) for listener in listeners]
+    for _ in range(10):
+        subject.tell_change("u1", 3)
+    for listener in listeners:
+        assert listener.recv(1_000)
+        listener.close()
