--- a/bluebellrun/gateway/_store_view.py
+++ b/bluebellrun/gateway/_store_view.py
@@ -32,6 +32,7 @@
 GATHER_PART = 0.1
 # Left of the time in which a silent connection to the store has to be found, for the next call.
 FIND_SILENCE_MARGIN_S = 0.5
+# Tighter bounds than any installation's would have a watch ask without a pause.
 LEAST_WATCH_WAIT_S = 1.0
 # The interval of checks is spread between this part of it and as much more.
 SHORTEST_PART_OF_CHECK = 0.75
--- a/bluebellrun/placement/_change.py
+++ b/bluebellrun/placement/_change.py
@@ -177,6 +177,7 @@
     def armed_for(self, step: int) -> None:
         """Go on with a change that another process has begun to arm."""
         self._step = step
+        self._prepared_at = self._began
 
     def fail(self) -> None:
         """Give the change up if no rank can be armed yet."""
--- a/tests/placement/test_margin.py
+++ b/tests/placement/test_margin.py
@@ -94,3 +94,25 @@
     states[0] = group.states[0]
     ((rank, hold),) = change.decide(states, 0.5)
     assert group.give(rank, hold, 1) == ACCEPTED
+
+
+def test_a_change_taken_up_from_another_driver_tells_no_time_before_it_began():
+    group = FakeGroup(4, Random(1))
+    first = PlacementChange(1001, dealt_placement(1, 4, 8), ChangeSettings(), 0.0)
+    states = dict(group.states)
+    while not any(state.armed_step for state in group.states.values()):
+        for rank, order in first.decide(states, 1.0):
+            group.give(rank, order, 1)
+            states[rank] = first.accepted(states[rank], order, done=True)
+    step = next(state.armed_step for state in group.states.values() if state.armed_step)
+    second = PlacementChange(1001, None, ChangeSettings(), 5.0)
+    second.armed_for(step)
+    now = 5.0
+    while not second.done:
+        now += 0.1
+        for rank, order in second.decide(dict(group.states), now):
+            group.give(rank, order, 2)
+        group.begin_pass()
+    lasted = second.lasted(now)
+    assert (lasted.prepare_s, lasted.arm_s >= 0, lasted.switch_s >= 0) == (0.0, True, True)
+    assert lasted.arm_s + lasted.switch_s == pytest.approx(now - 5.0)
