--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -26,7 +26,7 @@
     Unresolved,
 )
 from bluebellrun.gateway._ports import BadRequestError, Wire
-from bluebellrun.gateway._relay import Relay, choose_service, request_urgency
+from bluebellrun.gateway._relay import Relay, ServicePolicies, choose_service, request_urgency
 from bluebellrun.http import CallerGoneError, HttpExchange
 from bluebellrun.routing import SendBudget, SendBudgetSettings
 from bluebellrun.telemetry import get_logger
@@ -163,10 +163,7 @@
             request_urgency(route, deployment, request.key),
             self._fleet,
             self._wire,
-            self._budget(service),
-            self._gate(service),
-            self._pause_limit(service),
-            self._admission,
+            self._policies(service),
             ends_at,
         )
         result: Result
@@ -262,6 +259,15 @@
         body = json.dumps({"status": status, "detail": reason}).encode()
         await exchange.answer(status, headers, body)
 
+    def _policies(self, service: str) -> ServicePolicies:
+        """Return what decides on requests of a service."""
+        return ServicePolicies(
+            self._budget(service),
+            self._gate(service),
+            self._admission,
+            self._pause_limit(service),
+        )
+
     def _gate(self, service: str) -> ServiceGate:
         """Return what is known of a service's outages."""
         gate = self._gates.get(service)
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -111,6 +111,19 @@
 _Outcome = _Declined | _Lost | _Failed | _Moved | _Done
 
 
+@dataclass(frozen=True, slots=True)
+class ServicePolicies:
+    """What decides whether a request of one service is sent, and how often.
+
+    ``pauses`` is none for a service whose upstreams don't work in step.
+    """
+
+    budget: SendBudget
+    gate: ServiceGate
+    admission: PlacesAdmission
+    pauses: PauseLimit | None
+
+
 class Relay:
     """One request on its way; made anew for each."""
 
@@ -124,10 +137,7 @@
         urgency: int,
         fleet: Fleet,
         wire: Wire,
-        budget: SendBudget,
-        gate: ServiceGate,
-        pauses: PauseLimit | None,
-        admission: PlacesAdmission,
+        policies: ServicePolicies,
         ends_at: float,
     ) -> None:
         self._exchange = exchange
@@ -138,10 +148,10 @@
         self._urgency = urgency
         self._fleet = fleet
         self._wire = wire
-        self._budget = budget
-        self._gate = gate
-        self._pauses = pauses
-        self._admission = admission
+        self._budget = policies.budget
+        self._gate = policies.gate
+        self._admission = policies.admission
+        self._pauses = policies.pauses
         self._ends_at = ends_at
         self._sends = 0
         self._runs = 0
