--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -42,7 +42,6 @@
         random: Random,
         running_elsewhere: Callable[[str], int] = lambda instance: 0,
         slow_now: Callable[[float], Mapping[str, float]] = lambda now: {},
-        tell_work: Callable[[str, int], None] = lambda instance, running: None,
     ) -> None:
         self._directory = directory
         self._routing = LeastWorkRouting(random, failure_domain)
@@ -51,7 +50,6 @@
         self._stats: dict[str, UpstreamStats] = {}
         self._running_elsewhere = running_elsewhere
         self._slow_now = slow_now
-        self._tell_work = tell_work
 
     @property
     def directory(self) -> UpstreamDirectory:
@@ -90,20 +88,6 @@
         """Return the requests that all entries have at an upstream."""
         return self.stats(instance).running + self._running_elsewhere(instance)
 
-    def begin_work(self, instance: str) -> None:
-        """Count a request that is sent to an upstream, and tell the other entries."""
-        self._change_work(instance, 1)
-
-    def end_work(self, instance: str) -> None:
-        """Count a request that an upstream no longer has."""
-        self._change_work(instance, -1)
-
-    def _change_work(self, instance: str, change: int) -> None:
-        """Count work in or out and tell the other entries."""
-        stats = self.stats(instance)
-        stats.running += change
-        self._tell_work(instance, stats.running)
-
     def stats(self, instance: str) -> UpstreamStats:
         """Return the account of an upstream."""
         return self._stats.setdefault(instance, UpstreamStats())
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -1,18 +1,16 @@
 """Register this entry in the store, find the others there, and exchange news with them."""
 
-import socket as plain_socket
 import time
 from collections.abc import Callable
 
 import curio
 from curio import socket
 
-from bluebellrun.core import Address, TokenBucket, parse_address
+from bluebellrun.core import Address, parse_address
 from bluebellrun.gateway._peers import (
     SILENT_S,
     EntryNews,
     PeerTable,
-    WorkChange,
     decode_news,
     encode_news,
 )
@@ -27,10 +25,6 @@
 # So many entries are told at a time, the next ones at the next turn: what an entry sends and hears
 # does not grow with the number of entries; with more than these, news are older instead.
 TOLD_AT_A_TIME = 16
-# Changes of work are told at once while no more datagrams than these are sent a second: each costs
-# both hosts some hundredths of a millisecond. Beyond, the news of the next turn tell them.
-CHANGES_TOLD_PER_S = 700.0
-CHANGES_TOLD_AT_ONCE = 350.0
 # An entry that ended without a word is out of the register after this.
 REGISTRATION_S = 12
 RENEW_INTERVAL_S = 4.0
@@ -54,7 +48,6 @@
         table: PeerTable,
         slow: SlowUpstreams,
         news: Callable[[], EntryNews],
-        change: Callable[[str, int], WorkChange],
     ) -> None:
         self._address = address
         self._key = key
@@ -63,14 +56,8 @@
         self._table = table
         self._slow = slow
         self._news = news
-        self._change = change
         self._lease = 0
         self._told = 0
-        self._told_at_once: list[Address] = []
-        self._next_at_once = 0
-        self._changes_told = TokenBucket(CHANGES_TOLD_PER_S, CHANGES_TOLD_AT_ONCE, time.monotonic())
-        self._sender = plain_socket.socket(plain_socket.AF_INET, plain_socket.SOCK_DGRAM)
-        self._sender.setblocking(False)
 
     @property
     def peers(self) -> list[Address]:
@@ -93,30 +80,8 @@
         await spawn_background(self._receive, sock)
         while True:
             await curio.sleep(SEND_INTERVAL_S)
-            peers = self._told_at_once = self.peers
-            self._table.expire(time.monotonic(), silent_after_s(len(peers)))
-            await self._send(sock, peers)
-
-    def tell_change(self, instance: str, running: int) -> None:
-        """Tell the others how many requests this entry has at an upstream from now on.
-
-        A datagram that cannot be sent at once is left out: the next news make up for it. Where
-        there are too many to tell, the next change goes on with those that were left out.
-        """
-        peers = self._told_at_once
-        if not peers:
-            return
-        data = encode_news(self._change(instance, running))
-        start = self._next_at_once % len(peers)
-        for peer in peers[start:] + peers[:start]:
-            if not self._changes_told.take_if_free(time.monotonic()):
-                return
-            self._next_at_once += 1
-            try:
-                self._sender.sendto(data, (peer.ip, peer.port))
-            except OSError as error:
-                _log.info("change not told", peer=str(peer), reason=str(error))
-                return
+            self._table.expire(time.monotonic(), silent_after_s(len(self.peers)))
+            await self._send(sock)
 
     async def keep_registered(self) -> None:
         """Keep this entry in the register until cancelled."""
@@ -139,8 +104,9 @@
         self._lease = lease
         _log.info("entry registered", key=self._key, address=str(self._address))
 
-    async def _send(self, sock: object, peers: list[Address]) -> None:
-        """Send the news to the other entries whose turn it is."""
+    async def _send(self, sock: object) -> None:
+        """Send the news to all other entries."""
+        peers = self.peers
         if not peers:
             return
         data = encode_news(self._news())
@@ -171,13 +137,9 @@
                 await curio.sleep(SEND_INTERVAL_S)
                 continue
             news = decode_news(data)
-            if isinstance(news, WorkChange):
-                self._table.take_change(news)
-            elif (
-                news is not None
-                and self._table.take(news, time.monotonic())
-                and news.slow is not None
-            ):
+            if news is None or not self._table.take(news, time.monotonic()):
+                continue
+            if news.slow is not None:
                 self._slow.replace(news.slow, time.monotonic())
 
 
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -1,17 +1,15 @@
 """What the entries tell each other several times a second, and what each knows of the others.
 
 Messages are datagrams: the next one makes up for a lost one. An entry that falls silent counts
-for nothing after a moment, so that its work does not stand in the way for ever. What an entry has
-at one upstream is told at once when it changes: dozens of entries that choose by news some tenths
-of a second old would choose the same free places.
+for nothing after a moment, so that its work does not stand in the way for ever.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
 
-class EntryNews(msgspec.Struct, frozen=True, array_like=True, tag="news"):
+class EntryNews(msgspec.Struct, frozen=True, array_like=True):
     """One entry's news: its requests at each upstream, and how it stands with the store.
 
     ``number`` grows with each message of one ``incarnation``. ``address`` is where it tells what
@@ -29,27 +27,15 @@
     slow: dict[str, float] | None = None
 
 
-class WorkChange(msgspec.Struct, frozen=True, array_like=True, tag="change"):
-    """The requests that an entry has now at the upstreams where that has just changed.
+_decoder = msgspec.msgpack.Decoder(EntryNews)
 
-    ``number`` is counted on with the numbers of the entry's news.
-    """
-
-    entry: str
-    incarnation: str
-    number: int
-    running: dict[str, int]
-
-
-_decoder = msgspec.msgpack.Decoder(EntryNews | WorkChange)
 
-
-def encode_news(news: EntryNews | WorkChange) -> bytes:
+def encode_news(news: EntryNews) -> bytes:
     """Return the datagram of an entry's news."""
     return msgspec.msgpack.encode(news)
 
 
-def decode_news(data: bytes) -> EntryNews | WorkChange | None:
+def decode_news(data: bytes) -> EntryNews | None:
     """Read a datagram; none if it is no entry's news."""
     try:
         return _decoder.decode(data)
@@ -57,17 +43,12 @@
         return None
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Heard:
-    """An entry's latest news and when it came, in seconds, with what has changed since.
-
-    ``numbers`` are those of the changes that are newer than the news, by upstream.
-    """
+    """An entry's latest news and when it came, in seconds."""
 
     news: EntryNews
     at: float
-    running: dict[str, int]
-    numbers: dict[str, int] = field(default_factory=dict)
 
 
 # Work of an entry that was not heard for so long is no longer counted: it lost its connections.
@@ -95,52 +76,27 @@
         same_life = known is not None and known.news.incarnation == news.incarnation
         if same_life and known is not None and news.number <= known.news.number:
             return False
-        heard = self._heard[news.entry] = _Heard(news, now, dict(news.running))
+        self._heard[news.entry] = _Heard(news, now)
         if known is not None:
-            self._add(known.running, -1)
-            if same_life:
-                _keep_newer_changes(known, heard)
-        self._add(heard.running, 1)
+            self._add(known.news, -1)
+        self._add(news, 1)
         return True
 
-    def take_change(self, change: WorkChange) -> bool:
-        """Take what has changed since an entry's latest news; return false if nothing is new."""
-        known = self._heard.get(change.entry)
-        if known is None or known.news.incarnation != change.incarnation:
-            return False
-        taken = False
-        for instance, running in change.running.items():
-            if change.number <= known.numbers.get(instance, known.news.number):
-                continue
-            self._add({instance: running - known.running.get(instance, 0)}, 1)
-            known.running[instance] = running
-            known.numbers[instance] = change.number
-            taken = True
-        return taken
-
     def expire(self, now: float, silent_after_s: float = SILENT_S) -> None:
         """Forget the work of entries that are silent."""
         silent = [name for name, heard in self._heard.items() if now - heard.at > silent_after_s]
         for name in silent:
-            self._add(self._heard.pop(name).running, -1)
+            self._add(self._heard.pop(name).news, -1)
 
     def running(self, instance: str) -> int:
         """Return the requests that other entries have at an upstream."""
         return self._running.get(instance, 0)
 
-    def _add(self, work: dict[str, int], sign: int) -> None:
+    def _add(self, news: EntryNews, sign: int) -> None:
         """Count an entry's work in, or out again."""
-        for instance, running in work.items():
+        for instance, running in news.running.items():
             total = self._running.get(instance, 0) + sign * running
             if total:
                 self._running[instance] = total
             else:
                 self._running.pop(instance, None)
-
-
-def _keep_newer_changes(known: _Heard, heard: _Heard) -> None:
-    """Keep the changes that an entry told after it had put its news together."""
-    for instance, number in known.numbers.items():
-        if number > heard.news.number:
-            heard.running[instance] = known.running[instance]
-            heard.numbers[instance] = number
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -299,7 +299,7 @@
         """Send the request to one upstream and pass on its answer."""
         stats = self._fleet.stats(upstream.instance)
         self._upstream = upstream.instance
-        self._fleet.begin_work(upstream.instance)
+        stats.running += 1
         stats.unread_tokens += self._request.prompt_tokens
         self._unread = self._request.prompt_tokens
         self._sends += 1
@@ -308,7 +308,7 @@
         try:
             outcome = await self._exchange_with(upstream)
         finally:
-            self._fleet.end_work(upstream.instance)
+            stats.running -= 1
             self._note_read(upstream)
         self._note(upstream, outcome, started)
         return outcome
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -18,7 +18,7 @@
 from bluebellrun.gateway._gateway import Gateway
 from bluebellrun.gateway._gossip import Gossip
 from bluebellrun.gateway._lifecycle import Lifecycle
-from bluebellrun.gateway._peers import EntryNews, PeerTable, WorkChange
+from bluebellrun.gateway._peers import EntryNews, PeerTable
 from bluebellrun.gateway._role import LEASE_S, PlacementRole, take_over_pause_s
 from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
@@ -129,7 +129,6 @@
             self._random,
             self._peers.running,
             self._slow.current,
-            lambda instance, running: self._gossip.tell_change(instance, running),
         )
         self._gateway = Gateway(
             settings, self._fleet, PlatformWire(), self._random, self._metrics.note_request
@@ -220,14 +219,7 @@
         self._catch_up = CatchUp(self._inner, self._view, self._peers, self._watching.wait_s)
         key = f"{OWN_PREFIX}entries/{settings.host}"
         self._gossip = Gossip(
-            self._inner,
-            key,
-            self._store,
-            self._view,
-            self._peers,
-            self._slow,
-            self._news,
-            self._work_change,
+            self._inner, key, self._store, self._view, self._peers, self._slow, self._news
         )
 
     def _news(self) -> EntryNews:
@@ -242,11 +234,6 @@
             None if self._role.lease() is None else dict(self._slow.slowness),
         )
 
-    def _work_change(self, instance: str, running: int) -> WorkChange:
-        """Return what the other entries are told when the work at an upstream has changed."""
-        number = next(self._numbers)
-        return WorkChange(self._settings.host, self._incarnation, number, {instance: running})
-
     def _put_in_force(self, deployment: Deployment) -> bool:
         """Take a configuration and the limits on callers that it declares."""
         in_force = self._gateway.put_in_force(deployment)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,6 +1,6 @@
 from random import Random
 
-from bluebellrun.gateway._peers import EntryNews, PeerTable, WorkChange, decode_news, encode_news
+from bluebellrun.gateway._peers import EntryNews, PeerTable, decode_news, encode_news
 
 
 def news(entry, number, running, incarnation="i", silence_s=1.0):
@@ -63,75 +63,3 @@
     table.take(news("a", 1, {}, silence_s=5.0), 0.0)
     table.take(news("b", 1, {}, silence_s=0.5), 0.0)
     assert table.best_informed().entry == "b"
-
-
-def change(number, running, entry="a", incarnation="i"):
-    return WorkChange(entry, incarnation, number, running)
-
-
-def test_a_change_of_work_counts_from_the_moment_it_is_told():
-    table = PeerTable("me")
-    assert not table.take_change(change(1, {"u": 1}))
-    table.take(news("a", 1, {"u": 2}), 0.0)
-    assert table.take_change(change(2, {"u": 3}))
-    assert table.take_change(change(3, {"v": 1}))
-    assert (table.running("u"), table.running("v")) == (3, 1)
-    table.expire(5.0)
-    assert (table.running("u"), table.running("v")) == (0, 0)
-
-
-def test_a_change_that_was_overtaken_counts_for_nothing():
-    table = PeerTable("me")
-    table.take(news("a", 5, {"u": 2}), 0.0)
-    assert not table.take_change(change(4, {"u": 9}))
-    assert table.take_change(change(8, {"u": 3}))
-    assert not table.take_change(change(7, {"u": 1}))
-    assert table.running("u") == 3
-
-
-def test_news_put_together_before_a_change_do_not_undo_it():
-    table = PeerTable("me")
-    table.take(news("a", 1, {"u": 2}), 0.0)
-    table.take_change(change(4, {"u": 3}))
-    assert table.take(news("a", 3, {"u": 2, "v": 1}), 0.1)
-    assert (table.running("u"), table.running("v")) == (3, 1)
-    assert table.take(news("a", 5, {"u": 1}), 0.2)
-    assert (table.running("u"), table.running("v")) == (1, 0)
-
-
-def test_a_change_of_an_earlier_life_counts_for_nothing():
-    table = PeerTable("me")
-    table.take(news("a", 500, {"u": 2}), 0.0)
-    table.take(news("a", 1, {}, incarnation="j"), 0.1)
-    assert not table.take_change(change(600, {"u": 7}))
-    assert table.running("u") == 0
-
-
-def test_the_sum_stays_right_over_changes_that_are_lost_overtaken_or_late():
-    random, table = Random(2), PeerTable("me")
-    running, number, late = {}, 0, []
-    for _ in range(3_000):
-        number += 1
-        if random.random() < 0.2:
-            item = news("a", number, dict(running))
-        else:
-            upstream = random.choice("uvwx")
-            running = {
-                **running,
-                upstream: max(0, running.get(upstream, 0) + random.choice((1, -1))),
-            }
-            item = change(number, {upstream: running[upstream]})
-        late.append(item)
-        random.shuffle(late)
-        while len(late) > 4:
-            got = late.pop()
-            if random.random() < 0.1:
-                continue
-            if isinstance(got, WorkChange):
-                table.take_change(got)
-            else:
-                table.take(got, 0.0)
-    table.take(news("a", number + 1, running), 0.0)
-    assert all(table.running(u) == running.get(u, 0) for u in "uvwx")
-    table.expire(60.0)
-    assert not any(table.running(u) for u in "uvwx")
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -14,13 +14,7 @@
 
 from bluebellrun.core import Address
 from bluebellrun.gateway import BadRequestError, EventSplitter, News, RankCallError, Upstream
-from bluebellrun.gateway._peers import (
-    EntryNews,
-    PeerTable,
-    WorkChange,
-    decode_news,
-    encode_news,
-)
+from bluebellrun.gateway._peers import EntryNews, PeerTable, decode_news, encode_news
 from bluebellrun.http import AnswerTooLongError, HttpRequest
 from bluebellrun.platform import EngineCalls, PlatformCatalogue, PlatformWire
 from bluebellrun.platform._engine_messages import unpack
@@ -31,7 +25,6 @@
 EXAMPLES = example_count(250)
 REGISTRATION = b'{"service": "s", "addr": "10.0.0.1:80", "zone": "a", "state": "ready", "slots": 6}'
 NEWS = encode_news(EntryNews("a", "i", 1, "10.0.0.1:7340", 0.1, {"u1": 3}, {"u2": 2.0}))
-CHANGE = encode_news(WorkChange("a", "i", 7, {"u1": 4}))
 ODD_VALUES = st.one_of(
     st.none(),
     st.booleans(),
@@ -86,14 +79,11 @@
 
 
 @settings(max_examples=EXAMPLES)
-@given(st.one_of(st.binary(max_size=200), damaged(NEWS), damaged(CHANGE)))
+@given(st.one_of(st.binary(max_size=200), damaged(NEWS)))
 def test_a_bad_datagram_harms_no_table(data):
     table = PeerTable("b")
-    table.take(decode_news(NEWS), 1.0)
     news = decode_news(data)
-    if isinstance(news, WorkChange):
-        table.take_change(news)
-    elif news is not None:
+    if news is not None:
         table.take(news, 1.0)
     table.best_informed()
     table.expire(10.0)
