Heed upstreams that say they leave or want no requests for a while

What is kept: that an upstream leaves binds one life of it (instance and birth), so a later life under the same instance or address is free, and neither an older registration, nor a lapse, nor an answer of the former process undoes it or binds the new one. Other entries are told for three seconds. Where all upstreams of a service want nothing its callers are refused at once with the soonest return, spread over half as much again. Connections are kept by life too: one that comes back under its instance at another address is no longer called at the former one.

Compressing bodies and reading Retry-After moved to http: they are no names of the platform.

--- a/bluebellrun/gateway/_directory.py
+++ b/bluebellrun/gateway/_directory.py
@@ -5,11 +5,17 @@
 """
 
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 
-from bluebellrun.gateway._models import Upstream
+from bluebellrun.gateway._models import Upstream, UpstreamLife
 
 # Registrations that lapsed with the store are back within two seconds of its return.
 LAPSED_KEPT_S = 2.0
+# Lives that said themselves that they leave; the oldest are forgotten first. No fleet replaces as
+# many upstreams while one process runs.
+MOST_LEAVING_KEPT = 8_192
+# Other entries are told of a leaving upstream for so long; the store tells them within seconds.
+LEAVING_TOLD_S = 3.0
 
 
 class UpstreamDirectory:
@@ -18,6 +24,7 @@
     def __init__(self) -> None:
         self._upstreams: dict[str, Upstream] = {}
         self._lapsed: dict[str, float] = {}
+        self._said_leaving: dict[UpstreamLife, float] = {}
         self._by_service: dict[str, list[Upstream]] = {}
 
     @property
@@ -25,6 +32,11 @@
         """Return the instances that are registered or lapsed a moment ago."""
         return self._upstreams.keys()
 
+    @property
+    def lives(self) -> frozenset[UpstreamLife]:
+        """Return the lives that are registered or lapsed a moment ago."""
+        return frozenset(upstream.life for upstream in self._upstreams.values())
+
     def find(self, instance: str) -> Upstream | None:
         """Return an upstream by its instance, or none."""
         return self._upstreams.get(instance)
@@ -49,8 +61,10 @@
             self.put(upstream)
 
     def put(self, upstream: Upstream) -> None:
-        """Take a registration."""
+        """Take a registration. That it is ready does not undo what its upstream said itself."""
         self._lapsed.pop(upstream.instance, None)
+        if upstream.life in self._said_leaving:
+            upstream = replace(upstream, leaving=True)
         self._upstreams[upstream.instance] = upstream
         self._index()
 
@@ -65,6 +79,26 @@
         self._drop(instance)
         self._index()
 
+    def leaving_lately(self, now: float) -> list[UpstreamLife]:
+        """Return the lives that were found to leave a moment ago."""
+        return [life for life, at in self._said_leaving.items() if now - at < LEAVING_TOLD_S]
+
+    def note_leaving(self, life: UpstreamLife, now: float) -> bool:
+        """Take it that an upstream said itself that it leaves; return whether that is new.
+
+        A later life under the same instance is not bound by it.
+        """
+        if life in self._said_leaving:
+            return False
+        self._said_leaving[life] = now
+        if len(self._said_leaving) > MOST_LEAVING_KEPT:
+            del self._said_leaving[next(iter(self._said_leaving))]
+        known = self._upstreams.get(life[0])
+        if known is not None and known.life == life:
+            self._upstreams[known.instance] = replace(known, leaving=True)
+            self._index()
+        return True
+
     def note_replaced(self, instance: str) -> None:
         """Take it that an upstream's life is over: another one has its address.
 
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -1,19 +1,24 @@
 """The upstreams that this process sends to: their connections, work in flight and health."""
 
+import time
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from random import Random
 
 from bluebellrun.admission import Places
 from bluebellrun.gateway._directory import UpstreamDirectory
-from bluebellrun.gateway._models import Upstream
+from bluebellrun.gateway._models import Upstream, UpstreamLife
 from bluebellrun.http import ClientTimeouts, HttpClient
 from bluebellrun.routing import (
     LeastWorkRouting,
     OutlierEjection,
+    RequestedBackoff,
     UpstreamWork,
     ranks_to_empty,
 )
+from bluebellrun.telemetry import get_logger
+
+_log = get_logger("fleet")
 
 # A connection within a region is made in milliseconds; a lost packet costs a second.
 CONNECT_TIMEOUT_S = 0.4
@@ -46,7 +51,8 @@
         self._directory = directory
         self._routing = LeastWorkRouting(random, failure_domain)
         self._ejection = OutlierEjection()
-        self._clients: dict[str, HttpClient] = {}
+        self._backoff = RequestedBackoff()
+        self._clients: dict[UpstreamLife, HttpClient] = {}
         self._stats: dict[str, UpstreamStats] = {}
         self._running_elsewhere = running_elsewhere
         self._slow_now = slow_now
@@ -56,9 +62,19 @@
         """Return the directory of upstreams."""
         return self._directory
 
+    def available(self, service: str, now: float) -> list[Upstream]:
+        """Return the upstreams of a service that take requests of this process now."""
+        usable = self._directory.usable(service, now)
+        return [item for item in usable if not self._backoff.left_s(item.life, now)]
+
+    def available_in_s(self, service: str, now: float) -> float:
+        """Return the seconds until an upstream of a service takes requests, 0 if one does."""
+        usable = self._directory.usable(service, now)
+        return min((self._backoff.left_s(item.life, now) for item in usable), default=0.0)
+
     def choose(self, service: str, excluded: Collection[str], now: float) -> Upstream | None:
         """Return the upstream to send a request to, or none when there is none."""
-        usable = self._directory.usable(service, now)
+        usable = self.available(service, now)
         candidates = [upstream for upstream in usable if upstream.instance not in excluded]
         names = [upstream.instance for upstream in candidates]
         ejected = self._ejection.ejected(names, now)
@@ -78,7 +94,7 @@
 
     def places(self, service: str, now: float) -> Places:
         """Return the places of a service and how many requests have or await one."""
-        usable = self._directory.usable(service, now)
+        usable = self.available(service, now)
         usable = self._without_slow(usable, len(usable), now)
         usual_s, _ = self._averages(usable)
         taken = sum(self.running(item.instance) for item in usable)
@@ -98,13 +114,27 @@
 
     def client(self, upstream: Upstream) -> HttpClient:
         """Return the client that keeps connections to an upstream."""
-        client = self._clients.get(upstream.instance)
+        client = self._clients.get(upstream.life)
         if client is None:
             timeouts = ClientTimeouts(CONNECT_TIMEOUT_S, LONGEST_ANSWER_S, LONGEST_ANSWER_S)
             client = HttpClient(upstream.address, timeouts)
-            self._clients[upstream.instance] = client
+            self._clients[upstream.life] = client
         return client
 
+    def note_leaving(self, life: UpstreamLife, now: float, told_by: str | None = None) -> None:
+        """Note that an upstream said that it is about to stop, here or to another entry."""
+        if self._directory.note_leaving(life, now):
+            _log.info("upstream leaves", upstream=life[0], born=life[1], told_by=told_by)
+
+    def wants_requests(self, upstream: Upstream) -> bool:
+        """Return whether an upstream takes requests of this process, as far as it said."""
+        return not self._backoff.left_s(upstream.life, time.monotonic())
+
+    def note_backoff(self, upstream: Upstream, seconds: float, now: float) -> None:
+        """Note for how long an upstream wants no requests of this process."""
+        self._backoff.note(upstream.life, seconds, now)
+        _log.info("upstream wants no requests", upstream=upstream.instance, seconds=seconds)
+
     def note_unreachable(self, instance: str, now: float) -> None:
         """Note that no connection could be made, or that one went silent."""
         self._ejection.note_unreachable(instance, now)
@@ -124,8 +154,10 @@
     async def forget_gone(self) -> None:
         """Close the kept connections to upstreams that are gone and drop their accounts."""
         known = set(self._directory.instances)
-        for instance in [name for name in self._clients if name not in known]:
-            await self._clients.pop(instance).close()
+        lives = self._directory.lives
+        for life in [life for life in self._clients if life not in lives]:
+            await self._clients.pop(life).close()
+        self._backoff.keep(lives)
         gone = [name for name, item in self._stats.items() if name not in known]
         for instance in gone:
             if self._stats[instance].running == 0:
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -165,6 +165,7 @@
             self._wire,
             self._policies(service),
             ends_at,
+            self._random,
         )
         result: Result
         try:
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -7,6 +7,7 @@
 from curio import socket
 
 from bluebellrun.core import Address, parse_address
+from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._peers import (
     SILENT_S,
     EntryNews,
@@ -47,6 +48,7 @@
         view: StoreView,
         table: PeerTable,
         slow: SlowUpstreams,
+        fleet: Fleet,
         news: Callable[[], EntryNews],
     ) -> None:
         self._address = address
@@ -55,6 +57,7 @@
         self._view = view
         self._table = table
         self._slow = slow
+        self._fleet = fleet
         self._news = news
         self._lease = 0
         self._told = 0
@@ -139,8 +142,11 @@
             news = decode_news(data)
             if news is None or not self._table.take(news, time.monotonic()):
                 continue
+            now = time.monotonic()
             if news.slow is not None:
-                self._slow.replace(news.slow, time.monotonic())
+                self._slow.replace(news.slow, now)
+            for life in news.leaving:
+                self._fleet.note_leaving(life, now, told_by=news.entry)
 
 
 def silent_after_s(peers: int) -> float:
--- a/bluebellrun/gateway/_models.py
+++ b/bluebellrun/gateway/_models.py
@@ -35,9 +35,16 @@
         return self.target.partition("?")[0]
 
 
+# An upstream's instance and when it was born, in Unix milliseconds.
+UpstreamLife = tuple[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class Upstream:
-    """One life of a back end. ``instance`` names it and is never given to another one."""
+    """One life of a back end. ``instance`` names it and is never given to another one.
+
+    A back end may start again under its instance; ``born`` is the Unix millisecond of its start.
+    """
 
     instance: str
     service: str
@@ -45,6 +52,12 @@
     failure_domain: str
     slots: int
     leaving: bool = False
+    born: int = 0
+
+    @property
+    def life(self) -> UpstreamLife:
+        """Return what tells this life from an earlier or later one under its instance."""
+        return self.instance, self.born
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,13 +76,17 @@
     """The head of an upstream's answer; ``headers`` are those the caller gets.
 
     With ``not_run`` the upstream promises that the request did not run. With ``misdirected``
-    another upstream has its address by now.
+    another upstream has its address by now. With ``leaving`` it is about to stop.
+    ``retry_after_s`` is for how many seconds it wants nothing of this process, none if it did not
+    say.
     """
 
     status: int
     headers: Headers
     not_run: bool = False
     misdirected: bool = False
+    leaving: bool = False
+    retry_after_s: float | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from bluebellrun.gateway._models import UpstreamLife
+
 
 class EntryNews(msgspec.Struct, frozen=True, array_like=True):
     """One entry's news: its requests at each upstream, and how it stands with the store.
@@ -15,7 +17,8 @@
     ``number`` grows with each message of one ``incarnation``. ``address`` is where it tells what
     it read from the store, and ``silence_s`` how long ago it heard the store, in seconds.
     ``slow`` is told by the entry that keeps the expert maps alone: the ranks that say they take
-    longer than usual, and how many times as long.
+    longer than usual, and how many times as long. ``leaving`` are upstreams that said lately that
+    they leave, by instance and birth.
     """
 
     entry: str
@@ -25,6 +28,7 @@
     silence_s: float
     running: dict[str, int]
     slow: dict[str, float] | None = None
+    leaving: list[UpstreamLife] = msgspec.field(default_factory=list)
 
 
 _decoder = msgspec.msgpack.Decoder(EntryNews)
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -62,6 +62,8 @@
 RESUMING_TAKES_S = 0.2
 # Upstreams that may refuse a request before it is refused: where a few are full, most are.
 MOST_REFUSALS = 1
+# Callers that all upstreams turn away come back up to so many times later than the first may.
+LATEST_RETURN = 1.5
 # Further sends that streams of slow ranks leave over for requests that would fail without.
 SENDS_KEPT_FOR_FAILURES = 3
 # Time left below which a send could not be answered.
@@ -139,6 +141,7 @@
         wire: Wire,
         policies: ServicePolicies,
         ends_at: float,
+        random: Random,
     ) -> None:
         self._exchange = exchange
         self._request = request
@@ -153,6 +156,7 @@
         self._admission = policies.admission
         self._pauses = policies.pauses
         self._ends_at = ends_at
+        self._random = random
         self._sends = 0
         self._runs = 0
         self._refusals = 0
@@ -260,8 +264,8 @@
         """
         if time.monotonic() - self._last_event_at > self._patience_s() - RESUMING_TAKES_S:
             return False
-        usable = self._fleet.directory.usable(self._service, time.monotonic())
-        if all(upstream.instance in self._excluded for upstream in usable):
+        available = self._fleet.available(self._service, time.monotonic())
+        if all(upstream.instance in self._excluded for upstream in available):
             self._excluded.clear()
         await curio.sleep(RESUME_PAUSE_S)
         return True
@@ -292,8 +296,16 @@
         return self._refusal(reason)
 
     def _refusal(self, reason: str) -> Refused:
-        """Return a refusal that tells when to come back."""
-        return Refused(UNAVAILABLE, reason, self._gate.retry_after_s(time.monotonic()))
+        """Return a refusal that tells when to come back.
+
+        Where all upstreams want nothing it is when the first one takes requests again, and a
+        while later for some, so that not all callers come back at that moment.
+        """
+        now = time.monotonic()
+        wait_s = self._fleet.available_in_s(self._service, now) * self._random.uniform(
+            1.0, LATEST_RETURN
+        )
+        return Refused(UNAVAILABLE, reason, max(wait_s, self._gate.retry_after_s(now)))
 
     async def _send(self, upstream: Upstream) -> _Outcome:
         """Send the request to one upstream and pass on its answer."""
@@ -377,6 +389,7 @@
     async def _pass_on(self, upstream: Upstream, response: HttpResponse) -> _Outcome:
         """Pass an answer on to the caller."""
         answer = self._wire.read_answer(response.status, response.headers)
+        self._take_notice(upstream, answer)
         if answer.not_run:
             self._runs -= 1
             await self._read_refusal(upstream, response)
@@ -393,6 +406,16 @@
             return _Lost(f"upstream answered {answer.status} to a resumed stream")
         return await self._pass_answer(answer, response)
 
+    def _take_notice(self, upstream: Upstream, answer: UpstreamAnswer) -> None:
+        """Take what an upstream says of itself beside its answer."""
+        if answer.misdirected:
+            return
+        now = time.monotonic()
+        if answer.leaving:
+            self._fleet.note_leaving(upstream.life, now)
+        if answer.retry_after_s is not None:
+            self._fleet.note_backoff(upstream, answer.retry_after_s, now)
+
     async def _read_refusal(self, upstream: Upstream, response: HttpResponse) -> None:
         """Read the rest of a refusal; its head has said that the request did not run."""
         try:
--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -150,7 +150,7 @@
         self._role = self._make_role()
         self._maps = ExpertMaps(
             self._role,
-            EngineCalls(settings.ports.first),
+            EngineCalls(settings.ports.first, self._fleet.wants_requests),
             self._directory,
             lambda: self._gateway.deployment,
             self._slow,
@@ -219,7 +219,14 @@
         self._catch_up = CatchUp(self._inner, self._view, self._peers, self._watching.wait_s)
         key = f"{OWN_PREFIX}entries/{settings.host}"
         self._gossip = Gossip(
-            self._inner, key, self._store, self._view, self._peers, self._slow, self._news
+            self._inner,
+            key,
+            self._store,
+            self._view,
+            self._peers,
+            self._slow,
+            self._fleet,
+            self._news,
         )
 
     def _news(self) -> EntryNews:
@@ -232,6 +239,7 @@
             min(self._view.silence_s(), UNHEARD_S),
             self._fleet.running_here(),
             None if self._role.lease() is None else dict(self._slow.slowness),
+            self._directory.leaving_lately(time.monotonic()),
         )
 
     def _put_in_force(self, deployment: Deployment) -> bool:
--- a/bluebellrun/http/__init__.py
+++ b/bluebellrun/http/__init__.py
@@ -1,6 +1,12 @@
 """HTTP/1.1 towards callers and upstreams: h11 for the protocol, curio for the sockets."""
 
 from bluebellrun.http._client import AcceptResponse, HttpClient, HttpResponse, connect
+from bluebellrun.http._compression import (
+    COMPRESSED,
+    COMPRESSED_FROM_BYTES,
+    compress_body,
+    decompress_body,
+)
 from bluebellrun.http._exceptions import (
     AnswerTooLongError,
     BadResponseError,
@@ -18,6 +24,7 @@
     end_to_end,
     header_value,
 )
+from bluebellrun.http._retry_after import read_retry_after_s
 from bluebellrun.http._server import (
     CallerGoneError,
     HttpExchange,
@@ -34,6 +41,8 @@
 )
 
 __all__ = [
+    "COMPRESSED",
+    "COMPRESSED_FROM_BYTES",
     "AcceptResponse",
     "AnswerTooLongError",
     "BadResponseError",
@@ -57,8 +66,11 @@
     "TlsError",
     "TlsFiles",
     "TransportError",
+    "compress_body",
     "connect",
+    "decompress_body",
     "end_to_end",
     "header_value",
     "link_security",
+    "read_retry_after_s",
 ]
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -1,6 +1,7 @@
 """Calls to the ranks of a model group, by the process beside each where there is one."""
 
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 from operator import add
 from typing import Any
@@ -10,7 +11,15 @@
 
 from bluebellrun.core import Address
 from bluebellrun.gateway import OrderReply, RankCallError, RankReplacedError, Upstream
-from bluebellrun.http import ClientTimeouts, Headers, HttpClient, TransportError
+from bluebellrun.http import (
+    COMPRESSED,
+    COMPRESSED_FROM_BYTES,
+    ClientTimeouts,
+    Headers,
+    HttpClient,
+    TransportError,
+    compress_body,
+)
 from bluebellrun.placement import (
     ArmMap,
     ClaimRank,
@@ -26,10 +35,7 @@
     COUNTS_KNOWN,
     COUNTS_PATH,
     MAX_ANSWER_BYTES,
-    PACKED,
-    PACKED_FROM_BYTES,
     RankCountsTold,
-    pack,
 )
 from bluebellrun.platform._names import EXPECT_INSTANCE, ORDER_PATH, PICKED_PATH, REPORT_PATH
 from bluebellrun.telemetry import get_logger
@@ -47,10 +53,6 @@
 RELAY_AVOIDED_S = 2.0
 # A version that no rank ever has: disarming it changes nothing but the fencing number seen.
 NO_VERSION = 2_000_000_000
-
-_log = get_logger("engine-calls")
-
-
 # Counts are read again a moment later, so that a late answer costs nothing.
 COUNTS_TIMEOUT_S = 0.4
 # An engine copies experts within this time, unless its group waits.
@@ -58,6 +60,8 @@
 # Each call has its own time-out; this one only bounds them all.
 LONGEST_CALL_S = 1.0
 
+_log = get_logger("engine-calls")
+
 
 class _NoAnswerError(RankCallError):
     """The process beside an engine says that the engine did not answer."""
@@ -115,10 +119,18 @@
 
 
 class EngineCalls:
-    """Call ranks through the processes beside them, or directly where these do not answer."""
+    """Call ranks through the processes beside them, or directly where these do not answer.
 
-    def __init__(self, relay_port: int) -> None:
+    An upstream that wants no requests of this process is not called directly either.
+    """
+
+    def __init__(
+        self,
+        relay_port: int,
+        wants_requests: Callable[[Upstream], bool] = lambda upstream: True,
+    ) -> None:
         self._relay_port = relay_port
+        self._wants_requests = wants_requests
         self._relays: dict[str, HttpClient] = {}
         self._direct: dict[str, HttpClient] = {}
         self._avoided_until: dict[str, float] = {}
@@ -227,6 +239,8 @@
             except RankCallError as error:
                 self._avoided_until[instance] = time.monotonic() + RELAY_AVOIDED_S
                 _log.info("engine called directly", upstream=instance, reason=str(error))
+        if not self._wants_requests(upstream):
+            raise RankCallError(f"{instance} wants no requests of this process for a while")
         client = self._client(self._direct, instance, upstream.address)
         return await self._fetch(client, upstream, method, target, headers, body, CALL_TIMEOUT_S)
 
@@ -273,11 +287,11 @@
 
         The last body that was compressed is kept: all ranks get the same map.
         """
-        if len(body) < PACKED_FROM_BYTES:
+        if len(body) < COMPRESSED_FROM_BYTES:
             return headers, body
         if self._last_packed[0] != body:
-            self._last_packed = (body, pack(body))
-        return [*headers, PACKED], self._last_packed[1]
+            self._last_packed = (body, compress_body(body))
+        return [*headers, COMPRESSED], self._last_packed[1]
 
     def _client(
         self, clients: dict[str, HttpClient], instance: str, address: Address
--- a/bluebellrun/platform/_messages.py
+++ b/bluebellrun/platform/_messages.py
@@ -2,7 +2,14 @@
 
 from bluebellrun.core import is_whole_number
 from bluebellrun.gateway import Attempt, BadRequestError, CallerRequest, UpstreamAnswer
-from bluebellrun.http import AcceptResponse, Headers, HttpRequest, end_to_end, header_value
+from bluebellrun.http import (
+    AcceptResponse,
+    Headers,
+    HttpRequest,
+    end_to_end,
+    header_value,
+    read_retry_after_s,
+)
 from bluebellrun.platform._names import (
     DEADLINE_MS,
     EXPECT_INSTANCE,
@@ -14,11 +21,14 @@
     PRIORITY,
     REQUEST_ID,
     RETRY_AFTER,
+    SERVER_LEAVING,
     TENANT,
     TOKEN_COUNT,
 )
 
 MISDIRECTED = 421
+UNAVAILABLE = 503
+LEAVING = "1"
 # Headers that the system sets itself, or that end here.
 NOT_PASSED_ON = frozenset(
     {
@@ -96,6 +106,8 @@
             headers=[(k, v) for k, v in end_to_end(headers) if k != "content-length"],
             not_run=status == MISDIRECTED or header_value(headers, NOT_RUN) is not None,
             misdirected=status == MISDIRECTED,
+            leaving=header_value(headers, SERVER_LEAVING) == LEAVING,
+            retry_after_s=read_retry_after_s(headers) if status == UNAVAILABLE else None,
         )
 
     def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
--- a/bluebellrun/platform/_names.py
+++ b/bluebellrun/platform/_names.py
@@ -12,6 +12,7 @@
 LENGTH_HINT = "x-bluebellrun-length-hint"
 LAST_EVENT_ID = "last-event-id"
 RETRY_AFTER = "retry-after"
+SERVER_LEAVING = "server-leaving"
 
 READY_PATH = "/api/ready"
 REPORT_PATH = "/api/report"
--- a/bluebellrun/platform/_registrations.py
+++ b/bluebellrun/platform/_registrations.py
@@ -15,6 +15,7 @@
     zone: str
     state: str
     slots: int
+    born: int = 0
 
 
 _decoder = msgspec.json.Decoder(_Registration)
@@ -41,4 +42,5 @@
         failure_domain=record.zone,
         slots=record.slots,
         leaving=record.state == "draining",
+        born=record.born,
     )
--- a/bluebellrun/platform/_relay.py
+++ b/bluebellrun/platform/_relay.py
@@ -9,22 +9,22 @@
 
 from bluebellrun.core import Address
 from bluebellrun.http import (
+    COMPRESSED,
     ClientTimeouts,
     Headers,
     HttpClient,
     HttpExchange,
     HttpRequest,
     TransportError,
+    decompress_body,
     end_to_end,
 )
 from bluebellrun.platform._engine_messages import (
     COUNTS_KNOWN,
     COUNTS_PATH,
     MAX_ANSWER_BYTES,
-    PACKED,
     Picked,
     RankCountsTold,
-    unpack,
 )
 from bluebellrun.platform._names import ORDER_PATH, PICKED_PATH, REPORT_PATH
 from bluebellrun.telemetry import get_logger
@@ -100,9 +100,9 @@
     async def _pass_on(self, request: HttpRequest, headers: Headers) -> _Answer:
         """Pass a call on as it came; answer an order to prepare a map once that is done."""
         body = request.body
-        if PACKED in headers:
-            headers = [header for header in headers if header != PACKED]
-            body = unpack(body)
+        if COMPRESSED in headers:
+            headers = [header for header in headers if header != COMPRESSED]
+            body = decompress_body(body)
         answer = await self._ask(request.method, request.target, headers, body)
         if answer[0] == ACCEPTED and await self._copies_in_time(body, headers):
             return OK, [], b""
--- a/bluebellrun/routing/__init__.py
+++ b/bluebellrun/routing/__init__.py
@@ -1,5 +1,6 @@
 """Routing at the entry: which upstream a request is offered to."""
 
+from bluebellrun.routing._backoff import LONGEST_BACKOFF_S, RequestedBackoff
 from bluebellrun.routing._baselines import LeastRequestsRouting, RoundRobinRouting
 from bluebellrun.routing._ejection import OutlierEjection
 from bluebellrun.routing._expected_finish import ExpectedFinishRouting
@@ -11,12 +12,14 @@
 from bluebellrun.routing._send_budget import SendBudget, SendBudgetSettings
 
 __all__ = [
+    "LONGEST_BACKOFF_S",
     "ROUTING_POLICIES",
     "Candidate",
     "ExpectedFinishRouting",
     "LeastRequestsRouting",
     "LeastWorkRouting",
     "OutlierEjection",
+    "RequestedBackoff",
     "RetryBudget",
     "RetrySettings",
     "RoundRobinRouting",
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -1,9 +1,10 @@
 from bluebellrun.core import Address
 from bluebellrun.gateway import Upstream, UpstreamDirectory
+from bluebellrun.gateway._directory import LEAVING_TOLD_S
 
 
-def upstream(instance, leaving=False, service="s"):
-    return Upstream(instance, service, Address("10.0.0.1", 80), "a", 6, leaving)
+def upstream(instance, leaving=False, service="s", born=0):
+    return Upstream(instance, service, Address("10.0.0.1", 80), "a", 6, leaving, born)
 
 
 def names(directory, now=0.0):
@@ -67,3 +68,36 @@
     assert names(directory) == []
     directory.put(upstream("one"))
     assert names(directory) == ["one"]
+
+
+def test_what_an_upstream_said_itself_holds_against_every_older_registration():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one"))
+    assert directory.note_leaving(("one", 0), 5.0)
+    assert not directory.note_leaving(("one", 0), 6.0)
+    directory.put(upstream("one"))
+    assert names(directory) == []
+    directory.remove("one", 7.0, store_in_trouble=True)
+    directory.put(upstream("one"))
+    assert names(directory) == []
+
+
+def test_news_that_an_upstream_leaves_may_come_before_its_registration():
+    directory = UpstreamDirectory()
+    directory.note_leaving(("one", 0), 5.0)
+    directory.put(upstream("one"))
+    assert names(directory) == []
+
+
+def test_the_next_life_under_an_instance_is_not_bound_by_what_the_former_said():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one", born=2))
+    directory.note_leaving(("one", 1), 5.0)
+    assert names(directory) == ["one"]
+
+
+def test_other_entries_are_told_for_a_while_that_an_upstream_leaves():
+    directory = UpstreamDirectory()
+    directory.note_leaving(("one", 1), 5.0)
+    assert directory.leaving_lately(5.0) == [("one", 1)]
+    assert directory.leaving_lately(5.0 + LEAVING_TOLD_S) == []
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -1,7 +1,7 @@
 from random import Random
 
 from bluebellrun.core import Address, BootClock
-from bluebellrun.gateway import StoreView, UpstreamDirectory
+from bluebellrun.gateway import Fleet, StoreView, UpstreamDirectory
 from bluebellrun.gateway._gossip import TOLD_AT_A_TIME, Gossip, silent_after_s
 from bluebellrun.gateway._peers import SILENT_S, EntryNews, PeerTable
 from bluebellrun.gateway._slow_upstreams import SlowUpstreams
@@ -17,7 +17,9 @@
         store, PlatformCatalogue(), UpstreamDirectory(), lambda d: True, BootClock(), Random(1)
     )
     news = EntryNews("me", "i", 1, str(NOWHERE), 0.0, {})
-    return Gossip(NOWHERE, "e/me", store, view, PeerTable("me"), SlowUpstreams(), lambda: news)
+    fleet = Fleet(UpstreamDirectory(), "a", Random(1))
+    table, slow = PeerTable("me"), SlowUpstreams()
+    return Gossip(NOWHERE, "e/me", store, view, table, slow, fleet, lambda: news)
 
 
 def peers(count: int) -> list[Address]:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -11,6 +11,8 @@
     sent = news("e", 3, {"u": 2})
     assert decode_news(encode_news(sent)) == sent
     assert decode_news(b"\xc1 noise") is None
+    leaving = EntryNews("e", "i", 3, "10.0.0.1:7000", 0.0, {}, None, [("u", 7)])
+    assert decode_news(encode_news(leaving)) == leaving
 
 
 def test_the_work_of_all_other_entries_adds_up():
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -15,9 +15,8 @@
 from bluebellrun.core import Address
 from bluebellrun.gateway import BadRequestError, EventSplitter, News, RankCallError, Upstream
 from bluebellrun.gateway._peers import EntryNews, PeerTable, decode_news, encode_news
-from bluebellrun.http import AnswerTooLongError, HttpRequest
+from bluebellrun.http import AnswerTooLongError, HttpRequest, decompress_body
 from bluebellrun.platform import EngineCalls, PlatformCatalogue, PlatformWire
-from bluebellrun.platform._engine_messages import unpack
 from tests.endless import serving
 from tests.machines import example_count
 from tests.platform.upstreams import CONFIGURATION
@@ -117,7 +116,7 @@
 @given(st.one_of(st.binary(max_size=100), damaged(b"x\x9cKLJNI\x04\x00\x05\x8c\x01\xf5")))
 def test_a_body_that_is_not_compressed_is_a_value_error(data):
     try:
-        unpack(data)
+        decompress_body(data)
     except ValueError:
         return
 
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -231,3 +231,17 @@
         assert engine.orders == []
 
     curio.run(main)
+
+
+@pytest.mark.parametrize("wants_requests", [True, False])
+def test_an_engine_that_wants_no_requests_of_this_process_is_not_called_directly(wants_requests):
+    async def check(engine: Engine, _: EngineCalls, upstream: Upstream) -> None:
+        calls = EngineCalls(1, lambda asked: wants_requests)
+        if wants_requests:
+            await calls.give(upstream, HoldPass(4), 3, 12)
+        else:
+            with pytest.raises(RankCallError, match="wants no requests"):
+                await calls.give(upstream, HoldPass(4), 3, 12)
+        assert len(engine.orders) == int(wants_requests)
+
+    play(check)
