Listen before loading; let early requests wait for the first configuration

A gateway listened after 0.6 s of imports (0.2 s of processor time on the fast hosts, 0.6 s on the small ones), so callers whose streams were cut came back to closed ports, and the first ones to an entry without a configuration were refused although it was read 30 ms later. Most have one retry.

A request that finds no configuration waits 0.4 s for the first reading. The gateway package loads its parts at first use.

Ruled out: structlog without rich tracebacks (0.1 s; its import is the library's own) and prometheus without asyncio (0.04 s): both come after the socket is open now.

--- a/bluebellrun/gateway/__init__.py
+++ b/bluebellrun/gateway/__init__.py
@@ -1,39 +1,79 @@
-"""The gateway: an entry that sends callers' requests straight to upstreams."""
+"""The gateway: an entry that sends callers' requests straight to upstreams.
 
-from bluebellrun.gateway._directory import UpstreamDirectory
-from bluebellrun.gateway._events import EventSplitter, WholeEvents
-from bluebellrun.gateway._fleet import Fleet
-from bluebellrun.gateway._gateway import Gateway
-from bluebellrun.gateway._models import (
-    Answered,
-    Attempt,
-    BrokenOff,
-    CallerRequest,
-    Refused,
-    Result,
-    Unresolved,
-    Upstream,
-    UpstreamAnswer,
-)
-from bluebellrun.gateway._news import (
-    ConfigurationWritten,
-    News,
-    RecordWritten,
-    StoreReader,
-    Unreadable,
-    UpstreamRemoved,
-    UpstreamWritten,
-)
-from bluebellrun.gateway._ports import (
-    BadRequestError,
-    OrderReply,
-    RankCallError,
-    RankCalls,
-    RankReplacedError,
-    Wire,
-)
-from bluebellrun.gateway._relay import Relay
-from bluebellrun.gateway._store_view import StoreView
+Its program listens before it loads the rest, so nothing is loaded before it is used.
+"""
+
+from typing import TYPE_CHECKING
+
+from bluebellrun.core import load_at_first_use
+
+if TYPE_CHECKING:
+    from bluebellrun.gateway._directory import UpstreamDirectory
+    from bluebellrun.gateway._events import EventSplitter, WholeEvents
+    from bluebellrun.gateway._fleet import Fleet
+    from bluebellrun.gateway._gateway import Gateway
+    from bluebellrun.gateway._models import (
+        Answered,
+        Attempt,
+        BrokenOff,
+        CallerRequest,
+        Refused,
+        Result,
+        Unresolved,
+        Upstream,
+        UpstreamAnswer,
+    )
+    from bluebellrun.gateway._news import (
+        ConfigurationWritten,
+        News,
+        RecordWritten,
+        StoreReader,
+        Unreadable,
+        UpstreamRemoved,
+        UpstreamWritten,
+    )
+    from bluebellrun.gateway._ports import (
+        BadRequestError,
+        OrderReply,
+        RankCallError,
+        RankCalls,
+        RankReplacedError,
+        Wire,
+    )
+    from bluebellrun.gateway._relay import Relay
+    from bluebellrun.gateway._store_view import StoreView
+
+_LOADED_AT_FIRST_USE = {
+    "Answered": "_models",
+    "Attempt": "_models",
+    "BadRequestError": "_ports",
+    "BrokenOff": "_models",
+    "CallerRequest": "_models",
+    "ConfigurationWritten": "_news",
+    "EventSplitter": "_events",
+    "Fleet": "_fleet",
+    "Gateway": "_gateway",
+    "News": "_news",
+    "OrderReply": "_ports",
+    "RankCallError": "_ports",
+    "RankCalls": "_ports",
+    "RankReplacedError": "_ports",
+    "RecordWritten": "_news",
+    "Refused": "_models",
+    "Relay": "_relay",
+    "Result": "_models",
+    "StoreReader": "_news",
+    "StoreView": "_store_view",
+    "Unreadable": "_news",
+    "Unresolved": "_models",
+    "Upstream": "_models",
+    "UpstreamAnswer": "_models",
+    "UpstreamDirectory": "_directory",
+    "UpstreamRemoved": "_news",
+    "UpstreamWritten": "_news",
+    "WholeEvents": "_events",
+    "Wire": "_ports",
+}
 
 __all__ = [
     "Answered",
@@ -66,3 +106,5 @@
     "WholeEvents",
     "Wire",
 ]
+
+__getattr__ = load_at_first_use(__name__, _LOADED_AT_FIRST_USE)
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -36,7 +36,10 @@
 NOT_FOUND = 404
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
-# A process that was just started has its configuration within a moment.
+# A process that was just started reads its configuration within some tens of milliseconds, while
+# the store is sound; a request that comes before waits for it so long.
+FIRST_READING_S = 0.4
+FIRST_READING_POLL_S = 0.02
 NO_DEPLOYMENT_RETRY_S = 0.5
 STOPPING_RETRY_S = 0.1
 # Entries taken to share the budget of further sends until the register has been read.
@@ -118,7 +121,7 @@
         except BadRequestError as error:
             await self._refuse(exchange, "", Refused(BAD_REQUEST, str(error)))
             return
-        deployment = self._deployment
+        deployment = await self._await_deployment()
         checked = self._check(request, deployment)
         if isinstance(checked, Refused) or deployment is None:
             await self._refuse(exchange, request.id, checked)
@@ -126,6 +129,13 @@
         route = checked
         await self._relay(exchange, request, route, deployment)
 
+    async def _await_deployment(self) -> Deployment | None:
+        """Return the configuration in force; right after a start, wait a moment for the first."""
+        until = time.monotonic() + FIRST_READING_S
+        while self._deployment is None and time.monotonic() < until:
+            await curio.sleep(FIRST_READING_POLL_S)
+        return self._deployment
+
     def _check(self, request: CallerRequest, deployment: Deployment | None) -> Route | Refused:
         """Return a request's route, or why it is refused."""
         if deployment is None:
--- /dev/null
+++ b/bluebellrun/gateway/_process.py
@@ -0,0 +1,282 @@
+"""A gateway's process: wiring only."""
+
+import itertools
+import signal
+import socket
+import time
+from collections.abc import Callable
+from random import Random
+
+import curio
+
+from bluebellrun.core import Address, BootClock, MonotonicClock, new_incarnation
+from bluebellrun.deployment import Deployment, HostSettings
+from bluebellrun.gateway._catch_up import UNHEARD_S, CatchUp
+from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.gateway._expert_maps import ExpertMaps
+from bluebellrun.gateway._fleet import Fleet
+from bluebellrun.gateway._gateway import Gateway
+from bluebellrun.gateway._gossip import Gossip
+from bluebellrun.gateway._lifecycle import Lifecycle
+from bluebellrun.gateway._peers import EntryNews, PeerTable
+from bluebellrun.gateway._role import LEASE_S, PlacementRole, take_over_pause_s
+from bluebellrun.gateway._slow_upstreams import SlowUpstreams
+from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
+from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
+from bluebellrun.leases import RoleHolder
+from bluebellrun.platform import (
+    OWN_PREFIX,
+    READY_PATH,
+    EngineCalls,
+    PlatformCatalogue,
+    PlatformStore,
+    PlatformWire,
+    SettingsError,
+    read_settings,
+    settings_path,
+)
+from bluebellrun.runtime import StopSignals, run_program, spawn_background
+from bluebellrun.store import StoreTimeouts
+from bluebellrun.telemetry import ServingMetrics, configure_serving_logs, get_logger
+
+OK = 200
+NOT_FOUND = 404
+UNAVAILABLE = 503
+# Answers of a slow store take a quarter of a second; a caller's time to be served is a few.
+STORE_CALL_S = 1.5
+# The address of the metrics, as the deploy file names it.
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+# The role of the process that keeps the expert maps.
+PLACEMENT_ROLE = "placement"
+# Upstreams that are gone are forgotten this often.
+TIDY_INTERVAL_S = 1.0
+
+_log = get_logger("gateway")
+
+
+def _limits(deployment: Deployment) -> HttpLimits:
+    """Return the limits on callers that a configuration declares."""
+    limits = deployment.limits
+    return HttpLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+    )
+
+
+def _readiness(ready: Callable[[], bool]) -> HttpHandler:
+    """Return a handler that tells whether this process takes callers."""
+
+    async def handle(exchange: HttpExchange) -> None:
+        if exchange.request.path != READY_PATH:
+            await exchange.answer_json(NOT_FOUND, {"detail": f"only {READY_PATH} is here"})
+            return
+        await exchange.answer_json(OK if ready() else UNAVAILABLE, {"ready": ready()})
+
+    return handle
+
+
+def _texts(metrics: ServingMetrics) -> HttpHandler:
+    """Return a handler that gives the metrics as text."""
+
+    async def handle(exchange: HttpExchange) -> None:
+        if exchange.request.path != METRICS_PATH:
+            await exchange.answer_json(NOT_FOUND, {"detail": f"only {METRICS_PATH} is here"})
+            return
+        await exchange.answer(OK, [("content-type", "text/plain; version=0.0.4")], metrics.text())
+
+    return handle
+
+
+def _show(metrics: ServingMetrics, gateway: Gateway, view: StoreView, role: PlacementRole) -> None:
+    """Show what the process believes."""
+
+    def version() -> float:
+        return 0 if gateway.deployment is None else gateway.deployment.version
+
+    metrics.gauge("bluebellrun_in_progress", "Requests in progress", lambda: gateway.in_progress)
+    metrics.gauge("bluebellrun_configuration_version", "Configuration in force", version)
+    metrics.gauge(
+        "bluebellrun_store_silence_seconds", "Seconds since the store spoke", view.silence_s
+    )
+    metrics.gauge(
+        "bluebellrun_keeps_maps",
+        "1 if this process keeps the expert maps",
+        lambda: float(role.lease() is not None),
+    )
+
+
+class _Process:
+    """The parts of a gateway, joined."""
+
+    def __init__(self, settings: HostSettings, listening: socket.socket) -> None:
+        if settings.callers is None or settings.readiness is None:
+            raise SettingsError(
+                "no address for callers or readiness; run the role where both are set"
+            )
+        self._settings = settings
+        self._random = Random()
+        self._directory = UpstreamDirectory()
+        self._peers = PeerTable(settings.host)
+        self._metrics = ServingMetrics()
+        self._slow = SlowUpstreams()
+        self._fleet = Fleet(
+            self._directory,
+            settings.failure_domain,
+            self._random,
+            self._peers.running,
+            self._slow.current,
+        )
+        self._gateway = Gateway(
+            settings, self._fleet, PlatformWire(), self._random, self._metrics.note_request
+        )
+        self._server = HttpServer(
+            settings.callers, self._gateway.handle, HttpLimits(), listening=listening
+        )
+        self._watching = watch_timing(settings.bounds, STORE_CALL_S)
+        self._store = PlatformStore(
+            settings.store.address, StoreTimeouts(STORE_CALL_S), self._watching
+        )
+        self._view = StoreView(
+            self._store,
+            PlatformCatalogue(),
+            self._directory,
+            self._put_in_force,
+            MonotonicClock(),
+            self._random,
+            watch_check_s(self._watching, STORE_CALL_S),
+        )
+        self._role = self._make_role()
+        self._maps = ExpertMaps(
+            self._role,
+            EngineCalls(settings.ports.first, self._fleet.wants_requests),
+            self._directory,
+            lambda: self._gateway.deployment,
+            self._slow,
+            self._load,
+        )
+        self._join_entries()
+        self._lifecycle = Lifecycle(self._gateway, self._server, settings.bounds)
+        self._readiness = HttpServer(
+            settings.readiness, _readiness(lambda: self._lifecycle.ready), HttpLimits()
+        )
+        _show(self._metrics, self._gateway, self._view, self._role)
+        address = Address(settings.ip, METRICS_PORT)
+        self._collectors = HttpServer(address, _texts(self._metrics), HttpLimits())
+
+    async def run(self) -> None:
+        """Serve until told to stop, then stop gracefully."""
+        signals = StopSignals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+        await self._start()
+        while (number := await signals.next()) == signal.SIGHUP:
+            _reload(self._settings)
+        _log.info("stopping", signal=number.name, in_progress=self._gateway.in_progress)
+        await self._role.release()
+        await self._lifecycle.stop()
+        _log.info("stopped", in_progress=self._gateway.in_progress)
+
+    async def _start(self) -> None:
+        """Start the servers and what goes on beside them."""
+        servers = (self._server, self._readiness, self._collectors)
+        for task in (*(server.run for server in servers), self._catch_up.serve):
+            await spawn_background(task)
+        gossip = self._gossip
+        for task in (self._view.run, self._catch_up.run, gossip.run, gossip.keep_registered):
+            await spawn_background(task)
+        for task in (self._role.run, self._maps.run, self._tidy):
+            await spawn_background(task)
+        settings = self._settings
+        _log.info("started", callers=str(settings.callers), domain=settings.failure_domain)
+
+    def _make_role(self) -> PlacementRole:
+        """Return the role of keeping the expert maps."""
+        clock = BootClock()
+        holder = RoleHolder(
+            self._store,
+            OWN_PREFIX.rstrip("/"),
+            PLACEMENT_ROLE,
+            self._settings.host,
+            LEASE_S,
+            clock,
+            self._random,
+        )
+        settings = self._settings
+        pause_s = take_over_pause_s(settings.link_bits_s)
+        return PlacementRole(holder, self._view, clock, settings.bounds.fenced_orders, pause_s)
+
+    def _load(self, service: str) -> float:
+        """Return the part of a service's places that is taken, by all entries."""
+        places = self._fleet.places(service, time.monotonic())
+        return places.taken / places.total if places.total else 0.0
+
+    def _join_entries(self) -> None:
+        """Make what this entry and the others tell each other."""
+        settings = self._settings
+        self._inner = Address(settings.ip, settings.ports.first)
+        self._incarnation = new_incarnation()
+        self._numbers = itertools.count(1)
+        self._catch_up = CatchUp(self._inner, self._view, self._peers, self._watching.wait_s)
+        key = f"{OWN_PREFIX}entries/{settings.host}"
+        self._gossip = Gossip(
+            self._inner,
+            key,
+            self._store,
+            self._view,
+            self._peers,
+            self._slow,
+            self._fleet,
+            self._news,
+        )
+
+    def _news(self) -> EntryNews:
+        """Return what the other entries are told next."""
+        return EntryNews(
+            self._settings.host,
+            self._incarnation,
+            next(self._numbers),
+            str(self._inner),
+            min(self._view.silence_s(), UNHEARD_S),
+            self._fleet.running_here(),
+            None if self._role.lease() is None else dict(self._slow.slowness),
+            self._directory.leaving_lately(time.monotonic()),
+        )
+
+    def _put_in_force(self, deployment: Deployment) -> bool:
+        """Take a configuration and the limits on callers that it declares."""
+        in_force = self._gateway.put_in_force(deployment)
+        if in_force:
+            self._server.limits = _limits(deployment)
+        return in_force
+
+    async def _tidy(self) -> None:
+        """Forget upstreams that are gone and count the entries, until cancelled."""
+        while True:
+            await curio.sleep(TIDY_INTERVAL_S)
+            self._gateway.set_entries(1 + len(self._gossip.peers))
+            await self._fleet.forget_gone()
+
+
+async def _run(settings: HostSettings, listening: socket.socket) -> None:
+    """Run until told to stop."""
+    configure_serving_logs(process=settings.host)
+    await _Process(settings, listening).run()
+
+
+def _reload(settings: HostSettings) -> None:
+    """Read the settings file again and say what changed; changes need a new start."""
+    try:
+        changed = read_settings(settings_path())
+    except SettingsError as error:
+        _log.error("settings refused; the old ones stay in force", error=str(error))
+        return
+    names = [
+        name for name in settings.__slots__ if getattr(settings, name) != getattr(changed, name)
+    ]
+    _log.info("settings read again", changed=names, need_restart=names)
+
+
+def serve(settings: HostSettings, listening: socket.socket) -> None:
+    """Serve the callers that connect to a listening socket until told to stop."""
+    run_program(_run, settings, listening)
--- a/bluebellrun/http/_listener.py
+++ b/bluebellrun/http/_listener.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import curio
-from curio import network, socket
+from curio import io, network, socket
 
 from bluebellrun.core import Address
 from bluebellrun.http._exceptions import ConnectError
@@ -26,7 +26,10 @@
 
 
 class Listener:
-    """Accept connections on one address until closed."""
+    """Accept connections on one address until closed.
+
+    With ``listening``, a socket that listens on it already, none is opened.
+    """
 
     def __init__(
         self,
@@ -35,8 +38,14 @@
         max_connections: int = 4_096,
         tls: Tls | None = None,
         turn_away: ConnectionHandler | None = None,
+        listening: Any = None,
     ) -> None:
-        self._socket = network.tcp_server_socket(address.ip, address.port, backlog=ACCEPT_BACKLOG)
+        if listening is None:
+            self._socket = network.tcp_server_socket(
+                address.ip, address.port, backlog=ACCEPT_BACKLOG
+            )
+        else:
+            self._socket = io.Socket(listening)
         self._handler = handler
         self._max_connections = max_connections
         self._tls = tls
--- a/bluebellrun/http/_server.py
+++ b/bluebellrun/http/_server.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -139,12 +140,17 @@
     """Serve HTTP/1.1 on one address."""
 
     def __init__(
-        self, address: Address, handler: HttpHandler, limits: HttpLimits, tls: Tls | None = None
+        self,
+        address: Address,
+        handler: HttpHandler,
+        limits: HttpLimits,
+        tls: Tls | None = None,
+        listening: socket.socket | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._listener = Listener(
-            address, self._serve, limits.max_connections, tls, self._turn_away
+            address, self._serve, limits.max_connections, tls, self._turn_away, listening
         )
         self._closing = False
         self._idle: set[_Connection] = set()
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -9,12 +9,16 @@
 
 from bluebellrun.core import Address
 from bluebellrun.gateway import Upstream
-from bluebellrun.http import Listener
+from bluebellrun.gateway._listening import open_listening_socket
+from bluebellrun.http import HttpLimits, HttpServer, Listener
+from bluebellrun.platform._configuration import read_configuration
 from tests.platform.upstreams import (
+    CONFIGURATION,
     Scene,
     cuts,
     events,
     is_silent,
+    read_answer,
     reply,
     request_bytes,
     says,
@@ -96,6 +100,31 @@
     play(check, ("u1", says(reply(200))), configured=False)
 
 
+def test_a_request_that_comes_before_the_first_reading_of_the_store_waits_for_it():
+    async def check(scene: Scene) -> None:
+        asked = await curio.spawn(scene.ask, "/ask/a")
+        await curio.sleep(0.1)
+        scene.gateway.put_in_force(read_configuration(CONFIGURATION, 1))
+        assert (await asked.join()).status == 200
+
+    play(check, ("u1", says(reply(200))), configured=False)
+
+
+def test_a_caller_that_connects_before_the_server_is_loaded_is_answered():
+    async def check(scene: Scene) -> None:
+        listening = open_listening_socket(Address("127.0.0.1", 0))
+        address = Address(*listening.getsockname())
+        sock = await curio.open_connection(address.ip, address.port)
+        await sock.sendall(request_bytes("/ask/a", "GET", b"", {}))
+        server = HttpServer(address, scene.gateway.handle, HttpLimits(), listening=listening)
+        await curio.spawn(server.run, daemon=True)
+        assert (await read_answer(sock)).status == 200
+        await sock.close()
+        await server.close()
+
+    play(check, ("u1", says(reply(200))))
+
+
 def test_a_request_that_an_upstream_did_not_run_goes_to_another_one():
     async def check(scene: Scene) -> None:
         assert (await scene.ask("/once/a", "POST", b"x")).status == 200
