Take the role of the maps from a silent keeper; hold and release passes without a third host

Whoever gave the last order to a rank freezes; orders went through the process beside the rank, so that the frozen host was that of the rank that held a pass, and the release could not reach it until it woke.

The keeper now gives the orders to hold and to release a pass to the engine itself, the process beside it being the second way. A keeper that freezes is found by its news: after 0.6 s without any while three quarters of the others are heard, another entry deposes it (deletes its record under its revision) and takes the role; only where ranks refuse older fencing numbers, so that orders of the old keeper that come late do nothing. The old one stops acting once it reads the new record.

Telling counts as differences moved to the sidecar's package: it is no translation.

--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -32,6 +32,8 @@
 RETRY_INTERVAL_S = 0.5
 # Datagrams are lost now and then; after so many turns without one an entry is taken to be gone.
 TURNS_TO_BE_SILENT = 4
+# One that may hold up a group is suspected sooner.
+SUSPECT_PART = 0.6
 MAX_DATAGRAM_BYTES = 60_000
 
 _log = get_logger("gossip")
@@ -76,6 +78,11 @@
                 _log.warning("entry ignored", key=record.key, reason=str(error))
         return found
 
+    def is_silent(self, entry: str) -> bool:
+        """Return whether an entry told nothing for a while that others went on telling."""
+        silent_s = SUSPECT_PART * silent_after_s(len(self.peers))
+        return self._table.is_silent_alone(entry, silent_s, time.monotonic())
+
     async def run(self) -> None:
         """Exchange news until cancelled."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -59,14 +59,35 @@
 SILENT_S = 1.0
 
 
+# An entry is silent by itself when so large a part of the others was heard lately.
+HEARD_PART = 3 / 4
+# Entries that were not heard for so long count no more among the others.
+OTHERS_KEPT_S = 10.0
+
+
 class PeerTable:
     """The latest news of each other entry; times in seconds."""
 
     def __init__(self, entry: str) -> None:
         self._entry = entry
         self._heard: dict[str, _Heard] = {}
+        self._heard_at: dict[str, float] = {}
         self._running: dict[str, int] = {}
 
+    def is_silent_alone(self, entry: str, silent_s: float, now: float) -> bool:
+        """Return whether an entry fell silent while most of the others are heard.
+
+        It was heard at least once and not for ``silent_s``; the others within half of that. Where
+        many are silent it may be this process that cannot hear them.
+        """
+        at = self._heard_at.get(entry)
+        if at is None or now - at < silent_s:
+            return False
+        ages = [now - at for name, at in self._heard_at.items() if name != entry]
+        ages = [age for age in ages if age < OTHERS_KEPT_S]
+        heard = sum(age < silent_s / 2 for age in ages)
+        return heard > 0 and heard >= HEARD_PART * len(ages)
+
     def best_informed(self) -> EntryNews | None:
         """Return the news of the entry that heard the store last, or none."""
         news = (heard.news for heard in self._heard.values())
@@ -81,6 +102,7 @@
         if same_life and known is not None and news.number <= known.news.number:
             return False
         self._heard[news.entry] = _Heard(news, now)
+        self._heard_at[news.entry] = now
         if known is not None:
             self._add(known.news, -1)
         self._add(news, 1)
@@ -91,6 +113,8 @@
         silent = [name for name, heard in self._heard.items() if now - heard.at > silent_after_s]
         for name in silent:
             self._add(self._heard.pop(name).news, -1)
+        for name in [n for n, at in self._heard_at.items() if now - at > OTHERS_KEPT_S]:
+            del self._heard_at[name]
 
     def running(self, instance: str) -> int:
         """Return the requests that other entries have at an upstream."""
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -204,7 +204,14 @@
         )
         settings = self._settings
         pause_s = take_over_pause_s(settings.link_bits_s)
-        return PlacementRole(holder, self._view, clock, settings.bounds.fenced_orders, pause_s)
+        return PlacementRole(
+            holder,
+            self._view,
+            clock,
+            settings.bounds.fenced_orders,
+            pause_s,
+            lambda host: self._gossip.is_silent(host),
+        )
 
     def _load(self, service: str) -> float:
         """Return the part of a service's places that is taken, by all entries."""
--- a/bluebellrun/gateway/_role.py
+++ b/bluebellrun/gateway/_role.py
@@ -1,10 +1,12 @@
 """Hold the role of keeping expert maps: one process of all, by a lease in the store."""
 
+from collections.abc import Callable
+
 import curio
 
 from bluebellrun.core import Clock
 from bluebellrun.gateway._store_view import StoreView
-from bluebellrun.leases import LeaseError, RoleHolder, RoleLease
+from bluebellrun.leases import LeaseError, RoleHolder, RoleLease, decode_record
 from bluebellrun.telemetry import get_logger
 
 # The lease is renewed several times within its two seconds, so that one lost answer is no loss.
@@ -25,7 +27,9 @@
     """Take the role when nobody has it, and keep it.
 
     Where ranks refuse older fencing numbers, the holder acts on while the store cannot be asked:
-    should another process take the role meanwhile, the ranks tell the two apart.
+    should another process take the role meanwhile, the ranks tell the two apart. For the same
+    reason a holder that the others no longer hear is deposed before its lease ends: its group may
+    be waiting for it.
     """
 
     def __init__(
@@ -35,12 +39,14 @@
         clock: Clock,
         fenced: bool,
         take_over_pause_s: float = TAKE_OVER_PAUSE_S,
+        is_silent: Callable[[str], bool] = lambda host: False,
     ) -> None:
         self._holder = holder
         self._view = view
         self._clock = clock
         self._fenced = fenced
         self._take_over_pause_s = take_over_pause_s
+        self._is_silent = is_silent
         self._had: int | None = None
         self._last: RoleLease | None = None
         self._refused: set[int] = set()
@@ -50,7 +56,9 @@
         lease = self._holder.current(self._clock.now())
         if lease is None and self._fenced:
             lease = self._last
-        return None if lease is None or lease.number in self._refused else lease
+        if lease is None or lease.number in self._refused or self._is_taken_from(lease):
+            return None
+        return lease
 
     async def lose(self, number: int) -> None:
         """Stop acting under a number: a rank has seen a higher one."""
@@ -76,14 +84,35 @@
 
     async def _step(self) -> None:
         """Renew the role, or take it if it is free."""
+        if self._last is not None and self._is_taken_from(self._last):
+            await self.release()
         if self._last is not None or self._holder.current(self._clock.now()) is not None:
             self._last = await self._holder.renew()
         elif self._view.confirmed_at is not None and self._is_free():
             await curio.sleep(self._take_over_pause_s)
             if self._is_free():
                 self._last = await self._holder.acquire()
+        elif self._fenced and await self._depose_silent():
+            self._last = await self._holder.acquire()
         self._note_change()
 
+    async def _depose_silent(self) -> bool:
+        """Depose a holder that has fallen silent; return whether the role is free by that."""
+        record = self._view.record(self._holder.key)
+        if record is None or record.value is None or self._view.confirmed_at is None:
+            return False
+        holder = decode_record(record.value).holder
+        if not self._is_silent(holder):
+            return False
+        deposed = await self._holder.depose(record.revision)
+        _log.warning("silent holder of the role deposed", holder=holder, deposed=deposed)
+        return deposed
+
+    def _is_taken_from(self, lease: RoleLease) -> bool:
+        """Return whether another process has taken the role since this one did."""
+        record = self._view.record(self._holder.key)
+        return record is not None and record.value is not None and record.revision > lease.number
+
     def _is_free(self) -> bool:
         """Return whether the store shows no holder, or this process after a lost answer."""
         return self._view.record(self._holder.key) is None or self._had is not None
--- a/bluebellrun/leases/_holder.py
+++ b/bluebellrun/leases/_holder.py
@@ -114,6 +114,20 @@
         except PlatformError as error:
             _log.info("role left to lapse", role=self._role, error=str(error))
 
+    async def depose(self, revision: int) -> bool:
+        """Delete the record that another holder wrote at a revision; return whether it was there.
+
+        Only where whoever is acted on refuses older fencing numbers: the other one may act on.
+        Raises ``LeaseError`` when the service cannot be asked or its answer is lost.
+        """
+        try:
+            result = await self._store.transact(
+                [Compare(self._key, revision)], [Put(self._key, None)]
+            )
+        except PlatformError as error:
+            raise LeaseError(f"role {self._role!r} cannot be taken: {error}") from error
+        return result.succeeded
+
     async def run(self) -> None:
         """Acquire and renew the role until it is released."""
         self._released = False
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -2,8 +2,8 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 from http import HTTPStatus
-from operator import add
 from typing import Any
 
 import curio
@@ -31,13 +31,9 @@
     RankState,
     ReleasePass,
 )
-from bluebellrun.platform._engine_messages import (
-    COUNTS_KNOWN,
-    COUNTS_PATH,
-    MAX_ANSWER_BYTES,
-    RankCountsTold,
-)
+from bluebellrun.platform._engine_messages import MAX_ANSWER_BYTES
 from bluebellrun.platform._names import EXPECT_INSTANCE, ORDER_PATH, PICKED_PATH, REPORT_PATH
+from bluebellrun.sidecar import COUNTS_KNOWN, COUNTS_PATH, RankCountsTold, whole_counts
 from bluebellrun.telemetry import get_logger
 
 OK = 200
@@ -63,6 +59,16 @@
 _log = get_logger("engine-calls")
 
 
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """A call to an engine, and the seconds that the process beside it has to pass it on."""
+
+    method: str
+    target: str
+    body: bytes = b""
+    relay_timeout_s: float = RELAY_TIMEOUT_S
+
+
 class _NoAnswerError(RankCallError):
     """The process beside an engine says that the engine did not answer."""
 
@@ -141,7 +147,7 @@
 
     async def state(self, upstream: Upstream) -> RankState | None:
         """Return what an upstream says of its rank, none if it is no rank of a group."""
-        report = _decode(_report, await self._call(upstream, "GET", REPORT_PATH))
+        report = _decode(_report, await self._call(upstream, _Call("GET", REPORT_PATH)))
         group = report.group
         if group is None:
             return None
@@ -173,29 +179,31 @@
         number = 0 if known is None else known[0]
         headers = [(EXPECT_INSTANCE, instance), (COUNTS_KNOWN, str(number))]
         client = self._client(self._relays, instance, self._beside(upstream))
-        answer = await self._fetch(
-            client, upstream, "GET", COUNTS_PATH, headers, b"", COUNTS_TIMEOUT_S
-        )
+        call = _Call("GET", COUNTS_PATH)
+        answer = await self._fetch(client, upstream, call, headers, b"", COUNTS_TIMEOUT_S)
         told = _decode(_counts_told, answer)
-        if told.since and known is not None:
-            counts = tuple(map(add, known[1], told.counts))
-        else:
-            counts = tuple(told.counts)
+        counts = whole_counts(told, None if known is None else known[1])
         self._counts[instance] = (told.number, counts)
         return RankCounts(rank, told.epoch, told.born, counts, told.step)
 
     async def placement_held(self, upstream: Upstream) -> list[frozenset[int]]:
         """Return the experts that a rank holds in use, layer by layer."""
-        lists = _decode(_lists, await self._call(upstream, "GET", f"{PICKED_PATH}?lists=1"))
+        call = _Call("GET", f"{PICKED_PATH}?lists=1")
+        lists = _decode(_lists, await self._call(upstream, call))
         return [frozenset(experts) for experts in lists.map.experts]
 
     async def give(
         self, upstream: Upstream, order: RankOrder, epoch: int, fencing: int
     ) -> OrderReply:
-        """Give an order."""
-        body = self._order_body(order, epoch, fencing)
-        relay_timeout_s = PREPARE_TIMEOUT_S if isinstance(order, PrepareMap) else RELAY_TIMEOUT_S
-        status, data = await self._call(upstream, "POST", ORDER_PATH, body, relay_timeout_s)
+        """Give an order.
+
+        A group must not wait for a third host to release a pass: that order goes directly.
+        """
+        call = _Call("POST", ORDER_PATH, self._order_body(order, epoch, fencing))
+        if isinstance(order, PrepareMap):
+            call = replace(call, relay_timeout_s=PREPARE_TIMEOUT_S)
+        directly = isinstance(order, HoldPass | ReleasePass)
+        status, data = await self._call(upstream, call, directly)
         match status:
             case HTTPStatus.OK:
                 return OrderReply.DONE
@@ -217,39 +225,48 @@
                 await client.close()
 
     async def _call(
-        self,
-        upstream: Upstream,
-        method: str,
-        target: str,
-        body: bytes = b"",
-        relay_timeout_s: float = RELAY_TIMEOUT_S,
+        self, upstream: Upstream, call: _Call, directly: bool = False
     ) -> tuple[int, bytes]:
-        """Make a call by the process beside the upstream, else directly."""
+        """Make a call by the process beside the upstream, else directly, or the other way."""
+        ways = (self._by_relay, self._directly)
+        first, second = reversed(ways) if directly else ways
+        try:
+            return await first(upstream, call)
+        except (RankReplacedError, _NoAnswerError):
+            raise
+        except RankCallError as error:
+            _log.info("engine called the other way", upstream=upstream.instance, reason=str(error))
+        return await second(upstream, call)
+
+    async def _by_relay(self, upstream: Upstream, call: _Call) -> tuple[int, bytes]:
+        """Make a call by the process beside the upstream, unless that failed a moment ago."""
+        instance = upstream.instance
+        if time.monotonic() < self._avoided_until.get(instance, 0.0):
+            raise RankCallError("the process beside the engine did not answer a moment ago")
+        client = self._client(self._relays, instance, self._beside(upstream))
+        headers, body = self._packed(_headers(instance, call), call.body)
+        try:
+            return await self._fetch(client, upstream, call, headers, body, call.relay_timeout_s)
+        except (RankReplacedError, _NoAnswerError):
+            raise
+        except RankCallError:
+            self._avoided_until[instance] = time.monotonic() + RELAY_AVOIDED_S
+            raise
+
+    async def _directly(self, upstream: Upstream, call: _Call) -> tuple[int, bytes]:
+        """Call the engine itself, unless it wants no requests of this process."""
         instance = upstream.instance
-        headers = [(EXPECT_INSTANCE, instance)]
-        if body:
-            headers.append(("content-type", "application/json"))
-        if time.monotonic() >= self._avoided_until.get(instance, 0.0):
-            client = self._client(self._relays, instance, self._beside(upstream))
-            try:
-                packed = self._packed(headers, body)
-                return await self._fetch(client, upstream, method, target, *packed, relay_timeout_s)
-            except (RankReplacedError, _NoAnswerError):
-                raise
-            except RankCallError as error:
-                self._avoided_until[instance] = time.monotonic() + RELAY_AVOIDED_S
-                _log.info("engine called directly", upstream=instance, reason=str(error))
         if not self._wants_requests(upstream):
             raise RankCallError(f"{instance} wants no requests of this process for a while")
         client = self._client(self._direct, instance, upstream.address)
-        return await self._fetch(client, upstream, method, target, headers, body, CALL_TIMEOUT_S)
+        headers = _headers(instance, call)
+        return await self._fetch(client, upstream, call, headers, call.body, CALL_TIMEOUT_S)
 
     async def _fetch(
         self,
         client: HttpClient,
         upstream: Upstream,
-        method: str,
-        target: str,
+        call: _Call,
         headers: Headers,
         body: bytes,
         timeout_s: float,
@@ -257,17 +274,17 @@
         """Make a call over one connection."""
         try:
             async with curio.timeout_after(timeout_s):
-                status, data = await client.fetch(method, target, headers, body)
+                status, data = await client.fetch(call.method, call.target, headers, body)
         except curio.TaskTimeout:
-            raise RankCallError(f"{upstream.instance} did not answer {target}") from None
+            raise RankCallError(f"{upstream.instance} did not answer {call.target}") from None
         except TransportError as error:
             raise RankCallError(f"{upstream.instance}: {error}") from error
         if status == MISDIRECTED:
             raise RankReplacedError(f"another upstream has the address of {upstream.instance}")
         if status == GATEWAY_TIMEOUT:
-            raise _NoAnswerError(f"{upstream.instance} left {target} unanswered")
-        if method == "GET" and status != OK:
-            raise RankCallError(f"{upstream.instance} answered {status} to {target}")
+            raise _NoAnswerError(f"{upstream.instance} left {call.target} unanswered")
+        if call.method == "GET" and status != OK:
+            raise RankCallError(f"{upstream.instance} answered {status} to {call.target}")
         return status, data
 
     def _beside(self, upstream: Upstream) -> Address:
@@ -304,6 +321,12 @@
         return client
 
 
+def _headers(instance: str, call: _Call) -> Headers:
+    """Return the headers of a call to an instance."""
+    headers = [(EXPECT_INSTANCE, instance)]
+    return [*headers, ("content-type", "application/json")] if call.body else headers
+
+
 def _decode(decoder: Any, answer: tuple[int, bytes]) -> Any:
     """Return an answer's content."""
     try:
--- a/bluebellrun/platform/_relay.py
+++ b/bluebellrun/platform/_relay.py
@@ -1,7 +1,6 @@
 """The calls that a process beside an engine passes on to it."""
 
 import time
-from operator import sub
 from typing import Any
 
 import curio
@@ -19,14 +18,9 @@
     decompress_body,
     end_to_end,
 )
-from bluebellrun.platform._engine_messages import (
-    COUNTS_KNOWN,
-    COUNTS_PATH,
-    MAX_ANSWER_BYTES,
-    Picked,
-    RankCountsTold,
-)
+from bluebellrun.platform._engine_messages import MAX_ANSWER_BYTES, Picked
 from bluebellrun.platform._names import ORDER_PATH, PICKED_PATH, REPORT_PATH
+from bluebellrun.sidecar import COUNTS_KNOWN, COUNTS_PATH, RankCountsTold, counts_since
 from bluebellrun.telemetry import get_logger
 
 OK = 200
@@ -133,7 +127,7 @@
         number = 1 if before is None else before.number + 1
         whole = RankCountsTold(number, 0, picked.epoch, picked.born, picked.step, picked.counts)
         self._told = whole
-        told = whole if before is None else _since(before, whole, known)
+        told = counts_since(before, whole, known)
         return OK, [("content-type", "application/msgpack")], msgspec.msgpack.encode(told)
 
     async def _ask(self, method: str, target: str, headers: Headers, body: bytes = b"") -> _Answer:
@@ -147,15 +141,6 @@
         return response.status, answered, data
 
 
-def _since(before: RankCountsTold, whole: RankCountsTold, known: str) -> RankCountsTold:
-    """Return only what was added to counts told before, if the asker knows those."""
-    same_life = (before.epoch, before.born) == (whole.epoch, whole.born)
-    if known != str(before.number) or not same_life or len(before.counts) != len(whole.counts):
-        return whole
-    added = list(map(sub, whole.counts, before.counts))
-    return RankCountsTold(whole.number, before.number, whole.epoch, whole.born, whole.step, added)
-
-
 def _without_body(headers: Headers) -> Headers:
     """Return headers without those that describe a body."""
     return [(k, v) for k, v in headers if not k.startswith("content-")]
--- a/bluebellrun/sidecar/__init__.py
+++ b/bluebellrun/sidecar/__init__.py
@@ -1,1 +1,11 @@
-"""The sidecar: the process beside an engine, by which others call it from its own host."""
+"""The process beside an engine: it passes calls on, and tells the engine's counts."""
+
+from bluebellrun.sidecar._counts import (
+    COUNTS_KNOWN,
+    COUNTS_PATH,
+    RankCountsTold,
+    counts_since,
+    whole_counts,
+)
+
+__all__ = ["COUNTS_KNOWN", "COUNTS_PATH", "RankCountsTold", "counts_since", "whole_counts"]
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -65,3 +65,25 @@
     table.take(news("a", 1, {}, silence_s=5.0), 0.0)
     table.take(news("b", 1, {}, silence_s=0.5), 0.0)
     assert table.best_informed().entry == "b"
+
+
+def heard(entries, at):
+    table = PeerTable("me")
+    for entry in entries:
+        table.take(news(entry, 1, {}), 0.0)
+        if entry != "a":
+            table.take(news(entry, 2, {}), at)
+    return table
+
+
+def test_an_entry_is_silent_alone_when_the_others_are_heard():
+    table = heard("abcde", at=0.9)
+    assert table.is_silent_alone("a", 0.6, 1.0)
+    assert not table.is_silent_alone("a", 1.2, 1.0)
+    assert not table.is_silent_alone("b", 0.6, 1.0)
+    assert not table.is_silent_alone("unknown", 0.6, 1.0)
+
+
+def test_where_many_are_silent_it_may_be_this_process_that_does_not_hear():
+    assert not heard("abcde", at=0.1).is_silent_alone("a", 0.6, 1.0)
+    assert not heard("a", at=0.9).is_silent_alone("a", 0.6, 1.0)
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -10,7 +10,13 @@
 from bluebellrun.core import Address
 from bluebellrun.gateway import OrderReply, RankCallError, RankReplacedError, Upstream
 from bluebellrun.http import HttpExchange, HttpLimits, HttpServer, Listener
-from bluebellrun.placement import ArmMap, HoldPass, PrepareMap, dealt_placement
+from bluebellrun.placement import (
+    ArmMap,
+    HoldPass,
+    PrepareMap,
+    ReleasePass,
+    dealt_placement,
+)
 from bluebellrun.platform import EngineCalls, EngineRelay
 
 SILENCE_S = 5
@@ -212,13 +218,26 @@
         calls = EngineCalls(listener.address.port)
         upstream = Upstream("i1", "s", address, "a", 6)
         for _ in range(3):
-            assert await calls.give(upstream, HoldPass(4), 3, 12) is OrderReply.ACCEPTED
+            assert await calls.give(upstream, ArmMap(5, 60), 3, 12) is OrderReply.ACCEPTED
         assert len(asked) == 1
         assert len(engine.orders) == 3
 
     curio.run(main)
 
 
+def test_orders_for_which_a_group_waits_do_not_pass_through_a_third_host():
+    async def check(engine: Engine, relayed: EngineCalls, upstream: Upstream) -> None:
+        calls = EngineCalls(1)
+        for order in (HoldPass(4), ReleasePass(4)):
+            assert await calls.give(upstream, order, 3, 12) is OrderReply.ACCEPTED
+        assert not calls._avoided_until
+        calls = EngineCalls(relayed._relay_port, lambda asked: False)
+        assert await calls.give(upstream, ReleasePass(4), 3, 12) is OrderReply.ACCEPTED
+        assert [order["op"] for order in engine.orders] == ["hold", "go", "go"]
+
+    play(check)
+
+
 def test_nothing_else_is_passed_on_to_an_engine():
     async def main() -> None:
         engine = Engine()
@@ -238,10 +257,10 @@
     async def check(engine: Engine, _: EngineCalls, upstream: Upstream) -> None:
         calls = EngineCalls(1, lambda asked: wants_requests)
         if wants_requests:
-            await calls.give(upstream, HoldPass(4), 3, 12)
+            await calls.give(upstream, ArmMap(5, 60), 3, 12)
         else:
             with pytest.raises(RankCallError, match="wants no requests"):
-                await calls.give(upstream, HoldPass(4), 3, 12)
+                await calls.give(upstream, ArmMap(5, 60), 3, 12)
         assert len(engine.orders) == int(wants_requests)
 
     play(check)
