Let callers that come back wait in line for a place

A caller that has come back is told by its patience, which is clearly below what callers of its route say at first (learnt; the route's time-out right after a start), or by the id of the last event that it has. It waits in line, the most urgent first, for a free place or the end of an outage, as long as it may still be answered; new callers go first until its last 0.7 s. One that no upstream took up goes back to the line. In an outage of a group all wait up to a second for its end, and new callers are the trials, as these have their retry left and cost no further send. Who would wait in vain behind others is refused at once. The relay's rules of admission have a module of their own (gateway/_entrance.py).

--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -3,6 +3,7 @@
 from bluebellrun.admission._estimates import stated_answer_tokens
 from bluebellrun.admission._fair import FairAdmission
 from bluebellrun.admission._fifo import FifoAdmission
+from bluebellrun.admission._line import Ticket, WaitingLine
 from bluebellrun.admission._models import (
     AdmissionPolicy,
     AdmissionSettings,
@@ -13,6 +14,7 @@
 from bluebellrun.admission._pauses import PauseLimit, PauseSettings
 from bluebellrun.admission._places import Places, PlacesAdmission, PlacesSettings
 from bluebellrun.admission._registry import ADMISSION_POLICIES, make_admission
+from bluebellrun.admission._returning import ReturningCallers, ReturningSettings
 from bluebellrun.admission._service_gate import GateSettings, ServiceGate
 
 __all__ = [
@@ -29,7 +31,11 @@
     "PlacesSettings",
     "PriorityTarget",
     "Refusal",
+    "ReturningCallers",
+    "ReturningSettings",
     "ServiceGate",
+    "Ticket",
+    "WaitingLine",
     "Work",
     "make_admission",
     "stated_answer_tokens",
--- a/bluebellrun/admission/_places.py
+++ b/bluebellrun/admission/_places.py
@@ -30,6 +30,10 @@
     taken: int
     usual_s: float
 
+    def has_free(self, part: float) -> bool:
+        """Return whether less than a part of all places is taken."""
+        return self.total <= 0 or self.taken < part * self.total
+
     @property
     def wait_s(self) -> float:
         """Return how long a new request is expected to wait for a place."""
@@ -50,7 +54,7 @@
 
         ``part`` of all places may be taken by requests of its priority; 1 is no bound.
         """
-        if places.total > 0 and part < 1.0 and places.taken >= part * places.total:
+        if part < 1.0 and not places.has_free(part):
             return False
         if objective_s <= 0 or places.total <= 0:
             return True
--- a/bluebellrun/admission/_service_gate.py
+++ b/bluebellrun/admission/_service_gate.py
@@ -23,6 +23,7 @@
     usual_outage_s: float = 3.0
     forgotten_s: float = 1.0
     probe_interval_s: float = 0.15
+    waiting_probe_interval_s: float = 0.45
     least_retry_s: float = 0.6
     least_outage_retry_s: float = 1.0
 
@@ -50,11 +51,16 @@
             return False
         return True
 
-    def admits(self, now: float) -> bool:
-        """Return whether a request may be sent now; while out of order, as a trial."""
+    def admits(self, now: float, waits: bool = False) -> bool:
+        """Return whether a request may be sent now; while out of order, as a trial.
+
+        One that ``waits`` is a trial only where there was none for a while.
+        """
         if not self.out_of_order(now):
             return True
-        if now - self._probed_at < self._settings.probe_interval_s:
+        settings = self._settings
+        interval_s = settings.waiting_probe_interval_s if waits else settings.probe_interval_s
+        if now - self._probed_at < interval_s:
             return False
         self._probed_at = now
         return True
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -100,6 +100,10 @@
         taken = sum(self.running(item.instance) for item in usable)
         return Places(sum(item.slots for item in usable), taken, usual_s)
 
+    def usual_s(self, service: str, now: float) -> float:
+        """Return how long a request of a service usually takes, 0 while that is not known."""
+        return self._averages(self.available(service, now))[0]
+
     def running(self, instance: str) -> int:
         """Return the requests that all entries have at an upstream."""
         return self.stats(instance).running + self._running_elsewhere(instance)
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -13,9 +13,12 @@
     PauseSettings,
     PlacesAdmission,
     PlacesSettings,
+    ReturningCallers,
+    ReturningSettings,
     ServiceGate,
 )
 from bluebellrun.deployment import Deployment, EngineTerms, HostSettings, Route
+from bluebellrun.gateway._entrance import Entrance
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._models import (
     Answered,
@@ -26,7 +29,7 @@
     Unresolved,
 )
 from bluebellrun.gateway._ports import BadRequestError, Wire
-from bluebellrun.gateway._relay import Relay, ServicePolicies, choose_service, request_urgency
+from bluebellrun.gateway._relay import Relay, RelayTerms, choose_service, request_urgency
 from bluebellrun.http import CallerGoneError, HttpExchange
 from bluebellrun.routing import SendBudget, SendBudgetSettings
 from bluebellrun.telemetry import get_logger
@@ -71,8 +74,9 @@
         self._deployment: Deployment | None = None
         self._budgets: dict[str, SendBudget] = {}
         self._admission = PlacesAdmission(PlacesSettings())
-        self._gates: dict[str, ServiceGate] = {}
-        self._pauses: dict[str, PauseLimit] = {}
+        self._returning = ReturningCallers(ReturningSettings())
+        self._entrances: dict[str, Entrance] = {}
+        self._engines: dict[str, EngineTerms | None] = {}
         self._entries = ASSUMED_ENTRIES
         self._in_progress = 0
         self._refusing = False
@@ -164,18 +168,23 @@
         if request.patience_s is not None:
             patience_s = min(patience_s, request.patience_s)
         ends_at = request.received + patience_s
-        relay = Relay(
-            exchange,
-            request,
+        terms = RelayTerms(
             route,
             service,
             None if customer is None else customer.name,
             request_urgency(route, deployment, request.key),
+            ends_at,
+            self._has_come_back(request, route),
+            _relative_length(request, self._group_terms(service)),
+        )
+        relay = Relay(
+            exchange,
+            request,
+            terms,
             self._fleet,
             self._wire,
-            self._policies(service),
-            ends_at,
-            self._random,
+            self._entrance(service),
+            self._budget(service),
         )
         result: Result
         try:
@@ -190,6 +199,11 @@
             return
         await self._conclude(exchange, request, route, service, result)
 
+    def _has_come_back(self, request: CallerRequest, route: Route) -> bool:
+        """Return whether a request's caller has surely been at this or another entry before."""
+        returns = self._returning.has_come_back(route.name, request.patience_s, route.timeout_s)
+        return returns or request.last_event_id is not None
+
     def _out_of_time(self, exchange: HttpExchange, relay: Relay) -> Result:
         """Return what is known of a request at the end of its time."""
         reason = "the request's time is over"
@@ -270,22 +284,22 @@
         body = json.dumps({"status": status, "detail": reason}).encode()
         await exchange.answer(status, headers, body)
 
-    def _policies(self, service: str) -> ServicePolicies:
-        """Return what decides on requests of a service."""
-        return ServicePolicies(
-            self._budget(service),
-            self._gate(service),
-            self._admission,
-            self._pause_limit(service),
-        )
-
-    def _gate(self, service: str) -> ServiceGate:
-        """Return what is known of a service's outages."""
-        gate = self._gates.get(service)
-        if gate is None:
-            shares_fate = self._group_terms(service) is not None
-            gate = self._gates[service] = ServiceGate(GateSettings(), shares_fate)
-        return gate
+    def _entrance(self, service: str) -> Entrance:
+        """Return what decides on a service's requests; made anew where its engine changed."""
+        engine = self._group_terms(service)
+        entrance = self._entrances.get(service)
+        if entrance is None or self._engines[service] != engine:
+            self._engines[service] = engine
+            entrance = self._entrances[service] = Entrance(
+                service,
+                self._fleet,
+                ServiceGate(GateSettings(), shares_fate=engine is not None),
+                self._admission,
+                _pause_limit(engine),
+                lambda: self._entries,
+                self._random,
+            )
+        return entrance
 
     def _group_terms(self, service: str) -> EngineTerms | None:
         """Return the terms of a service whose upstreams work in step, none of any other."""
@@ -293,17 +307,6 @@
         engine = None if terms is None else terms.engine
         return engine if engine is not None and engine.experts is not None else None
 
-    def _pause_limit(self, service: str) -> PauseLimit | None:
-        """Return the bound by the pauses of streams, none of a service without passes."""
-        engine = self._group_terms(service)
-        if engine is None:
-            return None
-        fixed_s = engine.stride * engine.step_s
-        limit = self._pauses.get(service)
-        if limit is None or limit.fixed_s != fixed_s:
-            limit = self._pauses[service] = PauseLimit(PauseSettings(), fixed_s)
-        return limit
-
     def _budget(self, service: str) -> SendBudget:
         """Return the budget of further sends of a service."""
         budget = self._budgets.get(service)
@@ -317,3 +320,17 @@
         return SendBudgetSettings(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, self._entries
         )
+
+
+def _relative_length(request: CallerRequest, engine: EngineTerms | None) -> float:
+    """Return how many times as long as usual a request's answer should be, at least 1."""
+    if engine is None or engine.usual_answer_tokens <= 0:
+        return 1.0
+    return max(1.0, request.expected_tokens / engine.usual_answer_tokens)
+
+
+def _pause_limit(engine: EngineTerms | None) -> PauseLimit | None:
+    """Return the bound by the pauses of streams, none of a service without passes."""
+    if engine is None:
+        return None
+    return PauseLimit(PauseSettings(), engine.stride * engine.step_s)
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -12,8 +12,8 @@
 
 import curio
 
-from bluebellrun.admission import PauseLimit, PlacesAdmission, ServiceGate
 from bluebellrun.deployment import Deployment, Route
+from bluebellrun.gateway._entrance import LINE_INTERVAL_S, Entrance, EntranceTerms
 from bluebellrun.gateway._events import EventSplitter
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._models import (
@@ -39,7 +39,6 @@
 from bluebellrun.routing import SendBudget
 from bluebellrun.telemetry import get_logger
 
-UNAVAILABLE = 503
 BAD_GATEWAY = 502
 # A request that may run only once uses a kept connection only while the upstream surely keeps it.
 ONCE_MAX_IDLE_S = 1.0
@@ -58,12 +57,13 @@
 PATIENCE_S = 2.0
 PATIENCE_OBJECTIVES = 4
 PATIENCE_PAUSES = 8
-# Less this, as a resumed stream needs time to go on.
+# Less this, as a resumed stream needs time to go on, and one that is sent to begin.
 RESUMING_TAKES_S = 0.2
+SERVING_TAKES_S = 0.3
+# Less time than this before its end is too little for a whole answer.
+LEAST_ANSWER_S = 0.1
 # Upstreams that may refuse a request before it is refused: where a few are full, most are.
 MOST_REFUSALS = 1
-# Callers that all upstreams turn away come back up to so many times later than the first may.
-LATEST_RETURN = 1.5
 # Further sends that streams of slow ranks leave over for requests that would fail without.
 SENDS_KEPT_FOR_FAILURES = 3
 # Time left below which a send could not be answered.
@@ -114,16 +114,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServicePolicies:
-    """What decides whether a request of one service is sent, and how often.
+class RelayTerms:
+    """Where a request goes and what it is owed.
 
-    ``pauses`` is none for a service whose upstreams don't work in step.
+    It ends at ``ends_at``, a reading of the monotonic clock in seconds. ``came_back`` tells that
+    its caller was refused before. Its answer should be ``length`` times as long as usual.
     """
 
-    budget: SendBudget
-    gate: ServiceGate
-    admission: PlacesAdmission
-    pauses: PauseLimit | None
+    route: Route
+    service: str
+    customer: str | None
+    urgency: int
+    ends_at: float
+    came_back: bool = False
+    length: float = 1.0
 
 
 class Relay:
@@ -133,30 +137,21 @@
         self,
         exchange: HttpExchange,
         request: CallerRequest,
-        route: Route,
-        service: str,
-        customer: str | None,
-        urgency: int,
+        terms: RelayTerms,
         fleet: Fleet,
         wire: Wire,
-        policies: ServicePolicies,
-        ends_at: float,
-        random: Random,
+        entrance: Entrance,
+        budget: SendBudget,
     ) -> None:
         self._exchange = exchange
         self._request = request
-        self._route = route
-        self._service = service
-        self._customer = customer
-        self._urgency = urgency
+        self._terms = terms
+        self._route = terms.route
+        self._service = terms.service
         self._fleet = fleet
         self._wire = wire
-        self._budget = policies.budget
-        self._gate = policies.gate
-        self._admission = policies.admission
-        self._pauses = policies.pauses
-        self._ends_at = ends_at
-        self._random = random
+        self._entrance = entrance
+        self._budget = budget
         self._sends = 0
         self._runs = 0
         self._refusals = 0
@@ -183,20 +178,27 @@
     @property
     def left_s(self) -> float:
         """Return the seconds left before the request's end."""
-        return self._ends_at - time.monotonic()
+        return self._terms.ends_at - time.monotonic()
 
     async def run(self) -> Result:
-        """Send the request until it is settled."""
-        if not self._gate.admits(time.monotonic()):
-            return self._refusal(f"service {self._service!r} is out of order")
-        places = self._fleet.places(self._service, time.monotonic())
-        part = self._part_of_places()
-        if not self._admission.admits(places, self._urgency, self._route.objective_s, part):
-            reason = (
-                f"{places.taken} requests for {places.total} places, of which {part:.2f} may be "
-                "taken: it would be late"
-            )
-            return Refused(UNAVAILABLE, reason, self._admission.retry_after_s(places))
+        """Send the request until it is settled.
+
+        One that waits in line goes back there when no upstream took it up.
+        """
+        terms = self._entrance_terms()
+        while True:
+            refused = await self._entrance.admit(terms)
+            if refused is not None:
+                return refused
+            result = await self._send_until_settled()
+            if not isinstance(result, Refused) or not self._waits_on(terms):
+                return result
+            self._excluded.clear()
+            self._refusals = 0
+            await curio.sleep(LINE_INTERVAL_S)
+
+    async def _send_until_settled(self) -> Result:
+        """Send the request to one upstream after the other until it is settled."""
         outcome: _Outcome = _Declined(f"service {self._service!r} has no upstream", had_places=True)
         while True:
             now = time.monotonic()
@@ -219,27 +221,31 @@
             if resumes and not await self._await_resumption():
                 return await self._give_up(outcome)
 
-    def _part_of_places(self) -> float:
-        """Return the part of the places that this request may find taken."""
-        longest_s = self._route.longest_pause_s
-        if self._pauses is None or not longest_s:
-            return 1.0
-        return self._pauses.part(longest_s, self._urgency, time.monotonic())
+    def _entrance_terms(self) -> EntranceTerms:
+        """Return what decides whether the request is sent now."""
+        terms = self._terms
+        patience_ends_at = self._request.received + self._patience_s() - SERVING_TAKES_S
+        answer_s = self._fleet.usual_s(terms.service, time.monotonic()) * terms.length
+        latest_send = min(patience_ends_at, terms.ends_at - max(LEAST_ANSWER_S, answer_s))
+        return EntranceTerms(
+            self._request.id, terms.route, terms.urgency, latest_send, terms.came_back
+        )
 
-    def _load(self) -> float:
-        """Return the part of the service's places that is taken."""
-        places = self._fleet.places(self._service, time.monotonic())
-        return places.taken / places.total if places.total else 0.0
+    def _waits_on(self, terms: EntranceTerms) -> bool:
+        """Return whether a request that no upstream took up goes back to the line."""
+        return terms.came_back and time.monotonic() < terms.latest_send
 
     def _may_send(self, now: float) -> bool:
         """Return whether there is time for a send and, after the first, budget."""
-        if self._ends_at - now < LEAST_LEFT_S:
+        if self._terms.ends_at - now < LEAST_LEFT_S:
             return False
         if self._sends == 0:
             self._budget.note_first(now)
             return True
         started = self._exchange.started
-        if not started and (self._refusals > MOST_REFUSALS or self._gate.out_of_order(now)):
+        if not started and (
+            self._refusals > MOST_REFUSALS or self._entrance.gate.out_of_order(now)
+        ):
             return False
         return self._budget.take(now)
 
@@ -293,19 +299,7 @@
             return BrokenOff(reason, self._sends)
         if self._runs:
             return Unresolved(BAD_GATEWAY, reason, self._sends)
-        return self._refusal(reason)
-
-    def _refusal(self, reason: str) -> Refused:
-        """Return a refusal that tells when to come back.
-
-        Where all upstreams want nothing it is when the first one takes requests again, and a
-        while later for some, so that not all callers come back at that moment.
-        """
-        now = time.monotonic()
-        wait_s = self._fleet.available_in_s(self._service, now) * self._random.uniform(
-            1.0, LATEST_RETURN
-        )
-        return Refused(UNAVAILABLE, reason, max(wait_s, self._gate.retry_after_s(now)))
+        return self._entrance.refusal(reason)
 
     async def _send(self, upstream: Upstream) -> _Outcome:
         """Send the request to one upstream and pass on its answer."""
@@ -333,7 +327,7 @@
                 if unreachable:
                     self._fleet.note_unreachable(upstream.instance, now)
                 if had_places:
-                    self._gate.note_refusal(now)
+                    self._entrance.gate.note_refusal(now)
             case _Lost(reason):
                 self._fleet.note_result(upstream.instance, True, now - started, now)
             case _Failed(answer, _):
@@ -362,7 +356,9 @@
     async def _exchange_with(self, upstream: Upstream) -> _Outcome:
         """Send to one upstream; tell what is known of the request afterwards."""
         request = self._request
-        attempt = Attempt(upstream, self.left_s, self._customer, self._urgency, self._last_id)
+        attempt = Attempt(
+            upstream, self.left_s, self._terms.customer, self._terms.urgency, self._last_id
+        )
         max_idle_s = None if self._route.repeatable else ONCE_MAX_IDLE_S
         self._runs += 1
         try:
@@ -399,7 +395,7 @@
             running = self._fleet.running(upstream.instance)
             had_places = not answer.misdirected and running <= upstream.slots
             return _Declined(f"upstream answered {answer.status}: not run", had_places=had_places)
-        self._gate.note_taken_up()
+        self._entrance.gate.note_taken_up()
         if self._route.streamed and answer.succeeded:
             return await self._pass_stream(upstream, answer, response)
         if self._exchange.started:
@@ -465,7 +461,8 @@
             if not self._exchange.started:
                 await self._exchange.send_head(answer.status, answer.headers)
             now = time.monotonic()
-            self._note_pause(before, now)
+            if before is not None:
+                self._entrance.note_pause(now - before, self._route.longest_pause_s, now)
             before = self._last_event_at = now
             self._last_id = whole.last_id
             await self._exchange.send_body(whole.data)
@@ -478,21 +475,6 @@
         await self._exchange.finish()
         return _Done(answer.status)
 
-    def _note_pause(self, before: float | None, now: float) -> None:
-        """Take note of the pause between two events of one upstream."""
-        longest_s = self._route.longest_pause_s
-        if self._pauses is None or before is None or not longest_s:
-            return
-        part = self._pauses.observe(now - before, longest_s, self._load, now)
-        if part is not None:
-            _log.info(
-                "places bound by pauses" if part < 1.0 else "places no longer bound",
-                service=self._service,
-                part=round(part, 2),
-                pause_s=round(now - before, 3),
-                load=round(self._load(), 2),
-            )
-
 
 def choose_service(route: Route, random: Random) -> str:
     """Return the service of one request: the route's, or one of them by their shares."""
--- a/tests/platform/test_departing_upstreams.py
+++ b/tests/platform/test_departing_upstreams.py
@@ -1,5 +1,6 @@
 """Upstreams that say in their answers that they leave, or want nothing for a while."""
 
+import time
 from dataclasses import replace
 from typing import Any
 
@@ -118,3 +119,22 @@
 
     scene = play(check, ("busy", says(turned_away(asked))))
     assert len(scene.arrivals) >= 3
+
+
+def test_one_that_came_back_is_sent_again_when_its_upstream_takes_requests_again():
+    async def check(scene: Scene) -> None:
+        for _ in range(20):
+            scene.gateway._returning.has_come_back("ask", 8.0, 0.9)
+        assert (await scene.ask("/ask/a", deadline="8000")).status == 503
+        began = time.monotonic()
+        assert (await scene.ask("/ask/a", deadline="5000")).status == 200
+        assert time.monotonic() - began < 0.8
+
+    async def is_full_at_first(sock: Any, arrival: Any) -> None:
+        full = time.monotonic() < first_asked[0] + 0.3 if first_asked else True
+        if not first_asked:
+            first_asked.append(time.monotonic())
+        await sock.sendall(reply(503, X_Bluebellrun_Not_Run="1") if full else OK)
+
+    first_asked: list[float] = []
+    play(check, ("u1", is_full_at_first))
