Keep some places free for the more urgent

Each step of priority below the most urgent that the service is asked for lately takes 0.05 less of the places; it multiplies the bound by pauses, whose own steps are gone (its test of them is now one of the reserve).

--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -14,6 +14,7 @@
 from bluebellrun.admission._pauses import PauseLimit, PauseSettings
 from bluebellrun.admission._places import Places, PlacesAdmission, PlacesSettings
 from bluebellrun.admission._registry import ADMISSION_POLICIES, make_admission
+from bluebellrun.admission._reserve import ReserveSettings, UrgentReserve
 from bluebellrun.admission._returning import ReturningCallers, ReturningSettings
 from bluebellrun.admission._service_gate import GateSettings, ServiceGate
 
@@ -31,10 +32,12 @@
     "PlacesSettings",
     "PriorityTarget",
     "Refusal",
+    "ReserveSettings",
     "ReturningCallers",
     "ReturningSettings",
     "ServiceGate",
     "Ticket",
+    "UrgentReserve",
     "WaitingLine",
     "Work",
     "make_admission",
--- a/bluebellrun/admission/_pauses.py
+++ b/bluebellrun/admission/_pauses.py
@@ -20,8 +20,7 @@
     highest is remembered for ``remembered_s``, as demand shifts every few seconds. Pauses are to
     take ``wanted`` of the longest that is in time, as news of the load are some tenths of a second
     old. Longer ones than ``outlier`` times that come of an outage, not of the load. At least
-    ``least_part`` of the places is used, less by ``less_urgent`` for each step of priority. A
-    bound that has moved by ``told_step`` is told.
+    ``least_part`` of the places is used. A bound that has moved by ``told_step`` is told.
     """
 
     window_s: float = 0.2
@@ -30,7 +29,6 @@
     wanted: float = 0.95
     outlier: float = 2.0
     least_part: float = 0.75
-    less_urgent: float = 0.05
     told_step: float = 0.05
 
 
@@ -74,17 +72,16 @@
             self._remember(max(0.0, median(self._pauses) - self._fixed_s), load(), now)
         self._pauses.clear()
         self._window_began = None
-        return self._moved(self.part(longest_pause_s, 0, now))
+        return self._moved(self.part(longest_pause_s, now))
 
-    def part(self, longest_pause_s: float, priority: int, now: float) -> float:
-        """Return the part of all places that requests of a priority may take; 1 is no bound."""
+    def part(self, longest_pause_s: float, now: float) -> float:
+        """Return the part of all places that may be taken; 1 is no bound."""
         self._forget(now)
         growth = max((growth for _, growth in self._growths), default=0.0)
         room_s = self._settings.wanted * longest_pause_s - self._fixed_s
         if growth <= 0.0 or room_s >= growth:
             return 1.0
-        part = room_s / growth - self._settings.less_urgent * max(0, priority)
-        return min(1.0, max(self._settings.least_part, part))
+        return min(1.0, max(self._settings.least_part, room_s / growth))
 
     def _moved(self, part: float) -> float | None:
         """Return the part if it has moved enough since it was last told, else none."""
--- a/bluebellrun/gateway/_entrance.py
+++ b/bluebellrun/gateway/_entrance.py
@@ -18,8 +18,10 @@
     PauseLimit,
     Places,
     PlacesAdmission,
+    ReserveSettings,
     ServiceGate,
     Ticket,
+    UrgentReserve,
     WaitingLine,
 )
 from bluebellrun.deployment import Route
@@ -91,6 +93,7 @@
         self._entries = entries
         self._random = random
         self._line = WaitingLine()
+        self._reserve = UrgentReserve(ReserveSettings())
 
     @property
     def gate(self) -> ServiceGate:
@@ -99,6 +102,7 @@
 
     async def admit(self, terms: EntranceTerms) -> Refused | None:
         """Return none once a request may be sent, or its refusal."""
+        self._reserve.note(terms.urgency, time.monotonic())
         refused = self._refusal_now(terms, waits=terms.came_back)
         if refused is None:
             return None
@@ -196,9 +200,10 @@
 
     def _part_of_places(self, route: Route, urgency: int) -> float:
         """Return the part of the places that a request may find taken."""
+        part = self._reserve.part(urgency)
         if self._pauses is None or not route.longest_pause_s:
-            return 1.0
-        return self._pauses.part(route.longest_pause_s, urgency, time.monotonic())
+            return part
+        return part * self._pauses.part(route.longest_pause_s, time.monotonic())
 
     def _places(self) -> Places:
         """Return the places of the service."""
--- /dev/null
+++ b/tests/admission/test_reserve.py
@@ -0,0 +1,39 @@
+"""Load pattern: a burst of the least urgent work takes all places of a group."""
+
+import pytest
+
+from bluebellrun.admission import ReserveSettings, UrgentReserve
+from tests.stale_news import Group
+
+# Requests a second; the places take 131.
+USUAL = (42.0, 18.0, 58.0)
+BURST = (42.0, 18.0, 140.0)
+
+
+def kept() -> Group:
+    return Group(reserve=UrgentReserve(ReserveSettings()))
+
+
+def test_urgent_work_finds_its_places_in_a_burst_of_the_least_urgent():
+    without, reserved = Group().play(BURST), kept().play(BURST)
+    assert reserved[0] > without[0], (without, reserved)
+    assert reserved[1] > without[1] + 0.2, (without, reserved)
+    assert reserved[0] > reserved[2] and reserved[1] > reserved[2]
+
+
+def test_in_usual_times_the_least_urgent_give_up_little():
+    half = tuple(rate / 2 for rate in USUAL)
+    assert kept().play(half) == Group().play(half)
+
+
+def test_where_all_work_is_as_urgent_nothing_is_kept():
+    reserve = UrgentReserve(ReserveSettings())
+    reserve.note(2, 0.0)
+    assert reserve.part(2) == 1.0
+    reserve.note(0, 1.0)
+    assert reserve.part(2) == pytest.approx(0.9)
+    assert reserve.part(9) == 1.0 - ReserveSettings().most_part
+    reserve.note(2, 5.0)
+    assert reserve.part(2) == pytest.approx(0.9)
+    reserve.note(2, 1.0 + ReserveSettings().seen_s + 0.1)
+    assert reserve.part(2) == 1.0
