Spread requests over as many free places as unseen requests may take

A request now goes to one of the best ranks by chance, in proportion to free places over cost; as many ranks as have four times the places that requests of the others, estimated by the own rate and the age of news, may take meanwhile. A small group is still led by least work.

--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -13,6 +13,7 @@
     LeastWorkRouting,
     OutlierEjection,
     RequestedBackoff,
+    UnseenRequests,
     UpstreamWork,
     ranks_to_empty,
 )
@@ -54,6 +55,9 @@
         self._backoff = RequestedBackoff()
         self._clients: dict[UpstreamLife, HttpClient] = {}
         self._stats: dict[str, UpstreamStats] = {}
+        self._unseen: dict[str, UnseenRequests] = {}
+        self._others = 0
+        self._news_age_s = 0.0
         self._running_elsewhere = running_elsewhere
         self._slow_now = slow_now
 
@@ -62,6 +66,11 @@
         """Return the directory of upstreams."""
         return self._directory
 
+    def set_others(self, entries: int, news_age_s: float) -> None:
+        """Take it that so many other entries send too, and are heard so many seconds late."""
+        self._others = entries
+        self._news_age_s = news_age_s
+
     def available(self, service: str, now: float) -> list[Upstream]:
         """Return the upstreams of a service that take requests of this process now."""
         usable = self._directory.usable(service, now)
@@ -82,7 +91,9 @@
         sound = self._without_slow(sound, len(usable), now)
         usual_s, failing = self._averages(sound)
         works = [self._work(item, usual_s, failing) for item in sound]
-        chosen = self._routing.choose(works)
+        unseen = self._unseen.setdefault(service, UnseenRequests())
+        unseen.note(now)
+        chosen = self._routing.choose(works, unseen.expected(self._others, self._news_age_s))
         return None if chosen is None else self._directory.find(chosen.name)
 
     def is_emptied(self, upstream: Upstream, now: float) -> bool:
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -156,6 +156,11 @@
                 self._fleet.note_leaving(life, now, told_by=news.entry)
 
 
+def news_age_s(peers: int) -> float:
+    """Return how old the news of another entry usually are, by the number of entries."""
+    return SEND_INTERVAL_S * max(1.0, peers / TOLD_AT_A_TIME)
+
+
 def silent_after_s(peers: int) -> float:
     """Return after how long without news an entry counts as silent, by the number of entries."""
     return max(SILENT_S, TURNS_TO_BE_SILENT * SEND_INTERVAL_S * peers / TOLD_AT_A_TIME)
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -16,7 +16,7 @@
 from bluebellrun.gateway._expert_maps import ExpertMaps
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._gateway import Gateway
-from bluebellrun.gateway._gossip import Gossip
+from bluebellrun.gateway._gossip import Gossip, news_age_s
 from bluebellrun.gateway._lifecycle import Lifecycle
 from bluebellrun.gateway._peers import EntryNews, PeerTable
 from bluebellrun.gateway._role import LEASE_S, PlacementRole, take_over_pause_s
@@ -261,7 +261,9 @@
         """Forget upstreams that are gone and count the entries, until cancelled."""
         while True:
             await curio.sleep(TIDY_INTERVAL_S)
-            self._gateway.set_entries(1 + len(self._gossip.peers))
+            others = len(self._gossip.peers)
+            self._gateway.set_entries(1 + others)
+            self._fleet.set_others(others, news_age_s(others))
             await self._fleet.forget_gone()
 
 
--- a/bluebellrun/routing/__init__.py
+++ b/bluebellrun/routing/__init__.py
@@ -4,7 +4,7 @@
 from bluebellrun.routing._baselines import LeastRequestsRouting, RoundRobinRouting
 from bluebellrun.routing._ejection import OutlierEjection
 from bluebellrun.routing._expected_finish import ExpectedFinishRouting
-from bluebellrun.routing._least_work import LeastWorkRouting, UpstreamWork
+from bluebellrun.routing._least_work import LeastWorkRouting, UnseenRequests, UpstreamWork
 from bluebellrun.routing._lockstep import ranks_to_empty
 from bluebellrun.routing._models import Candidate, RoutedWork, RoutingPolicy, UpstreamLoad
 from bluebellrun.routing._registry import ROUTING_POLICIES, make_routing
@@ -27,6 +27,7 @@
     "RoutingPolicy",
     "SendBudget",
     "SendBudgetSettings",
+    "UnseenRequests",
     "UpstreamLoad",
     "UpstreamWork",
     "make_routing",
--- a/bluebellrun/routing/_least_work.py
+++ b/bluebellrun/routing/_least_work.py
@@ -2,8 +2,13 @@
 
 Work is counted in requests: those that run or wait, plus the prompt tokens still to be read as a
 part of a usual request. Ties go to the entry's own failure domain, then by chance.
+
+What the other entries have sent lately is not known yet. Where all take the upstream with the
+least known work, they meet there. So a request goes to one of several upstreams, by chance and in
+proportion to their free places: as many as have several times the places that unseen requests take.
 """
 
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
@@ -11,6 +16,10 @@
 # A prompt token that is not read yet counts as this part of a running request: reading holds up
 # the whole batch for a moment, a running request for as long as it writes.
 UNREAD_TOKEN_WORK = 1 / 2_000
+# Free places among which a request is spread, for each request that is on the way unseen.
+PLACES_PER_UNSEEN = 4
+# Window in which an entry counts its own requests to tell those of the others, in seconds.
+RATE_WINDOW_S = 1.0
 # Work elsewhere has to be less by this much, in requests, before an answer crosses domains.
 OTHER_DOMAIN_WORK = 0.25
 
@@ -33,23 +42,57 @@
     failing: float = 0.0
 
     @property
-    def has_place(self) -> bool:
-        """Return whether a request could start at once."""
-        return self.running < self.slots
+    def free(self) -> int:
+        """Return how many requests could start at once."""
+        return max(0, self.slots - self.running)
+
+    @property
+    def cost(self) -> float:
+        """Return how much longer than at a sound upstream a request takes to succeed."""
+        return self.slowness / max(0.05, 1.0 - self.failing)
+
+
+class UnseenRequests:
+    """Estimate how many requests of other entries are on the way; times in seconds.
+
+    Entries get about as many requests each, as the balancer before them spreads callers.
+    """
+
+    def __init__(self) -> None:
+        self._sent: deque[float] = deque()
+
+    def note(self, now: float) -> None:
+        """Note a request of this entry."""
+        self._sent.append(now)
+        while self._sent[0] <= now - RATE_WINDOW_S:
+            self._sent.popleft()
+
+    def expected(self, others: int, news_age_s: float) -> float:
+        """Return the requests that ``others`` entries sent since their news, by the own rate."""
+        return len(self._sent) / RATE_WINDOW_S * others * news_age_s
 
 
 class LeastWorkRouting:
-    """Send each request to the upstream that has the least to do for its size and speed."""
+    """Send each request to an upstream that has little to do for its size and speed."""
 
     def __init__(self, random: Random, failure_domain: str) -> None:
         self._random = random
         self._failure_domain = failure_domain
 
-    def choose(self, candidates: Sequence[UpstreamWork]) -> UpstreamWork | None:
-        """Return the best candidate, or none when there is none."""
+    def choose(
+        self, candidates: Sequence[UpstreamWork], unseen: float = 0.0
+    ) -> UpstreamWork | None:
+        """Return a good candidate, or none when there is none.
+
+        ``unseen`` is how many requests of other entries may be on the way.
+        """
         if not candidates:
             return None
-        return min(candidates, key=lambda item: (self._work(item), self._random.random()))
+        ranked = sorted(candidates, key=lambda item: (self._work(item), self._random.random()))
+        spread = _with_places(ranked, PLACES_PER_UNSEEN * unseen)
+        if len(spread) < 2:
+            return ranked[0]
+        return self._random.choices(spread, [item.free / item.cost for item in spread])[0]
 
     def _work(self, item: UpstreamWork) -> float:
         """Return the work before a new request, in requests of a sound upstream."""
@@ -57,4 +100,15 @@
         work = item.running + 1 + item.unread_tokens * UNREAD_TOKEN_WORK + queued
         if item.failure_domain != self._failure_domain:
             work += OTHER_DOMAIN_WORK
-        return work * item.slowness / max(0.05, 1.0 - item.failing)
+        return work * item.cost
+
+
+def _with_places(ranked: Sequence[UpstreamWork], places: float) -> list[UpstreamWork]:
+    """Return the best that have free places, until they have so many in all."""
+    found: list[UpstreamWork] = []
+    for item in ranked:
+        if places <= 0 or not item.free:
+            break
+        found.append(item)
+        places -= item.free
+    return found
--- a/tests/routing/test_least_work.py
+++ b/tests/routing/test_least_work.py
@@ -1,8 +1,12 @@
 """Load patterns of entries that send straight to upstreams."""
 
+from dataclasses import replace
 from random import Random
 
+import pytest
+
 from bluebellrun.routing import LeastWorkRouting, UpstreamWork
+from tests.stale_news import HOLDS_S, Group
 
 
 def choose(*works):
@@ -48,3 +52,38 @@
         works = [work(str(rank), count, domain="abc"[rank % 3]) for rank, count in running.items()]
         running[int(routing.choose(works).name)] += 1
     assert max(running.values()) - min(running.values()) <= 1
+
+
+def test_a_request_is_spread_over_as_many_places_as_unseen_requests_may_take():
+    routing = LeastWorkRouting(Random(3), "a")
+    works = [work(str(rank), rank) for rank in range(6)]
+    assert {routing.choose(works).name for _ in range(50)} == {"0"}
+    few = [routing.choose(works, unseen=2.0).name for _ in range(300)]
+    assert set(few) == {"0", "1"}
+    assert few.count("0") > few.count("1") > 50
+    assert {routing.choose(works, unseen=50.0).name for _ in range(300)} == set("012345")
+
+
+def test_full_slow_and_failing_upstreams_get_no_more_by_the_spread():
+    routing = LeastWorkRouting(Random(3), "a")
+    works = [work("full", 6), work("grey", 1, failing=0.9), work("slow", 1, slowness=8.0)]
+    works.append(work("sound", 1))
+    names = [routing.choose(works, unseen=50.0).name for _ in range(400)]
+    assert "full" not in names
+    assert names.count("sound") > 0.7 * len(names)
+
+
+@pytest.mark.parametrize(
+    ("group", "load", "better_by"),
+    [
+        (Group(14, 63, 5, 0.12), 0.85, 0.1),
+        (Group(36, 129, 3, 0.24), 0.85, 0.05),
+        (Group(4, 12, 6, 0.1), 0.7, -0.01),
+    ],
+)
+def test_entries_that_hear_of_each_other_late_do_not_meet_at_the_same_ranks(group, load, better_by):
+    """Load pattern: all entries choose among the same ranks, by news of some tenths of a second."""
+    rates = (load * group.ranks * group.slots / HOLDS_S, 0.0, 0.0)
+    least = replace(group, spread=False, random=Random(7)).play(rates)
+    spread = replace(group, random=Random(7)).play(rates)
+    assert spread[0] > least[0] + better_by, (least, spread)
--- a/tests/stale_news.py
+++ b/tests/stale_news.py
@@ -19,6 +19,7 @@
     ranks: int = 63
     slots: int = 5
     news_s: float = 0.12
+    spread: bool = True
     reserve: UrgentReserve | None = None
     random: Random = field(default_factory=lambda: Random(7))
 
@@ -33,6 +34,7 @@
         known: deque[list[int]] = deque([[0] * self.ranks] * round(self.news_s / TURN_S))
         sent: deque[tuple[float, int, int]] = deque()
         asked, in_time = [0, 0, 0], [0, 0, 0]
+        unseen = sum(rates) * self.news_s if self.spread else 0.0
         for turn in range(round(until_s / TURN_S)):
             now = turn * TURN_S
             for rank in range(self.ranks):
@@ -54,7 +56,7 @@
                         works = [
                             UpstreamWork(str(r), "", self.slots, n) for r, n in enumerate(work)
                         ]
-                        chosen = routing.choose(works)
+                        chosen = routing.choose(works, unseen)
                         assert chosen is not None
                         waiting[int(chosen.name)].append((priority, now))
                         sent.append((now, entry, int(chosen.name)))
