Send only to the latest life of a service at an address

Cause: after a loss of power everywhere the replicas register anew under other instances at the same addresses, and the old registrations stay until they lapse. The registration that was born last goes on.

--- a/bluebellrun/gateway/_directory.py
+++ b/bluebellrun/gateway/_directory.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
+from bluebellrun.core import Address
 from bluebellrun.gateway._models import Upstream, UpstreamLife
 
 # Registrations that lapsed with the store are back within two seconds of its return.
@@ -123,8 +124,18 @@
         self._lapsed.pop(instance, None)
 
     def _index(self) -> None:
-        """Sort the upstreams that take work by service."""
-        self._by_service = {}
+        """Sort the upstreams that take work by service.
+
+        Of several lives of a service at one address only the latest goes on: the registrations of
+        the others are on their way out.
+        """
+        latest: dict[tuple[str, Address], Upstream] = {}
         for upstream in self._upstreams.values():
+            place = (upstream.service, upstream.address)
+            other = latest.get(place)
+            if other is None or upstream.born >= other.born:
+                latest[place] = upstream
+        self._by_service = {}
+        for upstream in latest.values():
             if not upstream.leaving:
                 self._by_service.setdefault(upstream.service, []).append(upstream)
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -3,8 +3,9 @@
 from bluebellrun.gateway._directory import LEAVING_TOLD_S
 
 
-def upstream(instance, leaving=False, service="s", born=0):
-    return Upstream(instance, service, Address("10.0.0.1", 80), "a", 6, leaving, born)
+def upstream(instance, leaving=False, service="s", born=0, at=None):
+    address = Address("10.0.0.1", sum(instance.encode()) if at is None else at)
+    return Upstream(instance, service, address, "a", 6, leaving, born)
 
 
 def names(directory, now=0.0):
@@ -101,3 +102,20 @@
     directory.note_leaving(("one", 1), 5.0)
     assert directory.leaving_lately(5.0) == [("one", 1)]
     assert directory.leaving_lately(5.0 + LEAVING_TOLD_S) == []
+
+
+def test_of_two_lives_at_one_address_the_later_one_goes_on_whichever_is_read_last():
+    directory = UpstreamDirectory()
+    for order in (("old", "new"), ("new", "old")):
+        for instance in order:
+            directory.put(upstream(instance, born=2 if instance == "new" else 1, at=80))
+        assert names(directory) == ["new"]
+    directory.remove("new", 5.0, store_in_trouble=False)
+    assert names(directory) == ["old"]
+
+
+def test_the_same_address_under_another_service_ends_nothing():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one", born=1, at=80))
+    directory.put(upstream("two", service="other", born=2, at=80))
+    assert names(directory) == ["one"]
