Split the relay: what became of a send, and passing an answer on

No behaviour changes but one: a 421 to a former life of an upstream no longer drops the registration of a later life under the same instance (tests/gateway/test_directory.py).

--- a/bluebellrun/gateway/_directory.py
+++ b/bluebellrun/gateway/_directory.py
@@ -100,13 +100,15 @@
             self._index()
         return True
 
-    def note_replaced(self, instance: str) -> None:
+    def note_replaced(self, life: UpstreamLife) -> None:
         """Take it that an upstream's life is over: another one has its address.
 
-        Its registration lapses with its heartbeats; should it be written again, it is taken.
+        Its registration lapses with its heartbeats; should it be written again, it is taken. A
+        later life under the same instance goes on.
         """
-        if instance in self._upstreams:
-            self._drop(instance)
+        known = self._upstreams.get(life[0])
+        if known is not None and known.life == life:
+            self._drop(known.instance)
             self._index()
 
     def expire(self, now: float) -> list[str]:
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -8,13 +8,13 @@
 
 import time
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 import curio
 
 from bluebellrun.deployment import Deployment, Route
 from bluebellrun.gateway._entrance import LINE_INTERVAL_S, Entrance, EntranceTerms
-from bluebellrun.gateway._events import EventSplitter
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._models import (
     Answered,
@@ -27,14 +27,14 @@
     Upstream,
     UpstreamAnswer,
 )
+from bluebellrun.gateway._outcomes import Declined, Done, Failed, Lost, Moved, Outcome
+from bluebellrun.gateway._passing import StreamProgress, pass_answer, pass_stream
 from bluebellrun.gateway._ports import Wire
 from bluebellrun.http import (
-    AnswerTooLongError,
     ConnectError,
     HttpExchange,
     HttpResponse,
     TransportError,
-    header_value,
 )
 from bluebellrun.routing import SendBudget
 from bluebellrun.telemetry import get_logger
@@ -42,10 +42,6 @@
 BAD_GATEWAY = 502
 # A request that may run only once uses a kept connection only while the upstream surely keeps it.
 ONCE_MAX_IDLE_S = 1.0
-# Answers up to this size are read whole before the caller gets them, so that they can be repeated.
-WHOLE_ANSWER_BYTES = 262_144
-# Bytes of an answer that does not say how long it is; a longer one is taken to have no end.
-MAX_UNDECLARED_BYTES = 67_108_864
 # The rest of a refusal is read so that its connection can be kept; a longer or slower one costs
 # the request more than a new connection would.
 REFUSAL_REST_BYTES = 65_536
@@ -72,47 +68,6 @@
 _log = get_logger("relay")
 
 
-@dataclass(frozen=True, slots=True)
-class _Declined:
-    """The upstream did not run the request."""
-
-    reason: str
-    unreachable: bool = False
-    had_places: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class _Lost:
-    """The request may have run; its answer is not known or not whole."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class _Failed:
-    """The upstream answered that it failed; the answer is whole."""
-
-    answer: UpstreamAnswer
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class _Moved:
-    """The stream was ended here to go on at another upstream; that send is granted."""
-
-    reason: str = "the upstream is slow and holds up its group"
-
-
-@dataclass(frozen=True, slots=True)
-class _Done:
-    """The caller has the whole answer."""
-
-    status: int
-
-
-_Outcome = _Declined | _Lost | _Failed | _Moved | _Done
-
-
 @dataclass(frozen=True, slots=True)
 class RelayTerms:
     """Where a request goes and what it is owed.
@@ -157,8 +112,7 @@
         self._refusals = 0
         self._upstream = ""
         self._excluded: set[str] = set()
-        self._last_id = request.last_event_id
-        self._last_event_at = 0.0
+        self._progress = StreamProgress(request.last_event_id)
 
     @property
     def sends(self) -> int:
@@ -199,25 +153,25 @@
 
     async def _send_until_settled(self) -> Result:
         """Send the request to one upstream after the other until it is settled."""
-        outcome: _Outcome = _Declined(f"service {self._service!r} has no upstream", had_places=True)
+        outcome: Outcome = Declined(f"service {self._service!r} has no upstream", had_places=True)
         while True:
             now = time.monotonic()
             upstream = self._fleet.choose(self._service, self._excluded, now)
-            if upstream is None or not (isinstance(outcome, _Moved) or self._may_send(now)):
+            if upstream is None or not (isinstance(outcome, Moved) or self._may_send(now)):
                 return await self._give_up(outcome)
             outcome = await self._send(upstream)
             match outcome:
-                case _Done(status):
+                case Done(status):
                     return Answered(status, upstream.instance, self._sends)
-                case _Failed(answer, body):
+                case Failed(answer, body):
                     if not self._may_run_again():
                         await self._exchange.answer(answer.status, answer.headers, body)
                         return Answered(answer.status, upstream.instance, self._sends)
-                case _Lost():
+                case Lost():
                     if not self._may_run_again():
                         return await self._give_up(outcome)
             self._excluded.add(upstream.instance)
-            resumes = self._exchange.started and not isinstance(outcome, _Moved)
+            resumes = self._exchange.started and not isinstance(outcome, Moved)
             if resumes and not await self._await_resumption():
                 return await self._give_up(outcome)
 
@@ -268,7 +222,7 @@
 
         All upstreams are tried again once each has refused.
         """
-        if time.monotonic() - self._last_event_at > self._patience_s() - RESUMING_TAKES_S:
+        if time.monotonic() - self._progress.last_event_at > self._patience_s() - RESUMING_TAKES_S:
             return False
         available = self._fleet.available(self._service, time.monotonic())
         if all(upstream.instance in self._excluded for upstream in available):
@@ -285,15 +239,15 @@
             PATIENCE_PAUSES * (route.longest_pause_s or 0.0),
         )
 
-    async def _give_up(self, outcome: _Outcome) -> Result:
+    async def _give_up(self, outcome: Outcome) -> Result:
         """Return what is left to tell the caller."""
         match outcome:
-            case _Failed(answer, body):
+            case Failed(answer, body):
                 await self._exchange.answer(answer.status, answer.headers, body)
                 return Answered(answer.status, "", self._sends)
-            case _Declined(reason) | _Lost(reason) | _Moved(reason):
+            case Declined(reason) | Lost(reason) | Moved(reason):
                 pass
-            case _Done(status):
+            case Done(status):
                 return Answered(status, "", self._sends)
         if self._exchange.started:
             return BrokenOff(reason, self._sends)
@@ -301,7 +255,7 @@
             return Unresolved(BAD_GATEWAY, reason, self._sends)
         return self._entrance.refusal(reason)
 
-    async def _send(self, upstream: Upstream) -> _Outcome:
+    async def _send(self, upstream: Upstream) -> Outcome:
         """Send the request to one upstream and pass on its answer."""
         stats = self._fleet.stats(upstream.instance)
         self._upstream = upstream.instance
@@ -310,7 +264,7 @@
         self._unread = self._request.prompt_tokens
         self._sends += 1
         started = time.monotonic()
-        outcome: _Outcome = _Lost("cancelled")
+        outcome: Outcome = Lost("cancelled")
         try:
             outcome = await self._exchange_with(upstream)
         finally:
@@ -319,31 +273,31 @@
         self._note(upstream, outcome, started)
         return outcome
 
-    def _note(self, upstream: Upstream, outcome: _Outcome, started: float) -> None:
+    def _note(self, upstream: Upstream, outcome: Outcome, started: float) -> None:
         """Keep account of what became of a send."""
         now = time.monotonic()
         match outcome:
-            case _Declined(reason, unreachable, had_places):
+            case Declined(reason, unreachable, had_places):
                 if unreachable:
                     self._fleet.note_unreachable(upstream.instance, now)
                 if had_places:
                     self._entrance.gate.note_refusal(now)
-            case _Lost(reason):
+            case Lost(reason):
                 self._fleet.note_result(upstream.instance, True, now - started, now)
-            case _Failed(answer, _):
+            case Failed(answer, _):
                 reason = f"upstream answered {answer.status}"
                 self._fleet.note_result(upstream.instance, True, now - started, now)
-            case _Moved(reason):
+            case Moved(reason):
                 pass
-            case _Done():
+            case Done():
                 self._fleet.note_result(upstream.instance, False, now - started, now)
                 return
         _log.info(
-            "send moved" if isinstance(outcome, _Moved) else "send failed",
+            "send moved" if isinstance(outcome, Moved) else "send failed",
             request=self._request.id,
             upstream=upstream.instance,
             send=self._sends,
-            outcome=type(outcome).__name__.strip("_").lower(),
+            outcome=type(outcome).__name__.lower(),
             reason=reason,
             left_s=round(self.left_s, 3),
         )
@@ -353,11 +307,11 @@
         self._fleet.stats(upstream.instance).unread_tokens -= self._unread
         self._unread = 0
 
-    async def _exchange_with(self, upstream: Upstream) -> _Outcome:
+    async def _exchange_with(self, upstream: Upstream) -> Outcome:
         """Send to one upstream; tell what is known of the request afterwards."""
         request = self._request
         attempt = Attempt(
-            upstream, self.left_s, self._terms.customer, self._terms.urgency, self._last_id
+            upstream, self.left_s, self._terms.customer, self._terms.urgency, self._progress.last_id
         )
         max_idle_s = None if self._route.repeatable else ONCE_MAX_IDLE_S
         self._runs += 1
@@ -372,17 +326,17 @@
             )
         except ConnectError as error:
             self._runs -= 1
-            return _Declined(str(error), unreachable=True)
+            return Declined(str(error), unreachable=True)
         except TransportError as error:
-            return _Lost(str(error))
+            return Lost(str(error))
         try:
             return await self._pass_on(upstream, response)
         except TransportError as error:
-            return _Lost(str(error))
+            return Lost(str(error))
         finally:
             await response.close()
 
-    async def _pass_on(self, upstream: Upstream, response: HttpResponse) -> _Outcome:
+    async def _pass_on(self, upstream: Upstream, response: HttpResponse) -> Outcome:
         """Pass an answer on to the caller."""
         answer = self._wire.read_answer(response.status, response.headers)
         self._take_notice(upstream, answer)
@@ -390,17 +344,25 @@
             self._runs -= 1
             await self._read_refusal(upstream, response)
             if answer.misdirected:
-                self._fleet.directory.note_replaced(upstream.instance)
+                self._fleet.directory.note_replaced(upstream.life)
             self._refusals += not answer.misdirected
             running = self._fleet.running(upstream.instance)
             had_places = not answer.misdirected and running <= upstream.slots
-            return _Declined(f"upstream answered {answer.status}: not run", had_places=had_places)
+            return Declined(f"upstream answered {answer.status}: not run", had_places=had_places)
         self._entrance.gate.note_taken_up()
         if self._route.streamed and answer.succeeded:
-            return await self._pass_stream(upstream, answer, response)
+            return await pass_stream(
+                self._exchange,
+                answer,
+                response,
+                self._progress,
+                lambda: self.left_s,
+                partial(self._note_events, upstream),
+                partial(self._may_move, upstream),
+            )
         if self._exchange.started:
-            return _Lost(f"upstream answered {answer.status} to a resumed stream")
-        return await self._pass_answer(answer, response)
+            return Lost(f"upstream answered {answer.status} to a resumed stream")
+        return await pass_answer(self._exchange, answer, response, lambda: self.left_s)
 
     def _take_notice(self, upstream: Upstream, answer: UpstreamAnswer) -> None:
         """Take what an upstream says of itself beside its answer."""
@@ -419,61 +381,12 @@
         except TransportError as error:
             _log.info("refusal not read", upstream=upstream.instance, reason=str(error))
 
-    async def _pass_answer(self, answer: UpstreamAnswer, response: HttpResponse) -> _Outcome:
-        """Pass on an answer: whole if it is small, else piece by piece."""
-        body = bytearray()
-        while piece := await response.read(self.left_s):
-            body += piece
-            if len(body) > WHOLE_ANSWER_BYTES:
-                return await self._pass_large(answer, bytes(body), response)
-        if answer.failed:
-            return _Failed(answer, bytes(body))
-        await self._exchange.answer(answer.status, answer.headers, bytes(body))
-        return _Done(answer.status)
-
-    async def _pass_large(
-        self, answer: UpstreamAnswer, begun: bytes, response: HttpResponse
-    ) -> _Outcome:
-        """Pass on an answer that is too large to be kept."""
-        await self._exchange.send_head(answer.status, answer.headers)
-        await self._exchange.send_body(begun)
-        declared = header_value(response.headers, "content-length") is not None
-        passed = len(begun)
-        while piece := await response.read(self.left_s):
-            await self._exchange.send_body(piece)
-            passed += len(piece)
-            if not declared and passed > MAX_UNDECLARED_BYTES:
-                raise AnswerTooLongError(f"an answer is over {MAX_UNDECLARED_BYTES} bytes")
-        await self._exchange.finish()
-        return _Done(answer.status)
-
-    async def _pass_stream(
-        self, upstream: Upstream, answer: UpstreamAnswer, response: HttpResponse
-    ) -> _Outcome:
-        """Pass on whole events as they arrive."""
-        events = EventSplitter(self._last_id)
-        before: float | None = None
-        while piece := await response.read(max(0.001, self.left_s)):
-            whole = events.feed(piece)
-            if whole is None:
-                continue
-            self._note_read(upstream)
-            if not self._exchange.started:
-                await self._exchange.send_head(answer.status, answer.headers)
-            now = time.monotonic()
-            if before is not None:
-                self._entrance.note_pause(now - before, self._route.longest_pause_s, now)
-            before = self._last_event_at = now
-            self._last_id = whole.last_id
-            await self._exchange.send_body(whole.data)
-            if self._may_move(upstream):
-                return _Moved()
-        if events.partial.strip():
-            return _Lost("the stream ended within an event")
-        if not self._exchange.started:
-            await self._exchange.send_head(answer.status, answer.headers)
-        await self._exchange.finish()
-        return _Done(answer.status)
+    def _note_events(self, upstream: Upstream, pause_s: float | None) -> None:
+        """Note that events of a stream came, after a pause if they are not its first."""
+        self._note_read(upstream)
+        if pause_s is not None:
+            longest_s = self._route.longest_pause_s
+            self._entrance.note_pause(pause_s, longest_s, time.monotonic())
 
 
 def choose_service(route: Route, random: Random) -> str:
--- a/bluebellrun/gateway/_service_group.py
+++ b/bluebellrun/gateway/_service_group.py
@@ -160,7 +160,7 @@
             try:
                 state = await self._calls.state(upstream)
             except RankReplacedError:
-                await self._forget(upstream.instance)
+                await self._forget(upstream)
                 return
             except RankCallError as error:
                 _log.info("rank not read", upstream=upstream.instance, reason=str(error))
@@ -209,10 +209,11 @@
         self._current = None
         self._change = None
 
-    async def _forget(self, instance: str) -> None:
+    async def _forget(self, upstream: Upstream) -> None:
         """Take it that an upstream's life is over."""
+        instance = upstream.instance
         _log.info("upstream replaced", service=self._service, upstream=instance)
-        self._directory.note_replaced(instance)
+        self._directory.note_replaced(upstream.life)
         self._seen_at.pop(instance, None)
         self._upstreams.pop(instance, None)
         self._read_at = 0.0
@@ -410,7 +411,7 @@
             try:
                 replies[rank] = await self._calls.give(self._ranks[rank], order, epoch, fencing)
             except RankReplacedError:
-                await self._forget(self._ranks[rank].instance)
+                await self._forget(self._ranks[rank])
                 return
             except RankCallError as error:
                 _log.info("order not answered", rank=rank, reason=str(error))
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -65,9 +65,11 @@
 def test_an_address_that_another_upstream_has_ends_the_first_one():
     directory = UpstreamDirectory()
     directory.put(upstream("one"))
-    directory.note_replaced("one")
+    directory.note_replaced(("one", 0))
     assert names(directory) == []
-    directory.put(upstream("one"))
+    directory.put(upstream("one", born=1))
+    assert names(directory) == ["one"]
+    directory.note_replaced(("one", 0))
     assert names(directory) == ["one"]
 
 
