Name admission and retries by the field's usual terms

The entrance is the admission control, callers that come back are retries, the line is a queue. No behaviour changes; the log line is 'waited in queue' of the component 'admission'.

--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -3,7 +3,6 @@
 from bluebellrun.admission._estimates import stated_answer_tokens
 from bluebellrun.admission._fair import FairAdmission
 from bluebellrun.admission._fifo import FifoAdmission
-from bluebellrun.admission._line import Ticket, WaitingLine
 from bluebellrun.admission._models import (
     AdmissionPolicy,
     AdmissionSettings,
@@ -15,8 +14,9 @@
 from bluebellrun.admission._places import Places, PlacesAdmission, PlacesSettings
 from bluebellrun.admission._registry import ADMISSION_POLICIES, make_admission
 from bluebellrun.admission._reserve import ReserveSettings, UrgentReserve
-from bluebellrun.admission._returning import ReturningCallers, ReturningSettings
+from bluebellrun.admission._retry_detector import RetryDetector, RetryDetectorSettings
 from bluebellrun.admission._service_gate import GateSettings, ServiceGate
+from bluebellrun.admission._waiting_queue import Ticket, WaitingQueue
 
 __all__ = [
     "ADMISSION_POLICIES",
@@ -33,12 +33,12 @@
     "PriorityTarget",
     "Refusal",
     "ReserveSettings",
-    "ReturningCallers",
-    "ReturningSettings",
+    "RetryDetector",
+    "RetryDetectorSettings",
     "ServiceGate",
     "Ticket",
     "UrgentReserve",
-    "WaitingLine",
+    "WaitingQueue",
     "Work",
     "make_admission",
     "stated_answer_tokens",
--- a/bluebellrun/admission/_line.py
+++ b/bluebellrun/admission/_waiting_queue.py
@@ -1,4 +1,4 @@
-"""Let requests wait in line for their service, the most urgent first. Pure."""
+"""Queue the requests that wait for their service, the most urgent first. Pure."""
 
 from itertools import count
 
@@ -6,7 +6,7 @@
 Ticket = tuple[int, int]
 
 
-class WaitingLine:
+class WaitingQueue:
     """The requests of one service that wait to be sent by this process."""
 
     def __init__(self) -> None:
@@ -14,13 +14,13 @@
         self._waiting: set[Ticket] = set()
 
     def join(self, urgency: int) -> Ticket:
-        """Take a place in the line behind those that are as urgent; return its ticket."""
+        """Join behind those that are as urgent; return the request's ticket."""
         ticket = (urgency, next(self._numbers))
         self._waiting.add(ticket)
         return ticket
 
     def leave(self, ticket: Ticket) -> None:
-        """Give up a place in the line."""
+        """Leave the queue, wherever the request stands in it."""
         self._waiting.discard(ticket)
 
     def ahead_of(self, ticket: Ticket) -> int:
--- a/bluebellrun/gateway/_entrance.py
+++ b/bluebellrun/gateway/_admission_control.py
@@ -1,10 +1,10 @@
-"""Which requests of one service are sent now, which wait in line, and which are refused.
+"""Which requests of one service are sent now, which are queued, and which are refused.
 
-A new caller is refused at once if it could not be answered in time: it is told when to come back.
-Most callers come back once only, so a second refusal is for good. One that has come back waits in
-line for a free place, as long as it may still be answered. It is late already, so new callers go
-first until its time runs out; then it goes before them. Outages of a service that works in step
-are short: whoever comes then waits a moment for its end.
+A new request is refused at once if it could not be answered in time: its caller is told when to
+retry. Most callers retry once only, so a second refusal is for good. A retry is queued for a free
+place, as long as it may still be answered. It is late already, so new requests go first until its
+time runs out; then it goes before them. Outages of a service that works in step are short:
+requests that come then are queued for a moment.
 """
 
 import time
@@ -22,7 +22,7 @@
     ServiceGate,
     Ticket,
     UrgentReserve,
-    WaitingLine,
+    WaitingQueue,
 )
 from bluebellrun.deployment import Route
 from bluebellrun.gateway._fleet import Fleet
@@ -30,45 +30,45 @@
 from bluebellrun.telemetry import get_logger
 
 UNAVAILABLE = 503
-# Those in line look for a place this often; one becomes free every few milliseconds.
-LINE_INTERVAL_S = 0.04
-# Steps of urgency by which a caller that has come back gives way to new ones at first, and by
-# which it goes before them in the last part of its time.
-GIVES_WAY = 1
-GOES_BEFORE = 1
-LAST_PART_S = 0.7
+# Queued requests look for a place this often; one becomes free every few milliseconds.
+QUEUE_INTERVAL_S = 0.04
+# Steps of urgency by which a retry gives way to new requests at first, and by which it goes before
+# them in the last part of its time.
+RETRY_STEPS_BEHIND = 1
+RETRY_STEPS_AHEAD = 1
+RETRY_LAST_PART_S = 0.7
 # A group whose ranks are all there forms again in some tenths of a second.
 OUTAGE_WAIT_S = 1.0
 # Callers that all upstreams turn away come back up to so many times later than the first may.
 LATEST_RETURN = 1.5
 
-_log = get_logger("entrance")
+_log = get_logger("admission")
 
 
 @dataclass(frozen=True, slots=True)
-class EntranceTerms:
-    """What the entrance looks at of one request.
+class AdmissionTerms:
+    """What decides on the admission of one request.
 
     Sent later than ``latest_send``, a reading of the monotonic clock in seconds, it would not be
-    answered any more. ``came_back`` tells that its caller was here before.
+    answered any more. ``is_retry`` tells that its caller was refused or cut off before.
     """
 
     request_id: str
     route: Route
     urgency: int
     latest_send: float
-    came_back: bool = False
+    is_retry: bool = False
 
     def urgency_at(self, now: float) -> int:
         """Return how urgent the request is beside new ones."""
-        if not self.came_back:
+        if not self.is_retry:
             return self.urgency
-        if now < self.latest_send - LAST_PART_S:
-            return self.urgency + GIVES_WAY
-        return self.urgency - GOES_BEFORE
+        if now < self.latest_send - RETRY_LAST_PART_S:
+            return self.urgency + RETRY_STEPS_BEHIND
+        return self.urgency - RETRY_STEPS_AHEAD
 
 
-class Entrance:
+class AdmissionControl:
     """Decide on the requests of one service; times in seconds of the monotonic clock.
 
     ``pauses`` is none for a service whose upstreams don't work in step. ``entries`` tells how many
@@ -92,7 +92,7 @@
         self._pauses = pauses
         self._entries = entries
         self._random = random
-        self._line = WaitingLine()
+        self._queue = WaitingQueue()
         self._reserve = UrgentReserve(ReserveSettings())
 
     @property
@@ -100,13 +100,13 @@
         """Return what is known of the service's outages."""
         return self._gate
 
-    async def admit(self, terms: EntranceTerms) -> Refused | None:
+    async def admit(self, terms: AdmissionTerms) -> Refused | None:
         """Return none once a request may be sent, or its refusal."""
         self._reserve.note(terms.urgency, time.monotonic())
-        refused = self._refusal_now(terms, waits=terms.came_back)
+        refused = self._refusal_now(terms, waits=terms.is_retry)
         if refused is None:
             return None
-        if terms.came_back:
+        if terms.is_retry:
             return await self._wait(terms, terms.latest_send, refused)
         until = min(terms.latest_send, time.monotonic() + OUTAGE_WAIT_S)
         return await self._wait(terms, until, refused)
@@ -136,14 +136,14 @@
                 load=round(self._load(), 2),
             )
 
-    async def _wait(self, terms: EntranceTerms, until: float, refused: Refused) -> Refused | None:
-        """Let a request wait in line; return none once it may be sent."""
+    async def _wait(self, terms: AdmissionTerms, until: float, refused: Refused) -> Refused | None:
+        """Queue a request; return none once it may be sent."""
         began = time.monotonic()
-        ticket = self._line.join(terms.urgency)
+        ticket = self._queue.join(terms.urgency)
         try:
             while self._may_wait(terms, ticket, until):
-                await curio.sleep(LINE_INTERVAL_S)
-                if self._line.ahead_of(ticket):
+                await curio.sleep(QUEUE_INTERVAL_S)
+                if self._queue.ahead_of(ticket):
                     continue
                 now_refused = self._refusal_now(terms, waits=True)
                 if now_refused is None:
@@ -151,22 +151,22 @@
                     return None
                 refused = now_refused
         finally:
-            self._line.leave(ticket)
-        if time.monotonic() - began > LINE_INTERVAL_S:
+            self._queue.leave(ticket)
+        if time.monotonic() - began > QUEUE_INTERVAL_S:
             self._log_wait(terms, began, "refused")
         return refused
 
-    def _may_wait(self, terms: EntranceTerms, ticket: Ticket, until: float) -> bool:
+    def _may_wait(self, terms: AdmissionTerms, ticket: Ticket, until: float) -> bool:
         """Return whether a request may wait on and is likely to be sent in time."""
         now = time.monotonic()
-        if not terms.came_back and not self._gate.out_of_order(now):
+        if not terms.is_retry and not self._gate.out_of_order(now):
             return False
-        return now + self._expected_wait_s(self._line.ahead_of(ticket)) < until
+        return now + self._expected_wait_s(self._queue.ahead_of(ticket)) < until
 
-    def _log_wait(self, terms: EntranceTerms, began: float, outcome: str) -> None:
-        """Log that a request waited in line."""
+    def _log_wait(self, terms: AdmissionTerms, began: float, outcome: str) -> None:
+        """Log that a request waited in queue."""
         waited_s = round(time.monotonic() - began, 3)
-        _log.info("waited in line", request=terms.request_id, waited_s=waited_s, outcome=outcome)
+        _log.info("waited in queue", request=terms.request_id, waited_s=waited_s, outcome=outcome)
 
     def _expected_wait_s(self, ahead: int) -> float:
         """Return how long those ahead take, as each entry gets its part of the free places."""
@@ -176,17 +176,17 @@
         waiting = ahead * self._entries() - max(0, places.total - places.taken)
         return max(0, waiting) * places.usual_s / places.total
 
-    def _refusal_now(self, terms: EntranceTerms, waits: bool = False) -> Refused | None:
+    def _refusal_now(self, terms: AdmissionTerms, waits: bool = False) -> Refused | None:
         """Return none if a request may be sent now, else its refusal.
 
-        One that ``waits`` in line is not sent as a trial of a service that is out of order as long
-        as new ones are: should it be refused, sending it again costs a further send.
+        One that ``waits`` in the queue is not sent as a trial of a service that is out of order as
+        long as new ones are: should it be refused, sending it again costs a further send.
         """
         if not self._gate.admits(time.monotonic(), waits):
             return self.refusal(f"service {self._service!r} is out of order")
         urgency = terms.urgency_at(time.monotonic())
         places, part = self._places(), self._part_of_places(terms.route, urgency)
-        if terms.came_back:
+        if terms.is_retry:
             admitted = places.has_free(part)
         else:
             admitted = self._admission.admits(places, urgency, terms.route.objective_s, part)
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -13,12 +13,12 @@
     PauseSettings,
     PlacesAdmission,
     PlacesSettings,
-    ReturningCallers,
-    ReturningSettings,
+    RetryDetector,
+    RetryDetectorSettings,
     ServiceGate,
 )
 from bluebellrun.deployment import Deployment, EngineTerms, HostSettings, Route
-from bluebellrun.gateway._entrance import Entrance
+from bluebellrun.gateway._admission_control import AdmissionControl
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._models import (
     Answered,
@@ -74,8 +74,8 @@
         self._deployment: Deployment | None = None
         self._budgets: dict[str, SendBudget] = {}
         self._admission = PlacesAdmission(PlacesSettings())
-        self._returning = ReturningCallers(ReturningSettings())
-        self._entrances: dict[str, Entrance] = {}
+        self._retry_detector = RetryDetector(RetryDetectorSettings())
+        self._admissions: dict[str, AdmissionControl] = {}
         self._engines: dict[str, EngineTerms | None] = {}
         self._entries = ASSUMED_ENTRIES
         self._in_progress = 0
@@ -174,7 +174,7 @@
             None if customer is None else customer.name,
             request_urgency(route, deployment, request.key),
             ends_at,
-            self._has_come_back(request, route),
+            self._is_retry(request, route),
             _relative_length(request, self._group_terms(service)),
         )
         relay = Relay(
@@ -183,7 +183,7 @@
             terms,
             self._fleet,
             self._wire,
-            self._entrance(service),
+            self._admission_of(service),
             self._budget(service),
         )
         result: Result
@@ -199,9 +199,9 @@
             return
         await self._conclude(exchange, request, route, service, result)
 
-    def _has_come_back(self, request: CallerRequest, route: Route) -> bool:
+    def _is_retry(self, request: CallerRequest, route: Route) -> bool:
         """Return whether a request's caller has surely been at this or another entry before."""
-        returns = self._returning.has_come_back(route.name, request.patience_s, route.timeout_s)
+        returns = self._retry_detector.is_retry(route.name, request.patience_s, route.timeout_s)
         return returns or request.last_event_id is not None
 
     def _out_of_time(self, exchange: HttpExchange, relay: Relay) -> Result:
@@ -284,13 +284,13 @@
         body = json.dumps({"status": status, "detail": reason}).encode()
         await exchange.answer(status, headers, body)
 
-    def _entrance(self, service: str) -> Entrance:
+    def _admission_of(self, service: str) -> AdmissionControl:
         """Return what decides on a service's requests; made anew where its engine changed."""
         engine = self._group_terms(service)
-        entrance = self._entrances.get(service)
-        if entrance is None or self._engines[service] != engine:
+        control = self._admissions.get(service)
+        if control is None or self._engines[service] != engine:
             self._engines[service] = engine
-            entrance = self._entrances[service] = Entrance(
+            control = self._admissions[service] = AdmissionControl(
                 service,
                 self._fleet,
                 ServiceGate(GateSettings(), shares_fate=engine is not None),
@@ -299,7 +299,7 @@
                 lambda: self._entries,
                 self._random,
             )
-        return entrance
+        return control
 
     def _group_terms(self, service: str) -> EngineTerms | None:
         """Return the terms of a service whose upstreams work in step, none of any other."""
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -14,7 +14,11 @@
 import curio
 
 from bluebellrun.deployment import Deployment, Route
-from bluebellrun.gateway._entrance import LINE_INTERVAL_S, Entrance, EntranceTerms
+from bluebellrun.gateway._admission_control import (
+    QUEUE_INTERVAL_S,
+    AdmissionControl,
+    AdmissionTerms,
+)
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._models import (
     Answered,
@@ -72,7 +76,7 @@
 class RelayTerms:
     """Where a request goes and what it is owed.
 
-    It ends at ``ends_at``, a reading of the monotonic clock in seconds. ``came_back`` tells that
+    It ends at ``ends_at``, a reading of the monotonic clock in seconds. ``is_retry`` tells that
     its caller was refused before. Its answer should be ``length`` times as long as usual.
     """
 
@@ -81,7 +85,7 @@
     customer: str | None
     urgency: int
     ends_at: float
-    came_back: bool = False
+    is_retry: bool = False
     length: float = 1.0
 
 
@@ -95,7 +99,7 @@
         terms: RelayTerms,
         fleet: Fleet,
         wire: Wire,
-        entrance: Entrance,
+        admission_control: AdmissionControl,
         budget: SendBudget,
     ) -> None:
         self._exchange = exchange
@@ -105,7 +109,7 @@
         self._service = terms.service
         self._fleet = fleet
         self._wire = wire
-        self._entrance = entrance
+        self._admission_control = admission_control
         self._budget = budget
         self._sends = 0
         self._runs = 0
@@ -137,19 +141,19 @@
     async def run(self) -> Result:
         """Send the request until it is settled.
 
-        One that waits in line goes back there when no upstream took it up.
+        A retry that no upstream took up is queued again.
         """
-        terms = self._entrance_terms()
+        terms = self._admission_terms()
         while True:
-            refused = await self._entrance.admit(terms)
+            refused = await self._admission_control.admit(terms)
             if refused is not None:
                 return refused
             result = await self._send_until_settled()
-            if not isinstance(result, Refused) or not self._waits_on(terms):
+            if not isinstance(result, Refused) or not self._may_queue_again(terms):
                 return result
             self._excluded.clear()
             self._refusals = 0
-            await curio.sleep(LINE_INTERVAL_S)
+            await curio.sleep(QUEUE_INTERVAL_S)
 
     async def _send_until_settled(self) -> Result:
         """Send the request to one upstream after the other until it is settled."""
@@ -175,19 +179,19 @@
             if resumes and not await self._await_resumption():
                 return await self._give_up(outcome)
 
-    def _entrance_terms(self) -> EntranceTerms:
+    def _admission_terms(self) -> AdmissionTerms:
         """Return what decides whether the request is sent now."""
         terms = self._terms
         patience_ends_at = self._request.received + self._patience_s() - SERVING_TAKES_S
         answer_s = self._fleet.usual_s(terms.service, time.monotonic()) * terms.length
         latest_send = min(patience_ends_at, terms.ends_at - max(LEAST_ANSWER_S, answer_s))
-        return EntranceTerms(
-            self._request.id, terms.route, terms.urgency, latest_send, terms.came_back
+        return AdmissionTerms(
+            self._request.id, terms.route, terms.urgency, latest_send, terms.is_retry
         )
 
-    def _waits_on(self, terms: EntranceTerms) -> bool:
-        """Return whether a request that no upstream took up goes back to the line."""
-        return terms.came_back and time.monotonic() < terms.latest_send
+    def _may_queue_again(self, terms: AdmissionTerms) -> bool:
+        """Return whether a request that no upstream took up is queued again."""
+        return terms.is_retry and time.monotonic() < terms.latest_send
 
     def _may_send(self, now: float) -> bool:
         """Return whether there is time for a send and, after the first, budget."""
@@ -198,7 +202,7 @@
             return True
         started = self._exchange.started
         if not started and (
-            self._refusals > MOST_REFUSALS or self._entrance.gate.out_of_order(now)
+            self._refusals > MOST_REFUSALS or self._admission_control.gate.out_of_order(now)
         ):
             return False
         return self._budget.take(now)
@@ -253,7 +257,7 @@
             return BrokenOff(reason, self._sends)
         if self._runs:
             return Unresolved(BAD_GATEWAY, reason, self._sends)
-        return self._entrance.refusal(reason)
+        return self._admission_control.refusal(reason)
 
     async def _send(self, upstream: Upstream) -> Outcome:
         """Send the request to one upstream and pass on its answer."""
@@ -281,7 +285,7 @@
                 if unreachable:
                     self._fleet.note_unreachable(upstream.instance, now)
                 if had_places:
-                    self._entrance.gate.note_refusal(now)
+                    self._admission_control.gate.note_refusal(now)
             case Lost(reason):
                 self._fleet.note_result(upstream.instance, True, now - started, now)
             case Failed(answer, _):
@@ -349,7 +353,7 @@
             running = self._fleet.running(upstream.instance)
             had_places = not answer.misdirected and running <= upstream.slots
             return Declined(f"upstream answered {answer.status}: not run", had_places=had_places)
-        self._entrance.gate.note_taken_up()
+        self._admission_control.gate.note_taken_up()
         if self._route.streamed and answer.succeeded:
             return await pass_stream(
                 self._exchange,
@@ -386,7 +390,7 @@
         self._note_read(upstream)
         if pause_s is not None:
             longest_s = self._route.longest_pause_s
-            self._entrance.note_pause(pause_s, longest_s, time.monotonic())
+            self._admission_control.note_pause(pause_s, longest_s, time.monotonic())
 
 
 def choose_service(route: Route, random: Random) -> str:
--- a/tests/gateway/test_entrance.py
+++ b/tests/gateway/test_admission_control.py
@@ -1,4 +1,4 @@
-"""Load patterns at the entrance: a full service, an outage, and callers that come back to both."""
+"""Load patterns of admission: a full service, an outage, and retries of what they refused."""
 
 import time
 from random import Random
@@ -11,7 +11,7 @@
 from bluebellrun.core import Address
 from bluebellrun.deployment import Repeat, Route, Share
 from bluebellrun.gateway import Fleet, Refused, Upstream, UpstreamDirectory
-from bluebellrun.gateway._entrance import LATEST_RETURN, Entrance, EntranceTerms
+from bluebellrun.gateway._admission_control import LATEST_RETURN, AdmissionControl, AdmissionTerms
 
 SLOTS = 4
 USUAL_S = 1.0
@@ -20,7 +20,7 @@
 
 
 class Service:
-    """One upstream whose places are taken as told, with an entrance."""
+    """One upstream whose places are taken as told, with an admission_control."""
 
     def __init__(self, taken: int = 0) -> None:
         directory = UpstreamDirectory()
@@ -28,7 +28,7 @@
         directory.put(self.upstream)
         self.fleet = Fleet(directory, "a", Random(1))
         self.gate = ServiceGate(GateSettings())
-        self.entrance = Entrance(
+        self.admission_control = AdmissionControl(
             "s",
             self.fleet,
             self.gate,
@@ -47,31 +47,31 @@
         for _ in range(GateSettings().refusals):
             self.gate.note_refusal(time.monotonic())
 
-    async def ask(self, came_back: bool, urgency: int = 0) -> tuple[Refused | None, float]:
+    async def ask(self, is_retry: bool, urgency: int = 0) -> tuple[Refused | None, float]:
         """Return the refusal, if any, and how long the request waited for the decision."""
         began = time.monotonic()
-        terms = EntranceTerms("r1", ROUTE, urgency, began + WAIT_S, came_back)
-        refused = await self.entrance.admit(terms)
+        terms = AdmissionTerms("r1", ROUTE, urgency, began + WAIT_S, is_retry)
+        refused = await self.admission_control.admit(terms)
         return refused, time.monotonic() - began
 
 
 def test_a_new_caller_is_refused_at_once_by_a_full_service():
     async def main() -> None:
-        refused, took_s = await Service(taken=40).ask(came_back=False)
+        refused, took_s = await Service(taken=40).ask(is_retry=False)
         assert refused is not None and refused.retry_after_s
         assert took_s < 0.05
 
     curio.run(main)
 
 
-@pytest.mark.parametrize(("taken", "came_back"), [(40, True), (0, True), (0, False)])
-def test_callers_wait_for_a_place_on_their_return_and_for_the_end_of_an_outage(taken, came_back):
+@pytest.mark.parametrize(("taken", "is_retry"), [(40, True), (0, True), (0, False)])
+def test_callers_wait_for_a_place_on_their_return_and_for_the_end_of_an_outage(taken, is_retry):
     async def main() -> None:
         service = Service(taken)
         if not taken:
             service.out_of_order()
             service.gate.admits(time.monotonic())
-        waiting = await curio.spawn(service.ask, came_back)
+        waiting = await curio.spawn(service.ask, is_retry)
         await curio.sleep(0.1)
         service.set_taken(0)
         service.gate.note_taken_up()
@@ -84,7 +84,7 @@
 
 def test_one_that_came_back_is_refused_when_its_caller_would_leave():
     async def main() -> None:
-        refused, took_s = await Service(taken=40).ask(came_back=True)
+        refused, took_s = await Service(taken=40).ask(is_retry=True)
         assert refused is not None
         assert took_s < WAIT_S + 0.1
 
@@ -96,7 +96,7 @@
         service = Service(taken=40)
         ahead = [await curio.spawn(service.ask, True, 0) for _ in range(SLOTS)]
         await curio.sleep(0)
-        refused, took_s = await service.ask(came_back=True, urgency=1)
+        refused, took_s = await service.ask(is_retry=True, urgency=1)
         assert refused is not None
         assert took_s < 0.05
         for task in ahead:
@@ -106,9 +106,9 @@
 
 
 def test_a_caller_on_its_return_gives_way_to_new_ones_until_its_time_runs_out():
-    terms = EntranceTerms("r1", ROUTE, 1, 10.0, came_back=True)
+    terms = AdmissionTerms("r1", ROUTE, 1, 10.0, is_retry=True)
     assert terms.urgency_at(0.0) > 1 > terms.urgency_at(9.9)
-    assert EntranceTerms("r1", ROUTE, 1, 10.0).urgency_at(9.9) == 1
+    assert AdmissionTerms("r1", ROUTE, 1, 10.0).urgency_at(9.9) == 1
 
 
 def test_those_in_line_are_sent_in_the_order_of_their_urgency():
@@ -116,7 +116,7 @@
         service, order = Service(taken=40), []
 
         async def ask(urgency: int) -> None:
-            await service.ask(came_back=True, urgency=urgency)
+            await service.ask(is_retry=True, urgency=urgency)
             order.append(urgency)
             service.set_taken(40)
             await curio.sleep(0.05)
@@ -135,6 +135,6 @@
 def test_where_all_want_nothing_callers_are_told_when_the_first_takes_requests_again():
     service = Service()
     service.fleet.note_backoff(service.upstream, 10.0, time.monotonic())
-    told = [service.entrance.refusal("none").retry_after_s or 0.0 for _ in range(20)]
+    told = [service.admission_control.refusal("none").retry_after_s or 0.0 for _ in range(20)]
     assert all(9.9 < seconds <= 10.0 * LATEST_RETURN for seconds in told)
     assert max(told) - min(told) > 2.0
--- a/tests/platform/test_departing_upstreams.py
+++ b/tests/platform/test_departing_upstreams.py
@@ -124,7 +124,7 @@
 def test_one_that_came_back_is_sent_again_when_its_upstream_takes_requests_again():
     async def check(scene: Scene) -> None:
         for _ in range(20):
-            scene.gateway._returning.has_come_back("ask", 8.0, 0.9)
+            scene.gateway._retry_detector.is_retry("ask", 8.0, 0.9)
         assert (await scene.ask("/ask/a", deadline="8000")).status == 503
         began = time.monotonic()
         assert (await scene.ask("/ask/a", deadline="5000")).status == 200
