Call a rank at its present address; log a way that is avoided once

Cause: clients to ranks were kept by instance, so that one that starts again under its instance at another address was still called at the former one (the new test failed before). While the process beside an engine is passed over, each call logged that it went the other way.

--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -73,6 +73,10 @@
     """The process beside an engine says that the engine did not answer."""
 
 
+class _AvoidedError(RankCallError):
+    """The process beside an engine did not pass a call on a moment ago and is not asked."""
+
+
 class _Group(msgspec.Struct):
     """The group that a rank belongs to."""
 
@@ -234,6 +238,8 @@
             return await first(upstream, call)
         except (RankReplacedError, _NoAnswerError):
             raise
+        except _AvoidedError:
+            pass
         except RankCallError as error:
             _log.info("engine called the other way", upstream=upstream.instance, reason=str(error))
         return await second(upstream, call)
@@ -242,7 +248,7 @@
         """Make a call by the process beside the upstream, unless that failed a moment ago."""
         instance = upstream.instance
         if time.monotonic() < self._avoided_until.get(instance, 0.0):
-            raise RankCallError("the process beside the engine did not answer a moment ago")
+            raise _AvoidedError("the process beside the engine did not answer a moment ago")
         client = self._client(self._relays, instance, self._beside(upstream))
         headers, body = self._packed(_headers(instance, call), call.body)
         try:
@@ -315,7 +321,7 @@
     ) -> HttpClient:
         """Return the client for an upstream."""
         client = clients.get(instance)
-        if client is None:
+        if client is None or client.address != address:
             timeouts = ClientTimeouts(CONNECT_TIMEOUT_S, LONGEST_CALL_S, LONGEST_CALL_S)
             client = clients[instance] = HttpClient(address, timeouts, MAX_ANSWER_BYTES)
         return client
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from dataclasses import replace
 from typing import Any
 
 import curio
@@ -264,3 +265,14 @@
         assert len(engine.orders) == int(wants_requests)
 
     play(check)
+
+
+def test_a_rank_that_starts_again_elsewhere_under_its_instance_is_called_there():
+    async def check(engine: Engine, calls: EngineCalls, upstream: Upstream) -> None:
+        await calls.give(upstream, HoldPass(4), 3, 12)
+        moved = Engine()
+        address = await serve(moved.handle)
+        await calls.give(replace(upstream, address=address, born=2), HoldPass(5), 3, 12)
+        assert (len(engine.orders), len(moved.orders)) == (1, 1)
+
+    play(check, relayed=False)
