--- a/bluebellrun/gateway/_directory.py
+++ b/bluebellrun/gateway/_directory.py
@@ -129,15 +129,14 @@
         """Sort the upstreams that take work by service.
 
         Of several lives of a service at one address only the latest goes on: the registrations of
-        the others are on their way out.
+        those born before it are on their way out.
         """
-        latest: dict[tuple[str, Address], Upstream] = {}
+        latest: dict[tuple[str, Address], int] = {}
         for upstream in self._upstreams.values():
             place = (upstream.service, upstream.address)
-            other = latest.get(place)
-            if other is None or upstream.born >= other.born:
-                latest[place] = upstream
+            latest[place] = max(upstream.born, latest.get(place, 0))
         self._by_service = {}
-        for upstream in latest.values():
-            if not upstream.leaving:
+        for upstream in self._upstreams.values():
+            is_latest = upstream.born >= latest[upstream.service, upstream.address]
+            if is_latest and not upstream.leaving:
                 self._by_service.setdefault(upstream.service, []).append(upstream)
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -116,6 +116,13 @@
     assert names(directory) == ["old"]
 
 
+def test_where_no_birth_is_known_all_registrations_of_an_address_are_used():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one", at=80))
+    directory.put(upstream("two", at=80))
+    assert names(directory) == ["one", "two"]
+
+
 def test_the_same_address_under_another_service_ends_nothing():
     directory = UpstreamDirectory()
     directory.put(upstream("one", born=1, at=80))
