--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -4,8 +4,10 @@
 for its answer instead of finding nobody.
 """
 
+import socket
 import sys
 
+from bluebellrun.core import Address
 from bluebellrun.gateway._listening import open_listening_socket
 from bluebellrun.platform import SettingsError, read_settings, settings_path
 
@@ -18,7 +20,7 @@
         settings = read_settings(settings_path())
         if settings.callers is None:
             raise SettingsError("no address for callers; run the role where callers are served")
-        listening = open_listening_socket(settings.callers)
+        listening = _listen(settings.callers)
         # Loading this takes several times as long as all before it.
         from bluebellrun.gateway._process import serve
 
@@ -28,5 +30,14 @@
         sys.exit(EXIT_BAD_SETTING)
 
 
+def _listen(address: Address) -> socket.socket:
+    """Return the callers' socket; raise ``SettingsError`` where the address cannot be had."""
+    try:
+        return open_listening_socket(address)
+    except OSError as error:
+        text = f"cannot listen on {address}: {error}; end what uses it or correct the setting"
+        raise SettingsError(text) from error
+
+
 if __name__ == "__main__":
     run()
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -3,14 +3,17 @@
 from typing import Any
 
 import curio
+import pytest
 
 from bluebellrun.core import Address
 from bluebellrun.deployment import Bounds, HostSettings, ReservedPorts, StoreTerms
 from bluebellrun.gateway import Fleet, Gateway, UpstreamDirectory
 from bluebellrun.gateway import _lifecycle as lifecycle_module
+from bluebellrun.gateway import main as program
 from bluebellrun.gateway._lifecycle import Lifecycle
+from bluebellrun.gateway._listening import open_listening_socket
 from bluebellrun.http import HttpExchange, HttpLimits, HttpServer
-from bluebellrun.platform import PlatformWire
+from bluebellrun.platform import PlatformWire, SettingsError
 
 
 def make_gateway() -> Gateway:
@@ -70,3 +73,10 @@
         assert 0.5 < time.monotonic() - began < 1.0
 
     curio.run(main)
+
+
+def test_an_address_that_is_in_use_is_a_setting_to_correct():
+    with open_listening_socket(Address("127.0.0.1", 0)) as taken:
+        address = Address(*taken.getsockname())
+        with pytest.raises(SettingsError, match=f"cannot listen on {address}.*correct the setting"):
+            program._listen(address)
