Tell the load of a service's places in one place

Reading the whole change once more: the same quotient stood in the admission control and in the process, and admitting ended in two calls that differ by their bound. No behaviour changes.

--- a/bluebellrun/admission/_places.py
+++ b/bluebellrun/admission/_places.py
@@ -30,6 +30,11 @@
     taken: int
     usual_s: float
 
+    @property
+    def load(self) -> float:
+        """Return the part of all places that is taken, 0 where there are none."""
+        return self.taken / self.total if self.total else 0.0
+
     def has_free(self, part: float) -> bool:
         """Return whether less than a part of all places is taken."""
         return self.total <= 0 or self.taken < part * self.total
--- a/bluebellrun/gateway/_admission_control.py
+++ b/bluebellrun/gateway/_admission_control.py
@@ -106,9 +106,9 @@
         refused = self._refusal_now(terms, waits=terms.is_retry)
         if refused is None:
             return None
-        if terms.is_retry:
-            return await self._wait(terms, terms.latest_send, refused)
-        until = min(terms.latest_send, time.monotonic() + OUTAGE_WAIT_S)
+        until = terms.latest_send
+        if not terms.is_retry:
+            until = min(until, time.monotonic() + OUTAGE_WAIT_S)
         return await self._wait(terms, until, refused)
 
     def refusal(self, reason: str) -> Refused:
@@ -211,5 +211,4 @@
 
     def _load(self) -> float:
         """Return the part of the service's places that is taken."""
-        places = self._places()
-        return places.taken / places.total if places.total else 0.0
+        return self._places().load
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -215,8 +215,7 @@
 
     def _load(self, service: str) -> float:
         """Return the part of a service's places that is taken, by all entries."""
-        places = self._fleet.places(service, time.monotonic())
-        return places.taken / places.total if places.total else 0.0
+        return self._fleet.places(service, time.monotonic()).load
 
     def _join_entries(self) -> None:
         """Make what this entry and the others tell each other."""
