Log how an attempt ended and the parts of its prompt

Callers saw 503s, cut streams and deadlines; no log line could tell a crash under a request from a cut or a kill, nor did one name the parts of a prompt. Failed attempts now tell whether the upstream ended the connection, whether a head and how many batches of events had arrived, how long it took, and the parts.

--- a/bluebellrun/gateway/_models.py
+++ b/bluebellrun/gateway/_models.py
@@ -13,6 +13,8 @@
     ``headers`` are forwarded to the upstream unchanged. ``caller_timeout_s`` is how long the
     caller waits from ``received`` on, none if it did not say. Token counts are 0 where none were
     given; ``answer_tokens`` is the maximum and ``expected_tokens`` the caller's estimate.
+    ``prompt_parts`` are the ids of the prompt's parts in order; the last one belongs to the request
+    or its session alone.
     """
 
     id: str
@@ -28,6 +30,7 @@
     answer_tokens: int = 0
     expected_tokens: int = 0
     last_event_id: int | None = None
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/bluebellrun/gateway/_outcomes.py
+++ b/bluebellrun/gateway/_outcomes.py
@@ -16,9 +16,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """The request may have run; its answer is unknown or incomplete."""
+    """The request may have run; its answer is unknown or incomplete.
+
+    ``ended_by_peer`` tells that the upstream closed or reset the connection.
+    """
 
     reason: str
+    ended_by_peer: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -36,6 +36,7 @@
 from bluebellrun.gateway._ports import Wire
 from bluebellrun.http import (
     ConnectError,
+    ConnectionLostError,
     HttpExchange,
     HttpResponse,
     TransportError,
@@ -67,6 +68,8 @@
 MAX_REFUSALS = 1
 # Retries that moving streams off slow ranks leaves for requests that would otherwise fail.
 RETRIES_RESERVED_FOR_FAILURES = 3
+# Parts of a prompt that a log line names.
+MAX_LOGGED_PARTS = 8
 # Remaining time below which an attempt could not be answered.
 MIN_REMAINING_S = 0.02
 
@@ -118,6 +121,9 @@
         self._upstream = ""
         self._excluded: set[str] = set()
         self._progress = StreamProgress(request.last_event_id)
+        # Of the current attempt: whether its answer's head arrived, and how many batches of events.
+        self._has_head = False
+        self._events = 0
 
     @property
     def attempts(self) -> int:
@@ -308,6 +314,11 @@
             outcome=type(outcome).__name__.lower(),
             reason=reason,
             remaining_s=round(self.remaining_s, 3),
+            took_s=round(now - started, 3),
+            ended_by_peer=isinstance(outcome, Lost) and outcome.ended_by_peer,
+            has_head=self._has_head,
+            events=self._events,
+            parts=self._request.prompt_parts[:MAX_LOGGED_PARTS],
         )
 
     def _record_prompt_read(self, upstream: Upstream) -> None:
@@ -327,6 +338,7 @@
         )
         max_idle_s = None if self._route.repeatable else NON_REPEATABLE_MAX_IDLE_S
         self._runs += 1
+        self._has_head, self._events = False, 0
         try:
             response = await self._fleet.client(upstream).open(
                 request.method,
@@ -340,11 +352,12 @@
             self._runs -= 1
             return Declined(str(error), unreachable=True)
         except TransportError as error:
-            return Lost(str(error))
+            return _lost(error)
+        self._has_head = True
         try:
             return await self._forward(upstream, response)
         except TransportError as error:
-            return Lost(str(error))
+            return _lost(error)
         finally:
             await response.close()
 
@@ -395,12 +408,18 @@
 
     def _record_events(self, upstream: Upstream, pause_s: float | None) -> None:
         """Record that events of a stream arrived, after a pause if they are not its first."""
+        self._events += 1
         self._record_prompt_read(upstream)
         if pause_s is not None:
             max_pause_s = self._route.longest_pause_s
             self._admission_control.record_pause(pause_s, max_pause_s, time.monotonic())
 
 
+def _lost(error: TransportError) -> Lost:
+    """Return the outcome of an attempt whose connection failed."""
+    return Lost(str(error), isinstance(error, ConnectionLostError) and error.ended_by_peer)
+
+
 def choose_service(route: Route, random: Random) -> str:
     """Return the service of one request: the route's, or one of them by their shares."""
     if len(route.shares) == 1:
--- a/bluebellrun/http/_client.py
+++ b/bluebellrun/http/_client.py
@@ -289,7 +289,7 @@
         try:
             await self._socket.sendall(data)
         except OSError as error:
-            raise ConnectionLostError(str(error)) from error
+            raise _lost(error) from error
 
     async def _send_quietly(self, data: bytes) -> bool:
         """Send while the response is read; return whether all was sent."""
@@ -317,7 +317,7 @@
                 if informational > MAX_INFORMATIONAL:
                     raise BadResponseError(f"{informational} heads that announce a response")
             else:
-                raise ConnectionLostError("closed before the response")
+                raise ConnectionLostError("closed before the response", ended_by_peer=True)
 
     async def _skip_response(self, deadline: float) -> None:
         """Read a response to another request to its end and await the next one."""
@@ -334,7 +334,9 @@
                 )
         rest, closed = self._protocol.trailing_data
         if closed or self._request is None:
-            raise ConnectionLostError("closed after a response to another request")
+            raise ConnectionLostError(
+                "closed after a response to another request", ended_by_peer=closed
+            )
         self._protocol = _awaiting_response(self._request)
         if rest:
             self._protocol.receive_data(rest)
@@ -353,7 +355,7 @@
                 if self.fresh():
                     raise PeerTimeoutError(f"nothing arrived for {timeout_s:.3f} s") from None
             except OSError as error:
-                raise ConnectionLostError(str(error)) from error
+                raise _lost(error) from error
         return event
 
     async def _read_event(self) -> Any:
@@ -369,7 +371,7 @@
             self._more_waits = len(data) == READ_SIZE
             if not data and self._protocol.their_state is h11.SEND_RESPONSE:
                 self._protocol.receive_data(data)
-                raise ConnectionLostError("closed before the response")
+                raise ConnectionLostError("closed before the response", ended_by_peer=True)
             self._protocol.receive_data(data)
             event = self._parse()
             if event is not h11.NEED_DATA:
@@ -381,7 +383,7 @@
             return self._protocol.next_event()
         except h11.RemoteProtocolError as error:
             if "peer" in str(error) and "closed" in str(error):
-                raise ConnectionLostError(str(error)) from error
+                raise ConnectionLostError(str(error), ended_by_peer=True) from error
             raise BadResponseError(str(error)) from error
 
     def start_next_cycle(self) -> bool:
@@ -413,3 +415,9 @@
     protocol.send(h11.Request(method=request.method, target=request.target, headers=headers))
     protocol.send(h11.EndOfMessage())
     return protocol
+
+
+def _lost(error: OSError) -> ConnectionLostError:
+    """Return the error of a connection on which a system call failed."""
+    ended_by_peer = isinstance(error, ConnectionResetError | BrokenPipeError)
+    return ConnectionLostError(str(error), ended_by_peer)
--- a/bluebellrun/http/_exceptions.py
+++ b/bluebellrun/http/_exceptions.py
@@ -10,7 +10,14 @@
 
 
 class ConnectionLostError(TransportError):
-    """The connection ended after some of the message may have left this process."""
+    """The connection ended after some of the message may have left this process.
+
+    ``ended_by_peer`` tells that the peer closed or reset it, not that it fell silent.
+    """
+
+    def __init__(self, reason: str, ended_by_peer: bool = False) -> None:
+        super().__init__(reason)
+        self.ended_by_peer = ended_by_peer
 
 
 class PeerTimeoutError(TransportError):
--- a/bluebellrun/platform/_messages.py
+++ b/bluebellrun/platform/_messages.py
@@ -19,6 +19,7 @@
     LENGTH_HINT,
     NOT_RUN,
     PRIORITY,
+    PROMPT_PARTS,
     REQUEST_ID,
     RETRY_AFTER,
     SERVER_LEAVING,
@@ -43,6 +44,8 @@
     }
 )
 LEAST_URGENT_PRIORITY = 9
+HEXADECIMAL = frozenset("0123456789abcdef")
+MAX_PART_ID_LENGTH = 64
 # Upstreams read a deadline of 0 as no deadline.
 MIN_DEADLINE_MS = 1
 
@@ -73,6 +76,7 @@
             answer_tokens=answer,
             expected_tokens=_number(headers, LENGTH_HINT) or 0,
             last_event_id=_number(headers, LAST_EVENT_ID),
+            prompt_parts=_prompt_parts(headers.get(PROMPT_PARTS)),
         )
 
     def upstream_headers(self, request: CallerRequest, attempt: Attempt) -> Headers:
@@ -138,3 +142,14 @@
     if not is_whole_number(prompt.strip()) or not is_whole_number(answer.strip()):
         raise BadRequestError(f"{TOKEN_COUNT} is {text!r}; send PROMPT,ANSWER in tokens")
     return int(prompt), int(answer)
+
+
+def _prompt_parts(text: str | None) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts from comma-separated ID:TOKENS entries."""
+    if not text:
+        return ()
+    parts = tuple(entry.partition(":")[0].strip().lower() for entry in text.split(","))
+    for part in parts:
+        if not 0 < len(part) <= MAX_PART_ID_LENGTH or not HEXADECIMAL.issuperset(part):
+            raise BadRequestError(f"{PROMPT_PARTS} has part {part[:40]!r}; send HEX_ID:TOKENS,...")
+    return parts
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -432,6 +432,42 @@
     run_check(check, ("u1", is_silent))
 
 
+@pytest.mark.parametrize(
+    ("pieces", "has_head", "events"),
+    [((), False, 0), ((stream(complete=False),), True, 0), ((stream(1, complete=False),), True, 1)],
+)
+def test_the_log_tells_how_far_an_answer_came_when_its_upstream_ended(pieces, has_head, events):
+    async def check(bench: GatewayBench) -> None:
+        await bench.send_request("/tell/a", "POST", X_Bluebellrun_Prefix_Hash="A1:5,b2:6,c3:7")
+
+    with structlog.testing.capture_logs() as logs:
+        run_check(check, ("u1", sends_and_closes(*pieces)))
+    (line,) = [line for line in logs if line["event"] == "attempt failed"]
+    assert line["ended_by_peer"]
+    assert (line["has_head"], line["events"]) == (has_head, events)
+    assert line["parts"] == ("a1", "b2", "c3")
+
+
+def test_a_silent_upstream_is_not_logged_as_having_ended():
+    async def check(bench: GatewayBench) -> None:
+        await bench.send_request("/ask/a", deadline="300")
+
+    with structlog.testing.capture_logs() as logs:
+        run_check(check, ("u1", is_silent))
+    lost = [line for line in logs if line["event"] == "attempt failed"]
+    assert not any(line["ended_by_peer"] for line in lost)
+
+
+@pytest.mark.parametrize("parts", ["xyz:5", ":5,a1:6", "a1:5,,b2:6", "a" * 65 + ":1"])
+def test_malformed_prompt_parts_are_an_error_that_names_them(parts):
+    async def check(bench: GatewayBench) -> None:
+        answer = await bench.send_request("/ask/a", X_Bluebellrun_Prefix_Hash=parts)
+        assert answer.status == 400
+        assert b"x-bluebellrun-prefix-hash" in answer.body
+
+    assert run_check(check, ("u1", sends(reply(200)))).arrivals == []
+
+
 def test_an_unreachable_upstream_is_skipped():
     bench = GatewayBench()
 
