--- a/tests/platform/upstreams.py
+++ b/tests/platform/upstreams.py
@@ -59,6 +59,9 @@
     def __init__(self) -> None:
         self.arrivals: list[Arrival] = []
         self.closed: list[str] = []
+        self.crashed: list[str] = []
+        self._listeners: dict[str, Listener] = {}
+        self._scripts: dict[str, Script] = {}
         self.directory = UpstreamDirectory()
         store = StoreTerms(Address("127.0.0.1", 1), 1, 1, 1)
         settings = HostSettings("h", "127.0.0.1", "a", "r", store, ReservedPorts(1, 2))
@@ -93,8 +96,21 @@
 
         listener = Listener(Address("127.0.0.1", 0), serve)
         await curio.spawn(listener.run, daemon=True)
+        self._listeners[name], self._scripts[name] = listener, script
         self.directory.put(Upstream(name, "s", listener.address, "a", 6))
 
+    async def crash(self, name: str, sock: Any) -> None:
+        """End an upstream: it refuses connections from now on, and closes this one."""
+        self.crashed.append(name)
+        await self._listeners[name].close()
+        await sock.close()
+
+    async def restart_crashed(self) -> None:
+        """Start a new upstream for each one that has crashed and is still registered."""
+        for name in [name for name in self.crashed if self.directory.find(name) is not None]:
+            self.directory.remove(name, 0.0, store_outage=False)
+            await self.add(f"{name}+", self._scripts[name])
+
     async def _read(self, sock: Any, protocol: h11.Connection, name: str) -> Arrival | None:
         head, body = None, b""
         while True:
@@ -201,6 +217,20 @@
     return script
 
 
+def crashes_under(bench: GatewayBench, part: str, answer: bytes, before: bytes = b"") -> Script:
+    """Return a script that sends ``answer``, or ``before`` and crashes if a prompt has the part."""
+
+    async def script(sock: Any, arrival: Arrival) -> None:
+        parts = arrival.headers.get("x-bluebellrun-prefix-hash", "")
+        if part not in parts:
+            await sock.sendall(answer)
+            return
+        await sock.sendall(before)
+        await bench.crash(arrival.upstream, sock)
+
+    return script
+
+
 async def is_silent(sock: Any, arrival: Arrival) -> None:
     """Send nothing until the connection ends."""
     while await sock.recv(1_000):
