Quarantine the prompt parts under which upstreams crash

An entry took the crash for a fault of the upstream: it sent the same request, and the next one with that part, to the next replica.

The class of fault is a query of death. An upstream whose process ends (it closes its connections and refuses new ones) now accuses the prompt parts of the requests whose answers were just beginning; parts that were answered are cleared. A request with all the parts that may explain a crash is refused for 60 s after one crash and, with a final status, for 10 minutes and more after two; then one request probes it. One with only some of them is probed at once, alone. Entries exchange the reports by their status datagrams and keep them in the store.

--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass
 from random import Random
 
+import curio
+
 from bluebellrun.admission import SlotUsage
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._models import Upstream, UpstreamIncarnation
-from bluebellrun.http import ClientTimeouts, HttpClient
+from bluebellrun.http import ClientTimeouts, ConnectError, HttpClient, connect
 from bluebellrun.routing import (
     LeastWorkRouting,
     OutlierEjection,
@@ -23,6 +25,10 @@
 
 # Connecting within a region takes milliseconds; a lost packet costs a second.
 CONNECT_TIMEOUT_S = 0.4
+# A process that ends closes its connections and its listening socket within milliseconds of each
+# other; it is checked once more after this time.
+END_CHECK_INTERVAL_S = 0.05
+END_CHECKS = 2
 # Bound on the duration of an answer where neither caller nor route sets one.
 MAX_ANSWER_S = 600.0
 # Weight of the previous value in the moving averages of durations and failures.
@@ -57,6 +63,7 @@
         self._clients: dict[UpstreamIncarnation, HttpClient] = {}
         self._stats: dict[str, UpstreamStats] = {}
         self._unreported: dict[str, UnreportedRequests] = {}
+        self._ended: set[UpstreamIncarnation] = set()
         self._others = 0
         self._status_age_s = 0.0
         self._running_elsewhere = running_elsewhere
@@ -164,6 +171,27 @@
         """Record that a connection failed or went silent."""
         self._ejection.record_unreachable(instance, now)
 
+    def is_known_ended(self, upstream: Upstream) -> bool:
+        """Return whether an upstream's process was found to have ended."""
+        return upstream.incarnation in self._ended
+
+    async def has_ended(self, upstream: Upstream) -> bool:
+        """Return whether an upstream's process has ended: its host refuses connections to it."""
+        for check in range(END_CHECKS):
+            if upstream.incarnation in self._ended:
+                return True
+            if check:
+                await curio.sleep(END_CHECK_INTERVAL_S)
+            try:
+                sock = await connect(upstream.address, CONNECT_TIMEOUT_S)
+            except ConnectError as error:
+                self.record_unreachable(upstream.instance, time.monotonic())
+                if error.refused:
+                    self._ended.add(upstream.incarnation)
+                return error.refused
+            await sock.close()
+        return False
+
     def record_result(self, instance: str, failed: bool, seconds: float, now: float) -> None:
         """Record the duration of a request at an upstream and whether it failed."""
         stats = self.stats(instance)
@@ -185,6 +213,7 @@
         ]:
             await self._clients.pop(incarnation).close()
         self._backoff.retain(incarnations)
+        self._ended &= incarnations
         departed = [name for name, item in self._stats.items() if name not in known]
         for instance in departed:
             if self._stats[instance].running == 0:
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -29,8 +29,10 @@
     Unresolved,
 )
 from bluebellrun.gateway._ports import BadRequestError, Wire
+from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._relay import Relay, RelayTerms, choose_service, request_urgency
 from bluebellrun.http import CallerGoneError, HttpExchange
+from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
 from bluebellrun.routing import AttemptBudget, AttemptBudgetSettings
 from bluebellrun.telemetry import get_logger
 
@@ -65,12 +67,15 @@
         wire: Wire,
         random: Random,
         record_request: RecordRequest | None = None,
+        guard: PromptGuard | None = None,
     ) -> None:
         self._settings = settings
         self._fleet = fleet
         self._wire = wire
         self._random = random
         self._record_request = record_request
+        quarantine = PromptQuarantine(QuarantineSettings())
+        self._guard = PromptGuard(quarantine, fleet) if guard is None else guard
         self._deployment: Deployment | None = None
         self._budgets: dict[str, AttemptBudget] = {}
         self._admission = SlotAdmission(SlotAdmissionSettings())
@@ -185,6 +190,7 @@
             self._wire,
             self._admission_of(service),
             self._budget(service),
+            self._guard,
         )
         result: Result
         try:
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -7,6 +7,7 @@
 from curio import socket
 
 from bluebellrun.core import Address, parse_address
+from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._peers import (
     SILENT_S,
@@ -52,6 +53,7 @@
         slow: SlowUpstreams,
         fleet: Fleet,
         status: Callable[[], EntryStatus],
+        crashes: CrashExchange,
     ) -> None:
         self._address = address
         self._key = key
@@ -61,6 +63,7 @@
         self._slow = slow
         self._fleet = fleet
         self._status = status
+        self._crashes = crashes
         self._lease = 0
         self._next_peer = 0
 
@@ -152,6 +155,7 @@
             now = time.monotonic()
             if status.slow is not None:
                 self._slow.replace(status.slow, now)
+            self._crashes.receive(status.crashes, status.probing, now)
             for incarnation in status.leaving:
                 self._fleet.mark_leaving(incarnation, now, reported_by=status.entry)
 
--- a/bluebellrun/gateway/_models.py
+++ b/bluebellrun/gateway/_models.py
@@ -37,6 +37,11 @@
         """Return the target without its query."""
         return self.target.partition("?")[0]
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other requests may have too."""
+        return self.prompt_parts[:-1]
+
 
 # An upstream's instance and its start in Unix milliseconds.
 UpstreamIncarnation = tuple[str, int]
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bluebellrun.gateway._models import UpstreamIncarnation
+from bluebellrun.quarantine import CrashReport
 
 
 class EntryStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -18,7 +19,10 @@
     copy of the store, and ``silence_s`` the seconds since its last contact with the store.
     ``slow`` is sent only by the entry that holds the placement role: the ranks that report taking
     longer than typical, and how many times as long. ``leaving`` are the upstreams that recently
-    announced that they leave, by instance and start time.
+    announced that they leave, by instance and start time. ``crashes`` are known crashes under
+    prompts, and ``probing`` the suspected parts of prompts that the entry is probing.
+
+    New fields go at the end and have defaults, so that older and newer builds read each other.
     """
 
     entry: str
@@ -29,6 +33,8 @@
     running: dict[str, int]
     slow: dict[str, float] | None = None
     leaving: list[UpstreamIncarnation] = msgspec.field(default_factory=list)
+    crashes: list[CrashReport] = msgspec.field(default_factory=list)
+    probing: list[str] = msgspec.field(default_factory=list)
 
 
 _decoder = msgspec.msgpack.Decoder(EntryStatus)
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -12,6 +12,7 @@
 from bluebellrun.core import Address, BootClock, MonotonicClock, new_incarnation
 from bluebellrun.deployment import Deployment, HostSettings
 from bluebellrun.gateway._catch_up import NEVER_REACHED_S, CatchUp
+from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._expert_maps import ExpertMaps
 from bluebellrun.gateway._fleet import Fleet
@@ -19,6 +20,7 @@
 from bluebellrun.gateway._gossip import Gossip, status_age_s
 from bluebellrun.gateway._lifecycle import Lifecycle
 from bluebellrun.gateway._peers import EntryStatus, PeerTable
+from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._role import LEASE_S, PlacementRole, take_over_pause_s
 from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
@@ -35,6 +37,7 @@
     read_settings,
     settings_path,
 )
+from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
 from bluebellrun.runtime import StopSignals, run_program, spawn_background
 from bluebellrun.store import StoreTimeouts
 from bluebellrun.telemetry import ServingMetrics, configure_serving_logs, get_logger
@@ -110,6 +113,22 @@
     )
 
 
+def _register_quarantine_gauges(
+    metrics: ServingMetrics, quarantine: PromptQuarantine, guard: PromptGuard
+) -> None:
+    """Register the gauges of the quarantine of prompt parts."""
+    metrics.gauge(
+        "bluebellrun_suspected_prompt_parts",
+        "Parts of prompts under which upstreams crashed",
+        quarantine.suspect_count,
+    )
+    metrics.gauge(
+        "bluebellrun_quarantined_requests",
+        "Requests not sent because of their prompts, since the start",
+        lambda: guard.refusals,
+    )
+
+
 class _Process:
     """The components of a gateway, connected."""
 
@@ -131,8 +150,20 @@
             self._peers.running,
             self._slow.current,
         )
+        quarantine_settings = QuarantineSettings()
+        self._quarantine = PromptQuarantine(quarantine_settings)
+        self._guard = PromptGuard(
+            self._quarantine,
+            self._fleet,
+            lambda service, cause: self._metrics.record_loss(service, cause.value),
+        )
         self._gateway = Gateway(
-            settings, self._fleet, PlatformWire(), self._random, self._metrics.record_request
+            settings,
+            self._fleet,
+            PlatformWire(),
+            self._random,
+            self._metrics.record_request,
+            self._guard,
         )
         self._server = HttpServer(
             settings.callers, self._gateway.handle, HttpLimits(), listening=listening
@@ -150,6 +181,14 @@
             self._random,
             watch_check_s(self._watching, STORE_CALL_S),
         )
+        self._crashes = CrashExchange(
+            self._quarantine,
+            quarantine_settings,
+            self._store,
+            self._view,
+            f"{OWN_PREFIX}crashes/",
+            settings.host,
+        )
         self._role = self._make_role()
         self._maps = ExpertMaps(
             self._role,
@@ -165,6 +204,7 @@
             settings.readiness, _readiness(lambda: self._lifecycle.ready), HttpLimits()
         )
         _register_gauges(self._metrics, self._gateway, self._view, self._role)
+        _register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
         self._collectors = HttpServer(address, _metrics_handler(self._metrics), HttpLimits())
 
@@ -187,7 +227,7 @@
         gossip = self._gossip
         for task in (self._view.run, self._catch_up.run, gossip.run, gossip.keep_registered):
             await spawn_background(task)
-        for task in (self._role.run, self._maps.run, self._clean_up):
+        for task in (self._role.run, self._maps.run, self._crashes.run, self._clean_up):
             await spawn_background(task)
         settings = self._settings
         _log.info("started", callers=str(settings.callers), domain=settings.failure_domain)
@@ -236,10 +276,12 @@
             self._slow,
             self._fleet,
             self._entry_status,
+            self._crashes,
         )
 
     def _entry_status(self) -> EntryStatus:
         """Return the next status for the other entries."""
+        now = time.monotonic()
         return EntryStatus(
             self._settings.host,
             self._incarnation,
@@ -248,7 +290,9 @@
             min(self._view.silence_s(), NEVER_REACHED_S),
             self._fleet.running_here(),
             None if self._role.lease() is None else dict(self._slow.slowness),
-            self._directory.recently_leaving(time.monotonic()),
+            self._directory.recently_leaving(now),
+            self._crashes.outgoing(now),
+            self._quarantine.probes,
         )
 
     def _put_in_force(self, deployment: Deployment) -> bool:
--- /dev/null
+++ b/bluebellrun/gateway/_prompt_guard.py
@@ -0,0 +1,135 @@
+"""Keep requests whose prompts crash upstreams away from them, and find out which those are."""
+
+import time
+from collections.abc import Callable, Collection
+from enum import Enum
+
+import curio
+
+from bluebellrun.gateway._fleet import Fleet
+from bluebellrun.gateway._models import Upstream
+from bluebellrun.gateway._outcomes import Lost
+from bluebellrun.quarantine import Allowed, Decision, Pending, Probe, PromptQuarantine, Quarantined
+from bluebellrun.telemetry import get_logger
+
+# Interval at which a request checks whether reports or a probe have settled its prompt.
+DECISION_INTERVAL_S = 0.04
+
+_log = get_logger("prompt-guard")
+
+
+class LossCause(Enum):
+    """Why an attempt's answer was lost."""
+
+    # The upstream's process ended as the answer was about to begin.
+    CRASH = "crash"
+    # The upstream's process ended: it was killed, or crashed under another request.
+    ENDED = "ended"
+    # The upstream closed or reset the connection and goes on.
+    CLOSED = "closed"
+    # The upstream fell silent, its answer was invalid, or its process was not checked.
+    OTHER = "other"
+
+
+# Called with the service and the cause of a lost attempt.
+RecordLoss = Callable[[str, LossCause], None]
+
+
+class PromptGuard:
+    """Apply the quarantine of prompt parts to this entry's requests."""
+
+    def __init__(
+        self,
+        quarantine: PromptQuarantine,
+        fleet: Fleet,
+        record_loss: RecordLoss = lambda service, cause: None,
+    ) -> None:
+        self._quarantine = quarantine
+        self._fleet = fleet
+        self._record_loss = record_loss
+        self._refusals = 0
+
+    @property
+    def refusals(self) -> int:
+        """Return how many requests were not sent because of their prompts."""
+        return self._refusals
+
+    def decide(self, service: str, parts: Collection[str]) -> Decision:
+        """Return what is to be done with a request now."""
+        return self._quarantine.decide(service, parts, time.monotonic())
+
+    async def admit(self, service: str, parts: Collection[str], deadline: float) -> Decision:
+        """Return the decision on a request; wait for a pending one until the deadline."""
+        decision = self.decide(service, parts)
+        while isinstance(decision, Pending) and time.monotonic() < deadline:
+            await curio.sleep(DECISION_INTERVAL_S)
+            decision = self.decide(service, parts)
+        return decision
+
+    def record_refusal(self, request_id: str, service: str, decision: Decision) -> None:
+        """Count and log a request that is not sent."""
+        self._refusals += 1
+        match decision:
+            case Quarantined(part, crashes, retry_after_s):
+                _log.info(
+                    "request quarantined",
+                    request=request_id,
+                    service=service,
+                    part=part,
+                    crashes=crashes,
+                    probe_in_s=round(retry_after_s, 1),
+                )
+            case Allowed() | Pending() | Probe():
+                _log.info("request not decided in time", request=request_id, service=service)
+
+    def begin_probe(self, request_id: str, probe: Probe) -> None:
+        """Record that a request with suspected parts is sent."""
+        _log.info("suspected parts probed", request=request_id, parts=probe.parts)
+        self._quarantine.begin_probe(probe.parts, time.monotonic())
+
+    def end_probe(self, probe: Probe) -> None:
+        """Record that a probe has ended."""
+        self._quarantine.end_probe(probe.parts)
+
+    def record_answer(self, request_id: str, service: str, parts: Collection[str]) -> None:
+        """Record that an answer has begun, which clears the parts of its prompt."""
+        cleared = self._quarantine.record_answer(service, parts, time.monotonic())
+        if cleared:
+            _log.info("suspected parts cleared", request=request_id, service=service, parts=cleared)
+
+    async def record_lost(
+        self, upstream: Upstream, parts: Collection[str], outcome: Lost, has_head: bool, events: int
+    ) -> LossCause:
+        """Record an attempt whose answer was lost; return the cause.
+
+        If the upstream has ended, and the request had no content of its answer yet, the parts of
+        its prompt are accused.
+        """
+        cause = await self._cause(upstream, parts, outcome, has_head, events)
+        self._record_loss(upstream.service, cause)
+        if cause in (LossCause.CRASH, LossCause.ENDED) and parts and not events:
+            now = time.monotonic()
+            accused = self._quarantine.record_crash(
+                upstream.service, upstream.incarnation, parts, has_head, now
+            )
+            _log.info(
+                "upstream ended under a request",
+                upstream=upstream.instance,
+                started_ms=upstream.started_ms,
+                answer_begun=has_head,
+                parts=tuple(parts),
+                accused=accused,
+            )
+        return cause
+
+    async def _cause(
+        self, upstream: Upstream, parts: Collection[str], outcome: Lost, has_head: bool, events: int
+    ) -> LossCause:
+        """Return why an answer was lost; only a process that had a suspect is checked."""
+        if not outcome.ended_by_peer:
+            return LossCause.OTHER
+        if events or not parts:
+            return LossCause.ENDED if self._fleet.is_known_ended(upstream) else LossCause.CLOSED
+        if not await self._fleet.has_ended(upstream):
+            return LossCause.CLOSED
+        return LossCause.CRASH if has_head else LossCause.ENDED
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -34,6 +34,7 @@
 from bluebellrun.gateway._outcomes import Declined, Done, Failed, Lost, Moved, Outcome
 from bluebellrun.gateway._passing import StreamProgress, forward_answer, forward_stream
 from bluebellrun.gateway._ports import Wire
+from bluebellrun.gateway._prompt_guard import LossCause, PromptGuard
 from bluebellrun.http import (
     ConnectError,
     ConnectionLostError,
@@ -41,10 +42,17 @@
     HttpResponse,
     TransportError,
 )
+from bluebellrun.quarantine import Allowed, Decision, Pending, Probe, Quarantined
 from bluebellrun.routing import AttemptBudget
 from bluebellrun.telemetry import get_logger
 
+UNPROCESSABLE = 422
 BAD_GATEWAY = 502
+UNAVAILABLE = 503
+# Crashes under a prompt from which on its requests are refused for good.
+CRASHES_OF_FINAL_REFUSAL = 2
+# A probe of a suspected prompt takes some tenths of a second.
+UNDECIDED_RETRY_S = 0.5
 # A request that may run only once reuses a pooled connection only while the upstream certainly
 # still holds it open.
 NON_REPEATABLE_MAX_IDLE_S = 1.0
@@ -105,6 +113,7 @@
         wire: Wire,
         admission_control: AdmissionControl,
         budget: AttemptBudget,
+        guard: PromptGuard,
     ) -> None:
         self._exchange = exchange
         self._request = request
@@ -115,6 +124,8 @@
         self._wire = wire
         self._admission_control = admission_control
         self._budget = budget
+        self._guard = guard
+        self._probe: Probe | None = None
         self._attempts = 0
         self._runs = 0
         self._refusals = 0
@@ -151,6 +162,9 @@
         A caller's retry that no upstream accepted is queued again.
         """
         terms = self._admission_terms()
+        decision = self._guard.decide(self._service, self._request.shared_parts)
+        if isinstance(decision, Quarantined):
+            return self._withhold(decision)
         while True:
             refused = await self._admission_control.admit(terms)
             if refused is not None:
@@ -166,6 +180,9 @@
         """Try upstreams one after the other until the request is settled."""
         outcome: Outcome = Declined(f"service {self._service!r} has no upstream", had_slots=True)
         while True:
+            withheld = await self._check_prompt()
+            if withheld is not None:
+                return withheld
             now = time.monotonic()
             upstream = self._fleet.choose(self._service, self._excluded, now)
             if upstream is None or not (isinstance(outcome, Moved) or self._may_attempt(now)):
@@ -186,6 +203,39 @@
             if resumes and not await self._await_resumption():
                 return await self._give_up(outcome)
 
+    async def _check_prompt(self) -> Result | None:
+        """Return none if the request may be sent as far as its prompt is known, else its result."""
+        self._probe = None
+        if self._exchange.started:
+            return None
+        parts = self._request.shared_parts
+        deadline = self._admission_terms().send_deadline
+        decision = await self._guard.admit(self._service, parts, deadline)
+        match decision:
+            case Allowed():
+                return None
+            case Probe():
+                self._probe = decision
+                return None
+            case Pending() | Quarantined():
+                return self._withhold(decision)
+
+    def _withhold(self, decision: Decision) -> Result:
+        """Return the result of a request that is not sent because of its prompt."""
+        self._guard.record_refusal(self._request.id, self._service, decision)
+        if self._runs:
+            reason = "an upstream ended under the request; it is not sent again"
+            return Unresolved(BAD_GATEWAY, reason, self._attempts)
+        match decision:
+            case Quarantined(part, crashes, retry_after_s):
+                reason = f"{crashes} upstreams ended under prompts with part {part}"
+                if crashes >= CRASHES_OF_FINAL_REFUSAL:
+                    return Refused(UNPROCESSABLE, reason)
+                return Refused(UNAVAILABLE, reason, retry_after_s)
+            case _:
+                reason = "an upstream ended under a prompt with the same part; it is being probed"
+                return Refused(UNAVAILABLE, reason, UNDECIDED_RETRY_S)
+
     def _admission_terms(self) -> AdmissionTerms:
         """Return the inputs to the admission decision."""
         terms = self._terms
@@ -278,16 +328,30 @@
         self._unread = self._request.prompt_tokens
         self._attempts += 1
         started = time.monotonic()
-        outcome: Outcome = Lost("cancelled")
+        cause: LossCause | None = None
+        probe = self._probe
+        if probe is not None:
+            self._guard.begin_probe(self._request.id, probe)
         try:
             outcome = await self._send_to(upstream)
+            if isinstance(outcome, Lost):
+                cause = await self._record_loss(upstream, outcome)
         finally:
             stats.running -= 1
             self._record_prompt_read(upstream)
-        self._record_outcome(upstream, outcome, started)
+            if probe is not None:
+                self._guard.end_probe(probe)
+        self._record_outcome(upstream, outcome, started, cause)
         return outcome
 
-    def _record_outcome(self, upstream: Upstream, outcome: Outcome, started: float) -> None:
+    async def _record_loss(self, upstream: Upstream, outcome: Lost) -> LossCause:
+        """Record a lost answer and return its cause."""
+        parts = self._request.shared_parts
+        return await self._guard.record_lost(upstream, parts, outcome, self._has_head, self._events)
+
+    def _record_outcome(
+        self, upstream: Upstream, outcome: Outcome, started: float, cause: LossCause | None
+    ) -> None:
         """Record and log the outcome of an attempt."""
         now = time.monotonic()
         match outcome:
@@ -315,6 +379,7 @@
             reason=reason,
             remaining_s=round(self.remaining_s, 3),
             took_s=round(now - started, 3),
+            cause=None if cause is None else cause.value,
             ended_by_peer=isinstance(outcome, Lost) and outcome.ended_by_peer,
             has_head=self._has_head,
             events=self._events,
@@ -387,7 +452,10 @@
             )
         if self._exchange.started:
             return Lost(f"upstream answered {answer.status} to a resumed stream")
-        return await forward_answer(self._exchange, answer, response, lambda: self.remaining_s)
+        outcome = await forward_answer(self._exchange, answer, response, lambda: self.remaining_s)
+        if isinstance(outcome, Done) and answer.succeeded:
+            self._record_answer()
+        return outcome
 
     def _apply_notices(self, upstream: Upstream, answer: UpstreamAnswer) -> None:
         """Apply an upstream's notices of leaving and backoff."""
@@ -399,6 +467,11 @@
         if answer.retry_after_s is not None:
             self._fleet.record_backoff(upstream, answer.retry_after_s, now)
 
+    def _record_answer(self) -> None:
+        """Record that an upstream has begun to answer the prompt."""
+        parts = self._request.shared_parts
+        self._guard.record_answer(self._request.id, self._service, parts)
+
     async def _read_refusal(self, upstream: Upstream, response: HttpResponse) -> None:
         """Read the rest of a refusal; its head has said that the request did not run."""
         try:
@@ -409,6 +482,8 @@
     def _record_events(self, upstream: Upstream, pause_s: float | None) -> None:
         """Record that events of a stream arrived, after a pause if they are not its first."""
         self._events += 1
+        if self._events == 1:
+            self._record_answer()
         self._record_prompt_read(upstream)
         if pause_s is not None:
             max_pause_s = self._route.longest_pause_s
--- a/bluebellrun/http/_client.py
+++ b/bluebellrun/http/_client.py
@@ -54,7 +54,8 @@
     except curio.TaskTimeout:
         raise ConnectError(f"{address} did not accept within {timeout_s} s") from None
     except OSError as error:
-        raise ConnectError(f"{address}: {error}") from error
+        refused = isinstance(error, ConnectionRefusedError)
+        raise ConnectError(f"{address}: {error}", refused) from error
     if isinstance(tls, Tls):
         await _check_peer(sock, tls)
     detect_silence(sock)
--- a/bluebellrun/http/_exceptions.py
+++ b/bluebellrun/http/_exceptions.py
@@ -6,7 +6,14 @@
 
 
 class ConnectError(TransportError):
-    """No connection was made, so no byte of the message left this process."""
+    """No connection was made, so no byte of the message left this process.
+
+    ``refused`` tells that the peer's host refused it: no process listens at the address.
+    """
+
+    def __init__(self, reason: str, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class ConnectionLostError(TransportError):
--- /dev/null
+++ b/bluebellrun/quarantine/_quarantine.py
@@ -0,0 +1,284 @@
+"""Decide which requests are kept from upstreams because their prompts may crash them.
+
+A part of a prompt may crash each upstream that begins to answer a request with it. A crash accuses
+the parts of the requests whose answers were just beginning, or if there are none, those of the
+requests that waited for an answer; parts that were answered before are cleared. A request that has
+all the parts that may explain a crash is not sent again; one that has only some of them is
+sent alone, as a probe: either its answer begins and clears them, or they crash another upstream.
+
+An upstream that was killed leaves the same trace, so every quarantine ends with a probe.
+"""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+from bluebellrun.quarantine._answered_parts import AnsweredParts
+from bluebellrun.quarantine._decisions import Allowed, Decision, Pending, Probe, Quarantined
+from bluebellrun.quarantine._models import CrashReport, QuarantineSettings, UpstreamIncarnation
+
+# Crashes under one part from which on its requests are known to crash upstreams.
+CONFIRMING_CRASHES = 2
+
+
+@dataclass(slots=True)
+class _Crash:
+    """A crash as all entries reported it; the time in seconds."""
+
+    service: str
+    at: float
+    beginning: set[str] = field(default_factory=set)
+    waiting: set[str] = field(default_factory=set)
+    cleared: set[str] = field(default_factory=set)
+    is_explained: bool = True
+    is_own: bool = False
+
+    @property
+    def accused(self) -> set[str]:
+        """Return the parts that the crash accuses, also those that were cleared of it."""
+        return self.beginning or self.waiting
+
+    @property
+    def candidates(self) -> set[str]:
+        """Return the parts that may have caused the crash."""
+        return self.accused - self.cleared
+
+
+@dataclass(frozen=True, slots=True)
+class _Suspect:
+    """A suspected part: its crashes, the time of the last one, and whether answers were beginning.
+
+    ``alternatives`` are the parts, itself included, that explain all of its crashes.
+    """
+
+    crashes: frozenset[UpstreamIncarnation]
+    last_at: float
+    beginning: bool
+    alternatives: frozenset[str]
+
+
+class PromptQuarantine:
+    """The crashes known to one entry, and the parts they accuse; times in seconds."""
+
+    def __init__(self, settings: QuarantineSettings) -> None:
+        self._settings = settings
+        self._crashes: dict[UpstreamIncarnation, _Crash] = {}
+        self._answered = AnsweredParts(settings.max_cleared_parts, settings.clearance_s)
+        self._suspects: dict[str, dict[str, _Suspect]] = {}
+        self._probes: dict[str, float] = {}
+        self._peer_probes: dict[str, float] = {}
+        self._changed_at = float("-inf")
+
+    @property
+    def changed_at(self) -> float:
+        """Return when crashes or their clearances changed last."""
+        return self._changed_at
+
+    @property
+    def probes(self) -> list[str]:
+        """Return the parts that this entry is probing."""
+        return list(self._probes)
+
+    def suspects(self, service: str) -> Collection[str]:
+        """Return the suspected parts of a service."""
+        return self._suspects.get(service, {}).keys()
+
+    def suspect_count(self) -> int:
+        """Return the number of suspected parts of all services."""
+        return sum(map(len, self._suspects.values()))
+
+    def decide(self, service: str, parts: Collection[str], now: float) -> Decision:
+        """Return what is to be done with a request that has these parts, without its last one."""
+        suspects = self._suspects.get(service)
+        if not suspects:
+            return Allowed()
+        accused = [part for part in parts if part in suspects]
+        if not accused:
+            return Allowed()
+        for part in accused:
+            suspect = suspects[part]
+            if now - suspect.last_at < self._settings.settle_s:
+                return Pending()
+            remaining_s = self._quarantine_end(suspect) - now
+            if remaining_s > 0 and suspect.alternatives.issubset(parts):
+                return Quarantined(part, len(suspect.crashes), remaining_s)
+        if any(part in self._probes or self._is_probed_elsewhere(part, now) for part in accused):
+            return Pending()
+        return Probe(tuple(accused))
+
+    def begin_probe(self, parts: Iterable[str], now: float) -> None:
+        """Record that a request with suspected parts is sent."""
+        self._probes.update(dict.fromkeys(parts, now))
+
+    def end_probe(self, parts: Iterable[str]) -> None:
+        """Record that a probe has ended, whatever its outcome."""
+        for part in parts:
+            self._probes.pop(part, None)
+
+    def apply_peer_probes(self, parts: Iterable[str], now: float) -> None:
+        """Record the parts that another entry is probing."""
+        known = self._settings.max_parts_per_crash * self._settings.max_crashes
+        for part in parts:
+            if len(self._peer_probes) < known:
+                self._peer_probes[part] = now
+
+    def record_answer(self, service: str, parts: Iterable[str], now: float) -> list[str]:
+        """Record that an answer has begun; return the suspected parts that it clears."""
+        suspects = self._suspects.get(service, {})
+        cleared = []
+        for part in parts:
+            self._answered.record(service, part, now)
+            if part in suspects:
+                cleared.append(part)
+        if cleared:
+            self._clear(service, cleared)
+            self._update(now)
+        return cleared
+
+    def record_crash(
+        self,
+        service: str,
+        upstream: UpstreamIncarnation,
+        parts: Collection[str],
+        beginning: bool,
+        now: float,
+    ) -> bool:
+        """Record that an upstream ended while it had a request without any content of its answer.
+
+        ``beginning`` tells whether the answer's head had arrived. Return whether the crash accuses
+        a part of the request.
+        """
+        crash = self._crash(service, upstream, now)
+        crash.is_own = True
+        self._accuse(crash, crash.beginning if beginning else crash.waiting, parts)
+        self._update(now)
+        return not crash.candidates.isdisjoint(parts)
+
+    def apply(self, report: CrashReport, now: float) -> bool:
+        """Apply another entry's report; return whether it tells anything new."""
+        if report.age_s > self._settings.retention_s or not (report.beginning or report.waiting):
+            return False
+        crash = self._crash(report.service, report.incarnation, now - max(0.0, report.age_s))
+        before = len(crash.beginning), len(crash.waiting), len(crash.cleared)
+        self._accuse(crash, crash.beginning, report.beginning)
+        self._accuse(crash, crash.waiting, report.waiting)
+        crash.cleared.update((crash.beginning | crash.waiting).intersection(report.cleared))
+        is_news = before != (len(crash.beginning), len(crash.waiting), len(crash.cleared))
+        if is_news:
+            self._update(now)
+        return is_news
+
+    def reports(self, now: float) -> list[CrashReport]:
+        """Return what this entry knows of all crashes, for the other entries."""
+        return [
+            _report(upstream, crash, round(now - crash.at, 3))
+            for upstream, crash in self._crashes.items()
+        ]
+
+    def own_reports(self) -> list[CrashReport]:
+        """Return the reports of the crashes that this entry saw itself, without their age."""
+        return [
+            _report(upstream, crash, 0.0)
+            for upstream, crash in self._crashes.items()
+            if crash.is_own
+        ]
+
+    def expire(self, now: float) -> None:
+        """Forget what is too old."""
+        settings = self._settings
+        self._answered.expire(now)
+        for crash in self._crashes.values():
+            if crash.is_explained and now - crash.at > settings.settle_s and not crash.candidates:
+                self._doubt_clearances(crash)
+        for probes in (self._probes, self._peer_probes):
+            for part in [part for part, at in probes.items() if now - at > settings.probe_s]:
+                del probes[part]
+        old = [key for key, crash in self._crashes.items() if now - crash.at > settings.retention_s]
+        for key in old:
+            del self._crashes[key]
+        if old:
+            self._index()
+
+    def _crash(self, service: str, upstream: UpstreamIncarnation, at: float) -> _Crash:
+        """Return the record of a crash, created on its first report."""
+        crash = self._crashes.get(upstream)
+        if crash is None:
+            crash = self._crashes[upstream] = _Crash(service, at)
+            if len(self._crashes) > self._settings.max_crashes:
+                del self._crashes[min(self._crashes, key=lambda key: self._crashes[key].at)]
+        return crash
+
+    def _accuse(self, crash: _Crash, accused: set[str], parts: Iterable[str]) -> None:
+        """Add parts to those that a crash accuses while there is room, unanswered ones first."""
+        new = [part for part in dict.fromkeys(parts) if part not in accused]
+        answered = {part for part in new if self._answered.includes(crash.service, part)}
+        new.sort(key=answered.__contains__)
+        accused.update(new[: self._settings.max_parts_per_crash - len(accused)])
+        crash.cleared.update(answered & accused)
+
+    def _clear(self, service: str, parts: Iterable[str]) -> None:
+        """Clear parts of all crashes of a service so far."""
+        cleared = set(parts)
+        for crash in self._crashes.values():
+            if crash.service == service:
+                crash.cleared |= cleared & (crash.beginning | crash.waiting)
+
+    def _doubt_clearances(self, crash: _Crash) -> None:
+        """Let the next crash accuse the parts that were cleared of one that nothing else explains.
+
+        A part that was answered may crash upstreams later, as with another version of a model.
+        """
+        crash.is_explained = False
+        for part in crash.accused:
+            self._answered.forget(crash.service, part)
+
+    def _quarantine_end(self, suspect: _Suspect) -> float:
+        """Return when a suspected part may be probed."""
+        settings, crashes = self._settings, len(suspect.crashes)
+        if crashes < CONFIRMING_CRASHES:
+            return suspect.last_at + (settings.first_s if suspect.beginning else 0.0)
+        duration_s = settings.repeated_s * 2.0 ** (crashes - CONFIRMING_CRASHES)
+        return suspect.last_at + min(settings.max_s, duration_s)
+
+    def _is_probed_elsewhere(self, part: str, now: float) -> bool:
+        """Return whether another entry has said lately that it probes a part."""
+        at = self._peer_probes.get(part)
+        return at is not None and now - at <= self._settings.settle_s
+
+    def _update(self, now: float) -> None:
+        """Note a change and derive the suspects from it."""
+        self._changed_at = now
+        self._index()
+
+    def _index(self) -> None:
+        """Derive the suspected parts of each service from the crashes."""
+        accusing: dict[str, dict[str, set[UpstreamIncarnation]]] = {}
+        for upstream, crash in self._crashes.items():
+            for part in crash.candidates:
+                accusing.setdefault(crash.service, {}).setdefault(part, set()).add(upstream)
+        self._suspects = {
+            service: {part: self._suspect(part, by_part) for part in by_part}
+            for service, by_part in accusing.items()
+        }
+
+    def _suspect(self, part: str, by_part: dict[str, set[UpstreamIncarnation]]) -> _Suspect:
+        """Return what the crashes tell of a part; ``by_part`` are the crashes that accuse each."""
+        crashes = by_part[part]
+        records = [self._crashes[upstream] for upstream in crashes]
+        return _Suspect(
+            frozenset(crashes),
+            max(record.at for record in records),
+            any(part in record.beginning for record in records),
+            frozenset(other for other, accused_by in by_part.items() if accused_by >= crashes),
+        )
+
+
+def _report(upstream: UpstreamIncarnation, crash: _Crash, age_s: float) -> CrashReport:
+    """Return the report of a crash."""
+    return CrashReport(
+        crash.service,
+        *upstream,
+        age_s,
+        sorted(crash.beginning),
+        sorted(crash.waiting),
+        sorted(crash.cleared),
+    )
--- a/bluebellrun/telemetry/_serving_metrics.py
+++ b/bluebellrun/telemetry/_serving_metrics.py
@@ -25,6 +25,12 @@
             ["service", "order"],
             registry=self._registry,
         )
+        self._lost = Counter(
+            "bluebellrun_lost_attempts",
+            "Attempts whose answer was lost, by service and cause",
+            ["service", "cause"],
+            registry=self._registry,
+        )
         self._request_seconds = Histogram(
             "bluebellrun_request_seconds",
             "Seconds from a whole request to the end of its answer",
@@ -63,6 +69,10 @@
         if first_byte_s is not None:
             self._first_byte_seconds.labels(service).observe(first_byte_s)
 
+    def record_loss(self, service: str, cause: str) -> None:
+        """Record an attempt whose answer was lost."""
+        self._lost.labels(service, cause).inc()
+
     def text(self) -> bytes:
         """Return all metrics in Prometheus text format."""
         return generate_latest(self._registry)
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -2,10 +2,12 @@
 
 from bluebellrun.core import Address, BootClock
 from bluebellrun.gateway import Fleet, StoreView, UpstreamDirectory
+from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._gossip import PEERS_PER_ROUND, Gossip, silent_after_s
 from bluebellrun.gateway._peers import SILENT_S, EntryStatus, PeerTable
 from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.platform import PlatformCatalogue, PlatformStore
+from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
 from bluebellrun.store import StoreTimeouts
 
 NOWHERE = Address("127.0.0.1", 1)
@@ -19,7 +21,9 @@
     status = EntryStatus("me", "i", 1, str(NOWHERE), 0.0, {})
     fleet = Fleet(UpstreamDirectory(), "a", Random(1))
     table, slow = PeerTable("me"), SlowUpstreams()
-    return Gossip(NOWHERE, "e/me", store, view, table, slow, fleet, lambda: status)
+    settings = QuarantineSettings()
+    crashes = CrashExchange(PromptQuarantine(settings), settings, store, view, "c/", "me")
+    return Gossip(NOWHERE, "e/me", store, view, table, slow, fleet, lambda: status, crashes)
 
 
 def peers(count: int) -> list[Address]:
--- /dev/null
+++ b/tests/quarantine/test_quarantine.py
@@ -0,0 +1,301 @@
+"""Which prompts are kept from upstreams, as crashes and answers tell; no network, no clock."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bluebellrun.quarantine import (
+    Allowed,
+    CrashReport,
+    Pending,
+    Probe,
+    PromptQuarantine,
+    Quarantined,
+    QuarantineSettings,
+)
+
+SETTINGS = QuarantineSettings()
+SETTLED = SETTINGS.settle_s + 0.1
+SERVICE = "s"
+
+
+class Entry:
+    """One entry's quarantine, with a clock that the test moves."""
+
+    def __init__(self, settings: QuarantineSettings = SETTINGS) -> None:
+        self.quarantine = PromptQuarantine(settings)
+        self.now = 100.0
+
+    def crash(self, upstream: str, *parts: str, beginning: bool = True) -> bool:
+        return self.quarantine.record_crash(
+            SERVICE, (upstream, 1), parts, beginning=beginning, now=self.now
+        )
+
+    def answer(self, *parts: str) -> list[str]:
+        return self.quarantine.record_answer(SERVICE, parts, self.now)
+
+    def decide(self, *parts: str) -> object:
+        return self.quarantine.decide(SERVICE, parts, self.now)
+
+    def settle(self) -> None:
+        self.now += SETTLED
+        self.quarantine.expire(self.now)
+
+    def hear(self, other: "Entry") -> None:
+        for report in other.quarantine.reports(other.now):
+            self.quarantine.apply(report, self.now)
+        self.quarantine.apply_peer_probes(other.quarantine.probes, self.now)
+
+
+# Guards against a second crash by a part whose first crash left no doubt.
+def test_a_part_under_which_an_answer_was_beginning_is_quarantined_after_one_crash():
+    entry = Entry()
+    entry.answer("common")
+    assert entry.crash("u1", "common", "dead")
+    assert isinstance(entry.decide("dead"), Pending)
+    entry.settle()
+    decision = entry.decide("other", "dead")
+    assert isinstance(decision, Quarantined)
+    assert (decision.part, decision.crashes) == ("dead", 1)
+    assert isinstance(entry.decide("common", "new"), Allowed)
+
+
+# Guards against refusing sound requests that share other parts with a crashing one.
+def test_a_request_with_only_some_of_the_suspected_parts_is_probed_and_clears_them():
+    entry = Entry()
+    entry.crash("u1", "common", "dead")
+    entry.settle()
+    assert isinstance(entry.decide("common", "dead"), Quarantined)
+    decision = entry.decide("common")
+    assert decision == Probe(("common",))
+    entry.quarantine.begin_probe(decision.parts, entry.now)
+    assert isinstance(entry.decide("common"), Pending)
+    assert entry.answer("common") == ["common"]
+    entry.quarantine.end_probe(decision.parts)
+    assert isinstance(entry.decide("common"), Allowed)
+    assert isinstance(entry.decide("dead"), Quarantined)
+
+
+def test_a_request_that_only_waited_accuses_its_parts_if_no_answer_was_beginning():
+    entry = Entry()
+    entry.crash("u1", "waited", beginning=False)
+    entry.settle()
+    assert entry.decide("waited") == Probe(("waited",))
+    entry.crash("u2", "waited", beginning=False)
+    entry.settle()
+    assert isinstance(entry.decide("waited"), Quarantined)
+
+
+def test_a_request_that_only_waited_is_not_accused_beside_an_answer_that_was_beginning():
+    entry = Entry()
+    entry.crash("u1", "waited", beginning=False)
+    entry.crash("u1", "dead")
+    entry.settle()
+    assert isinstance(entry.decide("waited"), Allowed)
+    assert isinstance(entry.decide("dead"), Quarantined)
+
+
+@pytest.mark.parametrize("crashes", [1, 2, 5])
+# Guards against refusing a sound part for ever because upstreams were killed under it.
+def test_an_upstream_that_was_killed_accuses_nobody_for_good(crashes):
+    entry = Entry()
+    for number in range(crashes):
+        entry.crash(f"u{number}", "sound")
+    entry.settle()
+    decision = entry.decide("sound")
+    assert isinstance(decision, Quarantined)
+    entry.now += decision.retry_after_s
+    assert decision.retry_after_s <= SETTINGS.max_s
+    assert entry.decide("sound") == Probe(("sound",))
+    entry.answer("sound")
+    assert isinstance(entry.decide("sound"), Allowed)
+
+
+def test_a_probe_that_crashes_an_upstream_too_extends_the_quarantine():
+    entry = Entry()
+    lasted = []
+    for number in range(6):
+        entry.crash(f"u{number}", "dead")
+        entry.settle()
+        decision = entry.decide("dead")
+        assert isinstance(decision, Quarantined)
+        lasted.append(round(decision.retry_after_s, 6))
+        entry.now += decision.retry_after_s
+        assert isinstance(entry.decide("dead"), Probe)
+    assert lasted == sorted(lasted)
+    assert lasted[-1] <= SETTINGS.max_s
+
+
+# Guards against one bad part hiding another one that comes at the same time.
+def test_two_parts_at_once_are_both_quarantined_after_one_crash_each():
+    entry = Entry()
+    entry.answer("common")
+    entry.crash("u1", "common", "dead")
+    entry.crash("u2", "common", "bad")
+    entry.settle()
+    assert isinstance(entry.decide("dead"), Quarantined)
+    assert isinstance(entry.decide("bad"), Quarantined)
+    assert isinstance(entry.decide("common"), Allowed)
+
+
+def test_two_parts_on_one_upstream_are_told_apart_by_answers():
+    entry = Entry()
+    entry.crash("u1", "common", "dead")
+    entry.crash("u1", "common", "sound")
+    entry.settle()
+    assert isinstance(entry.decide("common", "sound"), Probe)
+    entry.answer("common", "sound")
+    decision = entry.decide("common", "dead")
+    assert isinstance(decision, Quarantined)
+    assert decision.part == "dead"
+
+
+def test_answers_before_the_crash_clear_a_part_at_every_entry():
+    seen, saw_crash, third = Entry(), Entry(), Entry()
+    seen.answer("common")
+    saw_crash.crash("u1", "common")
+    seen.hear(saw_crash)
+    saw_crash.hear(seen)
+    third.hear(saw_crash)
+    for entry in (seen, saw_crash, third):
+        entry.settle()
+        assert isinstance(entry.decide("common"), Allowed)
+
+
+def test_an_entry_that_starts_learns_of_crashes_and_clearances_from_any_other():
+    first, second = Entry(), Entry()
+    first.answer("common")
+    first.crash("u1", "common", "dead")
+    second.hear(first)
+    started = Entry()
+    started.now = 1_000.0
+    started.hear(second)
+    started.settle()
+    assert isinstance(started.decide("dead"), Quarantined)
+    assert isinstance(started.decide("common"), Allowed)
+
+
+def test_the_quarantine_ends_at_the_same_moment_on_an_entry_that_learns_of_it_late():
+    first, late = Entry(), Entry()
+    first.crash("u1", "dead")
+    first.now += 40.0
+    late.hear(first)
+    decision = late.decide("dead")
+    assert isinstance(decision, Quarantined)
+    assert decision.retry_after_s == pytest.approx(SETTINGS.first_s - 40.0)
+
+
+def test_a_part_probed_by_another_entry_waits_for_the_result():
+    first, second = Entry(), Entry()
+    first.crash("u1", "waited", beginning=False)
+    first.settle()
+    second.now = first.now
+    second.hear(first)
+    first.quarantine.begin_probe(("waited",), first.now)
+    second.hear(first)
+    assert isinstance(second.decide("waited"), Pending)
+    second.settle()
+    assert isinstance(second.decide("waited"), Probe)
+
+
+def test_a_probe_without_a_result_does_not_keep_a_part_for_ever():
+    entry = Entry()
+    entry.crash("u1", "waited", beginning=False)
+    entry.settle()
+    entry.quarantine.begin_probe(("waited",), entry.now)
+    entry.now += SETTINGS.probe_s + 0.1
+    entry.quarantine.expire(entry.now)
+    assert isinstance(entry.decide("waited"), Probe)
+
+
+# Guards against a part that was answered once and crashes upstreams since, as with a new model.
+def test_a_part_that_was_answered_before_is_accused_by_the_second_crash():
+    entry = Entry()
+    entry.answer("common", "dead")
+    entry.crash("u1", "common", "dead")
+    entry.settle()
+    assert isinstance(entry.decide("common", "dead"), Allowed)
+    entry.answer("common")
+    entry.crash("u2", "common", "dead")
+    entry.settle()
+    assert isinstance(entry.decide("common", "dead"), Quarantined)
+    assert isinstance(entry.decide("common"), Allowed)
+
+
+def test_services_are_judged_apart():
+    entry = Entry()
+    entry.crash("u1", "dead")
+    entry.settle()
+    assert isinstance(entry.quarantine.decide("other", ("dead",), entry.now), Allowed)
+
+
+def test_what_is_known_ends_with_the_retention():
+    entry = Entry()
+    entry.answer("common")
+    entry.crash("u1", "dead")
+    entry.now += SETTINGS.retention_s + 1
+    entry.quarantine.expire(entry.now)
+    assert entry.quarantine.reports(entry.now) == []
+    assert isinstance(entry.decide("dead"), Allowed)
+
+
+# Guards against memory that grows with what callers send.
+def test_the_state_is_bounded_however_many_parts_are_sent():
+    settings = QuarantineSettings(max_crashes=8, max_parts_per_crash=4, max_cleared_parts=50)
+    entry = Entry(settings)
+    for number in range(1_000):
+        entry.answer(f"p{number}", f"q{number}")
+        entry.crash(f"u{number}", *(f"x{number}-{part}" for part in range(10)))
+        entry.crash(f"u{number}", *(f"y{number}-{part}" for part in range(10)), beginning=False)
+        entry.now += 0.01
+    reports = entry.quarantine.reports(entry.now)
+    assert len(reports) == 8
+    assert all(len(report.beginning) <= 4 and len(report.waiting) <= 4 for report in reports)
+    assert len(entry.quarantine._answered) == 50
+    assert entry.quarantine.suspect_count() <= 8 * 4
+    for number in range(10_000):
+        entry.quarantine.apply_peer_probes([f"z{number}"], entry.now)
+    assert len(entry.quarantine._peer_probes) <= 8 * 4
+
+
+def test_of_a_long_prompt_the_parts_that_were_never_answered_are_kept():
+    entry = Entry(QuarantineSettings(max_parts_per_crash=4))
+    common = [f"c{number}" for number in range(20)]
+    entry.answer(*common)
+    entry.crash("u1", *common, "dead")
+    entry.settle()
+    assert isinstance(entry.decide(*common, "dead"), Quarantined)
+
+
+@given(seed=st.integers(0, 10_000), lost=st.floats(0.0, 0.8))
+# Guards against entries that disagree after reports were lost, delayed and received twice.
+def test_entries_agree_once_their_reports_have_arrived_in_any_order(seed, lost):
+    random = Random(seed)
+    entries = [Entry() for _ in range(4)]
+    parts = ["a", "b", "dead"]
+    for number in range(12):
+        entry = random.choice(entries)
+        if random.random() < 0.5:
+            beginning = random.random() < 0.5
+            chosen = random.sample(parts, 2)
+            entry.crash(f"u{number // 3}", *chosen, beginning=beginning)
+        else:
+            entry.answer(random.choice("ab"))
+        for other in entries:
+            if random.random() >= lost:
+                other.hear(entry)
+    for _ in entries:
+        for first in entries:
+            for second in entries:
+                first.hear(second)
+    known = [sorted(entry.quarantine.suspects(SERVICE)) for entry in entries]
+    assert all(suspects == known[0] for suspects in known)
+
+
+def test_reports_of_nothing_and_of_too_long_ago_are_ignored():
+    entry = Entry()
+    assert not entry.quarantine.apply(CrashReport(SERVICE, "u", 1, 0.0, [], []), entry.now)
+    old = CrashReport(SERVICE, "u", 1, SETTINGS.retention_s + 1, ["dead"], [])
+    assert not entry.quarantine.apply(old, entry.now)
