A stream ended by its close before its first event is not complete

Callers of a replica that crashed as its answer began got an empty, complete stream with 200 where that answer had neither length nor chunks: its close was taken for the proper end, so the crash accused nobody either. Such an attempt is now lost, ended by the upstream. The tests of unframed answers and streams (complete, cut inside an event, reset, empty) and of a crash after an unframed head go in with it; the empty one and the crash failed before (200, and 8 crashes instead of 2).

--- a/bluebellrun/gateway/_passing.py
+++ b/bluebellrun/gateway/_passing.py
@@ -103,7 +103,9 @@
         if should_move():
             return Moved()
     if events.partial.strip():
-        return Lost("the stream ended within an event")
+        return Lost("the stream ended within an event", response.ends_by_close)
+    if before is None and response.ends_by_close:
+        return Lost("closed before the first event", ended_by_peer=True)
     if not exchange.started:
         await exchange.send_head(answer.status, answer.headers)
     await exchange.finish()
--- a/bluebellrun/http/_client.py
+++ b/bluebellrun/http/_client.py
@@ -17,7 +17,7 @@
     PeerTimeoutError,
 )
 from bluebellrun.http._listener import is_readable
-from bluebellrun.http._models import ClientTimeouts, Headers, decode_headers
+from bluebellrun.http._models import ClientTimeouts, Headers, decode_headers, header_value
 from bluebellrun.http._tls import Tls
 
 READ_SIZE = 65_536
@@ -91,6 +91,12 @@
         self.status = 0
         self.headers: Headers = []
 
+    @property
+    def ends_by_close(self) -> bool:
+        """Return whether only the end of its connection marks the end of the body."""
+        framing = ("content-length", "transfer-encoding")
+        return all(header_value(self.headers, name) is None for name in framing)
+
     async def read(self, gap_s: float) -> bytes:
         """Return the next piece of the body, empty at its proper end.
 
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -3,7 +3,7 @@
 import curio
 import pytest
 
-from tests.platform.upstreams import GatewayBench, crashes_under, stream
+from tests.platform.upstreams import GatewayBench, crashes_under, stream, unframed
 
 UPSTREAMS = ("u1", "u2", "u3", "u4")
 SOUND = "a1:40,b2:30"
@@ -19,7 +19,9 @@
 
 
 # Guards against requests with one prompt part ending one replica after the other.
-@pytest.mark.parametrize("before", [HEAD, b""], ids=["with head", "without head"])
+@pytest.mark.parametrize(
+    "before", [HEAD, unframed(), b""], ids=["with head", "with unframed head", "without head"]
+)
 def test_a_prompt_part_that_crashes_upstreams_ends_two_of_them_at_most(before):
     async def main() -> None:
         bench = GatewayBench()
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -1,5 +1,7 @@
 """Requests through the gateway, with upstreams that fail in every known way."""
 
+import socket
+import struct
 import time
 from typing import Any
 
@@ -23,6 +25,7 @@
     sends,
     sends_and_closes,
     stream,
+    unframed,
 )
 
 NOT_RUN = reply(503, X_Bluebellrun_Not_Run="1")
@@ -256,6 +259,64 @@
     )
 
 
+@pytest.mark.parametrize("path", ["/talk/a", "/tell/a"])
+def test_a_stream_without_length_or_chunks_ends_by_its_close(path):
+    async def check(bench: GatewayBench) -> None:
+        answer = await bench.send_request(path, "POST")
+        assert (answer.status, answer.body, answer.is_complete) == (200, events(1, 2), True)
+
+    bench = run_check(check, ("u1", sends_and_closes(unframed(1, 2))), ("u2", is_silent))
+    assert bench.names().count("u1") <= 1
+
+
+def test_an_unframed_stream_that_ends_inside_an_event_does_not_look_complete():
+    async def check(bench: GatewayBench) -> None:
+        answer = await bench.send_request("/tell/a", "POST")
+        assert (answer.status, answer.body, answer.is_complete) == (200, events(1), False)
+
+    cut = unframed(1, partial=b"id: 2\ndata: w")
+    run_check(check, ("u1", sends_and_closes(cut)))
+
+
+def test_an_unframed_stream_that_ends_inside_an_event_resumes_at_another_upstream():
+    async def check(bench: GatewayBench) -> None:
+        answer = await bench.send_request("/talk/a", "POST")
+        assert (answer.status, answer.body, answer.is_complete) == (200, events(1, 2), True)
+
+    async def cuts_or_resumes(sock: Any, arrival: Any) -> None:
+        resumed = arrival.headers.get("last-event-id") == "1"
+        await sock.sendall(unframed(2) if resumed else unframed(1, partial=b"id: 2\ndata:"))
+        await sock.close()
+
+    bench = run_check(check, ("u1", cuts_or_resumes), ("u2", cuts_or_resumes))
+    assert len(bench.arrivals) == 2
+
+
+# Guards against a crash before the first event that passes for a complete, empty stream.
+def test_an_unframed_stream_without_any_event_is_not_complete():
+    async def check(bench: GatewayBench) -> None:
+        answer = await bench.send_request("/tell/a", "POST")
+        assert answer.status == 502
+
+    run_check(check, ("u1", sends_and_closes(unframed())))
+
+
+@pytest.mark.parametrize("size", [5, 300_000])
+def test_an_unframed_answer_that_is_reset_on_the_way_is_not_complete(size):
+    async def check(bench: GatewayBench) -> None:
+        answer = await bench.send_request("/once/a", "POST", b"x")
+        assert not (answer.status == 200 and answer.is_complete)
+
+    async def resets(sock: Any, arrival: Any) -> None:
+        head = b"HTTP/1.1 200 OK\r\nX-Bluebellrun-Request-Id: r1\r\n\r\n"
+        await sock.sendall(head + b"x" * size)
+        await curio.sleep(0.05)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await sock.close()
+
+    run_check(check, ("u1", resets))
+
+
 def test_an_answer_cut_short_is_no_success():
     async def check(bench: GatewayBench) -> None:
         assert (await bench.send_request("/once/a", "POST", b"x")).status == 502
--- a/tests/platform/upstreams.py
+++ b/tests/platform/upstreams.py
@@ -237,6 +237,15 @@
         pass
 
 
+def unframed(*numbers: int, partial: bytes = b"") -> bytes:
+    """Return the bytes of a stream with neither length nor chunks, which ends by its close."""
+    head = (
+        b"HTTP/1.1 200 OK\r\nX-Bluebellrun-Request-Id: r1\r\n"
+        b"X-Bluebellrun-Server-Stamp: st\r\nContent-Type: text/event-stream\r\n\r\n"
+    )
+    return head + events(*numbers) + partial
+
+
 def stream(
     *numbers: int, with_head: bool = True, complete: bool = True, partial: bytes = b""
 ) -> bytes:
