Soak: prompts with parts that crash ranks, beside kills, freezes, cuts and store outages

Callers of the platform soak now send prompts with parts; while the new fault is on, some have a part under which a rank ends as its answer begins. Links refuse connections while their target is down, as a host without the process does. Checked: after the fifth crash at most three such requests reach ranks, and nobody else gets a final refusal.

--- a/bench/platform_soak/__main__.py
+++ b/bench/platform_soak/__main__.py
@@ -59,6 +59,8 @@
     for kind in ("draft", "order", "look"):
         endings = Counter(f"{t.status} {t.ending}" for t in callers.told if t.kind == kind)
         say(f"{kind}: {dict(sorted(endings.items()))}\n")
+    crashes = [len(deadly.crashes) for deadly in world.record.deadly.values()]
+    say(f"crashes by each deadly part: {crashes}\n")
     maps = {state.active for state in world.group.ranks.states.values()}
     say(f"steps: {world.group.step}, maps in use at the end: {sorted(maps)}\n")
 
--- a/bench/platform_soak/_callers.py
+++ b/bench/platform_soak/_callers.py
@@ -15,6 +15,9 @@
 PATIENCE_S = DEADLINE_S + 1.0
 CONNECT_TIMEOUT_S = 1.0
 PAUSE_S = 0.25
+SUBJECTS = 6
+# Of the drafts sent while there is a deadly part, this share has one.
+DEADLY_SHARE = 0.1
 
 
 @dataclass(slots=True)
@@ -33,6 +36,8 @@
     stamp: str = ""
     retry_after: str | None = None
     ending: str = "unreached"
+    prompt: str = ""
+    deadly: bool = False
     # The outages noted when the request ended: of its gateway, and of all.
     disturbed: bool = False
     calm_but_for_signals: bool = False
@@ -104,6 +109,7 @@
                 gateway,
                 time.monotonic(),
             )
+            self._write_prompt(told, random)
             await self._send(clients[gateway.name], told, key)
             self._settle(told)
             self.told.append(told)
@@ -111,6 +117,17 @@
         for client in clients.values():
             await client.close()
 
+    def _write_prompt(self, told: Told, random: Random) -> None:
+        """Choose the parts of a request's prompt: two shared ones, and its own."""
+        if told.kind != "draft":
+            return
+        parts = ["c0de", f"5ab{random.randrange(SUBJECTS):x}"]
+        told.deadly = bool(self.world.sent_deadly) and random.random() < DEADLY_SHARE
+        if told.deadly:
+            parts.append(random.choice(self.world.sent_deadly))
+        parts.append(f"{random.getrandbits(48):x}")
+        told.prompt = ",".join(f"{part}:40" for part in parts)
+
     async def _send(self, client: HttpClient, told: Told, key: str) -> None:
         """Send a request and note what comes back."""
         headers = [
@@ -120,6 +137,8 @@
             ("x-bluebellrun-key", key),
             ("x-bluebellrun-token-count", "400,80"),
         ]
+        if told.prompt:
+            headers.append(("x-bluebellrun-prefix-hash", told.prompt))
         method = "GET" if told.kind == "look" else "POST"
         body = b"" if told.kind == "look" else told.sent
         told.sent = body
--- a/bench/platform_soak/_checks.py
+++ b/bench/platform_soak/_checks.py
@@ -13,6 +13,9 @@
 DEADLINE_SLACK_S = 0.5
 # Of the requests that began after the faults had ended, this part has to be served.
 LEAST_SERVED_AFTER = 0.95
+# After the fifth crash by a part, and the time in which entries learn of it, at most this many
+# requests with it may reach upstreams.
+KNOWN_AFTER_CRASHES, KNOWN_AFTER_S, MOST_DEADLY_ARRIVALS = 5, 3.0, 3
 
 
 def find_violations(told: list[Told], record: Record) -> list[str]:
@@ -27,6 +30,19 @@
         found += _check_runs(caller, runs)
     for item in told:
         found += _check_answer(item, record.runs.get(item.request_id, []))
+    return found + _check_deadly_parts(record)
+
+
+def _check_deadly_parts(record: Record) -> list[str]:
+    """Check that requests known to crash upstreams are kept from them."""
+    found = []
+    for part, deadly in record.deadly.items():
+        if len(deadly.crashes) < KNOWN_AFTER_CRASHES:
+            continue
+        known_at = deadly.crashes[KNOWN_AFTER_CRASHES - 1] + KNOWN_AFTER_S
+        late = sum(at > known_at for at in deadly.arrivals)
+        if late > MOST_DEADLY_ARRIVALS:
+            found.append(f"{late} requests with part {part} reached upstreams once it was known")
     return found
 
 
@@ -71,6 +87,8 @@
             return [f"{what} has the stamp {told.stamp!r}"]
     if told.status in (400, 401, 403, 404):
         return [f"{what} was refused with {told.status}"]
+    if told.status == 422 and (not told.deadly or runs):
+        return [f"{what} was refused with 422, deadly: {told.deadly}, runs: {len(runs)}"]
     if told.status == 503 and not told.retry_after:
         return [f"{what} was refused without a time to come back"]
     return []
--- a/bench/platform_soak/_faults.py
+++ b/bench/platform_soak/_faults.py
@@ -11,6 +11,7 @@
 
 from bench.platform_soak._links import FaultyLink
 from bench.platform_soak._programs import STOP_GRACE_S, Program
+from bench.platform_soak._upstreams import DeadlyPart
 from bench.platform_soak._world import AFTERMATH_S, World
 
 # Faults that run at the same time, each in a series of its own.
@@ -45,6 +46,7 @@
             (2, self.store_cut_for_one),
             (1, self.store_slow),
             (2, self.rank_crashes),
+            (2, self.part_crashes_ranks),
             (2, self.replica_crashes),
             (2, self.replica_drains),
             (2, self.upstream_fails),
@@ -184,6 +186,14 @@
         """Let a rank crash; its group forms again when it is back."""
         await self._replace(random, "draft-pool", random.uniform(0.3, 2.0), 0.5)
 
+    async def part_crashes_ranks(self, random: Random) -> None:
+        """Let callers send prompts with a part that crashes each rank which begins an answer."""
+        part = f"dead{len(self._world.record.deadly):x}"
+        self._world.record.deadly[part] = DeadlyPart()
+        self._world.sent_deadly.append(part)
+        await curio.sleep(random.uniform(1.0, 8.0))
+        self._world.sent_deadly.remove(part)
+
     async def replica_crashes(self, random: Random) -> None:
         """Let a replica of the plain service crash."""
         await self._replace(random, "job-ledger", random.uniform(0.3, 2.0), 1.0)
--- a/bench/platform_soak/_links.py
+++ b/bench/platform_soak/_links.py
@@ -22,13 +22,21 @@
         self._target = target
         self._open: set[Any] = set()
         self._serving: set[Any] = set()
+        self._server: Any = None
         self.delay_s = 0.0
         self.drops_requests = False
         self.drops_answers = False
 
-    async def run(self) -> None:
-        """Serve until cancelled."""
-        await curio.tcp_server(self._listen.ip, self._listen.port, self._serve)
+    async def bring_up(self) -> None:
+        """Accept connections."""
+        self._server = await curio.spawn(
+            curio.tcp_server, self._listen.ip, self._listen.port, self._serve, daemon=True
+        )
+
+    async def take_down(self) -> None:
+        """Refuse new connections, as the target's process has ended."""
+        if self._server is not None:
+            await self._server.cancel()
 
     async def reset(self) -> None:
         """Reset all open connections."""
--- a/bench/platform_soak/_upstreams.py
+++ b/bench/platform_soak/_upstreams.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -43,11 +44,26 @@
     ended: bool = False
 
 
+@dataclass(slots=True)
+class DeadlyPart:
+    """A part of a prompt that crashes each rank that begins to answer it; times in seconds."""
+
+    crashes: list[float] = field(default_factory=list)
+    arrivals: list[float] = field(default_factory=list)
+
+
 @dataclass
 class Record:
-    """What all upstreams saw: the runs of each request id."""
+    """What all upstreams saw: the runs of each request id, and the deadly parts of prompts."""
 
     runs: dict[str, list[Run]] = field(default_factory=dict)
+    deadly: dict[str, DeadlyPart] = field(default_factory=dict)
+
+    def deadly_part(self, exchange: HttpExchange) -> DeadlyPart | None:
+        """Return the deadly part of a request's prompt, or none."""
+        prompt = exchange.request.header(f"{PREFIX}prefix-hash") or ""
+        parts = (entry.partition(":")[0] for entry in prompt.split(","))
+        return next((self.deadly[part] for part in parts if part in self.deadly), None)
 
     def begin(self, upstream: str, exchange: HttpExchange) -> Run:
         """Note that a request begins to run."""
@@ -206,6 +222,8 @@
         super().__init__(address, "draft-pool", name, record)
         self._rank = rank
         self._group = group
+        # Called when a deadly part ends this rank's process.
+        self.on_crash: Callable[[], Awaitable[None]] | None = None
         self._born = 0
 
     async def start(self) -> None:
@@ -219,8 +237,16 @@
             await exchange.answer(503, NOT_RUN, b"")
             return
         run = self.record.begin(self.instance, exchange)
+        deadly = self.record.deadly_part(exchange)
+        if deadly is not None:
+            deadly.arrivals.append(time.monotonic())
         headers = [*self._stamped(request_id), ("content-type", "text/event-stream")]
         await exchange.send_head(200, headers)
+        if deadly is not None and self.alive and self.on_crash is not None:
+            deadly.crashes.append(time.monotonic())
+            await curio.spawn(self.on_crash, daemon=True)
+            exchange.abort()
+            return
         step, epoch = self._group.step, self._group.ranks.states[0].epoch
         for number in range(run.resumed_after + 1, event_count(exchange.request.body) + 1):
             while self._waits_for(step, epoch):
--- a/bench/platform_soak/_world.py
+++ b/bench/platform_soak/_world.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -47,6 +48,8 @@
         self.links: dict[str, FaultyLink] = {}
         self.upstreams: list[Upstream] = []
         self.version = 1
+        # The deadly parts that callers send now.
+        self.sent_deadly: list[str] = []
         # While this lies ahead, answers may be cut or late for reasons outside one process.
         self.disturbed_until = 0.0
         self._net = net
@@ -55,8 +58,9 @@
         for number in range(1, RANKS + 1):
             link, engine = Address(f"{net}.2.{number}", PORT), Address(f"{net}.3.{number}", PORT)
             self.upstreams.append(
-                RankUpstream(engine, f"rank{number}", self.record, number - 1, self.group)
+                rank := RankUpstream(engine, f"rank{number}", self.record, number - 1, self.group)
             )
+            rank.on_crash = partial(self._crash_by_itself, rank)
             self.links[f"rank{number}"] = FaultyLink(link, engine)
         for number in range(1, PLAIN + 1):
             link, replica = Address(f"{net}.4.{number}", PORT), Address(f"{net}.5.{number}", PORT)
@@ -90,7 +94,7 @@
         """Start everything and wait until all gateways are ready."""
         await self.store.start(self._store_address)
         for link in self.links.values():
-            await curio.spawn(link.run, daemon=True)
+            await link.bring_up()
         for upstream in self.upstreams:
             await upstream.start()
             self.register(upstream)
@@ -161,17 +165,27 @@
         }
         self.store.put("op/config", json.dumps(written).encode())
 
+    async def _crash_by_itself(self, rank: RankUpstream) -> None:
+        """End a rank's process because of a request; it comes back after some seconds."""
+        if rank.alive:
+            down_s = self.random.uniform(0.5, 2.0)
+            self.disturb(down_s + 2.0)
+            await self.replace(rank, down_s, down_s / 2)
+
     async def replace(self, upstream: Upstream, down_s: float, registered_s: float = 0.0) -> None:
         """End an upstream's life; its entry goes later, and a new life begins at its address."""
         old = upstream.instance
         is_rank = upstream.service == "draft-pool"
         if is_rank:
             self.group.is_open = False
+        link = self.links[upstream.instance.split("-")[1]]
         await upstream.crash()
+        await link.take_down()
         await curio.sleep(min(down_s, registered_s))
         self.store.delete(f"servers/{old}")
         await curio.sleep(max(0.0, down_s - registered_s))
         await upstream.start()
+        await link.bring_up()
         self.register(upstream)
         if is_rank and all(u.alive for u in self.upstreams if u.service == "draft-pool"):
             self.group.form_again()
