--- a/bluebellrun/gateway/_crash_exchange.py
+++ b/bluebellrun/gateway/_crash_exchange.py
@@ -64,11 +64,13 @@
         reports = self._quarantine.reports(now)
         return self._bounded(reports)
 
-    def receive(self, reports: Sequence[CrashReport], probing: Sequence[str], now: float) -> None:
+    def receive(
+        self, entry: str, reports: Sequence[CrashReport], probing: Sequence[str], now: float
+    ) -> None:
         """Apply the reports and probes of another entry."""
         for report in reports:
             self._apply(report, "entry", now)
-        self._quarantine.apply_peer_probes(probing, now)
+        self._quarantine.apply_peer_probes(entry, probing, now)
 
     async def run(self) -> None:
         """Read and write reports in the store until cancelled."""
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -75,7 +75,7 @@
         self._random = random
         self._record_request = record_request
         quarantine = PromptQuarantine(QuarantineSettings())
-        self._guard = PromptGuard(quarantine, fleet) if guard is None else guard
+        self._guard = guard or PromptGuard(quarantine, fleet, settings.host)
         self._deployment: Deployment | None = None
         self._budgets: dict[str, AttemptBudget] = {}
         self._admission = SlotAdmission(SlotAdmissionSettings())
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -155,7 +155,7 @@
             now = time.monotonic()
             if status.slow is not None:
                 self._slow.replace(status.slow, now)
-            self._crashes.receive(status.crashes, status.probing, now)
+            self._crashes.receive(status.entry, status.crashes, status.probing, now)
             for incarnation in status.leaving:
                 self._fleet.mark_leaving(incarnation, now, reported_by=status.entry)
 
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -155,6 +155,7 @@
         self._guard = PromptGuard(
             self._quarantine,
             self._fleet,
+            settings.host,
             lambda service, cause: self._metrics.record_loss(service, cause.value),
         )
         self._gateway = Gateway(
--- a/bluebellrun/gateway/_prompt_guard.py
+++ b/bluebellrun/gateway/_prompt_guard.py
@@ -14,6 +14,9 @@
 
 # Interval at which a request checks whether reports or a probe have settled its prompt.
 DECISION_INTERVAL_S = 0.04
+# A probe is announced for so long before it is sent; the others' announcements arrive within some
+# rounds of status datagrams.
+PROBE_ANNOUNCEMENT_S = 0.3
 
 _log = get_logger("prompt-guard")
 
@@ -42,9 +45,11 @@
         self,
         quarantine: PromptQuarantine,
         fleet: Fleet,
+        entry: str,
         record_loss: RecordLoss = lambda service, cause: None,
     ) -> None:
         self._quarantine = quarantine
+        self._entry = entry
         self._fleet = fleet
         self._record_loss = record_loss
         self._refusals = 0
@@ -59,12 +64,33 @@
         return self._quarantine.decide(service, parts, time.monotonic())
 
     async def admit(self, service: str, parts: Collection[str], deadline: float) -> Decision:
-        """Return the decision on a request; wait for a pending one until the deadline."""
-        decision = self.decide(service, parts)
-        while isinstance(decision, Pending) and time.monotonic() < deadline:
-            await curio.sleep(DECISION_INTERVAL_S)
+        """Return the decision on a request; wait for a pending one until the deadline.
+
+        A probe has been announced to the other entries when it is returned; of several entries
+        only one goes on with it. The caller ends it by ``end_probe``.
+        """
+        while True:
             decision = self.decide(service, parts)
-        return decision
+            if isinstance(decision, Probe):
+                if await self._announce(decision):
+                    return decision
+                decision = Pending()
+            if not isinstance(decision, Pending) or time.monotonic() >= deadline:
+                return decision
+            await curio.sleep(DECISION_INTERVAL_S)
+
+    async def _announce(self, probe: Probe) -> bool:
+        """Announce a probe; return whether no other entry probes the same parts."""
+        self._quarantine.begin_probe(probe.parts, time.monotonic())
+        is_mine = False
+        try:
+            await curio.sleep(PROBE_ANNOUNCEMENT_S)
+            now = time.monotonic()
+            is_mine = not self._quarantine.yields_probe(probe.parts, self._entry, now)
+        finally:
+            if not is_mine:
+                self.end_probe(probe)
+        return is_mine
 
     def record_refusal(self, request_id: str, service: str, decision: Decision) -> None:
         """Count and log a request that is not sent."""
@@ -82,7 +108,7 @@
             case Allowed() | Pending() | Probe():
                 _log.info("request not decided in time", request=request_id, service=service)
 
-    def begin_probe(self, request_id: str, probe: Probe) -> None:
+    def record_probe(self, request_id: str, probe: Probe) -> None:
         """Record that a request with suspected parts is sent."""
         _log.info("suspected parts probed", request=request_id, parts=probe.parts)
         self._quarantine.begin_probe(probe.parts, time.monotonic())
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -186,6 +186,7 @@
             now = time.monotonic()
             upstream = self._fleet.choose(self._service, self._excluded, now)
             if upstream is None or not (isinstance(outcome, Moved) or self._may_attempt(now)):
+                self._end_probe()
                 return await self._give_up(outcome)
             outcome = await self._attempt(upstream)
             match outcome:
@@ -205,7 +206,6 @@
 
     async def _check_prompt(self) -> Result | None:
         """Return none if the request may be sent as far as its prompt is known, else its result."""
-        self._probe = None
         if self._exchange.started:
             return None
         parts = self._request.shared_parts
@@ -220,6 +220,12 @@
             case Pending() | Quarantined():
                 return self._withhold(decision)
 
+    def _end_probe(self) -> None:
+        """End the probe of suspected parts that this request was allowed, if it was."""
+        if self._probe is not None:
+            self._guard.end_probe(self._probe)
+            self._probe = None
+
     def _withhold(self, decision: Decision) -> Result:
         """Return the result of a request that is not sent because of its prompt."""
         self._guard.record_refusal(self._request.id, self._service, decision)
@@ -329,9 +335,8 @@
         self._attempts += 1
         started = time.monotonic()
         cause: LossCause | None = None
-        probe = self._probe
-        if probe is not None:
-            self._guard.begin_probe(self._request.id, probe)
+        if self._probe is not None:
+            self._guard.record_probe(self._request.id, self._probe)
         try:
             outcome = await self._send_to(upstream)
             if isinstance(outcome, Lost):
@@ -339,8 +344,7 @@
         finally:
             stats.running -= 1
             self._record_prompt_read(upstream)
-            if probe is not None:
-                self._guard.end_probe(probe)
+            self._end_probe()
         self._record_outcome(upstream, outcome, started, cause)
         return outcome
 
--- a/bluebellrun/quarantine/_quarantine.py
+++ b/bluebellrun/quarantine/_quarantine.py
@@ -9,7 +9,7 @@
 An upstream that was killed leaves the same trace, so every quarantine ends with a probe.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from bluebellrun.quarantine._answered_parts import AnsweredParts
@@ -56,6 +56,14 @@
     alternatives: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class _PeerProbes:
+    """The parts that another entry is probing, and when it was heard, in seconds."""
+
+    parts: frozenset[str]
+    at: float
+
+
 class PromptQuarantine:
     """The crashes known to one entry, and the parts they accuse; times in seconds."""
 
@@ -65,7 +73,7 @@
         self._answered = AnsweredParts(settings.max_cleared_parts, settings.clearance_s)
         self._suspects: dict[str, dict[str, _Suspect]] = {}
         self._probes: dict[str, float] = {}
-        self._peer_probes: dict[str, float] = {}
+        self._peer_probes: dict[str, _PeerProbes] = {}
         self._changed_at = float("-inf")
 
     @property
@@ -101,7 +109,7 @@
             remaining_s = self._quarantine_end(suspect) - now
             if remaining_s > 0 and suspect.alternatives.issubset(parts):
                 return Quarantined(part, len(suspect.crashes), remaining_s)
-        if any(part in self._probes or self._is_probed_elsewhere(part, now) for part in accused):
+        if not self._probes.keys().isdisjoint(accused) or self._probed_by(accused, now):
             return Pending()
         return Probe(tuple(accused))
 
@@ -114,12 +122,17 @@
         for part in parts:
             self._probes.pop(part, None)
 
-    def apply_peer_probes(self, parts: Iterable[str], now: float) -> None:
+    def yields_probe(self, parts: Collection[str], entry: str, now: float) -> bool:
+        """Return whether a probe of ``entry``, this one, gives way to that of another entry."""
+        return any(other < entry for other in self._probed_by(parts, now))
+
+    def apply_peer_probes(self, entry: str, parts: Sequence[str], now: float) -> None:
         """Record the parts that another entry is probing."""
-        known = self._settings.max_parts_per_crash * self._settings.max_crashes
-        for part in parts:
-            if len(self._peer_probes) < known:
-                self._peer_probes[part] = now
+        if parts:
+            known = frozenset(parts[: self._settings.max_parts_per_crash])
+            self._peer_probes[entry] = _PeerProbes(known, now)
+        else:
+            self._peer_probes.pop(entry, None)
 
     def record_answer(self, service: str, parts: Iterable[str], now: float) -> list[str]:
         """Record that an answer has begun; return the suspected parts that it clears."""
@@ -189,9 +202,12 @@
         for crash in self._crashes.values():
             if crash.is_explained and now - crash.at > settings.settle_s and not crash.candidates:
                 self._doubt_clearances(crash)
-        for probes in (self._probes, self._peer_probes):
-            for part in [part for part, at in probes.items() if now - at > settings.probe_s]:
-                del probes[part]
+        for part in [part for part, at in self._probes.items() if now - at > settings.probe_s]:
+            del self._probes[part]
+        for entry in [
+            e for e, heard in self._peer_probes.items() if not self._is_recent(heard, now)
+        ]:
+            del self._peer_probes[entry]
         old = [key for key, crash in self._crashes.items() if now - crash.at > settings.retention_s]
         for key in old:
             del self._crashes[key]
@@ -239,10 +255,17 @@
         duration_s = settings.repeated_s * 2.0 ** (crashes - CONFIRMING_CRASHES)
         return suspect.last_at + min(settings.max_s, duration_s)
 
-    def _is_probed_elsewhere(self, part: str, now: float) -> bool:
-        """Return whether another entry has said lately that it probes a part."""
-        at = self._peer_probes.get(part)
-        return at is not None and now - at <= self._settings.settle_s
+    def _probed_by(self, parts: Collection[str], now: float) -> list[str]:
+        """Return the other entries that have lately reported a probe of one of the parts."""
+        return [
+            entry
+            for entry, heard in self._peer_probes.items()
+            if self._is_recent(heard, now) and not heard.parts.isdisjoint(parts)
+        ]
+
+    def _is_recent(self, heard: _PeerProbes, now: float) -> bool:
+        """Return whether another entry's probes were heard of lately."""
+        return now - heard.at <= self._settings.settle_s
 
     def _update(self, now: float) -> None:
         """Note a change and derive the suspects from it."""
