--- a/bench/platform_soak/_programs.py
+++ b/bench/platform_soak/_programs.py
@@ -41,6 +41,8 @@
     store: Address
     folder: Path
     app: Address | None = None
+    # A checkout of an older build; every other start runs that build.
+    older: Path | None = None
     process: "subprocess.Popen[bytes] | None" = None
     frozen: bool = False
     stopping: bool = False
@@ -90,6 +92,7 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 env={SETTINGS_VARIABLE: str(path)},
+                cwd=self.older if self.starts % 2 else None,
             )
 
     def signal(self, number: signal.Signals) -> None:
