Entry: send a request no further after two upstreams were lost with it

In the product's own set-up callers of a prompt that crashes engines saw all four engines of a service end: model requests count as repeatable, so the entry carried the request on for as many attempts as it makes. Later requests with the same text are not recognised there: open.

--- a/bench/platform_soak/__main__.py
+++ b/bench/platform_soak/__main__.py
@@ -47,8 +47,8 @@
     ended = await curio.run_in_thread(_stop, world)
     _report(callers, faults, world)
     if world.has_older_builds:
-        # Builds before the quarantine send prompts with deadly parts again and again.
-        world.record.deadly.clear()
+        # Builds before the quarantine send prompts with crashing parts again and again.
+        world.record.crashing.clear()
     found = ended + faults.failures + find_violations(callers.told, world.record)
     found += find_unrecovered(callers.told, whole_since)
     found += [f"maps mixed: {line}" for line in world.group.mixed + world.group.ranks.mixed]
@@ -62,8 +62,8 @@
     for kind in ("draft", "order", "look"):
         endings = Counter(f"{t.status} {t.ending}" for t in callers.told if t.kind == kind)
         say(f"{kind}: {dict(sorted(endings.items()))}\n")
-    crashes = [len(deadly.crashes) for deadly in world.record.deadly.values()]
-    say(f"crashes by each deadly part: {crashes}\n")
+    crashes = [len(crashing.crashes) for crashing in world.record.crashing.values()]
+    say(f"crashes by each crashing part: {crashes}\n")
     maps = {state.active for state in world.group.ranks.states.values()}
     say(f"steps: {world.group.step}, maps in use at the end: {sorted(maps)}\n")
 
--- a/bench/platform_soak/_callers.py
+++ b/bench/platform_soak/_callers.py
@@ -16,8 +16,8 @@
 CONNECT_TIMEOUT_S = 1.0
 PAUSE_S = 0.25
 SUBJECTS = 6
-# Of the drafts sent while there is a deadly part, this share has one.
-DEADLY_SHARE = 0.1
+# Of the drafts sent while there is a crashing part, this share has one.
+CRASHING_SHARE = 0.1
 
 
 @dataclass(slots=True)
@@ -37,7 +37,7 @@
     retry_after: str | None = None
     ending: str = "unreached"
     prompt: str = ""
-    deadly: bool = False
+    crashing: bool = False
     # The outages noted when the request ended: of its gateway, and of all.
     disturbed: bool = False
     calm_but_for_signals: bool = False
@@ -122,9 +122,9 @@
         if told.kind != "draft":
             return
         parts = ["c0de", f"5ab{random.randrange(SUBJECTS):x}"]
-        told.deadly = bool(self.world.sent_deadly) and random.random() < DEADLY_SHARE
-        if told.deadly:
-            parts.append(random.choice(self.world.sent_deadly))
+        told.crashing = bool(self.world.sent_crashing) and random.random() < CRASHING_SHARE
+        if told.crashing:
+            parts.append(random.choice(self.world.sent_crashing))
         parts.append(f"{random.getrandbits(48):x}")
         told.prompt = ",".join(f"{part}:40" for part in parts)
 
--- a/bench/platform_soak/_checks.py
+++ b/bench/platform_soak/_checks.py
@@ -15,7 +15,7 @@
 LEAST_SERVED_AFTER = 0.95
 # After the fifth crash by a part, and the time in which entries learn of it, at most this many
 # requests with it may reach upstreams.
-KNOWN_AFTER_CRASHES, KNOWN_AFTER_S, MOST_DEADLY_ARRIVALS = 5, 3.0, 3
+KNOWN_AFTER_CRASHES, KNOWN_AFTER_S, MAX_ARRIVALS_ONCE_KNOWN = 5, 3.0, 3
 
 
 def find_violations(told: list[Told], record: Record) -> list[str]:
@@ -30,18 +30,18 @@
         found += _check_runs(caller, runs)
     for item in told:
         found += _check_answer(item, record.runs.get(item.request_id, []))
-    return found + _check_deadly_parts(record)
+    return found + _check_crashing_parts(record)
 
 
-def _check_deadly_parts(record: Record) -> list[str]:
+def _check_crashing_parts(record: Record) -> list[str]:
     """Check that requests known to crash upstreams are kept from them."""
     found = []
-    for part, deadly in record.deadly.items():
-        if len(deadly.crashes) < KNOWN_AFTER_CRASHES:
+    for part, crashing in record.crashing.items():
+        if len(crashing.crashes) < KNOWN_AFTER_CRASHES:
             continue
-        known_at = deadly.crashes[KNOWN_AFTER_CRASHES - 1] + KNOWN_AFTER_S
-        late = sum(at > known_at for at in deadly.arrivals)
-        if late > MOST_DEADLY_ARRIVALS:
+        known_at = crashing.crashes[KNOWN_AFTER_CRASHES - 1] + KNOWN_AFTER_S
+        late = sum(at > known_at for at in crashing.arrivals)
+        if late > MAX_ARRIVALS_ONCE_KNOWN:
             found.append(f"{late} requests with part {part} reached upstreams once it was known")
     return found
 
@@ -87,8 +87,8 @@
             return [f"{what} has the stamp {told.stamp!r}"]
     if told.status in (400, 401, 403, 404):
         return [f"{what} was refused with {told.status}"]
-    if told.status == 422 and (not told.deadly or runs):
-        return [f"{what} was refused with 422, deadly: {told.deadly}, runs: {len(runs)}"]
+    if told.status == 422 and (not told.crashing or runs):
+        return [f"{what} was refused with 422, crashing: {told.crashing}, runs: {len(runs)}"]
     if told.status == 503 and not told.retry_after:
         return [f"{what} was refused without a time to come back"]
     return []
--- a/bench/platform_soak/_faults.py
+++ b/bench/platform_soak/_faults.py
@@ -11,7 +11,7 @@
 
 from bench.platform_soak._links import FaultyLink
 from bench.platform_soak._programs import STOP_GRACE_S, Program
-from bench.platform_soak._upstreams import DeadlyPart
+from bench.platform_soak._upstreams import CrashingPart
 from bench.platform_soak._world import AFTERMATH_S, World
 
 # Faults that run at the same time, each in a series of its own.
@@ -188,11 +188,11 @@
 
     async def part_crashes_ranks(self, random: Random) -> None:
         """Let callers send prompts with a part that crashes each rank which begins an answer."""
-        part = f"dead{len(self._world.record.deadly):x}"
-        self._world.record.deadly[part] = DeadlyPart()
-        self._world.sent_deadly.append(part)
+        part = f"dead{len(self._world.record.crashing):x}"
+        self._world.record.crashing[part] = CrashingPart()
+        self._world.sent_crashing.append(part)
         await curio.sleep(random.uniform(1.0, 8.0))
-        self._world.sent_deadly.remove(part)
+        self._world.sent_crashing.remove(part)
 
     async def replica_crashes(self, random: Random) -> None:
         """Let a replica of the plain service crash."""
--- a/bench/platform_soak/_upstreams.py
+++ b/bench/platform_soak/_upstreams.py
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True)
-class DeadlyPart:
+class CrashingPart:
     """A part of a prompt that crashes each rank that begins to answer it; times in seconds."""
 
     crashes: list[float] = field(default_factory=list)
@@ -54,16 +54,16 @@
 
 @dataclass
 class Record:
-    """What all upstreams saw: the runs of each request id, and the deadly parts of prompts."""
+    """What all upstreams saw: the runs of each request id, and the crashing parts of prompts."""
 
     runs: dict[str, list[Run]] = field(default_factory=dict)
-    deadly: dict[str, DeadlyPart] = field(default_factory=dict)
+    crashing: dict[str, CrashingPart] = field(default_factory=dict)
 
-    def deadly_part(self, exchange: HttpExchange) -> DeadlyPart | None:
-        """Return the deadly part of a request's prompt, or none."""
+    def crashing_part(self, exchange: HttpExchange) -> CrashingPart | None:
+        """Return the crashing part of a request's prompt, or none."""
         prompt = exchange.request.header(f"{PREFIX}prefix-hash") or ""
         parts = (entry.partition(":")[0] for entry in prompt.split(","))
-        return next((self.deadly[part] for part in parts if part in self.deadly), None)
+        return next((self.crashing[part] for part in parts if part in self.crashing), None)
 
     def begin(self, upstream: str, exchange: HttpExchange) -> Run:
         """Note that a request begins to run."""
@@ -222,7 +222,7 @@
         super().__init__(address, "draft-pool", name, record)
         self._rank = rank
         self._group = group
-        # Called when a deadly part ends this rank's process.
+        # Called when a crashing part ends this rank's process.
         self.on_crash: Callable[[], Awaitable[None]] | None = None
         self._born = 0
 
@@ -237,13 +237,13 @@
             await exchange.answer(503, NOT_RUN, b"")
             return
         run = self.record.begin(self.instance, exchange)
-        deadly = self.record.deadly_part(exchange)
-        if deadly is not None:
-            deadly.arrivals.append(time.monotonic())
+        crashing = self.record.crashing_part(exchange)
+        if crashing is not None:
+            crashing.arrivals.append(time.monotonic())
         headers = [*self._stamped(request_id), ("content-type", "text/event-stream")]
         await exchange.send_head(200, headers)
-        if deadly is not None and self.alive and self.on_crash is not None:
-            deadly.crashes.append(time.monotonic())
+        if crashing is not None and self.alive and self.on_crash is not None:
+            crashing.crashes.append(time.monotonic())
             await curio.spawn(self.on_crash, daemon=True)
             exchange.abort()
             return
--- a/bench/platform_soak/_world.py
+++ b/bench/platform_soak/_world.py
@@ -48,8 +48,8 @@
         self.links: dict[str, FaultyLink] = {}
         self.upstreams: list[Upstream] = []
         self.version = 1
-        # The deadly parts that callers send now.
-        self.sent_deadly: list[str] = []
+        # The crashing parts that callers send now.
+        self.sent_crashing: list[str] = []
         # While this lies ahead, answers may be cut or late for reasons outside one process.
         self.disturbed_until = 0.0
         self.has_older_builds = older is not None
--- a/bluebellrun/entry/_dispatcher.py
+++ b/bluebellrun/entry/_dispatcher.py
@@ -31,6 +31,8 @@
 # Later attempts are not marked as divertible: an upstream refuses divertible work early, to leave
 # time for another upstream.
 MAX_DIVERTIBLE_ATTEMPT = 1
+# Attempts whose upstream was lost with the request: one more could end another upstream.
+MAX_LOST_ATTEMPTS = 2
 
 _log = get_logger("entry")
 
@@ -41,6 +43,7 @@
 
     attempts: int = 0
     alternatives: int = 0
+    lost: int = 0
     may_have_run: str = ""
     refused_by: set[str] = field(default_factory=set)
 
@@ -96,6 +99,15 @@
             outcome = await self._attempt(exchange, request, channel, attempt, progress)
             if isinstance(outcome, Unknown):
                 progress.may_have_run = outcome.reason
+                progress.lost += 1
+                if progress.lost >= MAX_LOST_ATTEMPTS:
+                    _log.warning(
+                        "request not sent again",
+                        request=request.request_id,
+                        lost_attempts=progress.lost,
+                        reason=outcome.reason,
+                    )
+                    return outcome
             now = self._clock.now()
             progress.refused_by.add(channel.upstream.name)
             if isinstance(outcome, NotRun):
--- a/standins/engine/_app.py
+++ b/standins/engine/_app.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import os
 import time
 from typing import Any
 
@@ -13,6 +14,8 @@
 from standins.engine._faults import EngineFaults
 from standins.engine._streams import STREAMS_PATH, AnswerRecord, StreamTable, answer_digest
 
+CRASH_STATUS = 70
+
 
 class EngineApp:
     """Serve an OpenAI-style API from a batcher."""
@@ -102,6 +105,9 @@
         record.runs += 1
         await curio.sleep(self.faults.late_s)
         await self.batcher.add(sequence)
+        crash_text = self.faults.crash_text.encode()
+        if crash_text and crash_text in sequence.prompt:
+            await curio.spawn(self._crash_under, sequence, daemon=True)
         try:
             if body.get("stream"):
                 await self.streams.send(exchange, self.streams.open(sequence, record), 0)
@@ -111,6 +117,11 @@
             if not body.get("stream"):
                 sequence.cancelled = True
 
+    async def _crash_under(self, sequence: Sequence) -> None:
+        """End the process as the answer to a sequence begins."""
+        await self._wait(sequence, 0)
+        os._exit(CRASH_STATUS)
+
     def _sequence(self, exchange: HttpExchange, body: dict[str, Any]) -> Sequence:
         """Return the sequence that a request asks for."""
         prompt = json.dumps(body.get("messages") or body.get("prompt") or "").encode()
--- a/tests/bench/test_platform_soak.py
+++ b/tests/bench/test_platform_soak.py
@@ -10,7 +10,7 @@
 from bench.platform_soak._checks import find_unrecovered, find_violations
 from bench.platform_soak._programs import Program
 from bench.platform_soak._upstreams import (
-    DeadlyPart,
+    CrashingPart,
     Record,
     Run,
     event,
@@ -78,15 +78,15 @@
 
 def test_requests_that_go_on_crashing_upstreams_are_seen():
     crashes = [float(number) for number in range(5)]
-    sent = Record(deadly={"dead": DeadlyPart(crashes, [8.0, 8.1, 8.2, 8.3])})
+    sent = Record(crashing={"dead": CrashingPart(crashes, [8.0, 8.1, 8.2, 8.3])})
     assert "once it was known" in find_violations([], sent)[0]
-    kept = Record(deadly={"dead": DeadlyPart(crashes, [6.9, 8.1, 8.2, 8.3])})
+    kept = Record(crashing={"dead": CrashingPart(crashes, [6.9, 8.1, 8.2, 8.3])})
     assert find_violations([], kept) == []
 
 
 def test_a_sound_request_that_is_refused_for_good_is_seen():
     assert violations(told("draft", status=422, body=b""))
-    assert not violations(told("draft", status=422, body=b"", deadly=True))
+    assert not violations(told("draft", status=422, body=b"", crashing=True))
 
 
 def test_a_request_that_nobody_sent_is_seen():
