Check an upstream once for its end where no answer had begun

A kept connection that an upstream closes is usual; the retry of a request on it waited 50 ms for the second check. Only an answer that was beginning is worth two. Tests: an upstream that closes or is silent accuses no prompt, final and temporary refusals reach no upstream.

--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -26,9 +26,8 @@
 # Connecting within a region takes milliseconds; a lost packet costs a second.
 CONNECT_TIMEOUT_S = 0.4
 # A process that ends closes its connections and its listening socket within milliseconds of each
-# other; it is checked once more after this time.
+# other; one that still accepts connections may be checked again after this time.
 END_CHECK_INTERVAL_S = 0.05
-END_CHECKS = 2
 # Bound on the duration of an answer where neither caller nor route sets one.
 MAX_ANSWER_S = 600.0
 # Weight of the previous value in the moving averages of durations and failures.
@@ -175,13 +174,13 @@
         """Return whether an upstream's process was found to have ended."""
         return upstream.incarnation in self._ended
 
-    async def has_ended(self, upstream: Upstream) -> bool:
+    async def has_ended(self, upstream: Upstream, checks: int = 1) -> bool:
         """Return whether an upstream's process has ended: its host refuses connections to it."""
-        for check in range(END_CHECKS):
-            if upstream.incarnation in self._ended:
-                return True
+        for check in range(checks):
             if check:
                 await curio.sleep(END_CHECK_INTERVAL_S)
+            if upstream.incarnation in self._ended:
+                return True
             try:
                 sock = await connect(upstream.address, CONNECT_TIMEOUT_S)
             except ConnectError as error:
--- a/bluebellrun/gateway/_prompt_guard.py
+++ b/bluebellrun/gateway/_prompt_guard.py
@@ -17,6 +17,8 @@
 # A probe is announced for so long before it is sent; the others' announcements arrive within some
 # rounds of status datagrams.
 PROBE_ANNOUNCEMENT_S = 0.3
+# Checks of an upstream that closed a connection on which an answer was beginning.
+END_CHECKS_AFTER_HEAD = 2
 
 _log = get_logger("prompt-guard")
 
@@ -156,6 +158,8 @@
             return LossCause.OTHER
         if events or not parts:
             return LossCause.ENDED if self._fleet.is_known_ended(upstream) else LossCause.CLOSED
-        if not await self._fleet.has_ended(upstream):
+        # Without a head it may be an idle connection that the upstream has closed.
+        checks = END_CHECKS_AFTER_HEAD if has_head else 1
+        if not await self._fleet.has_ended(upstream, checks):
             return LossCause.CLOSED
         return LossCause.CRASH if has_head else LossCause.ENDED
