Answer a caller that comes back with a crashing prompt at once

A request that was refused for its prompt after it had passed admission was queued again if its caller had come back: held until the caller would give up (1.7 s), then refused all the same.

--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -126,6 +126,7 @@
         self._budget = budget
         self._guard = guard
         self._probe: Probe | None = None
+        self._is_withheld = False
         self._attempts = 0
         self._runs = 0
         self._refusals = 0
@@ -170,7 +171,8 @@
             if refused is not None:
                 return refused
             result = await self._send_until_settled()
-            if not isinstance(result, Refused) or not self._may_queue_again(terms):
+            is_final = self._is_withheld or not isinstance(result, Refused)
+            if is_final or not self._may_queue_again(terms):
                 return result
             self._excluded.clear()
             self._refusals = 0
@@ -228,6 +230,7 @@
 
     def _withhold(self, decision: Decision) -> Result:
         """Return the result of a request that is not sent because of its prompt."""
+        self._is_withheld = True
         self._guard.record_refusal(self._request.id, self._service, decision)
         if self._runs:
             reason = "an upstream ended under the request; it is not sent again"
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -6,6 +6,7 @@
 import curio
 import pytest
 
+from bluebellrun.quarantine import QuarantineSettings
 from tests.platform.upstreams import (
     Arrival,
     GatewayBench,
@@ -117,6 +118,22 @@
     curio.run(main)
 
 
+# Guards against holding a request that is refused for its prompt until its caller gives up.
+def test_a_caller_that_comes_back_with_a_crashing_prompt_is_not_held():
+    async def main() -> None:
+        bench = GatewayBench()
+        await start(bench)
+        quarantine = bench.gateway._guard._quarantine
+        quarantine.record_crash("s", ("x", 1), ["dead"], beginning=True, now=time.monotonic())
+        started = time.monotonic()
+        headers = {"X_Bluebellrun_Prefix_Hash": CRASHING, "Last_Event_Id": "0"}
+        answer = await bench.send_request("/talk/a", "POST", **headers)
+        assert answer.status == 503
+        assert time.monotonic() - started < QuarantineSettings().settle_s + 0.4
+
+    curio.run(main)
+
+
 def test_after_one_crash_callers_are_told_when_to_come_back():
     async def main() -> None:
         bench = GatewayBench()
