Quarantine: judge parts that the same crashes accuse together

With the record of crashes full (64 of 64 parts each) one more crash kept the process busy for 0.6 s and the suspects took 11 MB, as each part was compared with each other one: callers of that entry would have waited.

--- a/bluebellrun/quarantine/_models.py
+++ b/bluebellrun/quarantine/_models.py
@@ -26,8 +26,8 @@
     retention_s: float = 21_600.0
     clearance_s: float = 600.0
     probe_s: float = 3.0
-    max_crashes: int = 64
-    max_parts_per_crash: int = 64
+    max_crashes: int = 32
+    max_parts_per_crash: int = 32
     max_cleared_parts: int = 4_096
 
 
--- a/bluebellrun/quarantine/_quarantine.py
+++ b/bluebellrun/quarantine/_quarantine.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
+from itertools import chain
 
 from bluebellrun.quarantine._answered_parts import AnsweredParts
 from bluebellrun.quarantine._decisions import Allowed, Decision, Pending, Probe, Quarantined
@@ -279,19 +280,34 @@
             for part in crash.candidates:
                 accusing.setdefault(crash.service, {}).setdefault(part, set()).add(upstream)
         self._suspects = {
-            service: {part: self._suspect(part, by_part) for part in by_part}
-            for service, by_part in accusing.items()
+            service: self._suspects_of(by_part) for service, by_part in accusing.items()
         }
 
-    def _suspect(self, part: str, by_part: dict[str, set[UpstreamIncarnation]]) -> _Suspect:
-        """Return what the crashes tell of a part; ``by_part`` are the crashes that accuse each."""
-        crashes = by_part[part]
+    def _suspects_of(self, by_part: dict[str, set[UpstreamIncarnation]]) -> dict[str, _Suspect]:
+        """Return the suspects of a service, by the crashes that accuse each part.
+
+        Parts that the same crashes accuse share one suspect, as there may be many.
+        """
+        groups: dict[frozenset[UpstreamIncarnation], list[str]] = {}
+        for part, accused_by in by_part.items():
+            groups.setdefault(frozenset(accused_by), []).append(part)
+        suspects: dict[str, _Suspect] = {}
+        for crashes, parts in groups.items():
+            explaining = (other for key, other in groups.items() if key >= crashes)
+            alternatives = frozenset(chain.from_iterable(explaining))
+            suspects.update(dict.fromkeys(parts, self._suspect(crashes, alternatives)))
+        return suspects
+
+    def _suspect(
+        self, crashes: frozenset[UpstreamIncarnation], alternatives: frozenset[str]
+    ) -> _Suspect:
+        """Return what crashes tell of the parts that all of them accuse."""
         records = [self._crashes[upstream] for upstream in crashes]
         return _Suspect(
-            frozenset(crashes),
+            crashes,
             max(record.at for record in records),
-            any(part in record.beginning for record in records),
-            frozenset(other for other, accused_by in by_part.items() if accused_by >= crashes),
+            any(record.beginning for record in records),
+            alternatives,
         )
 
 
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -279,6 +279,17 @@
     assert len(entry.quarantine._peer_probes) == 0
 
 
+# Guards against a crash that keeps the process busy for long: each part compared with each other.
+def test_parts_that_the_same_crashes_accuse_are_judged_together():
+    entry = Entry()
+    for number in range(SETTINGS.max_crashes):
+        parts = [f"{number}-{part}" for part in range(SETTINGS.max_parts_per_crash)]
+        entry.crash(f"u{number}", *parts)
+    suspects = entry.quarantine._suspects[SERVICE].values()
+    assert len(suspects) == SETTINGS.max_crashes * SETTINGS.max_parts_per_crash
+    assert len({id(suspect) for suspect in suspects}) == SETTINGS.max_crashes
+
+
 def test_of_a_long_prompt_the_parts_that_were_never_answered_are_kept():
     entry = Entry(QuarantineSettings(max_parts_per_crash=4))
     common = [f"c{number}" for number in range(20)]
