--- a/bluebellrun/gateway/_crash_exchange.py
+++ b/bluebellrun/gateway/_crash_exchange.py
@@ -33,6 +33,7 @@
     """Send, receive and store the reports of a quarantine.
 
     ``prefix`` is the prefix of all entries' reports in the store, ``host`` names this entry.
+    ``crash_recorded`` is set when this entry has seen a crash.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         view: StoreView,
         prefix: str,
         host: str,
+        crash_recorded: curio.Event | None = None,
     ) -> None:
         self._quarantine = quarantine
         self._settings = settings
@@ -50,11 +52,19 @@
         self._view = view
         self._prefix = prefix
         self._host = host
+        self._crash_recorded = crash_recorded or curio.Event()
         self._rounds = 0
         self._next_report = 0
         self._stored: dict[str, CrashReport] = {}
         self._read: dict[str, int] = {}
 
+    async def own_crash_within(self, seconds: float) -> bool:
+        """Wait until this entry has seen a crash; return false if it sees none for so long."""
+        await curio.ignore_after(seconds, self._crash_recorded.wait)
+        is_recorded = self._crash_recorded.is_set()
+        self._crash_recorded.clear()
+        return is_recorded
+
     def outgoing(self, now: float) -> list[CrashReport]:
         """Return the reports to send in this round."""
         self._rounds += 1
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -91,10 +91,19 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.bind((self._address.ip, self._address.port))
         await spawn_background(self._receive, sock)
+        await self._send_rounds(sock)
+
+    async def _send_rounds(self, sock: object) -> None:
+        """Send this entry's status until cancelled.
+
+        A crash is told to all entries at once: until they know of it they send the next request
+        that causes one, and this entry may end before its next round.
+        """
         while True:
-            await curio.sleep(SEND_INTERVAL_S)
-            self._table.expire(time.monotonic(), silent_after_s(len(self.peers)))
-            await self._send(sock)
+            has_crash = await self._crashes.own_crash_within(SEND_INTERVAL_S)
+            peers = self.peers
+            self._table.expire(time.monotonic(), silent_after_s(len(peers)))
+            await self._send(sock, peers if has_crash else self._next_peers(peers))
 
     async def keep_registered(self) -> None:
         """Keep this entry in the register until cancelled."""
@@ -117,16 +126,15 @@
         self._lease = lease
         _log.info("entry registered", key=self._key, address=str(self._address))
 
-    async def _send(self, sock: object) -> None:
-        """Send this entry's status to the other entries of this round."""
-        peers = self.peers
+    async def _send(self, sock: object, peers: list[Address]) -> None:
+        """Send this entry's status to other entries."""
         if not peers:
             return
         data = encode_status(self._status())
         if len(data) > MAX_DATAGRAM_BYTES:
             _log.warning("status not sent", bytes=len(data), limit=MAX_DATAGRAM_BYTES)
             return
-        for peer in self._next_peers(peers):
+        for peer in peers:
             try:
                 await sock.sendto(data, (peer.ip, peer.port))  # type: ignore[attr-defined]
             except OSError as error:
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -151,12 +151,14 @@
             self._slow.current,
         )
         quarantine_settings = QuarantineSettings()
+        crash_recorded = curio.Event()
         self._quarantine = PromptQuarantine(quarantine_settings)
         self._guard = PromptGuard(
             self._quarantine,
             self._fleet,
             settings.host,
             lambda service, cause: self._metrics.record_loss(service, cause.value),
+            crash_recorded,
         )
         self._gateway = Gateway(
             settings,
@@ -189,6 +191,7 @@
             self._view,
             f"{OWN_PREFIX}crashes/",
             settings.host,
+            crash_recorded,
         )
         self._role = self._make_role()
         self._maps = ExpertMaps(
--- a/bluebellrun/gateway/_prompt_guard.py
+++ b/bluebellrun/gateway/_prompt_guard.py
@@ -41,7 +41,10 @@
 
 
 class PromptGuard:
-    """Apply the quarantine of prompt parts to this entry's requests."""
+    """Apply the quarantine of prompt parts to this entry's requests.
+
+    ``crash_recorded`` is set when this entry has seen a crash that accuses a part.
+    """
 
     def __init__(
         self,
@@ -49,11 +52,13 @@
         fleet: Fleet,
         entry: str,
         record_loss: RecordLoss = lambda service, cause: None,
+        crash_recorded: curio.Event | None = None,
     ) -> None:
         self._quarantine = quarantine
         self._entry = entry
         self._fleet = fleet
         self._record_loss = record_loss
+        self._crash_recorded = crash_recorded or curio.Event()
         self._refusals = 0
 
     @property
@@ -148,6 +153,8 @@
                 parts=tuple(parts),
                 accused=accused,
             )
+            if accused:
+                await self._crash_recorded.set()
         return cause
 
     async def _cause(
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -1,11 +1,14 @@
 from random import Random
 
+import curio
+
 from bluebellrun.core import Address, BootClock
 from bluebellrun.gateway import Fleet, StoreView, UpstreamDirectory
 from bluebellrun.gateway._crash_exchange import CrashExchange
-from bluebellrun.gateway._gossip import PEERS_PER_ROUND, Gossip, silent_after_s
+from bluebellrun.gateway._gossip import PEERS_PER_ROUND, SEND_INTERVAL_S, Gossip, silent_after_s
 from bluebellrun.gateway._peers import SILENT_S, EntryStatus, PeerTable
 from bluebellrun.gateway._slow_upstreams import SlowUpstreams
+from bluebellrun.gateway._store_changes import RecordWritten
 from bluebellrun.platform import PlatformCatalogue, PlatformStore
 from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
 from bluebellrun.store import StoreTimeouts
@@ -47,3 +50,35 @@
 def test_the_silence_timeout_grows_with_the_interval_between_datagrams():
     assert silent_after_s(5) == SILENT_S
     assert silent_after_s(390) > 2 * 0.1 * 390 / PEERS_PER_ROUND
+
+
+class SentDatagrams:
+    """A socket that keeps the ports that datagrams are sent to."""
+
+    def __init__(self) -> None:
+        self.ports: set[int] = set()
+
+    async def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        self.ports.add(address[1])
+
+
+# Guards: an entry was killed 53 ms after it saw a crash, before its next round of status: no other
+# entry knew of the crash, and the same part crashed one more upstream.
+def test_a_crash_is_told_to_all_entries_at_once():
+    async def main() -> None:
+        subject, sock, many = gossip(), SentDatagrams(), peers(3 * PEERS_PER_ROUND)
+        subject._view._records = {
+            f"e/{peer.port}": RecordWritten(f"e/{peer.port}", str(peer).encode(), 1)
+            for peer in many
+        }
+        sending = await curio.spawn(subject._send_rounds, sock)
+        await curio.sleep(0)
+        await subject._crashes._crash_recorded.set()
+        await curio.sleep(SEND_INTERVAL_S / 10)
+        assert sock.ports == {peer.port for peer in many}
+        sock.ports.clear()
+        await curio.sleep(SEND_INTERVAL_S / 2)
+        assert not sock.ports
+        await sending.cancel()
+
+    curio.run(main)
