Admission: leave slots to new requests after an outage of a group

Callers of a group that had just come back were refused or late for 4 s more: all slots went at once to requests that had waited, which were late already; new ones found none, came back, and were late in turn.

Cause: nothing told late requests from new ones as an outage ended, new requests in an outage spent their caller's only retry after 1 s or as a probe, and all callers were told the same time to return.

For 8 s after an outage late requests now hold no more slots than new ones leave, except those whose callers would soon fail for good; new requests wait as long as their callers; callers return one after the other.

--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -11,6 +11,7 @@
     Work,
 )
 from bluebellrun.admission._pauses import PauseLimit, PauseSettings
+from bluebellrun.admission._recovery import RecoveryLimit, RecoverySettings
 from bluebellrun.admission._registry import ADMISSION_POLICIES, make_admission
 from bluebellrun.admission._reserve import ReserveSettings, UrgentReserve
 from bluebellrun.admission._retry_detector import RetryDetector, RetryDetectorSettings
@@ -28,6 +29,8 @@
     "PauseLimit",
     "PauseSettings",
     "PriorityTarget",
+    "RecoveryLimit",
+    "RecoverySettings",
     "Refusal",
     "ReserveSettings",
     "RetryDetector",
--- a/bluebellrun/admission/_service_gate.py
+++ b/bluebellrun/admission/_service_gate.py
@@ -41,13 +41,19 @@
         self._outage_started: float | None = None
         self._refused_at = 0.0
         self._probed_at = 0.0
+        self._outage_ended: float | None = None
+
+    @property
+    def outage_ended(self) -> float | None:
+        """Return when the last outage ended, none if there was none."""
+        return self._outage_ended
 
     def is_unavailable(self, now: float) -> bool:
         """Return whether the service accepts no work at all."""
         if self._outage_started is None:
             return False
         if now - self._refused_at > self._settings.outage_expiry_s:
-            self.record_accepted()
+            self.record_accepted(now)
             return False
         return True
 
@@ -74,8 +80,10 @@
         if self._refusals >= self._settings.refusals and self._outage_started is None:
             self._outage_started = now
 
-    def record_accepted(self) -> None:
+    def record_accepted(self, now: float) -> None:
         """Record that an upstream accepted a request."""
+        if self._outage_started is not None:
+            self._outage_ended = now
         self._outage_started = None
         self._refusals = 0
 
--- a/bluebellrun/gateway/_admission_control.py
+++ b/bluebellrun/gateway/_admission_control.py
@@ -16,6 +16,8 @@
 
 from bluebellrun.admission import (
     PauseLimit,
+    RecoveryLimit,
+    RecoverySettings,
     ReserveSettings,
     ServiceGate,
     SlotAdmission,
@@ -37,8 +39,8 @@
 RETRY_STEPS_BEHIND = 1
 RETRY_STEPS_AHEAD = 1
 RETRY_ESCALATION_S = 0.7
-# A group whose ranks are all present re-forms within some tenths of a second.
-OUTAGE_WAIT_S = 1.0
+# A new request that has waited for this fraction of its objective is late.
+MAX_TIMELY_WAIT_FRACTION = 0.5
 # Upper factor of the random spread of retry times when all upstreams have asked for a backoff.
 MAX_RETRY_SPREAD = 1.5
 
@@ -64,9 +66,13 @@
         """Return the request's urgency relative to new requests."""
         if not self.is_retry:
             return self.urgency
-        if now < self.send_deadline - RETRY_ESCALATION_S:
-            return self.urgency + RETRY_STEPS_BEHIND
-        return self.urgency - RETRY_STEPS_AHEAD
+        if self.is_last_chance_at(now):
+            return self.urgency - RETRY_STEPS_AHEAD
+        return self.urgency + RETRY_STEPS_BEHIND
+
+    def is_last_chance_at(self, now: float) -> bool:
+        """Return whether the request soon fails for good unless it is sent."""
+        return self.is_retry and now >= self.send_deadline - RETRY_ESCALATION_S
 
 
 class AdmissionControl:
@@ -95,33 +101,56 @@
         self._random = random
         self._queue = WaitingQueue()
         self._reserve = UrgentReserve(ReserveSettings())
+        self._recovery = RecoveryLimit(RecoverySettings())
 
     @property
     def gate(self) -> ServiceGate:
         """Return the gate that tracks the service's outages."""
         return self._gate
 
-    async def admit(self, terms: AdmissionTerms) -> Refused | None:
-        """Wait until a request may be sent and return none, or return its refusal."""
-        self._reserve.record(terms.urgency, time.monotonic())
-        refused = self._refusal_now(terms, waits=terms.is_retry)
-        if refused is None:
-            return None
-        deadline = terms.send_deadline
+    async def admit(self, terms: AdmissionTerms, attempted: bool = False) -> Refused | None:
+        """Wait until a request may be sent and return none, or return its refusal.
+
+        One that was ``attempted`` waits for the end of the outage that refused it.
+        """
+        if attempted:
+            refused: Refused | None = self._outage_refusal()
+        else:
+            self._record_arrival(terms)
+            refused = self._refusal_now(terms, is_late=terms.is_retry, waits=terms.is_retry)
+        if refused is not None:
+            refused = await self._wait(terms, refused, attempted)
+        if refused is not None and refused.retry_after_s is None:
+            return self.refusal(refused.reason, terms.is_retry)
+        return refused
+
+    def _record_arrival(self, terms: AdmissionTerms) -> None:
+        """Record a request that this entry has received."""
+        now = time.monotonic()
+        self._reserve.record(terms.urgency, now)
         if not terms.is_retry:
-            deadline = min(deadline, time.monotonic() + OUTAGE_WAIT_S)
-        return await self._wait(terms, deadline, refused)
+            self._recovery.record_new(now)
 
-    def refusal(self, reason: str) -> Refused:
+    def finish(self, terms: AdmissionTerms) -> None:
+        """Record that an admitted request has ended."""
+        self._recovery.finish(terms.request_id)
+
+    def refusal(self, reason: str, is_retry: bool = False) -> Refused:
         """Return a refusal with a time to retry after.
 
         If all upstreams have asked for a backoff, this is when the first backoff ends, with a
-        random spread so that callers do not all retry at the same moment.
+        random spread so that callers do not all retry at the same moment. In an outage the callers
+        that have a retry left are told to come back one after the other.
         """
         now = time.monotonic()
         spread = self._random.uniform(1.0, MAX_RETRY_SPREAD)
         wait_s = self._fleet.available_in_s(self._service, now) * spread
-        return Refused(UNAVAILABLE, reason, max(wait_s, self._gate.retry_after_s(now)))
+        retry_after_s = max(wait_s, self._gate.retry_after_s(now))
+        if (self._gate.is_unavailable(now) or self._recovers(now)) and not is_retry:
+            usage = self._slot_usage()
+            share = self._share_of_slots(usage)
+            retry_after_s = self._recovery.retry_after_s(retry_after_s, share, usage.typical_s, now)
+        return Refused(UNAVAILABLE, reason, retry_after_s)
 
     def record_pause(self, pause_s: float, max_pause_s: float | None, now: float) -> None:
         """Record the pause between two events of one upstream's stream."""
@@ -138,17 +167,20 @@
             )
 
     async def _wait(
-        self, terms: AdmissionTerms, deadline: float, refused: Refused
+        self, terms: AdmissionTerms, refused: Refused, attempted: bool
     ) -> Refused | None:
         """Queue a request; return none once it may be sent, or its refusal."""
         started = time.monotonic()
         ticket = self._queue.join(terms.urgency)
         try:
-            while self._may_wait(terms, ticket, deadline):
+            while self._may_wait(terms, ticket):
                 await curio.sleep(QUEUE_INTERVAL_S)
-                if self._queue.ahead_of(ticket):
+                is_late = _is_late(terms, started)
+                if is_late and self._queue.ahead_of(ticket):
+                    continue
+                if attempted and self._gate.is_unavailable(time.monotonic()):
                     continue
-                now_refused = self._refusal_now(terms, waits=True)
+                now_refused = self._refusal_now(terms, is_late, waits=True)
                 if now_refused is None:
                     self._log_wait(terms, started, "sent")
                     return None
@@ -159,12 +191,12 @@
             self._log_wait(terms, started, "refused")
         return refused
 
-    def _may_wait(self, terms: AdmissionTerms, ticket: Ticket, deadline: float) -> bool:
+    def _may_wait(self, terms: AdmissionTerms, ticket: Ticket) -> bool:
         """Return whether a request may stay queued and is likely to be sent in time."""
         now = time.monotonic()
-        if not terms.is_retry and not self._gate.is_unavailable(now):
+        if not (terms.is_retry or self._gate.is_unavailable(now) or self._recovers(now)):
             return False
-        return now + self._expected_wait_s(self._queue.ahead_of(ticket)) < deadline
+        return now + self._expected_wait_s(self._queue.ahead_of(ticket)) < terms.send_deadline
 
     def _log_wait(self, terms: AdmissionTerms, started: float, outcome: str) -> None:
         """Log how long a request was queued and the outcome."""
@@ -181,21 +213,47 @@
         waiting = ahead * self._entries() - max(0, usage.total - usage.taken)
         return max(0, waiting) * usage.typical_s / usage.total
 
-    def _refusal_now(self, terms: AdmissionTerms, waits: bool = False) -> Refused | None:
+    def _recovers(self, now: float) -> bool:
+        """Return whether the service recovers from an outage."""
+        return self._recovery.recovers(self._gate.outage_ended, now)
+
+    def _has_late_slot(self, usage: SlotUsage) -> bool:
+        """Return whether a late request may take a slot."""
+        now = time.monotonic()
+        if usage.total <= 0 or not self._recovers(now):
+            return True
+        share = self._share_of_slots(usage)
+        return self._recovery.late < self._recovery.late_slots(share, usage.typical_s, now)
+
+    def _share_of_slots(self, usage: SlotUsage) -> float:
+        """Return this entry's share of the service's slots."""
+        return usage.total / max(1, self._entries())
+
+    def _refusal_now(
+        self, terms: AdmissionTerms, is_late: bool, waits: bool = False
+    ) -> Refused | None:
         """Return none if a request may be sent now, else its refusal.
 
+        In and after an outage the refusal has no time to retry after yet.
+
         A request that ``waits`` in the queue does not probe an unavailable service while new
         requests do: if the probe were refused, sending it again would cost a retry.
         """
         if not self._gate.admits(time.monotonic(), waits):
-            return self.refusal(f"service {self._service!r} is out of order")
-        urgency = terms.urgency_at(time.monotonic())
+            return self._outage_refusal()
+        now = time.monotonic()
+        urgency = terms.urgency_at(now)
         usage, part = self._slot_usage(), self._admission_fraction(terms.route, urgency)
-        if terms.is_retry:
+        if is_late and not (terms.is_last_chance_at(now) or self._has_late_slot(usage)):
+            reason = "the slots are left to new requests until the service has recovered"
+            return Refused(UNAVAILABLE, reason)
+        if is_late:
             admitted = usage.has_free(part)
         else:
             admitted = self._admission.admits(usage, urgency, terms.route.objective_s, part)
         if admitted:
+            if is_late:
+                self._recovery.admit_late(terms.request_id)
             return None
         reason = (
             f"{usage.taken} requests for {usage.total} places, of which {part:.2f} may be "
@@ -203,6 +261,10 @@
         )
         return Refused(UNAVAILABLE, reason, self._admission.retry_after_s(usage))
 
+    def _outage_refusal(self) -> Refused:
+        """Return the refusal of a request in an outage, without a time to retry after."""
+        return Refused(UNAVAILABLE, f"service {self._service!r} is out of order")
+
     def _admission_fraction(self, route: Route, urgency: int) -> float:
         """Return the fraction of slots that may be occupied when a request is admitted."""
         part = self._reserve.slot_fraction(urgency)
@@ -217,3 +279,9 @@
     def _load(self) -> float:
         """Return the fraction of the service's slots that is occupied."""
         return self._slot_usage().load
+
+
+def _is_late(terms: AdmissionTerms, queued_at: float) -> bool:
+    """Return whether a queued request can hardly be answered within its objective."""
+    waited_s = time.monotonic() - queued_at
+    return terms.is_retry or waited_s > MAX_TIMELY_WAIT_FRACTION * terms.route.objective_s
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -160,27 +160,33 @@
     async def run(self) -> Result:
         """Send the request until it is settled.
 
-        A caller's retry that no upstream accepted is queued again.
+        A caller's retry that no upstream accepted is queued again, and so is any request in an
+        outage of the service.
         """
         terms = self._admission_terms()
         decision = self._guard.decide(self._service, self._request.shared_parts)
         if isinstance(decision, Quarantined):
             return self._withhold(decision)
         while True:
-            refused = await self._admission_control.admit(terms)
+            refused = await self._admission_control.admit(terms, self._attempts > 0)
             if refused is not None:
                 return refused
-            result = await self._send_until_settled()
-            is_final = self._is_withheld or not isinstance(result, Refused)
-            if is_final or not self._may_queue_again(terms):
+            try:
+                result = await self._send_until_settled()
+            finally:
+                self._admission_control.finish(terms)
+            if self._is_withheld or not isinstance(result, Refused):
                 return result
+            if not self._may_queue_again(terms):
+                return self._admission_control.refusal(result.reason, terms.is_retry)
             self._excluded.clear()
             self._refusals = 0
             await curio.sleep(QUEUE_INTERVAL_S)
 
     async def _send_until_settled(self) -> Result:
         """Try upstreams one after the other until the request is settled."""
-        outcome: Outcome = Declined(f"service {self._service!r} has no upstream", had_slots=True)
+        missing = "retry left" if self._attempts else "upstream"
+        outcome: Outcome = Declined(f"service {self._service!r} has no {missing}", had_slots=True)
         while True:
             withheld = await self._check_prompt()
             if withheld is not None:
@@ -257,7 +263,9 @@
 
     def _may_queue_again(self, terms: AdmissionTerms) -> bool:
         """Return whether a request that no upstream accepted is queued again."""
-        return terms.is_retry and time.monotonic() < terms.send_deadline
+        now = time.monotonic()
+        in_outage = self._admission_control.gate.is_unavailable(now)
+        return (terms.is_retry or in_outage) and now < terms.send_deadline
 
     def _may_attempt(self, now: float) -> bool:
         """Return whether there is time for an attempt and, after the first, budget."""
@@ -326,7 +334,7 @@
             return BrokenOff(reason, self._attempts)
         if self._runs:
             return Unresolved(BAD_GATEWAY, reason, self._attempts)
-        return self._admission_control.refusal(reason)
+        return Refused(UNAVAILABLE, reason)
 
     async def _attempt(self, upstream: Upstream) -> Outcome:
         """Make one attempt at an upstream and forward its answer."""
@@ -446,7 +454,7 @@
             running = self._fleet.running(upstream.instance)
             had_slots = not answer.misdirected and running <= upstream.slots
             return Declined(f"upstream answered {answer.status}: not run", had_slots=had_slots)
-        self._admission_control.gate.record_accepted()
+        self._admission_control.gate.record_accepted(time.monotonic())
         if self._route.streamed and answer.succeeded:
             return await forward_stream(
                 self._exchange,
--- a/tests/admission/test_service_gate.py
+++ b/tests/admission/test_service_gate.py
@@ -19,7 +19,7 @@
     gate = ServiceGate(GateSettings())
     gate.record_refusal(0.0)
     assert not gate.is_unavailable(0.0)
-    gate.record_accepted()
+    gate.record_accepted(0.1)
     gate.record_refusal(0.1)
     assert not gate.is_unavailable(0.1)
 
@@ -39,7 +39,7 @@
 def test_an_accepted_request_ends_the_outage():
     gate = unavailable()
     assert gate.is_unavailable(0.1)
-    gate.record_accepted()
+    gate.record_accepted(0.1)
     assert all(gate.admits(0.1) for _ in range(10))
 
 
--- a/tests/gateway/test_admission_control.py
+++ b/tests/gateway/test_admission_control.py
@@ -1,18 +1,26 @@
 """Load patterns of admission: a full service, an outage, and retries of refused requests."""
 
 import time
+from functools import partial
 from random import Random
 from typing import Any
 
 import curio
 import pytest
 
-from bluebellrun.admission import GateSettings, ServiceGate, SlotAdmission, SlotAdmissionSettings
+from bluebellrun.admission import (
+    GateSettings,
+    RecoverySettings,
+    ServiceGate,
+    SlotAdmission,
+    SlotAdmissionSettings,
+)
 from bluebellrun.core import Address
 from bluebellrun.deployment import Repeat, Route, Share
 from bluebellrun.gateway import Fleet, Refused, Upstream, UpstreamDirectory
 from bluebellrun.gateway._admission_control import (
     MAX_RETRY_SPREAD,
+    RETRY_ESCALATION_S,
     AdmissionControl,
     AdmissionTerms,
 )
@@ -51,10 +59,12 @@
         for _ in range(GateSettings().refusals):
             self.gate.record_refusal(time.monotonic())
 
-    async def request(self, is_retry: bool, urgency: int = 0) -> tuple[Refused | None, float]:
+    async def request(
+        self, is_retry: bool, urgency: int = 0, wait_s: float = WAIT_S
+    ) -> tuple[Refused | None, float]:
         """Return the refusal, if any, and how long the request waited for the decision."""
         started = time.monotonic()
-        terms = AdmissionTerms("r1", ROUTE, urgency, started + WAIT_S, is_retry)
+        terms = AdmissionTerms("r1", ROUTE, urgency, started + wait_s, is_retry)
         refused = await self.admission_control.admit(terms)
         return refused, time.monotonic() - started
 
@@ -78,7 +88,7 @@
         waiting = await curio.spawn(service.request, is_retry)
         await curio.sleep(0.1)
         service.set_taken(0)
-        service.gate.record_accepted()
+        service.gate.record_accepted(time.monotonic())
         refused, took_s = await waiting.join()
         assert refused is None
         assert 0.1 <= took_s < WAIT_S
@@ -144,3 +154,37 @@
     ]
     assert all(9.9 < seconds <= 10.0 * MAX_RETRY_SPREAD for seconds in retry_after)
     assert max(retry_after) - min(retry_after) > 2.0
+
+
+# Guards: after an outage delayed requests filled all slots, and new callers were refused.
+def test_after_an_outage_retries_leave_the_slots_that_new_requests_need():
+    async def main() -> None:
+        service = Service()
+        needed_slots = SLOTS - 0.5
+        for _ in range(round(needed_slots / TYPICAL_S * RecoverySettings().rate_window_s)):
+            assert (await service.request(is_retry=False))[0] is None
+        service.out_of_order()
+        service.gate.record_accepted(time.monotonic())
+        wait_s = RETRY_ESCALATION_S + 0.5
+        assert (await service.request(is_retry=True, wait_s=wait_s))[0] is None
+        delayed = await curio.spawn(partial(service.request, is_retry=True, wait_s=wait_s))
+        await curio.sleep(0.1)
+        refused, waited_s = await service.request(is_retry=False)
+        assert refused is None and waited_s < 0.05
+        refused, waited_s = await delayed.join()
+        # Its caller would be gone before a slot is left over: it is sent all the same.
+        assert refused is None and waited_s >= wait_s - RETRY_ESCALATION_S
+
+    curio.run(main)
+
+
+# Guards: callers who were all told the same time came back together, and most were refused again.
+def test_in_an_outage_callers_are_told_to_come_back_one_after_the_other():
+    service = Service()
+    service.out_of_order()
+    times = [service.admission_control.refusal("none").retry_after_s or 0.0 for _ in range(6)]
+    assert times == sorted(times)
+    assert times[-1] - times[0] > TYPICAL_S / SLOTS * 4
+    assert times[-1] - times[0] <= RecoverySettings().max_spread_s + 0.1
+    final = service.admission_control.refusal("none", is_retry=True).retry_after_s or 0.0
+    assert final <= times[0]
