--- a/bluebellrun/gateway/_admission_control.py
+++ b/bluebellrun/gateway/_admission_control.py
@@ -4,7 +4,9 @@
 retry. Most callers retry only once, so refusing a retry fails the request. A retry is therefore
 queued for a free slot while it can still be answered. It is late already, so new requests take
 precedence until its deadline is near; then it takes precedence over them. Outages of a service
-whose upstreams work in step are short, so requests that arrive during one are queued briefly.
+whose upstreams work in step are short, so requests that arrive during one are queued for as long as
+their callers wait. For some seconds after it, late requests take only the slots that new requests
+leave, except retries that would soon fail for good.
 """
 
 import time
