--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -9,12 +9,20 @@
 
 from bluebellrun.admission import SlotUsage
 from bluebellrun.gateway._directory import UpstreamDirectory
-from bluebellrun.gateway._models import Upstream, UpstreamIncarnation
+from bluebellrun.gateway._models import (
+    LimitNotice,
+    NamedLimit,
+    NoLimit,
+    UnreadableLimit,
+    Upstream,
+    UpstreamIncarnation,
+)
 from bluebellrun.http import ClientTimeouts, ConnectError, HttpClient, connect
 from bluebellrun.routing import (
     LeastWorkRouting,
     OutlierEjection,
     RequestedBackoff,
+    RequestedLimits,
     UnreportedRequests,
     UpstreamWork,
     ranks_to_drain,
@@ -59,6 +67,7 @@
         self._routing = LeastWorkRouting(random, failure_domain)
         self._ejection = OutlierEjection()
         self._backoff = RequestedBackoff()
+        self._limits: RequestedLimits[UpstreamIncarnation] = RequestedLimits()
         self._clients: dict[UpstreamIncarnation, HttpClient] = {}
         self._stats: dict[str, UpstreamStats] = {}
         self._unreported: dict[str, UnreportedRequests] = {}
@@ -73,6 +82,11 @@
         """Return the directory of upstreams."""
         return self._directory
 
+    @property
+    def limits(self) -> RequestedLimits[UpstreamIncarnation]:
+        """Return the rate limits that upstreams have named."""
+        return self._limits
+
     def set_other_entries(self, entries: int, status_age_s: float) -> None:
         """Set the number of other entries that send requests, and the age of their status."""
         self._others = entries
@@ -166,6 +180,20 @@
         self._backoff.record(upstream.incarnation, seconds, now)
         _log.info("upstream requested backoff", upstream=upstream.instance, seconds=seconds)
 
+    def record_limit(
+        self, upstream: Upstream, notice: LimitNotice, sent_at: float, now: float
+    ) -> None:
+        """Record what an answer to a request sent at ``sent_at`` says of an upstream's limit."""
+        match notice:
+            case NamedLimit(per_s):
+                if self._limits.record_named(upstream.incarnation, per_s, now):
+                    _log.info("upstream named a limit", upstream=upstream.instance, per_s=per_s)
+            case NoLimit():
+                if self._limits.record_absent(upstream.incarnation, sent_at, now):
+                    _log.info("upstream lifted its limit", upstream=upstream.instance)
+            case UnreadableLimit(text):
+                _log.warning("upstream limit ignored", upstream=upstream.instance, value=text)
+
     def record_unreachable(self, instance: str, now: float) -> None:
         """Record that a connection failed or went silent."""
         self._ejection.record_unreachable(instance, now)
@@ -212,6 +240,7 @@
         ]:
             await self._clients.pop(incarnation).close()
         self._backoff.retain(incarnations)
+        self._limits.retain(incarnations)
         self._ended &= incarnations
         departed = [name for name, item in self._stats.items() if name not in known]
         for instance in departed:
--- a/bluebellrun/gateway/_models.py
+++ b/bluebellrun/gateway/_models.py
@@ -1,6 +1,6 @@
 """The gateway's data: a caller's request, an upstream's answer, and the result."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bluebellrun.core import Address
 from bluebellrun.http import Headers
@@ -80,13 +80,36 @@
     last_event_id: int | None
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """An upstream takes this many requests a second from all entries together."""
+
+    per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class NoLimit:
+    """An upstream names no limit."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableLimit:
+    """An upstream names a limit that is no number of requests; it changes nothing."""
+
+    text: str
+
+
+LimitNotice = NamedLimit | NoLimit | UnreadableLimit
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamAnswer:
     """The head of an upstream's answer; ``headers`` are those the caller gets.
 
     ``not_run`` means that the upstream guarantees that the request did not run, ``misdirected``
     that another upstream now has its address, and ``leaving`` that it is about to stop.
-    ``retry_after_s`` is the backoff that it asks of this process, none if it did not say.
+    ``retry_after_s`` is the backoff that it asks of this process, none if it did not say, and
+    ``limit`` the rate that it accepts from all entries together.
     """
 
     status: int
@@ -95,6 +118,7 @@
     misdirected: bool = False
     leaving: bool = False
     retry_after_s: float | None = None
+    limit: LimitNotice = field(default_factory=NoLimit)
 
     @property
     def succeeded(self) -> bool:
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -94,7 +94,11 @@
 
 
 def _register_gauges(
-    metrics: ServingMetrics, gateway: Gateway, view: StoreView, role: PlacementRole
+    metrics: ServingMetrics,
+    gateway: Gateway,
+    view: StoreView,
+    role: PlacementRole,
+    fleet: Fleet,
 ) -> None:
     """Register the gauges of the process's state."""
 
@@ -106,6 +110,11 @@
     metrics.gauge(
         "bluebellrun_store_silence_seconds", "Seconds since the store spoke", view.silence_s
     )
+    metrics.gauge(
+        "bluebellrun_limited_upstreams",
+        "Upstreams that name a rate limit",
+        lambda: len(fleet.limits.limited()),
+    )
     metrics.gauge(
         "bluebellrun_keeps_maps",
         "1 if this process keeps the expert maps",
@@ -207,7 +216,7 @@
         self._readiness = HttpServer(
             settings.readiness, _readiness(lambda: self._lifecycle.ready), HttpLimits()
         )
-        _register_gauges(self._metrics, self._gateway, self._view, self._role)
+        _register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
         _register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
         self._collectors = HttpServer(address, _metrics_handler(self._metrics), HttpLimits())
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -136,6 +136,7 @@
         # Of the current attempt: whether its answer's head arrived, and how many batches of events.
         self._has_head = False
         self._events = 0
+        self._sent_at = 0.0
 
     @property
     def attempts(self) -> int:
@@ -419,6 +420,7 @@
         max_idle_s = None if self._route.repeatable else NON_REPEATABLE_MAX_IDLE_S
         self._runs += 1
         self._has_head, self._events = False, 0
+        self._sent_at = time.monotonic()
         try:
             response = await self._fleet.client(upstream).open(
                 request.method,
@@ -473,7 +475,7 @@
         return outcome
 
     def _apply_notices(self, upstream: Upstream, answer: UpstreamAnswer) -> None:
-        """Apply an upstream's notices of leaving and backoff."""
+        """Apply an upstream's notices of leaving, backoff and rate limit."""
         if answer.misdirected:
             return
         now = time.monotonic()
@@ -481,6 +483,7 @@
             self._fleet.mark_leaving(upstream.incarnation, now)
         if answer.retry_after_s is not None:
             self._fleet.record_backoff(upstream, answer.retry_after_s, now)
+        self._fleet.record_limit(upstream, answer.limit, self._sent_at, now)
 
     def _record_answer(self) -> None:
         """Record that an upstream has begun to answer the prompt."""
--- a/bluebellrun/platform/_messages.py
+++ b/bluebellrun/platform/_messages.py
@@ -1,7 +1,18 @@
 """Convert requests and answers between the platform's headers and the gateway's types."""
 
+import re
+
 from bluebellrun.core import is_whole_number
-from bluebellrun.gateway import Attempt, BadRequestError, CallerRequest, UpstreamAnswer
+from bluebellrun.gateway import (
+    Attempt,
+    BadRequestError,
+    CallerRequest,
+    LimitNotice,
+    NamedLimit,
+    NoLimit,
+    UnreadableLimit,
+    UpstreamAnswer,
+)
 from bluebellrun.http import (
     AcceptResponse,
     Headers,
@@ -23,6 +34,7 @@
     REQUEST_ID,
     RETRY_AFTER,
     SERVER_LEAVING,
+    SERVER_LIMIT,
     TENANT,
     TOKEN_COUNT,
 )
@@ -30,6 +42,9 @@
 MISDIRECTED = 421
 UNAVAILABLE = 503
 LEAVING_VALUE = "1"
+# Requests a second, with or without a fraction.
+LIMIT = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+MAX_LOGGED_CHARACTERS = 60
 # Headers that the gateway sets itself or does not forward.
 NOT_FORWARDED = frozenset(
     {
@@ -112,6 +127,7 @@
             misdirected=status == MISDIRECTED,
             leaving=header_value(headers, SERVER_LEAVING) == LEAVING_VALUE,
             retry_after_s=read_retry_after_s(headers) if status == UNAVAILABLE else None,
+            limit=_limit(headers),
         )
 
     def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
@@ -124,6 +140,16 @@
         return headers
 
 
+def _limit(headers: Headers) -> LimitNotice:
+    """Return what an upstream's answer says of the rate that it accepts."""
+    text = header_value(headers, SERVER_LIMIT)
+    if text is None:
+        return NoLimit()
+    if LIMIT.fullmatch(text) is None:
+        return UnreadableLimit(text[:MAX_LOGGED_CHARACTERS])
+    return NamedLimit(float(text))
+
+
 def _number(headers: dict[str, str], name: str) -> int | None:
     """Return a header's integer value, or ``None`` if it is absent."""
     text = headers.get(name)
--- a/bluebellrun/platform/_names.py
+++ b/bluebellrun/platform/_names.py
@@ -14,6 +14,7 @@
 LAST_EVENT_ID = "last-event-id"
 RETRY_AFTER = "retry-after"
 SERVER_LEAVING = "server-leaving"
+SERVER_LIMIT = "server-limit"
 
 READY_PATH = "/api/ready"
 REPORT_PATH = "/api/report"
--- a/bluebellrun/routing/__init__.py
+++ b/bluebellrun/routing/__init__.py
@@ -9,6 +9,7 @@
 from bluebellrun.routing._lockstep import ranks_to_drain
 from bluebellrun.routing._models import Candidate, RoutedWork, RoutingPolicy, UpstreamLoad
 from bluebellrun.routing._registry import ROUTING_POLICIES, make_routing
+from bluebellrun.routing._requested_limits import LimitObservation, RequestedLimits
 from bluebellrun.routing._retry_budget import RetryBudget, RetrySettings
 
 __all__ = [
@@ -20,8 +21,10 @@
     "ExpectedFinishRouting",
     "LeastRequestsRouting",
     "LeastWorkRouting",
+    "LimitObservation",
     "OutlierEjection",
     "RequestedBackoff",
+    "RequestedLimits",
     "RetryBudget",
     "RetrySettings",
     "RoundRobinRouting",
