Keep all entries together to the rate limits that upstreams name

Upstreams that had named a limit got up to 20 requests in 4 s where 11 are allowed: nothing read the limit, and an entry that kept to it alone would not do, since the limit is for all entries. The class of fault is a shared limit that each process ignores or counts by itself.

Each limited upstream now belongs to one entry, by rendezvous hashing over the entries that hear each other; it counts the permits of all, and the others request one by a datagram before each attempt. An entry without a permit tries the other upstreams and refuses the request at once if all are at their limits. Limits travel with the status datagrams, so an entry that was not told keeps them too. Entries that hear only a part of the registered ones use that part of the rate.

--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -1,5 +1,6 @@
 """The upstreams that this process uses: their connections, work in flight and health."""
 
+import math
 import time
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
@@ -9,20 +10,14 @@
 
 from bluebellrun.admission import SlotUsage
 from bluebellrun.gateway._directory import UpstreamDirectory
-from bluebellrun.gateway._models import (
-    LimitNotice,
-    NamedLimit,
-    NoLimit,
-    UnreadableLimit,
-    Upstream,
-    UpstreamIncarnation,
-)
+from bluebellrun.gateway._limit_permits import LimitPermits
+from bluebellrun.gateway._models import Upstream, UpstreamIncarnation
+from bluebellrun.gateway._peers import PeerTable
 from bluebellrun.http import ClientTimeouts, ConnectError, HttpClient, connect
 from bluebellrun.routing import (
     LeastWorkRouting,
     OutlierEjection,
     RequestedBackoff,
-    RequestedLimits,
     UnreportedRequests,
     UpstreamWork,
     ranks_to_drain,
@@ -62,12 +57,13 @@
         random: Random,
         running_elsewhere: Callable[[str], int] = lambda instance: 0,
         slow_now: Callable[[float], Mapping[str, float]] = lambda now: {},
+        permits: LimitPermits | None = None,
     ) -> None:
         self._directory = directory
         self._routing = LeastWorkRouting(random, failure_domain)
         self._ejection = OutlierEjection()
         self._backoff = RequestedBackoff()
-        self._limits: RequestedLimits[UpstreamIncarnation] = RequestedLimits()
+        self._permits = permits or LimitPermits(PeerTable(""))
         self._clients: dict[UpstreamIncarnation, HttpClient] = {}
         self._stats: dict[str, UpstreamStats] = {}
         self._unreported: dict[str, UnreportedRequests] = {}
@@ -83,31 +79,42 @@
         return self._directory
 
     @property
-    def limits(self) -> RequestedLimits[UpstreamIncarnation]:
-        """Return the rate limits that upstreams have named."""
-        return self._limits
+    def permits(self) -> LimitPermits:
+        """Return the permits to send to upstreams that limit their rate."""
+        return self._permits
 
     def set_other_entries(self, entries: int, status_age_s: float) -> None:
         """Set the number of other entries that send requests, and the age of their status."""
         self._others = entries
+        self._permits.set_registered(1 + entries)
         self._status_age_s = status_age_s
 
     def available(self, service: str, now: float) -> list[Upstream]:
         """Return the upstreams of a service that accept requests of this process now."""
-        usable = self._directory.usable(service, now)
-        return [item for item in usable if not self._backoff.remaining_s(item.incarnation, now)]
+        accepting = self._accepting(service, now)
+        return [item for item in accepting if not self._permits.wait_s(item, now)]
 
     def available_in_s(self, service: str, now: float) -> float:
         """Return the seconds until an upstream of a service accepts requests, 0 if one does."""
         usable = self._directory.usable(service, now)
-        return min(
-            (self._backoff.remaining_s(item.incarnation, now) for item in usable), default=0.0
-        )
+        return min((self._wait_s(item, now) for item in usable), default=0.0)
 
-    def choose(self, service: str, excluded: Collection[str], now: float) -> Upstream | None:
-        """Return the upstream to send a request to, or none when there is none."""
+    def has_unlimited_other(self, upstream: Upstream, now: float) -> bool:
+        """Return whether another upstream of the service accepts requests without a limit."""
+        accepting = self._accepting(upstream.service, now)
+        return any(self._permits.rate(item) is None for item in accepting if item != upstream)
+
+    def choose(
+        self, service: str, excluded: Collection[str], now: float, unlimited: bool = False
+    ) -> Upstream | None:
+        """Return the upstream to send a request to, or none when there is none.
+
+        With ``unlimited``, upstreams that limit their rate are left out.
+        """
         usable = self.available(service, now)
         candidates = [upstream for upstream in usable if upstream.instance not in excluded]
+        if unlimited:
+            candidates = [item for item in candidates if self._permits.rate(item) is None]
         names = [upstream.instance for upstream in candidates]
         ejected = self._ejection.ejected(names, now)
         healthy = [item for item in candidates if item.instance not in ejected] or candidates
@@ -128,15 +135,16 @@
 
     def slot_usage(self, service: str, now: float) -> SlotUsage:
         """Return the slots of a service and how many requests occupy or await one."""
-        usable = self.available(service, now)
+        usable = self._accepting(service, now)
         usable = self._without_slow(usable, len(usable), now)
         typical_s, _ = self._averages(usable)
         taken = sum(self.running(item.instance) for item in usable)
-        return SlotUsage(sum(item.slots for item in usable), taken, typical_s)
+        slots = sum(self._usable_slots(item, typical_s) for item in usable)
+        return SlotUsage(max(math.ceil(slots), 1 if usable else 0), taken, typical_s)
 
     def typical_s(self, service: str, now: float) -> float:
         """Return the typical duration of a request of a service, 0 while it is unknown."""
-        return self._averages(self.available(service, now))[0]
+        return self._averages(self._accepting(service, now))[0]
 
     def running(self, instance: str) -> int:
         """Return the requests that all entries have at an upstream."""
@@ -180,20 +188,6 @@
         self._backoff.record(upstream.incarnation, seconds, now)
         _log.info("upstream requested backoff", upstream=upstream.instance, seconds=seconds)
 
-    def record_limit(
-        self, upstream: Upstream, notice: LimitNotice, sent_at: float, now: float
-    ) -> None:
-        """Record what an answer to a request sent at ``sent_at`` says of an upstream's limit."""
-        match notice:
-            case NamedLimit(per_s):
-                if self._limits.record_named(upstream.incarnation, per_s, now):
-                    _log.info("upstream named a limit", upstream=upstream.instance, per_s=per_s)
-            case NoLimit():
-                if self._limits.record_absent(upstream.incarnation, sent_at, now):
-                    _log.info("upstream lifted its limit", upstream=upstream.instance)
-            case UnreadableLimit(text):
-                _log.warning("upstream limit ignored", upstream=upstream.instance, value=text)
-
     def record_unreachable(self, instance: str, now: float) -> None:
         """Record that a connection failed or went silent."""
         self._ejection.record_unreachable(instance, now)
@@ -240,7 +234,7 @@
         ]:
             await self._clients.pop(incarnation).close()
         self._backoff.retain(incarnations)
-        self._limits.retain(incarnations)
+        self._permits.retain(incarnations)
         self._ended &= incarnations
         departed = [name for name, item in self._stats.items() if name not in known]
         for instance in departed:
@@ -253,6 +247,23 @@
         for client in self._clients.values():
             await client.close()
 
+    def _accepting(self, service: str, now: float) -> list[Upstream]:
+        """Return the usable upstreams of a service that have not asked for a backoff."""
+        usable = self._directory.usable(service, now)
+        return [item for item in usable if not self._backoff.remaining_s(item.incarnation, now)]
+
+    def _wait_s(self, upstream: Upstream, now: float) -> float:
+        """Return the seconds until an upstream accepts requests, as far as this entry knows."""
+        backoff_s = self._backoff.remaining_s(upstream.incarnation, now)
+        return max(backoff_s, self._permits.wait_s(upstream, now))
+
+    def _usable_slots(self, upstream: Upstream, typical_s: float) -> float:
+        """Return how many slots of an upstream its rate limit fills."""
+        rate = self._permits.rate(upstream)
+        if rate is None or not typical_s:
+            return upstream.slots
+        return min(upstream.slots, rate * typical_s)
+
     def _without_slow(
         self, upstreams: Collection[Upstream], group_size: int, now: float
     ) -> list[Upstream]:
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -4,11 +4,17 @@
 from collections.abc import Callable
 
 import curio
+import msgspec
 from curio import socket
 
 from bluebellrun.core import Address, parse_address
 from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._fleet import Fleet
+from bluebellrun.gateway._limit_permits import (
+    PermitReply,
+    PermitRequest,
+    decode_permit_message,
+)
 from bluebellrun.gateway._peers import (
     SILENT_S,
     EntryStatus,
@@ -90,6 +96,11 @@
         """Exchange status until cancelled."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.bind((self._address.ip, self._address.port))
+
+        async def send(data: bytes, peer: Address) -> None:
+            await sock.sendto(data, (peer.ip, peer.port))
+
+        self._fleet.permits.connect(send)
         await spawn_background(self._receive, sock)
         await self._send_rounds(sock)
 
@@ -152,20 +163,43 @@
         """Receive the others' status until cancelled."""
         while True:
             try:
-                data, _ = await sock.recvfrom(MAX_DATAGRAM_BYTES)  # type: ignore[attr-defined]
+                data, sender = await sock.recvfrom(MAX_DATAGRAM_BYTES)  # type: ignore[attr-defined]
             except OSError as error:
                 _log.info("status not received", reason=str(error))
                 await curio.sleep(SEND_INTERVAL_S)
                 continue
             status = decode_status(data)
-            if status is None or not self._table.record(status, time.monotonic()):
+            if status is not None:
+                self._apply_status(status)
                 continue
-            now = time.monotonic()
-            if status.slow is not None:
-                self._slow.replace(status.slow, now)
-            self._crashes.receive(status.entry, status.crashes, status.probing, now)
-            for incarnation in status.leaving:
-                self._fleet.mark_leaving(incarnation, now, reported_by=status.entry)
+            match decode_permit_message(data):
+                case PermitRequest() as request:
+                    await self._answer_permit_request(sock, request, Address(*sender))
+                case PermitReply() as reply:
+                    await self._fleet.permits.receive(reply)
+
+    def _apply_status(self, status: EntryStatus) -> None:
+        """Apply another entry's status unless it is outdated."""
+        now = time.monotonic()
+        if not self._table.record(status, now):
+            return
+        if status.slow is not None:
+            self._slow.replace(status.slow, now)
+        self._crashes.receive(status.entry, status.crashes, status.probing, now)
+        for incarnation in status.leaving:
+            self._fleet.mark_leaving(incarnation, now, reported_by=status.entry)
+        self._fleet.permits.apply_reports(status.limits or [], status.entry, now)
+
+    async def _answer_permit_request(
+        self, sock: object, request: PermitRequest, sender: Address
+    ) -> None:
+        """Answer another entry's request for a permit."""
+        reply = self._fleet.permits.answer(request, self._fleet.directory.find)
+        try:
+            data = msgspec.msgpack.encode(reply)
+            await sock.sendto(data, (sender.ip, sender.port))  # type: ignore[attr-defined]
+        except OSError as error:
+            _log.info("permit reply not sent", peer=str(sender), reason=str(error))
 
 
 def status_age_s(peers: int) -> float:
--- /dev/null
+++ b/bluebellrun/gateway/_limit_permits.py
@@ -0,0 +1,278 @@
+"""Permits to send to upstreams that limit their rate, shared by all entries.
+
+Each limited upstream belongs to one entry, by rendezvous hashing over the entries that hear each
+other. Its owner counts all permits of the upstream; the others request one by a datagram before
+they send. An owner that does not answer grants nothing, so a lost datagram or a dead entry costs
+the use of the upstream for a moment and never exceeds its limit. Entries that hear only a part of
+the registered ones use that part of the rate, as the others may do the same with theirs.
+"""
+
+import itertools
+from collections.abc import Awaitable, Callable, Collection
+from enum import Enum
+
+import curio
+import msgspec
+
+from bluebellrun.core import Address, Clock, MonotonicClock, TokenBucket, parse_address
+from bluebellrun.gateway._models import (
+    LimitNotice,
+    NamedLimit,
+    NoLimit,
+    UnreadableLimit,
+    Upstream,
+    UpstreamIncarnation,
+)
+from bluebellrun.gateway._peers import LimitReport, PeerTable
+from bluebellrun.membership import rank_by_weight
+from bluebellrun.routing import RequestedLimits
+from bluebellrun.telemetry import get_logger
+
+# An upstream with a lower limit still gets a request now and then, as only an answer shows that the
+# limit has ended.
+MIN_RATE_PER_S = 0.2
+# Permits that were not used accumulate up to this many seconds' worth.
+BURST_S = 1.0
+# An owner answers within a few milliseconds.
+REPLY_TIMEOUT_S = 0.1
+# An owner that did not answer is asked again after this, or as soon as it is replaced.
+UNANSWERED_PAUSE_S = 0.5
+# An entry that is asked and does not own the upstream: the entries disagree for a moment.
+NOT_OWNER_PAUSE_S = 0.1
+
+_log = get_logger("limits")
+
+
+class PermitOutcome(Enum):
+    """The outcome of a request for a permit."""
+
+    GRANTED = "granted"
+    DENIED = "denied"
+    UNANSWERED = "unanswered"
+
+
+class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag="permit-request"):
+    """An entry asks for a permit to send one request, and reports the limit that it knows."""
+
+    number: int
+    entry: str
+    limit: LimitReport
+
+
+class PermitReply(msgspec.Struct, frozen=True, array_like=True, tag="permit-reply"):
+    """The owner's reply; ``wait_s`` is the time until a permit may be available."""
+
+    number: int
+    granted: bool
+    wait_s: float
+
+
+PermitMessage = PermitRequest | PermitReply
+# Sends a datagram to another entry.
+SendDatagram = Callable[[bytes, Address], Awaitable[None]]
+_decoder = msgspec.msgpack.Decoder(PermitMessage)
+
+
+def decode_permit_message(data: bytes) -> PermitMessage | None:
+    """Read a datagram; none if it is no valid message about a permit."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
+
+
+class LimitPermits:
+    """The limits of upstreams, and the permits to send to them; times in seconds.
+
+    ``count`` is called with the outcome of each request for a permit.
+    """
+
+    def __init__(
+        self,
+        peers: PeerTable,
+        count: Callable[[PermitOutcome], None] = lambda outcome: None,
+        clock: Clock | None = None,
+    ) -> None:
+        self._peers = peers
+        self._clock = clock or MonotonicClock()
+        self._count = count
+        self._limits: RequestedLimits[UpstreamIncarnation] = RequestedLimits()
+        self._buckets: dict[UpstreamIncarnation, TokenBucket] = {}
+        self._blocked_until: dict[UpstreamIncarnation, float] = {}
+        self._owners: dict[UpstreamIncarnation, str] = {}
+        self._owners_membership = -1
+        self._registered = 1
+        self._send: SendDatagram | None = None
+        self._numbers = itertools.count(1)
+        self._replies: dict[int, PermitReply] = {}
+        self._pending: dict[int, curio.Event] = {}
+
+    @property
+    def limits(self) -> RequestedLimits[UpstreamIncarnation]:
+        """Return the rate limits that upstreams have named."""
+        return self._limits
+
+    def set_registered(self, entries: int) -> None:
+        """Set the number of registered entries, including this one."""
+        self._registered = entries
+
+    def connect(self, send: SendDatagram) -> None:
+        """Send the requests to other entries from now on."""
+        self._send = send
+
+    def rate(self, upstream: Upstream) -> float | None:
+        """Return how many requests a second all entries may send to an upstream, or none."""
+        per_s = self._limits.limit(upstream.incarnation)
+        return None if per_s is None else max(MIN_RATE_PER_S, per_s)
+
+    def wait_s(self, upstream: Upstream, now: float) -> float:
+        """Return the known time until a permit may be available, 0 if it may be now."""
+        if self.rate(upstream) is None:
+            return 0.0
+        key = upstream.incarnation
+        if self._owner(key) == self._peers.entry:
+            return self._bucket(upstream.incarnation, now).wait_s(now)
+        return max(0.0, self._blocked_until.get(key, now) - now)
+
+    def record(self, upstream: Upstream, notice: LimitNotice, sent_at: float, now: float) -> None:
+        """Record what an answer to a request sent at ``sent_at`` says of an upstream's limit."""
+        key = upstream.incarnation
+        match notice:
+            case NamedLimit(per_s):
+                if self._limits.record_named(key, per_s, now):
+                    _log.info("upstream named a limit", upstream=upstream.instance, per_s=per_s)
+                    self._begin_counting(key, now)
+            case NoLimit():
+                if self._limits.record_absent(key, sent_at, now):
+                    _log.info("upstream lifted its limit", upstream=upstream.instance)
+            case UnreadableLimit(text):
+                _log.warning("upstream limit ignored", upstream=upstream.instance, value=text)
+
+    async def acquire(self, upstream: Upstream) -> bool:
+        """Return whether one request may be sent to an upstream now."""
+        now = self._clock.now()
+        if self.rate(upstream) is None:
+            return True
+        key = upstream.incarnation
+        owner = self._owner(key)
+        if owner == self._peers.entry:
+            granted = self._bucket(upstream.incarnation, now).try_acquire(now)
+            outcome = PermitOutcome.GRANTED if granted else PermitOutcome.DENIED
+        else:
+            self._buckets.pop(key, None)
+            outcome = await self._request(upstream, owner)
+        self._count(outcome)
+        return outcome is PermitOutcome.GRANTED
+
+    def answer(self, request: PermitRequest, find: Callable[[str], Upstream | None]) -> PermitReply:
+        """Return the reply to another entry's request; ``find`` returns a registered upstream."""
+        now = self._clock.now()
+        report = request.limit
+        self.apply_reports([report], request.entry, now)
+        upstream = find(report.instance)
+        if upstream is None or upstream.incarnation != report.incarnation:
+            return PermitReply(request.number, False, NOT_OWNER_PAUSE_S)
+        if self._owner(report.incarnation) != self._peers.entry:
+            self._buckets.pop(report.incarnation, None)
+            return PermitReply(request.number, False, NOT_OWNER_PAUSE_S)
+        if self.rate(upstream) is None:
+            return PermitReply(request.number, True, 0.0)
+        bucket = self._bucket(upstream.incarnation, now)
+        granted = bucket.try_acquire(now)
+        return PermitReply(request.number, granted, bucket.wait_s(now))
+
+    async def receive(self, reply: PermitReply) -> None:
+        """Pass on a reply to the request that waits for it, if it still does."""
+        pending = self._pending.get(reply.number)
+        if pending is not None:
+            self._replies[reply.number] = reply
+            await pending.set()
+
+    def reports(self, now: float) -> list[LimitReport]:
+        """Return the limits to tell the other entries."""
+        return [
+            LimitReport(instance, started_ms, known.per_s, now - known.at)
+            for (instance, started_ms), known in self._limits.reports(now)
+        ]
+
+    def apply_reports(self, reports: Collection[LimitReport], entry: str, now: float) -> None:
+        """Apply the limits that another entry reports."""
+        for report in reports:
+            if not report.is_valid:
+                _log.warning("limit report ignored", entry=entry, upstream=report.instance)
+            elif self._limits.apply_peer(report.incarnation, report.per_s, report.age_s, now):
+                _log.info(
+                    "upstream limit reported",
+                    upstream=report.instance,
+                    per_s=report.per_s,
+                    age_s=round(report.age_s, 3),
+                    reported_by=entry,
+                )
+                if report.per_s is not None:
+                    self._begin_counting(report.incarnation, now)
+
+    def retain(self, upstreams: Collection[UpstreamIncarnation]) -> None:
+        """Forget all other upstreams, and the permits of those that have no limit."""
+        self._limits.retain(upstreams)
+        limited = set(self._limits.limited())
+        self._buckets = {key: item for key, item in self._buckets.items() if key in limited}
+        self._blocked_until = {
+            key: until for key, until in self._blocked_until.items() if key in limited
+        }
+
+    async def _request(self, upstream: Upstream, owner: str) -> PermitOutcome:
+        """Ask the owner of an upstream for a permit."""
+        number, key = next(self._numbers), upstream.incarnation
+        now = self._clock.now()
+        report = LimitReport(*key, self._limits.limit(key), self._limits.age_s(key, now))
+        message = PermitRequest(number, self._peers.entry, report)
+        replied = self._pending[number] = curio.Event()
+        try:
+            if self._send is not None:
+                address = parse_address(self._peers.address(owner))
+                await self._send(msgspec.msgpack.encode(message), address)
+                await curio.ignore_after(REPLY_TIMEOUT_S, replied.wait)
+        except (ValueError, OSError) as error:
+            _log.info("permit not requested", owner=owner, reason=str(error))
+        finally:
+            del self._pending[number]
+        reply = self._replies.pop(number, None)
+        now = self._clock.now()
+        if reply is None:
+            self._blocked_until[key] = now + UNANSWERED_PAUSE_S
+            _log.info("permit request unanswered", owner=owner, upstream=upstream.instance)
+            return PermitOutcome.UNANSWERED
+        self._blocked_until[key] = now + max(0.0, reply.wait_s)
+        return PermitOutcome.GRANTED if reply.granted else PermitOutcome.DENIED
+
+    def _bucket(self, key: UpstreamIncarnation, now: float) -> TokenBucket:
+        """Return the bucket of an upstream that this entry owns, at the rate it may use."""
+        rate = max(MIN_RATE_PER_S, self._limits.limit(key) or 0.0) * self._part_of_entries()
+        burst = max(1.0, rate * BURST_S)
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = TokenBucket(rate, burst, now, empty=True)
+        bucket.set_rate(rate, burst, now)
+        return bucket
+
+    def _begin_counting(self, key: UpstreamIncarnation, now: float) -> None:
+        """Let permits accrue from now on if this entry owns an upstream."""
+        if self._owner(key) == self._peers.entry:
+            self._bucket(key, now)
+
+    def _part_of_entries(self) -> float:
+        """Return the part of the registered entries that share permits with this one."""
+        sharing = 1 + self._peers.sharing_count
+        return sharing / max(sharing, self._registered)
+
+    def _owner(self, upstream: UpstreamIncarnation) -> str:
+        """Return the entry that counts an upstream's permits."""
+        if self._owners_membership != self._peers.membership:
+            self._owners.clear()
+            self._owners_membership = self._peers.membership
+        owner = self._owners.get(upstream)
+        if owner is None:
+            names = [self._peers.entry, *self._peers.sharing]
+            owner = rank_by_weight(f"{upstream[0]}/{upstream[1]}", names)[0]
+            self._owners[upstream] = owner
+        return owner
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -4,6 +4,8 @@
 is dropped after a short time, so that it does not occupy upstreams for ever.
 """
 
+import math
+from collections.abc import Collection
 from dataclasses import dataclass
 
 import msgspec
@@ -12,6 +14,29 @@
 from bluebellrun.quarantine import CrashReport
 
 
+class LimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """The rate limit that an upstream named, in requests a second, and the age of that in seconds.
+
+    ``per_s`` is none where a limit has ended.
+    """
+
+    instance: str
+    started_ms: int
+    per_s: float | None
+    age_s: float
+
+    @property
+    def incarnation(self) -> UpstreamIncarnation:
+        """Return the key of the upstream's incarnation."""
+        return self.instance, self.started_ms
+
+    @property
+    def is_valid(self) -> bool:
+        """Return whether the numbers can be a rate and an age."""
+        values = (self.age_s, 0.0 if self.per_s is None else self.per_s)
+        return all(math.isfinite(value) and value >= 0 for value in values)
+
+
 class EntryStatus(msgspec.Struct, frozen=True, array_like=True):
     """One entry's status: its requests at each upstream and its contact with the store.
 
@@ -20,7 +45,8 @@
     ``slow`` is sent only by the entry that holds the placement role: the ranks that report taking
     longer than typical, and how many times as long. ``leaving`` are the upstreams that recently
     announced that they leave, by instance and start time. ``crashes`` are known crashes under
-    prompts, and ``probing`` the suspected parts of prompts that the entry is probing.
+    prompts, and ``probing`` the suspected parts of prompts that the entry is probing. ``limits``
+    are the rate limits that upstreams have named, none from builds that do not share permits.
 
     New fields go at the end and have defaults, so that older and newer builds read each other.
     """
@@ -35,6 +61,7 @@
     leaving: list[UpstreamIncarnation] = msgspec.field(default_factory=list)
     crashes: list[CrashReport] = msgspec.field(default_factory=list)
     probing: list[str] = msgspec.field(default_factory=list)
+    limits: list[LimitReport] | None = None
 
 
 _decoder = msgspec.msgpack.Decoder(EntryStatus)
@@ -79,6 +106,35 @@
         self._received: dict[str, _Received] = {}
         self._received_at: dict[str, float] = {}
         self._running: dict[str, int] = {}
+        self._sharing: set[str] = set()
+        self._membership = 0
+
+    @property
+    def entry(self) -> str:
+        """Return the name of this process's entry."""
+        return self._entry
+
+    @property
+    def sharing(self) -> Collection[str]:
+        """Return the other entries that share permits of limited upstreams."""
+        return self._sharing
+
+    @property
+    def sharing_count(self) -> int:
+        """Return the number of other entries that share permits."""
+        return len(self._sharing)
+
+    @property
+    def membership(self) -> int:
+        """Return a number that changes with the entries that share permits."""
+        return self._membership
+
+    def address(self, entry: str) -> str:
+        """Return where another entry receives datagrams; raise ``ValueError`` if it is silent."""
+        received = self._received.get(entry)
+        if received is None:
+            raise ValueError(f"entry {entry!r} is silent")
+        return received.status.address
 
     def is_silent_alone(self, entry: str, silent_s: float, now: float) -> bool:
         """Return whether an entry fell silent while most of the others are received.
@@ -112,6 +168,7 @@
         if known is not None:
             self._add(known.status, -1)
         self._add(status, 1)
+        self._set_sharing(status.entry, status.limits is not None)
         return True
 
     def expire(self, now: float, silent_after_s: float = SILENT_S) -> None:
@@ -121,6 +178,7 @@
         ]
         for name in silent:
             self._add(self._received.pop(name).status, -1)
+            self._set_sharing(name, False)
         for name in [n for n, at in self._received_at.items() if now - at > PEER_RETENTION_S]:
             del self._received_at[name]
 
@@ -128,6 +186,16 @@
         """Return the requests that other entries have at an upstream."""
         return self._running.get(instance, 0)
 
+    def _set_sharing(self, entry: str, shares: bool) -> None:
+        """Record whether an entry shares permits."""
+        if shares == (entry in self._sharing):
+            return
+        self._membership += 1
+        if shares:
+            self._sharing.add(entry)
+        else:
+            self._sharing.remove(entry)
+
     def _add(self, status: EntryStatus, sign: int) -> None:
         """Add an entry's work to the totals, or subtract it."""
         for instance, running in status.running.items():
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -19,6 +19,7 @@
 from bluebellrun.gateway._gateway import Gateway
 from bluebellrun.gateway._gossip import Gossip, status_age_s
 from bluebellrun.gateway._lifecycle import Lifecycle
+from bluebellrun.gateway._limit_permits import LimitPermits
 from bluebellrun.gateway._peers import EntryStatus, PeerTable
 from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._role import LEASE_S, PlacementRole, take_over_pause_s
@@ -113,7 +114,7 @@
     metrics.gauge(
         "bluebellrun_limited_upstreams",
         "Upstreams that name a rate limit",
-        lambda: len(fleet.limits.limited()),
+        lambda: len(fleet.permits.limits.limited()),
     )
     metrics.gauge(
         "bluebellrun_keeps_maps",
@@ -158,6 +159,7 @@
             self._random,
             self._peers.running,
             self._slow.current,
+            LimitPermits(self._peers, lambda outcome: self._metrics.record_permit(outcome.value)),
         )
         quarantine_settings = QuarantineSettings()
         crash_recorded = curio.Event()
@@ -306,6 +308,7 @@
             self._directory.recently_leaving(now),
             self._crashes.outgoing(now),
             self._quarantine.probes,
+            self._fleet.permits.reports(now),
         )
 
     def _put_in_force(self, deployment: Deployment) -> bool:
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -76,6 +76,8 @@
 MAX_REFUSALS = 1
 # Retries that moving streams off slow ranks leaves for requests that would otherwise fail.
 RETRIES_RESERVED_FOR_FAILURES = 3
+# Permits of limited upstreams that are asked for before only unlimited ones are considered.
+MAX_DENIED_PERMITS = 8
 # Parts of a prompt that a log line names.
 MAX_LOGGED_PARTS = 8
 # Remaining time below which an attempt could not be answered.
@@ -192,9 +194,9 @@
             withheld = await self._check_prompt()
             if withheld is not None:
                 return withheld
-            now = time.monotonic()
-            upstream = self._fleet.choose(self._service, self._excluded, now)
-            if upstream is None or not (isinstance(outcome, Moved) or self._may_attempt(now)):
+            upstream = await self._choose_upstream()
+            may_attempt = isinstance(outcome, Moved) or self._may_attempt(time.monotonic())
+            if upstream is None or not may_attempt:
                 self._end_probe()
                 return await self._give_up(outcome)
             outcome = await self._attempt(upstream)
@@ -213,6 +215,46 @@
             if resumes and not await self._await_resumption():
                 return await self._give_up(outcome)
 
+    async def _choose_upstream(self) -> Upstream | None:
+        """Return an upstream that accepts the request now, or none.
+
+        Where all are at their rate limits, a stream that has begun waits for the next permit.
+        """
+        denied = 0
+        while True:
+            now = time.monotonic()
+            unlimited = denied >= MAX_DENIED_PERMITS
+            upstream = self._fleet.choose(self._service, self._excluded, now, unlimited)
+            if upstream is None:
+                if not await self._await_permit():
+                    return None
+                denied = 0
+            elif await self._fleet.permits.acquire(upstream):
+                return upstream
+            else:
+                denied += 1
+                self._log_denied_permit(upstream)
+
+    async def _await_permit(self) -> bool:
+        """Wait until a resumed stream may get a permit; return false if it does not wait."""
+        wait_s = self._fleet.available_in_s(self._service, time.monotonic())
+        if not self._exchange.started or not wait_s or self._has_caller_given_up(wait_s):
+            return False
+        await curio.sleep(wait_s)
+        return True
+
+    def _log_denied_permit(self, upstream: Upstream) -> None:
+        """Log that an upstream takes no more requests now."""
+        now = time.monotonic()
+        _log.info(
+            "upstream at its limit",
+            request=self._request.id,
+            upstream=upstream.instance,
+            per_s=self._fleet.permits.limits.limit(upstream.incarnation),
+            limit_age_s=round(self._fleet.permits.limits.age_s(upstream.incarnation, now), 3),
+            wait_s=round(self._fleet.permits.wait_s(upstream, now), 3),
+        )
+
     async def _check_prompt(self) -> Result | None:
         """Return none if the request may be sent as far as its prompt is known, else its result."""
         if self._exchange.started:
@@ -287,6 +329,7 @@
         now = time.monotonic()
         return (
             self._fleet.is_drained(upstream, now)
+            and self._fleet.has_unlimited_other(upstream, now)
             and self._may_run_again()
             and self._budget.remaining(now) > RETRIES_RESERVED_FOR_FAILURES
             and self._budget.acquire(now)
@@ -301,10 +344,7 @@
 
         All upstreams are tried again once each has refused.
         """
-        if (
-            time.monotonic() - self._progress.last_event_at
-            > self._stream_timeout_s() - RESUME_TIME_S
-        ):
+        if self._has_caller_given_up():
             return False
         available = self._fleet.available(self._service, time.monotonic())
         if all(upstream.instance in self._excluded for upstream in available):
@@ -312,6 +352,11 @@
         await curio.sleep(RESUME_PAUSE_S)
         return True
 
+    def _has_caller_given_up(self, in_s: float = 0.0) -> bool:
+        """Return whether a stream's caller gives up before it is resumed ``in_s`` later."""
+        silent_s = time.monotonic() - self._progress.last_event_at + in_s
+        return silent_s > self._stream_timeout_s() - RESUME_TIME_S
+
     def _stream_timeout_s(self) -> float:
         """Return how long a caller waits for a stream's next event."""
         route = self._route
@@ -483,7 +528,7 @@
             self._fleet.mark_leaving(upstream.incarnation, now)
         if answer.retry_after_s is not None:
             self._fleet.record_backoff(upstream, answer.retry_after_s, now)
-        self._fleet.record_limit(upstream, answer.limit, self._sent_at, now)
+        self._fleet.permits.record(upstream, answer.limit, self._sent_at, now)
 
     def _record_answer(self) -> None:
         """Record that an upstream has begun to answer the prompt."""
--- a/bluebellrun/telemetry/_serving_metrics.py
+++ b/bluebellrun/telemetry/_serving_metrics.py
@@ -31,6 +31,12 @@
             ["service", "cause"],
             registry=self._registry,
         )
+        self._permits = Counter(
+            "bluebellrun_limit_permits",
+            "Permits to send to upstreams that limit their rate, by outcome",
+            ["outcome"],
+            registry=self._registry,
+        )
         self._request_seconds = Histogram(
             "bluebellrun_request_seconds",
             "Seconds from a whole request to the end of its answer",
@@ -73,6 +79,10 @@
         """Record an attempt whose answer was lost."""
         self._lost.labels(service, cause).inc()
 
+    def record_permit(self, outcome: str) -> None:
+        """Record the outcome of a request for a permit."""
+        self._permits.labels(outcome).inc()
+
     def text(self) -> bytes:
         """Return all metrics in Prometheus text format."""
         return generate_latest(self._registry)
--- a/tests/platform/test_limited_upstreams.py
+++ b/tests/platform/test_limited_upstreams.py
@@ -1,12 +1,14 @@
 """Upstreams that name in their answers how many requests a second they take."""
 
 import time
+from dataclasses import replace
 from typing import Any
 
 import curio
+import pytest
 
 from tests.platform.test_gateway import run_check
-from tests.platform.upstreams import GatewayBench, reply
+from tests.platform.upstreams import GatewayBench, events, reply, stream
 
 WINDOW_S = 4.0
 # Beyond one and a half times the limit, requests within any window that its upstream bears.
@@ -80,3 +82,75 @@
 
     run_check(check, *((f"u{number}", script) for number, script in enumerate(limits)))
     assert all(most_in_window(script.times) <= allowed(2) for script in limits)
+
+
+@pytest.mark.parametrize("value", ["soon", "-1", "nan", "inf", "1e3", "", "1,5"])
+def test_a_limit_that_is_no_number_changes_nothing(value):
+    answers = [limited("2"), limited(value)]
+
+    async def check(bench: GatewayBench) -> None:
+        upstream = bench.directory.find("u1")
+        assert upstream is not None
+        script.answer = answers[1]
+        assert (await bench.send_request("/ask/a")).status == 200
+        assert bench.fleet.permits.rate(upstream) is None
+        script.answer = answers[0]
+        assert (await bench.send_request("/ask/a")).status == 200
+        script.answer = answers[1]
+        await curio.sleep(0.6)
+        assert (await bench.send_request("/ask/a")).status == 200
+        assert bench.fleet.permits.rate(upstream) == 2.0
+
+    script = ArrivalTimes(answers[0])
+    run_check(check, ("u1", script))
+
+
+def test_a_limit_ends_with_the_answers_that_name_it():
+    script = ArrivalTimes(limited("1"))
+
+    async def check(bench: GatewayBench) -> None:
+        assert (await bench.send_request("/ask/a")).status == 200
+        assert (await bench.send_request("/ask/a")).status == 503
+        script.answer = reply(200, b"ok")
+        await curio.sleep(1.05)
+        assert set(await send_burst(bench, 20, 0.01)) == {200}
+
+    run_check(check, ("u1", script))
+
+
+def test_retries_count_and_are_made_where_there_is_room():
+    failing = ArrivalTimes(reply(503, X_Bluebellrun_Not_Run="1", Server_Limit="1"))
+
+    async def check(bench: GatewayBench) -> None:
+        assert set(await send_burst(bench, 100, 0.02)) == {200}
+
+    run_check(check, ("failing", failing), ("free", ArrivalTimes(reply(200, b"ok"), 0.03)))
+    assert most_in_window(failing.times) <= allowed(1)
+
+
+def test_a_broken_stream_waits_for_a_permit_and_is_resumed():
+    async def breaks_off(sock: Any, arrival: Any) -> None:
+        resumed = "last-event-id" in arrival.headers
+        head = stream(2, 3) if resumed else stream(1, complete=False)
+        await sock.sendall(head.replace(b"200 OK\r\n", b"200 OK\r\nServer-Limit: 1.5\r\n"))
+        await sock.close()
+
+    async def check(bench: GatewayBench) -> None:
+        answer = await bench.send_request("/talk/a", "POST", b"x")
+        assert answer.is_complete
+        assert answer.body == events(1, 2, 3)
+
+    bench = run_check(check, ("u1", breaks_off))
+    assert bench.names() == ["u1", "u1"]
+
+
+def test_a_limit_does_not_bind_the_next_incarnation():
+    async def check(bench: GatewayBench) -> None:
+        assert (await bench.send_request("/ask/a")).status == 200
+        assert (await bench.send_request("/ask/a")).status == 503
+        former = bench.directory.find("u1")
+        assert former is not None
+        bench.directory.put(replace(former, started_ms=former.started_ms + 1))
+        assert (await bench.send_request("/ask/a")).status == 200
+
+    run_check(check, ("u1", ArrivalTimes(limited("0.1"))))
