--- a/bench/platform_soak/__main__.py
+++ b/bench/platform_soak/__main__.py
@@ -47,8 +47,9 @@
     ended = await curio.run_in_thread(_stop, world)
     _report(callers, faults, world)
     if world.has_older_builds:
-        # Builds before the quarantine send prompts with crashing parts again and again.
+        # Older builds know neither the quarantine of prompts nor limits.
         world.record.crashing.clear()
+        world.record.limits.clear()
     found = ended + faults.failures + find_violations(callers.told, world.record)
     found += find_unrecovered(callers.told, whole_since)
     found += [f"maps mixed: {line}" for line in world.group.mixed + world.group.ranks.mixed]
--- a/bench/platform_soak/_checks.py
+++ b/bench/platform_soak/_checks.py
@@ -13,6 +13,10 @@
 DEADLINE_SLACK_S = 0.5
 # Of the requests that began after the faults had ended, this part has to be served.
 LEAST_SERVED_AFTER = 0.95
+# In any window an upstream that names a limit gets half more than that and a slack at most, from
+# gateways that it has told, once it has named the limit for some seconds.
+LIMIT_WINDOW_S, LIMIT_RATIO, LIMIT_SLACK = 4.0, 1.5, 5
+LIMIT_TOLD_S, LIMIT_KNOWN_S = 0.5, 3.0
 # After the fifth crash by a part, and the time in which entries learn of it, at most this many
 # requests with it may reach upstreams.
 KNOWN_AFTER_CRASHES, KNOWN_AFTER_S, MAX_ARRIVALS_ONCE_KNOWN = 5, 3.0, 3
@@ -30,9 +34,32 @@
         found += _check_runs(caller, runs)
     for item in told:
         found += _check_answer(item, record.runs.get(item.request_id, []))
+    found += _check_limits(by_id, record)
     return found + _check_crashing_parts(record)
 
 
+def _check_limits(by_id: dict[str, Told], record: Record) -> list[str]:
+    """Check that upstreams get no more than the limits that they named."""
+    found = []
+    for period in record.limits:
+        told_at: dict[str, float] = {}
+        counted = []
+        for at, request_id in period.arrivals:
+            told = by_id.get(request_id)
+            if told is None or told.disturbed:
+                continue
+            known_at = told_at.setdefault(told.gateway.name, told.ended) + LIMIT_TOLD_S
+            if at >= max(known_at, period.began + LIMIT_KNOWN_S):
+                counted.append(at)
+        allowed = LIMIT_RATIO * LIMIT_WINDOW_S * period.per_s + LIMIT_SLACK
+        most = max(
+            (sum(0 <= at - t < LIMIT_WINDOW_S for at in counted) for t in counted), default=0
+        )
+        if most > allowed:
+            found.append(f"{period.upstream} got {most} requests, its limit allows {allowed:.0f}")
+    return found
+
+
 def _check_crashing_parts(record: Record) -> list[str]:
     """Check that requests known to crash upstreams are kept from them."""
     found = []
--- a/bench/platform_soak/_faults.py
+++ b/bench/platform_soak/_faults.py
@@ -50,6 +50,7 @@
             (2, self.replica_crashes),
             (2, self.replica_drains),
             (2, self.upstream_fails),
+            (2, self.upstreams_name_limits),
             (2, self.link_delayed),
             (2, self.link_cut_one_way),
             (2, self.link_reset),
@@ -225,6 +226,21 @@
         await self._wait(random.uniform(0.5, 2.0))
         upstream.fails = 0.0
 
+    async def upstreams_name_limits(self, random: Random) -> None:
+        """Let some or all upstreams of a service name limits, and change them on the way."""
+        service = random.choice(["draft-pool", "job-ledger"])
+        if not self._take(f"limits of {service}"):
+            return
+        upstreams = [u for u in self._world.upstreams if u.service == service]
+        limited = random.sample(upstreams, random.randint(1, len(upstreams)))
+        for _ in range(random.randint(1, 2)):
+            for upstream in limited:
+                upstream.name_limit(random.choice([0.0, random.uniform(0.3, 4.0)]))
+            await curio.sleep(random.uniform(3.0, 6.0))
+        for upstream in limited:
+            upstream.lift_limit()
+        self._busy.discard(f"limits of {service}")
+
     async def link_delayed(self, random: Random) -> None:
         """Delay what goes to and from an upstream."""
         link = self._any_link(random)
--- a/bench/platform_soak/_upstreams.py
+++ b/bench/platform_soak/_upstreams.py
@@ -52,11 +52,22 @@
     arrivals: list[float] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class LimitPeriod:
+    """A limit that an upstream named for a while, and the arrivals meanwhile by request id."""
+
+    upstream: str
+    per_s: float
+    began: float
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+
+
 @dataclass
 class Record:
-    """What all upstreams saw: the runs of each request id, and the crashing parts of prompts."""
+    """What all upstreams saw: runs of each request id, limits, and crashing parts of prompts."""
 
     runs: dict[str, list[Run]] = field(default_factory=dict)
+    limits: list[LimitPeriod] = field(default_factory=list)
     crashing: dict[str, CrashingPart] = field(default_factory=dict)
 
     def crashing_part(self, exchange: HttpExchange) -> CrashingPart | None:
@@ -111,16 +122,31 @@
         self.instance = ""
         self.alive = False
         self.fails = 0.0
+        self._limit: LimitPeriod | None = None
         self._random = Random(name)
 
     async def start(self) -> None:
         """Begin a new life."""
         self._lives += 1
+        self._limit = None
         self.instance = f"i-{self._name}-{self._lives}"
         self._server = HttpServer(self.address, self._handle, HttpLimits())
         await curio.spawn(self._server.run, daemon=True)
         self.alive = True
 
+    def name_limit(self, per_s: float) -> None:
+        """Name a limit in all answers from now on."""
+        self._limit = LimitPeriod(self.instance, per_s, time.monotonic())
+        self.record.limits.append(self._limit)
+
+    def lift_limit(self) -> None:
+        """Name no limit any more."""
+        self._limit = None
+
+    @property
+    def _notices(self) -> Headers:
+        return [] if self._limit is None else [("server-limit", f"{self._limit.per_s:.3f}")]
+
     async def crash(self) -> None:
         """End this life, with all that runs: within a step it is broken off."""
         self.alive = False
@@ -143,8 +169,11 @@
         if exchange.request.path.startswith("/api/"):
             await self._answer_call(exchange)
             return
+        if self._limit is not None:
+            request_id = header(f"{PREFIX}request-id") or ""
+            self._limit.arrivals.append((time.monotonic(), request_id))
         if header(f"{PREFIX}request-id") is None or self._running >= 2 * SLOTS:
-            await exchange.answer(503, NOT_RUN, b"")
+            await exchange.answer(503, [*NOT_RUN, *self._notices], b"")
             return
         self._running += 1
         try:
@@ -169,6 +198,7 @@
         return [
             (f"{PREFIX}request-id", request_id),
             (f"{PREFIX}server-stamp", f"{self.instance}.{request_id}"),
+            *self._notices,
         ]
 
 
@@ -234,7 +264,7 @@
 
     async def _run(self, exchange: HttpExchange, request_id: str) -> None:
         if not self._group.is_open:
-            await exchange.answer(503, NOT_RUN, b"")
+            await exchange.answer(503, [*NOT_RUN, *self._notices], b"")
             return
         run = self.record.begin(self.instance, exchange)
         crashing = self.record.crashing_part(exchange)
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -99,6 +99,11 @@
         usable = self._directory.usable(service, now)
         return min((self._wait_s(item, now) for item in usable), default=0.0)
 
+    def is_at_limits(self, service: str, now: float) -> bool:
+        """Return whether all upstreams of a service are at their rate limits."""
+        accepting = self._accepting(service, now)
+        return bool(accepting) and all(self._permits.wait_s(item, now) for item in accepting)
+
     def has_unlimited_other(self, upstream: Upstream, now: float) -> bool:
         """Return whether another upstream of the service accepts requests without a limit."""
         accepting = self._accepting(upstream.service, now)
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -195,9 +195,11 @@
             if withheld is not None:
                 return withheld
             upstream = await self._choose_upstream()
-            may_attempt = isinstance(outcome, Moved) or self._may_attempt(time.monotonic())
-            if upstream is None or not may_attempt:
+            now = time.monotonic()
+            if upstream is None or not (isinstance(outcome, Moved) or self._may_attempt(now)):
                 self._end_probe()
+                if isinstance(outcome, Declined) and self._fleet.is_at_limits(self._service, now):
+                    outcome = Declined("the upstreams of the service are at their rate limits")
                 return await self._give_up(outcome)
             outcome = await self._attempt(upstream)
             match outcome:
--- a/tests/bench/test_platform_soak.py
+++ b/tests/bench/test_platform_soak.py
@@ -11,6 +11,7 @@
 from bench.platform_soak._programs import Program
 from bench.platform_soak._upstreams import (
     CrashingPart,
+    LimitPeriod,
     Record,
     Run,
     event,
@@ -84,6 +85,14 @@
     assert find_violations([], kept) == []
 
 
+def test_requests_beyond_a_named_limit_are_seen():
+    arrivals = [(100.0, "r1"), *((105.0 + 0.1 * number, "r1") for number in range(12))]
+    record = Record({"r1": [RUN]}, [LimitPeriod("i-1", 1.0, 100.0, arrivals)])
+    assert "its limit allows 11" in find_violations([told()], record)[0]
+    record.limits[0].arrivals.pop()
+    assert find_violations([told()], record) == []
+
+
 def test_a_sound_request_that_is_refused_for_good_is_seen():
     assert violations(told("draft", status=422, body=b""))
     assert not violations(told("draft", status=422, body=b"", crashing=True))
--- a/tests/platform/test_limited_upstreams.py
+++ b/tests/platform/test_limited_upstreams.py
@@ -78,6 +78,7 @@
         refused = await bench.send_request("/ask/a")
         while refused.status == 200:
             refused = await bench.send_request("/ask/a")
+        assert b"at their rate limits" in refused.body
         assert 0 < float(refused.headers["retry-after"]) <= 1.5
 
     run_check(check, *((f"u{number}", script) for number, script in enumerate(limits)))
