--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -123,6 +123,13 @@
     )
 
 
+def _register_store_gauges(metrics: ServingMetrics, store: PlatformStore) -> None:
+    """Register the gauges of the store."""
+    metrics.gauge(
+        "bluebellrun_store_era", "How often the store was restored from a copy", lambda: store.era
+    )
+
+
 def _register_quarantine_gauges(
     metrics: ServingMetrics, quarantine: PromptQuarantine, guard: PromptGuard
 ) -> None:
@@ -219,6 +226,7 @@
             settings.readiness, _readiness(lambda: self._lifecycle.ready), HttpLimits()
         )
         _register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
+        _register_store_gauges(self._metrics, self._store)
         _register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
         self._collectors = HttpServer(address, _metrics_handler(self._metrics), HttpLimits())
--- a/bluebellrun/http/_client.py
+++ b/bluebellrun/http/_client.py
@@ -206,10 +206,22 @@
         ``within_s`` bounds the head and the body, each, instead of the client's timeouts. Raises
         what ``open`` and ``HttpResponse.read_all`` raise.
         """
+        status, _, data = await self.fetch_with_headers(method, target, headers, body, within_s)
+        return status, data
+
+    async def fetch_with_headers(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes = b"",
+        within_s: float | None = None,
+    ) -> tuple[int, Headers, bytes]:
+        """Send a request as ``fetch`` does and return the response's headers too."""
         response = await self.open(method, target, headers, body, within_s)
         whole_s = self._timeouts.whole_s if within_s is None else within_s
         try:
-            return response.status, await response.read_all(whole_s)
+            return response.status, response.headers, await response.read_all(whole_s)
         except BaseException:
             await response.close()
             raise
--- a/bluebellrun/platform/_store.py
+++ b/bluebellrun/platform/_store.py
@@ -9,15 +9,18 @@
 import curio
 import msgspec
 
-from bluebellrun.core import Address
+from bluebellrun.core import Address, is_whole_number
 from bluebellrun.http import (
     AnswerTooLongError,
     ClientTimeouts,
     ConnectError,
+    Headers,
     HttpClient,
     TransportError,
+    header_value,
 )
 from bluebellrun.platform._names import (
+    STORE_ERA,
     STORE_KEEP_PATH,
     STORE_KEY_PATH,
     STORE_LEASE_END_PATH,
@@ -48,6 +51,7 @@
 CONDITION_FAILED = 412
 NO_EFFECT_STATUSES = (429, 503)
 CONNECT_SHARE = 0.5
+MAX_LOGGED_CHARACTERS = 60
 JSON_HEADERS = [("content-type", "application/json")]
 
 _log = get_logger("platform-store")
@@ -124,6 +128,12 @@
         limits = ClientTimeouts(timeouts.call_s * CONNECT_SHARE, timeouts.call_s, timeouts.call_s)
         self._client = HttpClient(address, limits)
         self._calls = 0
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Return the store's latest era, 0 before the first answer that names one."""
+        return self._era
 
     @property
     def calls(self) -> int:
@@ -243,7 +253,9 @@
         timeout_s = self._timeouts.call_s if timeout_s is None else timeout_s
         try:
             async with curio.timeout_after(timeout_s):
-                status, answer = await self._client.fetch(method, target, headers, data, timeout_s)
+                status, answer_headers, answer = await self._client.fetch_with_headers(
+                    method, target, headers, data, timeout_s
+                )
         except curio.TaskTimeout:
             await self._client.close()
             raise StoreAnswerLostError(f"no answer to {target} within {timeout_s} s") from None
@@ -255,10 +267,24 @@
         except TransportError as error:
             await self._client.close()
             raise StoreAnswerLostError(str(error)) from error
+        self._record_era(answer_headers)
         if status in NO_EFFECT_STATUSES:
             raise StoreUnavailableError(f"the store answered {status} to {target}")
         return status, answer
 
+    def _record_era(self, headers: Headers) -> None:
+        """Record the store's era; it rises when the store comes back from an older copy."""
+        text = header_value(headers, STORE_ERA)
+        if text is None:
+            return
+        if not is_whole_number(text):
+            _log.warning("store era ignored", value=text[:MAX_LOGGED_CHARACTERS])
+            return
+        era = int(text)
+        if era > self._era:
+            _log.info("store era", era=era, before=self._era)
+            self._era = era
+
     def _decode(self, decoder: Any, status: int, data: bytes) -> Any:
         """Decode an answer; raise if its status is not 200 or it is malformed."""
         if status != OK:
--- a/standins/users_platform/_store.py
+++ b/standins/users_platform/_store.py
@@ -16,11 +16,22 @@
 ANY_ADDRESS = Address("127.0.0.1", 0)
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The contents of a store at one moment."""
+
+    items: dict[str, dict[str, Any]]
+    events: list[dict[str, Any]]
+    revision: int
+    leases: dict[int, float]
+    lasting_s: dict[int, float]
+
+
 @dataclass
 class FakeStore:
     """Keys with revisions, leases, and calls that can be refused, delayed or lost.
 
-    Leases run out only when ``expire_leases`` is called.
+    Leases run out only when ``expire_leases`` is called. ``restore`` brings back an older copy.
     """
 
     items: dict[str, dict[str, Any]] = field(default_factory=dict)
@@ -35,6 +46,8 @@
     leases: dict[int, float] = field(default_factory=dict)
     lasting_s: dict[int, float] = field(default_factory=dict)
     server: HttpServer | None = None
+    era: int = 1
+    has_era: bool = True
 
     async def start(self, address: Address = ANY_ADDRESS) -> Address:
         """Serve on loopback."""
@@ -42,6 +55,24 @@
         await curio.spawn(self.server.run, daemon=True)
         return self.server.address
 
+    def copy(self) -> "StoreCopy":
+        """Return a copy of the contents."""
+        return StoreCopy(
+            dict(self.items),
+            list(self.events),
+            self.revision,
+            dict(self.leases),
+            dict(self.lasting_s),
+        )
+
+    def restore(self, copy: "StoreCopy") -> None:
+        """Go back to an older copy: revisions and leases are given out again."""
+        self.items, self.events = dict(copy.items), list(copy.events)
+        self.leases, self.lasting_s = dict(copy.leases), dict(copy.lasting_s)
+        self.revision = copy.revision
+        self.compacted = min(self.compacted, copy.revision)
+        self.era += 1
+
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write a key."""
         self.revision += 1
@@ -70,7 +101,7 @@
         if self.delay_s:
             await curio.sleep(self.delay_s)
         if self.refuse:
-            await exchange.answer_json(self.refuse, {})
+            await self._send(exchange, self.refuse, {})
             return
         url = urlsplit(exchange.request.target)
         query = {
@@ -80,7 +111,13 @@
         status, answer = await self._answer(url.path, query, body)
         if self.lose_answers:
             await curio.sleep(30)
-        await exchange.answer_json(status, answer)
+        await self._send(exchange, status, answer)
+
+    async def _send(self, exchange: HttpExchange, status: int, answer: dict[str, Any]) -> None:
+        headers = [("content-type", "application/json")]
+        if self.has_era:
+            headers.append(("store-era", str(self.era)))
+        await exchange.answer(status, headers, json.dumps(answer).encode())
 
     async def _answer(
         self, path: str, query: dict[str, str], body: dict[str, Any]
@@ -137,7 +174,7 @@
         while True:
             if self.refuse:
                 return self.refuse, {}
-            if after < self.compacted:
+            if after < self.compacted or after > self.revision:
                 return 410, {}
             found = [
                 event
