Order what is read of the store by its era and revision

After the store came back from a copy some seconds old, an entry could follow a history that was gone: the watch went on from the known revision, and a new configuration and new upstreams never appeared, though no call had failed. The class of fault is a counter taken to grow for ever. The store's era, in all its answers, now goes before the revision wherever something is compared:

- the watch and its check, which read all keys again in a new era; pages of one range;
- an entry's position, and the copies that entries give each other (a new last field, which older builds skip; theirs count by revision until a restore is seen);
- fencing numbers and the map versions made of them: the revision plus a step for each era after the first, so that they equal older builds' numbers until a restore;
- whether a role's record is newer, and the deletion of a silent holder's record;
- leases of the role and of registrations, whose ids may have been granted anew;
- reports of crashes, which are stored and read again;
- registrations of upstreams in an older copy: one that has left stays out until it registers again or is still there after 5 s; one that is missing is kept for the time of a lapse.
A late answer of an earlier era is none.

--- a/bench/platform_soak/_faults.py
+++ b/bench/platform_soak/_faults.py
@@ -43,6 +43,7 @@
             (2, self.store_silent),
             (1, self.store_loses_answers),
             (1, self.store_forgets),
+            (2, self.store_restored),
             (2, self.store_cut_for_one),
             (1, self.store_slow),
             (2, self.rank_crashes),
@@ -174,6 +175,18 @@
         self._world.store.compact()
         await self._wait(random.uniform(0.0, 0.2))
 
+    async def store_restored(self, random: Random) -> None:
+        """Let the store come back from a copy some seconds old, with or without an outage."""
+        if not self._take("store"):
+            return
+        self._world.disturb(AFTERMATH_S)
+        if random.random() < 0.5:
+            self._world.store.refuse = 503
+            await curio.sleep(random.uniform(0.1, 2.0))
+            self._world.store.refuse = 0
+        await self._world.restore_store(random)
+        self._busy.discard("store")
+
     async def store_cut_for_one(self, random: Random) -> None:
         """Cut one gateway from the store, in one direction or both."""
         link = self._world.links[f"store{random.randint(1, len(self._world.gateways))}"]
--- a/bench/platform_soak/_world.py
+++ b/bench/platform_soak/_world.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from collections import deque
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -22,7 +23,7 @@
     Upstream,
 )
 from bluebellrun.core import Address
-from standins.users_platform import FakeStore
+from standins.users_platform import FakeStore, StoreCopy
 
 GATEWAYS, RANKS, PLAIN = 3, 4, 2
 ZONES = ("a", "b", "c")
@@ -31,6 +32,10 @@
 HOST = "soak.example"
 DEADLINE_S = 6.0
 LEASES_CHECKED_S = 0.2
+# How often the store is copied, and how many copies are kept: those of the last seconds.
+COPIED_S, COPIES = 0.5, 12
+# An upstream that is gone misses its heartbeats and is removed from the store.
+HEARTBEATS_MISSED_S = 2.0
 # A soak that is itself late by this much cannot tell whose fault lateness is.
 OWN_PACE_S, LATE_S = 0.1, 0.3
 # After a fault of the store or a process others may still feel it for so long.
@@ -53,6 +58,8 @@
         # While this lies ahead, answers may be cut or late for reasons outside one process.
         self.disturbed_until = 0.0
         self.has_older_builds = older is not None
+        self._copies: deque[StoreCopy] = deque(maxlen=COPIES)
+        self._configuration = b""
         self._net = net
         store = Address(f"{net}.9.1", PORT)
         self._store_address = store
@@ -105,6 +112,7 @@
         self.write_configuration()
         await curio.spawn(self.group.run, daemon=True)
         await curio.spawn(self._expire_leases, daemon=True)
+        await curio.spawn(self._copy_store, daemon=True)
         await curio.spawn(self._watch_own_pace, daemon=True)
         for program in self.programs:
             program.start()
@@ -115,6 +123,28 @@
             await curio.sleep(LEASES_CHECKED_S)
             self.store.expire_leases()
 
+    async def _copy_store(self) -> None:
+        """Keep copies of the store's last seconds, until cancelled."""
+        while True:
+            self._copies.append(self.store.copy())
+            await curio.sleep(COPIED_S)
+
+    async def restore_store(self, random: Random) -> None:
+        """Bring the store back from an older copy; operator and upstreams write theirs again."""
+        self.store.restore(random.choice(self._copies))
+        self._copies.clear()
+        self._copies.append(self.store.copy())
+        await curio.sleep(random.uniform(0.0, 1.0))
+        self.store.put("op/config", self._configuration)
+        for upstream in self.upstreams:
+            if upstream.alive:
+                self.register(upstream)
+                await curio.sleep(random.uniform(0.0, 0.1))
+        await curio.sleep(HEARTBEATS_MISSED_S)
+        alive = {f"servers/{upstream.instance}" for upstream in self.upstreams}
+        for key in [k for k in self.store.items if k.startswith("servers/") and k not in alive]:
+            self.store.delete(key)
+
     async def _watch_own_pace(self) -> None:
         """Note when the machine gives this process no time, until cancelled."""
         while True:
@@ -167,7 +197,8 @@
             "services": [{"name": "draft-pool", "engine": engine}, {"name": "job-ledger"}],
             "tenants": [{"name": name, "api_keys": [key]} for key, name in KEYS.items()],
         }
-        self.store.put("op/config", json.dumps(written).encode())
+        self._configuration = json.dumps(written).encode()
+        self.store.put("op/config", self._configuration)
 
     async def _crash_by_itself(self, rank: RankUpstream) -> None:
         """End a rank's process because of a request; it comes back after some seconds."""
--- a/bluebellrun/deployment/_models.py
+++ b/bluebellrun/deployment/_models.py
@@ -136,7 +136,8 @@
 class Deployment:
     """One version of the configuration, in full.
 
-    ``revision`` is the store's revision of its last write; versions and revisions both grow.
+    ``revision`` is the store's revision of its last write. Only versions always grow: a restored
+    store gives out revisions again.
     """
 
     version: int
--- a/bluebellrun/gateway/_catch_up.py
+++ b/bluebellrun/gateway/_catch_up.py
@@ -44,10 +44,14 @@
 
 
 class _StoreCopy(msgspec.Struct, frozen=True, array_like=True):
-    """The keys that one entry read, and the store revision up to which it read them."""
+    """The keys that one entry read, and the store's revision and era up to which it read them.
+
+    Older builds name no era.
+    """
 
     revision: int
     keys: list[_Key]
+    era: int = 0
 
 
 _decoder = msgspec.msgpack.Decoder(_StoreCopy)
@@ -110,10 +114,11 @@
             raise ValueError(f"{address} answered {status} to a request for its store copy")
         copy = _decoder.decode(data)
         items = tuple(KeyValue(item.key, item.value, item.revision) for item in copy.keys)
-        self._view.apply_peer_snapshot(Snapshot(items, copy.revision))
+        self._view.apply_peer_snapshot(Snapshot(items, copy.revision, copy.era))
 
     async def _serve_copy(self, exchange: HttpExchange) -> None:
         """Answer with what this entry read."""
         keys = [_Key(item.key, item.value, item.mod_revision) for item in self._view.shared]
-        body = msgspec.msgpack.encode(_StoreCopy(self._view.revision, keys))
+        position = self._view.position
+        body = msgspec.msgpack.encode(_StoreCopy(position.revision, keys, position.era))
         await exchange.answer(OK, [("content-type", "application/msgpack")], body)
--- a/bluebellrun/gateway/_crash_exchange.py
+++ b/bluebellrun/gateway/_crash_exchange.py
@@ -12,7 +12,7 @@
 
 from bluebellrun.gateway._store_view import StoreView
 from bluebellrun.quarantine import CrashReport, PromptQuarantine, QuarantineSettings
-from bluebellrun.store import KeyValueStore, PlatformError, Put
+from bluebellrun.store import KeyValueStore, PlatformError, Put, StorePosition
 from bluebellrun.telemetry import get_logger
 
 # Changed reports are sent in every round for this long, and then in each OLD_REPORTS_ROUNDS-th one,
@@ -56,7 +56,8 @@
         self._rounds = 0
         self._next_report = 0
         self._stored: dict[str, CrashReport] = {}
-        self._read: dict[str, int] = {}
+        self._stored_era = 0
+        self._read: dict[str, StorePosition] = {}
 
     async def own_crash_within(self, seconds: float) -> bool:
         """Wait until this entry has seen a crash; return false if it sees none for so long."""
@@ -126,8 +127,8 @@
         records = self._view.records_below(self._prefix)
         known, self._read = self._read, {}
         for record in records:
-            self._read[record.key] = record.revision
-            if record.value is None or known.get(record.key) == record.revision:
+            self._read[record.key] = record.position
+            if record.value is None or known.get(record.key) == record.position:
                 continue
             try:
                 report = _decoder.decode(record.value)
@@ -137,7 +138,10 @@
             self._apply(report, "store", time.monotonic())
 
     async def _write_own(self) -> None:
-        """Store this entry's own reports that are new or have changed."""
+        """Store this entry's own reports that are new, have changed or were lost by a restore."""
+        if self._stored_era != self._store.era:
+            self._stored.clear()
+            self._stored_era = self._store.era
         own = {self._key(report): report for report in self._quarantine.own_reports()}
         self._stored = {key: report for key, report in self._stored.items() if key in own}
         for key, report in own.items():
--- a/bluebellrun/gateway/_directory.py
+++ b/bluebellrun/gateway/_directory.py
@@ -16,6 +16,8 @@
 # Incarnations that announced that they leave; the oldest are dropped first. No fleet replaces this
 # many upstreams while one process runs.
 MAX_LEAVING_RECORDS = 8_192
+# An upstream that is gone misses its heartbeats and is removed again within this time.
+OUTDATED_S = 5.0
 # How long other entries are notified of a leaving upstream; the store notifies them in seconds.
 LEAVING_NOTICE_S = 3.0
 
@@ -27,6 +29,9 @@
         self._upstreams: dict[str, Upstream] = {}
         self._lapsed: dict[str, float] = {}
         self._announced_leaving: dict[UpstreamIncarnation, float] = {}
+        self._departed: dict[UpstreamIncarnation, None] = {}
+        # Registrations of an older copy of the store, and when they apply.
+        self._revived: dict[str, tuple[Upstream, float]] = {}
         self._by_service: dict[str, list[Upstream]] = {}
 
     @property
@@ -49,20 +54,38 @@
 
     def usable(self, service: str, now: float) -> list[Upstream]:
         """Return the upstreams of a service that may be sent work."""
-        if self._lapsed:
+        if self._lapsed or self._revived:
             self.expire(now)
         return self._by_service.get(service, [])
 
-    def replace_all(self, records: Mapping[str, Upstream], now: float, store_outage: bool) -> None:
-        """Replace all registrations; those not in ``records`` have lapsed or were removed."""
+    def replace_all(
+        self,
+        records: Mapping[str, Upstream],
+        now: float,
+        store_outage: bool,
+        restored: bool = False,
+    ) -> None:
+        """Replace all registrations; those not in ``records`` have lapsed or were removed.
+
+        With ``restored``, they are from an older copy of the store. An upstream that has left or
+        is leaving by a later registration gets no work until it registers again, or is still
+        registered after OUTDATED_S.
+        """
+        outdated = self._outdated(records.values()) if restored else []
         for instance in [name for name in self._upstreams if name not in records]:
             self.remove(instance, now, store_outage)
         for upstream in records.values():
             self.put(upstream)
+        for upstream in outdated:
+            self.put(replace(upstream, leaving=True))
+            self._revived[upstream.instance] = (upstream, now + OUTDATED_S)
 
     def put(self, upstream: Upstream) -> None:
         """Apply a registration; it does not revoke the upstream's own notice that it leaves."""
         self._lapsed.pop(upstream.instance, None)
+        self._revived.pop(upstream.instance, None)
+        if not upstream.leaving:
+            self._departed.pop(upstream.incarnation, None)
         if upstream.incarnation in self._announced_leaving:
             upstream = replace(upstream, leaving=True)
         self._upstreams[upstream.instance] = upstream
@@ -115,7 +138,13 @@
             self._index()
 
     def expire(self, now: float) -> list[str]:
-        """Drop the upstreams whose registration did not come back; return their instances."""
+        """Drop the upstreams whose registration did not come back; return their instances.
+
+        Registrations of an older copy of the store that are still there apply now.
+        """
+        for upstream, deadline in list(self._revived.values()):
+            if now >= deadline:
+                self.put(upstream)
         expired = [name for name, deadline in self._lapsed.items() if now >= deadline]
         for instance in expired:
             self._drop(instance)
@@ -123,10 +152,21 @@
             self._index()
         return expired
 
+    def _outdated(self, records: Iterable[Upstream]) -> list[Upstream]:
+        """Return the registrations of upstreams that have left or are leaving."""
+        leaving = {item.incarnation for item in self._upstreams.values() if item.leaving}
+        gone = leaving | self._departed.keys()
+        return [item for item in records if not item.leaving and item.incarnation in gone]
+
     def _drop(self, instance: str) -> None:
         """Remove an upstream and its lapse deadline."""
-        self._upstreams.pop(instance, None)
+        dropped = self._upstreams.pop(instance, None)
         self._lapsed.pop(instance, None)
+        self._revived.pop(instance, None)
+        if dropped is not None:
+            self._departed[dropped.incarnation] = None
+            if len(self._departed) > MAX_LEAVING_RECORDS:
+                del self._departed[next(iter(self._departed))]
 
     def _index(self) -> None:
         """Rebuild the index of the upstreams that accept work, by service.
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -71,6 +71,7 @@
         self._status = status
         self._crashes = crashes
         self._lease = 0
+        self._lease_era = 0
         self._next_peer = 0
 
     @property
@@ -125,17 +126,33 @@
             except PlatformError as error:
                 _log.info("entry not registered", reason=str(error))
                 pause_s = RETRY_INTERVAL_S
-            await curio.sleep(pause_s)
+            await self._pause(pause_s)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait, but not longer than until the store is found to have been restored."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until and self._is_lease_current():
+            await curio.sleep(min(RETRY_INTERVAL_S, until - time.monotonic()))
+
+    def _is_lease_current(self) -> bool:
+        """Return whether the store still has this entry's lease, as far as is known."""
+        return not self._lease or self._lease_era == self._store.era
 
     async def _register(self) -> None:
-        """Renew the registration, or create a new one."""
-        if self._lease and await self._store.keep_alive(self._lease) > 0:
-            return
+        """Renew the registration, or create a new one.
+
+        After a restore of the store the lease's id may have been granted to another process.
+        """
+        if self._lease and self._is_lease_current():
+            remaining_s = await self._store.keep_alive(self._lease)
+            if remaining_s > 0 and self._is_lease_current():
+                return
         self._lease = 0
         lease = await self._store.grant_lease(REGISTRATION_S)
+        era = self._store.era
         await self._store.transact([], [Put(self._key, str(self._address).encode(), lease)])
-        self._lease = lease
-        _log.info("entry registered", key=self._key, address=str(self._address))
+        self._lease, self._lease_era = lease, era
+        _log.info("entry registered", key=self._key, address=str(self._address), era=era)
 
     async def _send(self, sock: object, peers: list[Address]) -> None:
         """Send this entry's status to other entries."""
--- a/bluebellrun/gateway/_role.py
+++ b/bluebellrun/gateway/_role.py
@@ -103,14 +103,19 @@
         holder = decode_record(record.value).holder
         if not self._is_silent(holder):
             return False
-        deposed = await self._holder.delete_record(record.revision)
+        deposed = await self._holder.delete_record(record.position)
         _log.warning("silent holder of the role deposed", holder=holder, deposed=deposed)
         return deposed
 
     def _is_superseded(self, lease: RoleLease) -> bool:
         """Return whether another process has acquired the role since this one did."""
         record = self._view.record(self._holder.key)
-        return record is not None and record.value is not None and record.revision > lease.number
+        return (
+            record is not None
+            and record.value is not None
+            and record.position.number > lease.number
+            and not self._holder.is_own(record.value)
+        )
 
     def _is_free(self) -> bool:
         """Return whether the store shows no holder, or this process after a lost answer."""
--- a/bluebellrun/gateway/_store_changes.py
+++ b/bluebellrun/gateway/_store_changes.py
@@ -5,6 +5,7 @@
 
 from bluebellrun.deployment import Deployment
 from bluebellrun.gateway._models import Upstream
+from bluebellrun.store import StorePosition
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,12 +31,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordWritten:
-    """A record of the project's own was written, or deleted when the value is none."""
+    """A record of the project's own was written, or deleted when the value is none.
+
+    ``revision`` is one of the store's ``era``.
+    """
 
     key: str
     value: bytes | None
     revision: int
     created: int = 0
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return when it was written, in the store's history."""
+        return StorePosition(self.era, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellrun/gateway/_store_view.py
+++ b/bluebellrun/gateway/_store_view.py
@@ -1,6 +1,7 @@
 """Follow the store and apply its contents: configuration, upstreams, own records."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from random import Random
 
 from bluebellrun.core import Clock
@@ -22,6 +23,7 @@
     KeyValueStore,
     PrefixFollower,
     Snapshot,
+    StorePosition,
     WatchEvent,
     WatchTiming,
 )
@@ -81,7 +83,9 @@
         self._clock = clock
         self._records: dict[str, RecordWritten] = {}
         self._shared: dict[str, KeyValue] = {}
-        self._copied_revision = 0
+        self._era = 0
+        self._copied = StorePosition()
+        self._was_restored = False
         self._follower = PrefixFollower(
             store,
             reader.prefix,
@@ -121,10 +125,15 @@
         broken_at = self._follower.failing_since
         return broken_at is not None and self._clock.now() - broken_at >= seconds
 
+    @property
+    def position(self) -> StorePosition:
+        """Return the point in the store's history up to which this entry knows it."""
+        return max(self._follower.position, self._copied)
+
     @property
     def revision(self) -> int:
-        """Return the revision of the store up to which this entry knows it."""
-        return max(self._follower.revision, self._copied_revision)
+        """Return the revision of ``position``."""
+        return self.position.revision
 
     def apply_peer_snapshot(self, copy: Snapshot) -> bool:
         """Apply another entry's copy of the store while this one cannot reach the store.
@@ -133,19 +142,40 @@
         and keys that were withdrawn. Return whether the copy was applied.
         """
         now = self._clock.now()
-        applied = copy.revision >= self.revision
+        known = self.position
+        position = self._position_of(copy)
+        applied = position >= known
         if applied:
-            self._copied_revision = copy.revision
-            self._replace_all(copy.items, now, store_outage=True)
+            self._copied = position
+            restored = self._enter_era(known.era, position.era)
+            self._replace_all(copy.items, now, store_outage=True, restored=restored)
         _log.info(
             "store copy of another entry applied" if applied else "older store copy ignored",
             keys=len(copy.items),
             revision=copy.revision,
-            known_revision=self.revision,
+            era=copy.era,
+            known_revision=known.revision,
+            known_era=known.era,
             silent_s=round(self.silence_s(), 3),
         )
         return applied
 
+    def _position_of(self, copy: Snapshot) -> StorePosition:
+        """Return the position of another entry's copy.
+
+        Older builds name no era. Their copies count by revision until this entry has seen a
+        restore, and are older than anything after it.
+        """
+        if copy.era or self._was_restored:
+            return copy.position
+        return StorePosition(self.position.era, copy.revision)
+
+    def _enter_era(self, before: int, era: int) -> bool:
+        """Return whether the store was restored since this entry last knew it."""
+        restored = 0 < before < era
+        self._was_restored |= restored
+        return restored
+
     async def run(self) -> None:
         """Follow until cancelled."""
         await self._follower.run()
@@ -154,10 +184,21 @@
         """Apply a snapshot of the store."""
         now = self._clock.now()
         self._records.clear()
-        upstreams = self._replace_all(snapshot.items, now, self._is_outage(now))
-        _log.info("store read", revision=snapshot.revision, upstreams=upstreams)
+        self._era = snapshot.era
+        restored = self._enter_era(self.position.era, snapshot.era)
+        outage = restored or self._is_outage(now)
+        upstreams = self._replace_all(snapshot.items, now, outage, restored)
+        _log.info(
+            "store read",
+            revision=snapshot.revision,
+            era=snapshot.era,
+            restored=restored,
+            upstreams=upstreams,
+        )
 
-    def _replace_all(self, items: Iterable[KeyValue], now: float, store_outage: bool) -> int:
+    def _replace_all(
+        self, items: Iterable[KeyValue], now: float, store_outage: bool, restored: bool = False
+    ) -> int:
         """Replace all keys; return how many upstreams are registered."""
         upstreams: dict[str, Upstream] = {}
         self._shared.clear()
@@ -169,7 +210,7 @@
                 upstreams[item.upstream.instance] = item.upstream
             elif item is not None:
                 self._apply(item, now)
-        self._directory.replace_all(upstreams, now, store_outage)
+        self._directory.replace_all(upstreams, now, store_outage, restored)
         return len(upstreams)
 
     async def _apply_events(self, events: list[WatchEvent]) -> None:
@@ -210,7 +251,7 @@
                 if value is None:
                     self._records.pop(key, None)
                 else:
-                    self._records[key] = change
+                    self._records[key] = replace(change, era=self._era)
             case Unreadable(key, reason, instance):
                 if instance is not None:
                     self._directory.remove(instance, now, store_outage=False)
--- a/bluebellrun/leases/_holder.py
+++ b/bluebellrun/leases/_holder.py
@@ -1,10 +1,12 @@
 """Acquire, renew and release a role through the key-value store.
 
 The holder's record is a key bound to a lease of the store, created only if no such key exists.
-The revision that creates it is the fencing number. When the lease expires, the key is deleted.
+The position in the store's history that creates it is the fencing number. When the lease expires,
+the key is deleted. After the store was restored from an older copy neither the record nor the lease
+can be relied on, as its id may have been granted again; the holder reads the record first.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import curio
@@ -14,11 +16,11 @@
 from bluebellrun.leases._models import RoleLease, RoleRecord, decode_record, encode_record
 from bluebellrun.store import (
     Compare,
-    KeyValue,
     KeyValueStore,
     PlatformError,
     Put,
     StoreAnswerLostError,
+    StorePosition,
 )
 from bluebellrun.telemetry import get_logger
 
@@ -31,11 +33,20 @@
 
 @dataclass(frozen=True, slots=True)
 class _Claim:
-    """An attempt to acquire the role whose outcome may be unknown."""
+    """An attempt to acquire the role whose outcome may be unknown; ``era`` is its lease's."""
 
     nonce: str
     lease: int
     requested_at: float
+    era: int
+
+
+@dataclass(frozen=True, slots=True)
+class _HeldRecord:
+    """The record of a role's holder as stored, and when it was created."""
+
+    value: bytes
+    created: StorePosition
 
 
 class RoleHolder:
@@ -114,16 +125,22 @@
         except PlatformError as error:
             _log.info("role lease not revoked, it will expire", role=self._role, error=str(error))
 
-    async def delete_record(self, revision: int) -> bool:
-        """Delete the record that another holder wrote at a revision; return whether it was there.
+    def is_own(self, value: bytes) -> bool:
+        """Return whether a record stems from this process's claim."""
+        return self._claim is not None and decode_record(value).nonce == self._claim.nonce
+
+    async def delete_record(self, position: StorePosition) -> bool:
+        """Delete the record that another holder wrote at a position; return whether it was there.
 
         Only safe if the receivers of the role's orders refuse older fencing numbers, as the other
         holder may go on sending orders.
         Raises ``LeaseError`` if the store is unavailable or its answer is lost.
         """
+        if position.era != self._store.era:
+            return False
         try:
             result = await self._store.transact(
-                [Compare(self._key, revision)], [Put(self._key, None)]
+                [Compare(self._key, position.revision)], [Put(self._key, None)]
             )
         except PlatformError as error:
             raise LeaseError(f"role {self._role!r} record cannot be deleted: {error}") from error
@@ -159,7 +176,7 @@
             return await self._settle(held)
         requested_at = self._clock.now()
         lease_id = await self._store.grant_lease(self._ttl_s)
-        claim = _Claim(new_incarnation(), lease_id, requested_at)
+        claim = _Claim(new_incarnation(), lease_id, requested_at, self._store.era)
         self._clear()
         self._claim = claim
         try:
@@ -174,21 +191,24 @@
         return self._set_lease(claim.requested_at, number)
 
     async def _create(self, claim: _Claim) -> int | None:
-        """Create the record; return its revision, or ``None`` if one exists already."""
+        """Create the record; return its fencing number, or ``None`` if one exists already."""
         record = RoleRecord(self._holder, claim.nonce, claim.lease)
         result = await self._store.transact(
             [Compare(self._key, ABSENT_REVISION)],
             [Put(self._key, encode_record(record), claim.lease)],
         )
-        return result.revision if result.succeeded else None
+        if not result.succeeded:
+            return None
+        return StorePosition(result.era, result.revision).number
 
-    async def _settle(self, held: KeyValue) -> RoleLease | None:
+    async def _settle(self, held: _HeldRecord) -> RoleLease | None:
         """Renew the lease if the record stems from this process's own claim."""
         claim = self._claim
-        if claim is None or decode_record(held.value).nonce != claim.nonce:
+        if claim is None or not self.is_own(held.value):
             self._clear()
             return None
-        return await self._renew(claim, held.create_revision)
+        self._claim = claim = replace(claim, era=held.created.era)
+        return await self._renew(claim, held.created.number)
 
     async def _renew(self, claim: _Claim, number: int) -> RoleLease | None:
         """Renew the store's lease and extend the deadline."""
@@ -196,6 +216,10 @@
         remaining_s = await self._store.keep_alive(claim.lease)
         if self._claim is not claim:
             return None
+        if self._store.era != claim.era:
+            _log.info("store restored, reading the role again", role=self._role, number=number)
+            self._lease = None
+            return await self._acquire()
         if remaining_s <= 0:
             _log.warning("role lost", role=self._role, number=number)
             self._clear()
@@ -209,9 +233,13 @@
         self._lease = lease
         return lease
 
-    async def _read(self) -> KeyValue | None:
+    async def _read(self) -> _HeldRecord | None:
         """Return the record of the role's holder, or ``None``."""
-        return (await self._store.get(self._key)).get(self._key)
+        snapshot = await self._store.get(self._key)
+        item = snapshot.get(self._key)
+        if item is None:
+            return None
+        return _HeldRecord(item.value, StorePosition(snapshot.era, item.create_revision))
 
     def _clear(self) -> None:
         """Drop the claim and the lease."""
--- a/bluebellrun/platform/_store.py
+++ b/bluebellrun/platform/_store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
@@ -37,6 +38,7 @@
     Snapshot,
     StoreAnswerLostError,
     StoreAnswerTooLongError,
+    StorePosition,
     StoreTimeouts,
     StoreUnavailableError,
     TransactionResult,
@@ -52,6 +54,7 @@
 NO_EFFECT_STATUSES = (429, 503)
 CONNECT_SHARE = 0.5
 MAX_LOGGED_CHARACTERS = 60
+MAX_ERA_DIGITS = 12
 JSON_HEADERS = [("content-type", "application/json")]
 
 _log = get_logger("platform-store")
@@ -97,6 +100,15 @@
     lease: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the store, and its era, 0 while no answer has named one."""
+
+    status: int
+    data: bytes
+    era: int
+
+
 _item = msgspec.json.Decoder(_Item)
 _range = msgspec.json.Decoder(_Range)
 _changes = msgspec.json.Decoder(_Changes)
@@ -142,24 +154,30 @@
 
     async def get(self, key: str) -> Snapshot:
         """Read one key."""
-        status, data = await self._read(f"{STORE_KEY_PATH}?{urlencode({'key': key})}")
-        if status == NOT_FOUND:
-            return Snapshot((), 0)
-        item = self._decode(_item, status, data)
-        return Snapshot((_key_value(item),), item.store_revision)
+        answer = await self._read(f"{STORE_KEY_PATH}?{urlencode({'key': key})}")
+        if answer.status == NOT_FOUND:
+            return Snapshot((), 0, answer.era)
+        item = self._decode(_item, answer)
+        return Snapshot((_key_value(item),), item.store_revision, answer.era)
 
     async def read_prefix(self, prefix: str) -> Snapshot:
-        """Read all keys below a prefix; the revision is that of the first page."""
+        """Read all keys below a prefix; the revision is that of the first page.
+
+        Raises ``StoreUnavailableError`` if the store is restored between two pages.
+        """
         items: list[KeyValue] = []
-        revision = 0
+        revision, era = 0, None
         query = {"prefix": prefix}
         while True:
-            status, data = await self._read(f"{STORE_RANGE_PATH}?{urlencode(query)}")
-            page = self._decode(_range, status, data)
+            answer = await self._read(f"{STORE_RANGE_PATH}?{urlencode(query)}")
+            page = self._decode(_range, answer)
+            if era not in (None, answer.era):
+                raise StoreUnavailableError("the store was restored while its keys were read")
+            era = answer.era
             items += map(_key_value, page.items)
             revision = revision or page.store_revision
             if not page.has_more or not page.items:
-                return Snapshot(tuple(items), revision)
+                return Snapshot(tuple(items), revision, era)
             query["after"] = page.items[-1].key
 
     async def read_revisions(self, prefix: str) -> Snapshot:
@@ -181,56 +199,68 @@
             ],
             "delete_keys": [put.key for put in puts if put.value is None],
         }
-        status, data = await self._call("POST", STORE_TRANSACTION_PATH, body)
-        if status == CONDITION_FAILED:
-            return TransactionResult(False, 0)
-        return TransactionResult(True, self._decode(_written, status, data).rev)
+        answer = await self._call("POST", STORE_TRANSACTION_PATH, body)
+        if answer.status == CONDITION_FAILED:
+            return TransactionResult(False, 0, answer.era)
+        return TransactionResult(True, self._decode(_written, answer).rev, answer.era)
 
     async def grant_lease(self, ttl_s: int) -> int:
         """Return the id of a new lease."""
-        status, data = await self._call("POST", STORE_LEASE_PATH, {"ttl_ms": int(ttl_s * 1000)})
-        return self._decode(_lease, status, data).lease
+        answer = await self._call("POST", STORE_LEASE_PATH, {"ttl_ms": int(ttl_s * 1000)})
+        return self._decode(_lease, answer).lease
 
     async def keep_alive(self, lease: int) -> int:
         """Renew a lease and return its time to live in seconds; 0 means it has expired."""
-        status, data = await self._call("POST", f"{STORE_KEEP_PATH}{lease}", {})
-        if status == NOT_FOUND:
+        answer = await self._call("POST", f"{STORE_KEEP_PATH}{lease}", {})
+        if answer.status == NOT_FOUND:
             return 0
-        return self._decode(_lease, status, data).ttl_ms // 1000
+        return self._decode(_lease, answer).ttl_ms // 1000
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease; keys bound to it are deleted."""
         await self._call("DELETE", f"{STORE_LEASE_END_PATH}{lease}", None)
 
     async def watch(self, prefix: str, from_revision: int) -> "PlatformWatch":
-        """Watch changes below a prefix, starting at a revision."""
+        """Watch changes below a prefix, starting at a revision of the current era."""
         watch = PlatformWatch(self, prefix, from_revision - 1, self._watch_timing)
         await watch.start()
         return watch
 
-    async def wait_for_changes(self, prefix: str, after: int, wait_s: float) -> _Changes:
-        """Return the changes after a revision; empty if there are none within ``wait_s``.
+    async def wait_for_changes(self, prefix: str, after: StorePosition, wait_s: float) -> _Changes:
+        """Return the changes after a position; empty if there are none within ``wait_s``.
+
+        Era 0 stands for whatever era the store is in.
 
-        Raises ``CompactedError`` if all keys have to be read again: the history was compacted, or
-        there are too many changes for one answer.
+        Raises ``CompactedError`` if all keys have to be read again: the history was compacted, the
+        store was restored, or there are too many changes for one answer.
         """
         wait_ms = max(1, int(wait_s * 1000))
-        query = urlencode({"prefix": prefix, "after": after, "wait_ms": wait_ms})
+        query = urlencode({"prefix": prefix, "after": after.revision, "wait_ms": wait_ms})
         target = f"{STORE_WATCH_PATH}?{query}"
         try:
-            status, data = await self._read(target, wait_s + self._timeouts.call_s)
+            answer = await self._read(target, wait_s + self._timeouts.call_s)
         except StoreAnswerTooLongError as error:
-            _log.warning("watch answer too long, reading all keys", after=after, reason=str(error))
-            raise CompactedError(after) from error
-        if status == GONE:
-            raise CompactedError(after)
-        return self._decode(_changes, status, data)
+            _log.warning(
+                "watch answer too long, reading all keys", after=after.revision, reason=str(error)
+            )
+            raise CompactedError(after.revision) from error
+        if after.era and answer.era != after.era:
+            _log.info(
+                "store was restored, reading all keys",
+                era=answer.era,
+                known_era=after.era,
+                known_revision=after.revision,
+            )
+            raise CompactedError(after.revision)
+        if answer.status == GONE:
+            raise CompactedError(after.revision)
+        return self._decode(_changes, answer)
 
     async def close(self) -> None:
         """Close the connections."""
         await self._client.close()
 
-    async def _read(self, target: str, timeout_s: float | None = None) -> tuple[int, bytes]:
+    async def _read(self, target: str, timeout_s: float | None = None) -> _Answer:
         """Make a read-only call; a lost answer only means that the store is unavailable."""
         try:
             return await self._call("GET", target, None, timeout_s)
@@ -241,8 +271,8 @@
 
     async def _call(
         self, method: str, target: str, body: Any, timeout_s: float | None = None
-    ) -> tuple[int, bytes]:
-        """Make one call and return its status and body.
+    ) -> _Answer:
+        """Make one call and return its answer.
 
         Raises ``StoreUnavailableError`` if the call had no effect, ``StoreAnswerLostError`` if it
         may have had one, and ``StoreAnswerTooLongError`` for an oversized answer.
@@ -253,7 +283,7 @@
         timeout_s = self._timeouts.call_s if timeout_s is None else timeout_s
         try:
             async with curio.timeout_after(timeout_s):
-                status, answer_headers, answer = await self._client.fetch_with_headers(
+                status, answer_headers, data_received = await self._client.fetch_with_headers(
                     method, target, headers, data, timeout_s
                 )
         except curio.TaskTimeout:
@@ -267,30 +297,37 @@
         except TransportError as error:
             await self._client.close()
             raise StoreAnswerLostError(str(error)) from error
-        self._record_era(answer_headers)
+        self._record_era(answer_headers, target)
         if status in NO_EFFECT_STATUSES:
             raise StoreUnavailableError(f"the store answered {status} to {target}")
-        return status, answer
+        return _Answer(status, data_received, self._era)
 
-    def _record_era(self, headers: Headers) -> None:
-        """Record the store's era; it rises when the store comes back from an older copy."""
+    def _record_era(self, headers: Headers, target: str) -> None:
+        """Record the store's era; it rises when the store comes back from an older copy.
+
+        Raises ``StoreAnswerLostError`` for a late answer of an earlier era: what it says is gone.
+        """
         text = header_value(headers, STORE_ERA)
         if text is None:
             return
-        if not is_whole_number(text):
+        if not is_whole_number(text) or len(text) > MAX_ERA_DIGITS:
             _log.warning("store era ignored", value=text[:MAX_LOGGED_CHARACTERS])
             return
         era = int(text)
+        if era < self._era:
+            raise StoreAnswerLostError(f"{target} was answered in era {era}, before {self._era}")
         if era > self._era:
             _log.info("store era", era=era, before=self._era)
             self._era = era
 
-    def _decode(self, decoder: Any, status: int, data: bytes) -> Any:
+    def _decode(self, decoder: Any, answer: _Answer) -> Any:
         """Decode an answer; raise if its status is not 200 or it is malformed."""
-        if status != OK:
-            raise StoreUnavailableError(f"the store answered {status}: {data[:200]!r}")
+        if answer.status != OK:
+            raise StoreUnavailableError(
+                f"the store answered {answer.status}: {answer.data[:200]!r}"
+            )
         try:
-            return decoder.decode(data)
+            return decoder.decode(answer.data)
         except msgspec.DecodeError as error:
             raise StoreAnswerLostError(f"the store's answer cannot be read: {error}") from error
 
@@ -302,7 +339,7 @@
         self._store = store
         self._timing = timing
         self._prefix = prefix
-        self._after = after
+        self._after = StorePosition(store.era, after)
         self._pending: list[WatchEvent] = []
         self._changed = False
 
@@ -326,7 +363,8 @@
     async def _poll(self, wait_s: float) -> list[WatchEvent]:
         """Poll for changes since the last poll."""
         changes = await self._store.wait_for_changes(self._prefix, self._after, wait_s)
-        self._after = max(self._after, changes.store_revision)
+        revision = max(self._after.revision, changes.store_revision)
+        self._after = StorePosition(self._after.era or self._store.era, revision)
         return [_watch_event(item) for item in changes.events]
 
     async def close(self) -> None:
--- a/bluebellrun/store/_etcd.py
+++ b/bluebellrun/store/_etcd.py
@@ -88,6 +88,11 @@
         """Return how many calls have been made."""
         return self._calls
 
+    @property
+    def era(self) -> int:
+        """Return 0: this service names no eras."""
+        return 0
+
     async def get(self, key: str) -> Snapshot:
         """Read one key."""
         return self._decode_snapshot(await self._read("/v3/kv/range", {"key": _encode(key)}))
--- a/bluebellrun/store/_follow.py
+++ b/bluebellrun/store/_follow.py
@@ -8,7 +8,7 @@
 from bluebellrun.core import Clock
 from bluebellrun.store._backoff import MAX_PAUSE_S, Backoff
 from bluebellrun.store._exceptions import CompactedError, PlatformError, StoreUnavailableError
-from bluebellrun.store._models import Snapshot, WatchEvent
+from bluebellrun.store._models import Snapshot, StorePosition, WatchEvent
 from bluebellrun.store._ports import KeyValueStore, Watch
 from bluebellrun.telemetry import get_logger
 
@@ -24,6 +24,8 @@
 class PrefixFollower:
     """Pass on a snapshot, then changes; resume a broken watch after the last revision.
 
+    A store that was restored from an older copy is read anew: its revisions tell nothing then.
+
     With ``from_revision``, only the changes after it are passed on, without a snapshot. A watch
     whose connection has stalled is detected by comparing revisions with the store whenever it
     has been quiet for about ``check_interval_s`` seconds.
@@ -48,7 +50,7 @@
         self._clock = clock
         self._random = random
         self._resume_revision = from_revision
-        self._delivered_revision = from_revision
+        self._delivered = StorePosition(store.era, from_revision)
         self._confirmed_at: float | None = None
         self._failing_since: float | None = None
         self._recovered_at: float | None = None
@@ -57,11 +59,16 @@
 
     @property
     def revision(self) -> int:
-        """Return the newest revision that has been passed on, or 0 before the first.
+        """Return the newest revision that has been passed on, or 0 before the first."""
+        return self._delivered.revision
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the newest position that has been passed on.
 
         It never decreases, even while all keys are read again.
         """
-        return self._delivered_revision
+        return self._delivered
 
     @property
     def confirmed_at(self) -> float | None:
@@ -99,8 +106,9 @@
             await self._on_snapshot(snapshot)
             self._resume_revision = snapshot.revision
             self._record_delivered(
-                (snapshot.revision, *(item.mod_revision for item in snapshot.items))
+                snapshot.era, (snapshot.revision, *(item.mod_revision for item in snapshot.items))
             )
+        self._require_era(self._store.era)
         watch = await self._store.watch(self._prefix, self._resume_revision + 1)
         self._record_confirmation()
         try:
@@ -123,18 +131,19 @@
             return False
         if events:
             await self._on_events(events)
-        self._record_delivered(event.mod_revision for event in events)
-        self._resume_revision = max(self._resume_revision, self._delivered_revision)
+        self._record_delivered(self._delivered.era, (event.mod_revision for event in events))
+        self._resume_revision = max(self._resume_revision, self._delivered.revision)
         self._record_confirmation()
         return True
 
     async def _check(self, watch: Watch) -> None:
         """Compare revisions with the store; raise ``PlatformError`` if the watch missed any."""
         snapshot = await self._store.read_revisions(self._prefix)
+        self._require_era(snapshot.era)
         newest = max((item.mod_revision for item in snapshot.items), default=0)
-        if newest > self._delivered_revision:
+        if newest > self._delivered.revision:
             await self._process_next(watch, CHECK_GRACE_S)
-        if newest > self._delivered_revision:
+        if newest > self._delivered.revision:
             raise StoreUnavailableError(f"the watch went silent before revision {newest}")
         self._record_confirmation()
 
@@ -142,9 +151,15 @@
         """Return the jittered time without changes after which the watch is checked."""
         return self._base_check_interval_s * (0.75 + 0.5 * self._random.random())
 
-    def _record_delivered(self, revisions: Iterable[int]) -> None:
-        """Record the newest of the revisions passed on."""
-        self._delivered_revision = max(self._delivered_revision, max(revisions, default=0))
+    def _require_era(self, era: int) -> None:
+        """Raise ``CompactedError`` if the store is in another era than what was passed on."""
+        if era != self._delivered.era:
+            raise CompactedError(self._delivered.revision)
+
+    def _record_delivered(self, era: int, revisions: Iterable[int]) -> None:
+        """Record the newest of the revisions of an era that were passed on."""
+        newest = StorePosition(era, max(revisions, default=0))
+        self._delivered = max(self._delivered, newest)
 
     def _record_confirmation(self) -> None:
         """Record that this process is up to date with the store."""
--- a/bluebellrun/store/_guard.py
+++ b/bluebellrun/store/_guard.py
@@ -58,6 +58,11 @@
         """Return whether the circuit breaker is closed."""
         return not self._breaker.is_open
 
+    @property
+    def era(self) -> int:
+        """Return the latest era that an answer has named."""
+        return self._store.era
+
     async def get(self, key: str) -> Snapshot:
         """Read one key."""
         return await self._call_with_retries(lambda: self._store.get(key), write=False)
--- a/bluebellrun/store/_models.py
+++ b/bluebellrun/store/_models.py
@@ -33,12 +33,40 @@
     lease: int = 0
 
 
+# Upper bound on the revisions that one restore loses: hours of writes at a store's rate limit.
+REVISIONS_PER_ERA = 1 << 24
+# Until its first restore a store is in this era, and fencing numbers equal revisions.
+FIRST_ERA = 1
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class StorePosition:
+    """A point in a store's history: revisions are given out again in each era.
+
+    The era rises when the store comes back from an older copy; it is 0 while none is known.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+    @property
+    def number(self) -> int:
+        """Return the position as one number that grows over all eras, for fencing."""
+        return self.revision + max(0, self.era - FIRST_ERA) * REVISIONS_PER_ERA
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Keys read together, consistent at one revision of the store."""
+    """Keys read together, consistent at one revision of the store in an era."""
 
     items: tuple[KeyValue, ...]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the point in the store's history."""
+        return StorePosition(self.era, self.revision)
 
     def get(self, key: str) -> KeyValue | None:
         """Return the item of a key, or none."""
@@ -68,6 +96,7 @@
 
     succeeded: bool
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellrun/store/_ports.py
+++ b/bluebellrun/store/_ports.py
@@ -28,6 +28,14 @@
 class KeyValueStore(Protocol):
     """The key-value service. Raises ``StoreUnavailableError``, ``StoreAnswerLostError``."""
 
+    @property
+    def era(self) -> int:
+        """Return the latest era that an answer has named, 0 for a store without eras.
+
+        It rises when the store comes back from an older copy: what was written in between is gone,
+        leases too, and revisions and lease ids are given out again.
+        """
+
     async def get(self, key: str) -> Snapshot:
         """Read one key."""
 
--- a/standins/platform/_direct.py
+++ b/standins/platform/_direct.py
@@ -45,9 +45,15 @@
         self.memory = memory or MemoryStore()
         self.faults = faults or StoreFaults()
         self.calls = 0
+        self.era = 0
         self._clock = clock
         self._changed = curio.Event()
 
+    def restore(self, memory: MemoryStore) -> None:
+        """Come back from an older copy of the memory."""
+        self.memory = memory
+        self.era = max(self.era, 1) + 1
+
     async def get(self, key: str) -> Snapshot:
         """Read one key."""
         self._arrive()
@@ -62,7 +68,7 @@
         """Read all keys below a prefix without their values."""
         snapshot = await self.read_prefix(prefix)
         items = tuple(replace(item, value=b"") for item in snapshot.items)
-        return Snapshot(items, snapshot.revision)
+        return Snapshot(items, snapshot.revision, snapshot.era)
 
     async def transact(self, compares: Sequence[Compare], puts: Sequence[Put]) -> TransactionResult:
         """Do all writes if all conditions hold, or none."""
@@ -74,7 +80,7 @@
         won = self.memory.transact(conditions, [_operation(put) for put in puts])
         self._leave()
         await self._changed.set()
-        return TransactionResult(won, self.memory.revision)
+        return TransactionResult(won, self.memory.revision, self.era)
 
     async def grant_lease(self, ttl_s: int) -> int:
         """Return the id of a new lease."""
@@ -128,7 +134,8 @@
     def _snapshot(self, key: bytes, end: bytes | None) -> Snapshot:
         """Return the keys of a range."""
         found = self.memory.select(key, end)
-        return Snapshot(tuple(_pair(k, record) for k, record in found), self.memory.revision)
+        items = tuple(_pair(key, record) for key, record in found)
+        return Snapshot(items, self.memory.revision, self.era)
 
 
 def _operation(put: Put) -> Any:
--- a/tests/gateway/test_crash_exchange.py
+++ b/tests/gateway/test_crash_exchange.py
@@ -35,6 +35,8 @@
 class MemoryStore:
     """Keys and leases in memory; down while ``is_down``."""
 
+    era = 1
+
     def __init__(self) -> None:
         self.items: dict[str, bytes] = {}
         self.ttls: list[int] = []
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -1,6 +1,6 @@
 from bluebellrun.core import Address
 from bluebellrun.gateway import Upstream, UpstreamDirectory
-from bluebellrun.gateway._directory import LEAVING_NOTICE_S
+from bluebellrun.gateway._directory import LEAVING_NOTICE_S, OUTDATED_S
 
 
 def upstream(instance, leaving=False, service="s", started_ms=0, at=None):
@@ -128,3 +128,37 @@
     directory.put(upstream("one", started_ms=1, at=80))
     directory.put(upstream("two", service="other", started_ms=2, at=80))
     assert names(directory) == ["one"]
+
+
+# Guards: an older copy of the store brought back upstreams that had left (DRAIN).
+def test_an_older_copy_of_the_store_revives_no_upstream_that_has_left():
+    directory = UpstreamDirectory()
+    for name in ("stays", "leaves", "left"):
+        directory.put(upstream(name))
+    copy = {name: upstream(name) for name in ("stays", "leaves", "left")}
+    directory.put(upstream("leaves", leaving=True))
+    directory.remove("left", 4.0, store_outage=False)
+    directory.replace_all(copy, 5.0, store_outage=True, restored=True)
+    assert names(directory, 5.0) == ["stays"]
+    directory.put(upstream("leaves"))
+    assert names(directory, 5.1) == ["leaves", "stays"]
+    directory.remove("left", 5.2, store_outage=False)
+    assert names(directory, 5.0 + OUTDATED_S) == ["leaves", "stays"]
+
+
+def test_an_upstream_that_is_still_registered_in_the_older_copy_is_used_after_some_seconds():
+    directory = UpstreamDirectory()
+    directory.put(upstream("one"))
+    directory.remove("one", 4.0, store_outage=False)
+    directory.replace_all({"one": upstream("one")}, 5.0, store_outage=True, restored=True)
+    assert names(directory, 5.0 + OUTDATED_S - 0.1) == []
+    assert names(directory, 5.0 + OUTDATED_S) == ["one"]
+
+
+def test_an_upstream_that_registered_in_the_lost_seconds_is_kept_for_a_while():
+    directory = UpstreamDirectory()
+    directory.put(upstream("late"))
+    directory.replace_all({}, 5.0, store_outage=True, restored=True)
+    assert names(directory, 5.1) == ["late"]
+    directory.put(upstream("late"))
+    assert names(directory, 60.0) == ["late"]
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -16,8 +16,8 @@
 NOWHERE = Address("127.0.0.1", 1)
 
 
-def gossip() -> Gossip:
-    store = PlatformStore(NOWHERE, StoreTimeouts(1.0))
+def gossip(store: PlatformStore | None = None) -> Gossip:
+    store = store or PlatformStore(NOWHERE, StoreTimeouts(1.0))
     view = StoreView(
         store, PlatformCatalogue(), UpstreamDirectory(), lambda d: True, BootClock(), Random(1)
     )
--- a/tests/plans/_store.py
+++ b/tests/plans/_store.py
@@ -21,6 +21,8 @@
 class MemoryStore:
     """``faults`` holds what happens to the next transactions; ``read_faults`` to reads."""
 
+    era = 0
+
     def __init__(self) -> None:
         self.values: dict[str, KeyValue] = {}
         self.revision = 1
