Refuse odd registrations without ending the task that follows the store

A registration or configuration nested 5,000 deep in an unknown field raised RecursionError in the decoder: the task that follows the store ended and was not started again, so later upstreams never appeared. Port 0, a NUL or a name in the address, and 10^30 slots were taken as upstreams. The class of fault is an error that the decoder's caller does not expect. Datagrams, records of roles, reports of crashes and answers of engines had the same fault.

The soak writes such entries.

--- a/bench/platform_soak/_faults.py
+++ b/bench/platform_soak/_faults.py
@@ -20,6 +20,20 @@
 STORM_S = (4.0, 10.0)
 SIGNALS_S = 8.0
 KILL_AFTER_S = STOP_GRACE_S + 2.0
+_REGISTRATION = (
+    b'{"service":"job-ledger","zone":"a","state":"ready","slots":%s,"addr":"%s","more":%s}'
+)
+# Registrations that name no upstream.
+GARBAGE = (
+    b"\xff\x00",
+    b"{}",
+    b'{"service": 3}',
+    b"[]",
+    _REGISTRATION % (b"6", b"127.0.0.1:80", b"[" * 5_000 + b"]" * 5_000),
+    _REGISTRATION % (b"1" + b"0" * 30, b"127.0.0.1:80", b"0"),
+    _REGISTRATION % (b"6", b"127.0.0.1:0", b"0"),
+    _REGISTRATION % (b"6", b"127.0.0.1:70000", b"0"),
+)
 
 Fault = Callable[[Random], Awaitable[None]]
 
@@ -303,10 +317,10 @@
 
     async def garbage_registered(self, random: Random) -> None:
         """Write entries that name no upstream."""
-        for number, value in enumerate((b"\xff\x00", b"{}", b'{"service": 3}', b"[]")):
+        for number, value in enumerate(GARBAGE):
             self._world.store.put(f"servers/garbage-{number}", value)
         await curio.sleep(random.uniform(0.2, 1.0))
-        for number in range(4):
+        for number in range(len(GARBAGE)):
             self._world.store.delete(f"servers/garbage-{number}")
 
     async def _wait(self, seconds: float) -> None:
--- a/bluebellrun/core/__init__.py
+++ b/bluebellrun/core/__init__.py
@@ -1,6 +1,7 @@
 """Identifiers, clocks, outcomes and runtime invariants shared by every layer."""
 
 from bluebellrun.core._clock import BootClock, Clock, ManualClock, MonotonicClock, UnixClock
+from bluebellrun.core._decoding import DecodingError, decode
 from bluebellrun.core._identifiers import (
     Address,
     AttemptId,
@@ -23,6 +24,7 @@
     "AttemptId",
     "BootClock",
     "Clock",
+    "DecodingError",
     "Incarnation",
     "InvariantError",
     "Invariants",
@@ -36,6 +38,7 @@
     "UnixClock",
     "Unknown",
     "attempt_id",
+    "decode",
     "invariants",
     "is_whole_number",
     "load_at_first_use",
--- a/bluebellrun/gateway/_catch_up.py
+++ b/bluebellrun/gateway/_catch_up.py
@@ -7,7 +7,7 @@
 import curio
 import msgspec
 
-from bluebellrun.core import Address, parse_address
+from bluebellrun.core import Address, decode, parse_address
 from bluebellrun.gateway._peers import EntryStatus, PeerTable
 from bluebellrun.gateway._store_view import StoreView
 from bluebellrun.http import (
@@ -89,7 +89,7 @@
                 continue
             try:
                 await self._fetch(parse_address(peer.address))
-            except (TransportError, msgspec.DecodeError, ValueError, curio.TaskTimeout) as error:
+            except (TransportError, ValueError, curio.TaskTimeout) as error:
                 _log.info("store copy not fetched", entry=peer.entry, reason=str(error))
 
     def _peer_to_query(self) -> EntryStatus | None:
@@ -112,7 +112,7 @@
             await client.close()
         if status != OK:
             raise ValueError(f"{address} answered {status} to a request for its store copy")
-        copy = _decoder.decode(data)
+        copy = decode(_decoder, data)
         items = tuple(KeyValue(item.key, item.value, item.revision) for item in copy.keys)
         self._view.apply_peer_snapshot(Snapshot(items, copy.revision, copy.era))
 
--- a/bluebellrun/gateway/_crash_exchange.py
+++ b/bluebellrun/gateway/_crash_exchange.py
@@ -10,6 +10,7 @@
 import curio
 import msgspec
 
+from bluebellrun.core import DecodingError, decode
 from bluebellrun.gateway._store_view import StoreView
 from bluebellrun.quarantine import CrashReport, PromptQuarantine, QuarantineSettings
 from bluebellrun.store import KeyValueStore, PlatformError, Put, StorePosition
@@ -131,8 +132,8 @@
             if record.value is None or known.get(record.key) == record.position:
                 continue
             try:
-                report = _decoder.decode(record.value)
-            except msgspec.DecodeError as error:
+                report = decode(_decoder, record.value)
+            except DecodingError as error:
                 _log.warning("crash report ignored", key=record.key, reason=str(error))
                 continue
             self._apply(report, "store", time.monotonic())
--- a/bluebellrun/gateway/_limit_permits.py
+++ b/bluebellrun/gateway/_limit_permits.py
@@ -14,7 +14,15 @@
 import curio
 import msgspec
 
-from bluebellrun.core import Address, Clock, MonotonicClock, TokenBucket, parse_address
+from bluebellrun.core import (
+    Address,
+    Clock,
+    DecodingError,
+    MonotonicClock,
+    TokenBucket,
+    decode,
+    parse_address,
+)
 from bluebellrun.gateway._models import (
     LimitNotice,
     NamedLimit,
@@ -76,8 +84,8 @@
 def decode_permit_message(data: bytes) -> PermitMessage | None:
     """Read a datagram; none if it is no valid message about a permit."""
     try:
-        return _decoder.decode(data)
-    except msgspec.DecodeError:
+        return decode(_decoder, data)
+    except DecodingError:
         return None
 
 
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from bluebellrun.core import DecodingError, decode
 from bluebellrun.gateway._models import UpstreamIncarnation
 from bluebellrun.quarantine import CrashReport
 
@@ -75,8 +76,8 @@
 def decode_status(data: bytes) -> EntryStatus | None:
     """Read a datagram; none if it is no valid status."""
     try:
-        return _decoder.decode(data)
-    except msgspec.DecodeError:
+        return decode(_decoder, data)
+    except DecodingError:
         return None
 
 
--- a/bluebellrun/gateway/_store_view.py
+++ b/bluebellrun/gateway/_store_view.py
@@ -203,7 +203,7 @@
         upstreams: dict[str, Upstream] = {}
         self._shared.clear()
         for pair in items:
-            item = self._reader.read(pair.key, pair.value, pair.mod_revision)
+            item = self._read(pair.key, pair.value, pair.mod_revision)
             if self._reader.is_shared(pair.key):
                 self._shared[pair.key] = pair
             if isinstance(item, UpstreamWritten):
@@ -218,10 +218,18 @@
         now = self._clock.now()
         for event in events:
             self._share(event)
-            item = self._reader.read(event.key, event.value, event.mod_revision)
+            item = self._read(event.key, event.value, event.mod_revision)
             if item is not None:
                 self._apply(item, now)
 
+    def _read(self, key: str, value: bytes | None, revision: int) -> StoreChange | None:
+        """Read a key; one that the reader fails at must not end the following of all others."""
+        try:
+            return self._reader.read(key, value, revision)
+        except Exception as error:
+            _log.exception("key not read", key=key, error=type(error).__name__)
+            return Unreadable(key, f"{type(error).__name__}: {error}")
+
     def _share(self, event: WatchEvent) -> None:
         """Update the keys shared with entries that cannot reach the store."""
         if event.value is None:
--- a/bluebellrun/leases/_holder.py
+++ b/bluebellrun/leases/_holder.py
@@ -127,7 +127,13 @@
 
     def is_own(self, value: bytes) -> bool:
         """Return whether a record stems from this process's claim."""
-        return self._claim is not None and decode_record(value).nonce == self._claim.nonce
+        if self._claim is None:
+            return False
+        try:
+            return decode_record(value).nonce == self._claim.nonce
+        except LeaseError as error:
+            _log.warning("role record ignored", role=self._role, error=str(error))
+            return False
 
     async def delete_record(self, position: StorePosition) -> bool:
         """Delete the record that another holder wrote at a position; return whether it was there.
--- a/bluebellrun/leases/_models.py
+++ b/bluebellrun/leases/_models.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bluebellrun.core import DecodingError, decode
 from bluebellrun.leases._exceptions import LeaseError, LeaseLostError
 
 
@@ -51,6 +52,6 @@
 def decode_record(data: bytes) -> RoleRecord:
     """Read a record; raise ``LeaseError`` if it is malformed."""
     try:
-        return _decoder.decode(data)
-    except msgspec.DecodeError as error:
+        return decode(_decoder, data)
+    except DecodingError as error:
         raise LeaseError(f"the record of a role reads {data[:100]!r}: {error}") from error
--- a/bluebellrun/platform/_configuration.py
+++ b/bluebellrun/platform/_configuration.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bluebellrun.core import DecodingError, decode
 from bluebellrun.deployment import (
     CallerLimits,
     Customer,
@@ -115,8 +116,8 @@
 def read_configuration(data: bytes, revision: int) -> Deployment:
     """Decode a stored configuration; raise ``ConfigurationError`` if it cannot be decoded."""
     try:
-        stored = _decoder.decode(data)
-    except msgspec.DecodeError as error:
+        stored = decode(_decoder, data)
+    except DecodingError as error:
         raise ConfigurationError(f"the configuration cannot be read: {error}") from error
     return Deployment(
         version=stored.version,
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -9,7 +9,7 @@
 import curio
 import msgspec
 
-from bluebellrun.core import Address
+from bluebellrun.core import Address, DecodingError, decode
 from bluebellrun.gateway import OrderReply, RankCallError, RankReplacedError, Upstream
 from bluebellrun.http import (
     COMPRESSED,
@@ -334,8 +334,8 @@
 def _decode(decoder: Any, answer: tuple[int, bytes]) -> Any:
     """Decode an answer; raise ``RankCallError`` if it is malformed."""
     try:
-        return decoder.decode(answer[1])
-    except msgspec.DecodeError as error:
+        return decode(decoder, answer[1])
+    except DecodingError as error:
         raise RankCallError(f"an engine's answer cannot be read: {error}") from error
 
 
--- a/bluebellrun/platform/_relay.py
+++ b/bluebellrun/platform/_relay.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from bluebellrun.core import Address
+from bluebellrun.core import Address, DecodingError, decode
 from bluebellrun.http import (
     COMPRESSED,
     ClientTimeouts,
@@ -149,6 +149,6 @@
 def _decode(decoder: Any, data: bytes) -> Any:
     """Decode a message; raise ``ValueError`` if it is malformed."""
     try:
-        return decoder.decode(data)
-    except msgspec.DecodeError as error:
+        return decode(decoder, data)
+    except DecodingError as error:
         raise ValueError(f"{data[:60]!r} cannot be read: {error}") from error
--- a/bluebellrun/platform/_store.py
+++ b/bluebellrun/platform/_store.py
@@ -10,7 +10,7 @@
 import curio
 import msgspec
 
-from bluebellrun.core import Address, is_whole_number
+from bluebellrun.core import Address, DecodingError, decode, is_whole_number
 from bluebellrun.http import (
     AnswerTooLongError,
     ClientTimeouts,
@@ -327,8 +327,8 @@
                 f"the store answered {answer.status}: {answer.data[:200]!r}"
             )
         try:
-            return decoder.decode(answer.data)
-        except msgspec.DecodeError as error:
+            return decode(decoder, answer.data)
+        except DecodingError as error:
             raise StoreAnswerLostError(f"the store's answer cannot be read: {error}") from error
 
 
