Do not take a repeated refusal for that of a later request

A faulty upstream that writes an earlier refusal once more on a kept connection made callers' requests run twice, or callers were told 503 for a request that was running: a request that is queued again after a refusal went to the same upstream on the same connection, where the first refusal, with the same id, came before the answer; and a refusal that names no request was taken for that of the next one. The class of fault is an answer that cannot be told from another's. A request that goes to an upstream again now does so on a new connection, and an answer on a kept connection that names no request is no promise: the request may have run.

--- a/bluebellrun/gateway/_models.py
+++ b/bluebellrun/gateway/_models.py
@@ -109,7 +109,8 @@
     ``not_run`` means that the upstream guarantees that the request did not run, ``misdirected``
     that another upstream now has its address, and ``leaving`` that it is about to stop.
     ``retry_after_s`` is the backoff that it asks of this process, none if it did not say, and
-    ``limit`` the rate that it accepts from all entries together.
+    ``limit`` the rate that it accepts from all entries together. ``names_request`` means that it
+    echoes the request's id.
     """
 
     status: int
@@ -119,6 +120,7 @@
     leaving: bool = False
     retry_after_s: float | None = None
     limit: LimitNotice = field(default_factory=NoLimit)
+    names_request: bool = True
 
     @property
     def succeeded(self) -> bool:
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -30,6 +30,7 @@
     Unresolved,
     Upstream,
     UpstreamAnswer,
+    UpstreamIncarnation,
 )
 from bluebellrun.gateway._outcomes import Declined, Done, Failed, Lost, Moved, Outcome
 from bluebellrun.gateway._passing import StreamProgress, forward_answer, forward_stream
@@ -134,6 +135,7 @@
         self._refusals = 0
         self._upstream = ""
         self._excluded: set[str] = set()
+        self._sent_to: set[UpstreamIncarnation] = set()
         self._progress = StreamProgress(request.last_event_id)
         # Of the current attempt: whether its answer's head arrived, and how many batches of events.
         self._has_head = False
@@ -465,6 +467,9 @@
             self._progress.last_id,
         )
         max_idle_s = None if self._route.repeatable else NON_REPEATABLE_MAX_IDLE_S
+        # A faulty upstream may repeat its earlier refusal of this request on the same connection.
+        sent_before = upstream.incarnation in self._sent_to
+        self._sent_to.add(upstream.incarnation)
         self._runs += 1
         self._has_head, self._events = False, 0
         self._sent_at = time.monotonic()
@@ -476,6 +481,7 @@
                 request.body,
                 accept=self._wire.answers_to(request),
                 max_idle_s=max_idle_s,
+                new_connection=sent_before,
             )
         except ConnectError as error:
             self._runs -= 1
@@ -493,6 +499,8 @@
     async def _forward(self, upstream: Upstream, response: HttpResponse) -> Outcome:
         """Forward an answer to the caller."""
         answer = self._wire.read_answer(response.status, response.headers)
+        if response.on_kept_connection and not answer.names_request:
+            return Lost(f"upstream answered {answer.status} without the request's id")
         self._apply_notices(upstream, answer)
         if answer.not_run:
             self._runs -= 1
--- a/bluebellrun/http/_client.py
+++ b/bluebellrun/http/_client.py
@@ -88,9 +88,15 @@
         self._connection = connection
         self._client = client
         self._released = False
+        self._on_kept_connection = connection.is_kept
         self.status = 0
         self.headers: Headers = []
 
+    @property
+    def on_kept_connection(self) -> bool:
+        """Return whether its connection had served another request before."""
+        return self._on_kept_connection
+
     @property
     def ends_by_close(self) -> bool:
         """Return whether only the end of its connection marks the end of the body."""
@@ -170,16 +176,18 @@
         first_byte_s: float | None = None,
         accept: AcceptResponse | None = None,
         max_idle_s: float | None = None,
+        new_connection: bool = False,
     ) -> HttpResponse:
         """Send a request and return its response once the head has arrived.
 
         A response that ``accept`` turns down answers another request and is skipped. A kept
-        connection is used only if it has been idle for at most ``max_idle_s`` seconds.
+        connection is used only if it has been idle for at most ``max_idle_s`` seconds, and none
+        with ``new_connection``.
 
         Raises ``ConnectError`` when no byte was sent, ``PeerTimeoutError``,
         ``ConnectionLostError`` or ``BadResponseError`` when the request may have been received.
         """
-        connection = await self._take(max_idle_s)
+        connection = await (self._connect() if new_connection else self._take(max_idle_s))
         try:
             await connection.send_request(self._address, method, target, headers, body)
             response = HttpResponse(connection, self)
@@ -263,8 +271,14 @@
         self._sender: Any = None
         self._keep_s: float | None = None
         self._more_waits = False
+        self._is_kept = False
         self._idle_since = time.monotonic()
 
+    @property
+    def is_kept(self) -> bool:
+        """Return whether the connection has served a request before the current one."""
+        return self._is_kept
+
     def usable(self, max_idle_s: float | None) -> bool:
         """Return whether the connection was used recently enough to be used again."""
         idle_s = time.monotonic() - self._idle_since
@@ -416,6 +430,7 @@
                 return False
             self._sender = None
         self._protocol.start_next_cycle()
+        self._is_kept = True
         self._idle_since = time.monotonic()
         return True
 
--- a/bluebellrun/platform/_messages.py
+++ b/bluebellrun/platform/_messages.py
@@ -128,6 +128,7 @@
             leaving=header_value(headers, SERVER_LEAVING) == LEAVING_VALUE,
             retry_after_s=read_retry_after_s(headers) if status == UNAVAILABLE else None,
             limit=_limit(headers),
+            names_request=header_value(headers, REQUEST_ID) is not None,
         )
 
     def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
