Continue a broken stream only with a stream

A stream that had begun and broke off was continued with whatever success the next upstream sent: a body in JSON or text with a blank line reached the caller in the middle of its events, and an answer without content ended the stream as if it were complete. The class of fault is an answer that is judged by its status class alone. Only an answer of status 200 whose type is a series of events, or not said, continues a stream; a large answer that broke off is not sent to another upstream any more.

--- a/bluebellrun/gateway/_models.py
+++ b/bluebellrun/gateway/_models.py
@@ -110,7 +110,7 @@
     that another upstream now has its address, and ``leaving`` that it is about to stop.
     ``retry_after_s`` is the backoff that it asks of this process, none if it did not say, and
     ``limit`` the rate that it accepts from all entries together. ``names_request`` means that it
-    echoes the request's id.
+    echoes the request's id, and ``is_stream`` that its body is a series of events.
     """
 
     status: int
@@ -121,6 +121,7 @@
     retry_after_s: float | None = None
     limit: LimitNotice = field(default_factory=NoLimit)
     names_request: bool = True
+    is_stream: bool = True
 
     @property
     def succeeded(self) -> bool:
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -341,7 +341,8 @@
 
     def _may_run_again(self) -> bool:
         """Return whether the request may run at one more upstream."""
-        return self._route.repeatable and self._runs < self._route.attempts
+        is_resumable = self._route.streamed or not self._exchange.started
+        return is_resumable and self._route.repeatable and self._runs < self._route.attempts
 
     async def _await_resumption(self) -> bool:
         """Pause before a stream is resumed; return false if its caller has given up.
@@ -512,7 +513,9 @@
             had_slots = not answer.misdirected and running <= upstream.slots
             return Declined(f"upstream answered {answer.status}: not run", had_slots=had_slots)
         self._admission_control.gate.record_accepted(time.monotonic())
-        if self._route.streamed and answer.succeeded:
+        if self._exchange.started and not (self._route.streamed and answer.is_stream):
+            return Lost(f"upstream answered {answer.status}, which continues no stream")
+        if self._route.streamed and answer.is_stream:
             return await forward_stream(
                 self._exchange,
                 answer,
@@ -522,8 +525,6 @@
                 partial(self._record_events, upstream),
                 partial(self._may_move, upstream),
             )
-        if self._exchange.started:
-            return Lost(f"upstream answered {answer.status} to a resumed stream")
         outcome = await forward_answer(self._exchange, answer, response, lambda: self.remaining_s)
         if isinstance(outcome, Done) and answer.succeeded:
             self._record_answer()
--- a/bluebellrun/platform/_messages.py
+++ b/bluebellrun/platform/_messages.py
@@ -39,8 +39,10 @@
     TOKEN_COUNT,
 )
 
+OK = 200
 MISDIRECTED = 421
 UNAVAILABLE = 503
+EVENT_STREAM = "text/event-stream"
 LEAVING_VALUE = "1"
 # Requests a second, with or without a fraction.
 LIMIT = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
@@ -129,6 +131,7 @@
             retry_after_s=read_retry_after_s(headers) if status == UNAVAILABLE else None,
             limit=_limit(headers),
             names_request=header_value(headers, REQUEST_ID) is not None,
+            is_stream=status == OK and _is_event_stream(headers),
         )
 
     def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
@@ -141,6 +144,12 @@
         return headers
 
 
+def _is_event_stream(headers: Headers) -> bool:
+    """Return whether a body is a series of events, as far as its headers tell."""
+    content_type = header_value(headers, "content-type")
+    return content_type is None or content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+
+
 def _limit(headers: Headers) -> LimitNotice:
     """Return what an upstream's answer says of the rate that it accepts."""
     text = header_value(headers, SERVER_LIMIT)
