--- a/bench/platform_soak/_faults.py
+++ b/bench/platform_soak/_faults.py
@@ -66,6 +66,7 @@
             (2, self.replica_drains),
             (2, self.upstream_fails),
             (2, self.upstreams_name_limits),
+            (2, self.upstream_repeats_refusals),
             (2, self.link_delayed),
             (2, self.link_cut_one_way),
             (2, self.link_reset),
@@ -268,6 +269,13 @@
             upstream.lift_limit()
         self._busy.discard(f"limits of {service}")
 
+    async def upstream_repeats_refusals(self, random: Random) -> None:
+        """Let an upstream refuse requests, and write refusals once more on their connections."""
+        upstream = random.choice(self._world.upstreams)
+        upstream.refuses = random.uniform(0.2, 0.7)
+        await self._wait(random.uniform(1.0, 4.0))
+        upstream.refuses = 0.0
+
     async def link_delayed(self, random: Random) -> None:
         """Delay what goes to and from an upstream."""
         link = self._any_link(random)
--- a/bench/platform_soak/_upstreams.py
+++ b/bench/platform_soak/_upstreams.py
@@ -108,6 +108,11 @@
     return f"{request_id} {hashlib.sha256(body).hexdigest()}".encode()
 
 
+def _connection(exchange: HttpExchange) -> int:
+    """Return a number that tells a request's connection from others that are open."""
+    return id(exchange._connection)
+
+
 class Upstream:
     """One life after the other of an upstream at one address."""
 
@@ -122,6 +127,9 @@
         self.instance = ""
         self.alive = False
         self.fails = 0.0
+        # The part of requests that are refused; their connections get the refusal once more later.
+        self.refuses = 0.0
+        self._refused: dict[int, bytes] = {}
         self._limit: LimitPeriod | None = None
         self._random = Random(name)
 
@@ -175,12 +183,25 @@
         if header(f"{PREFIX}request-id") is None or self._running >= 2 * SLOTS:
             await exchange.answer(503, [*NOT_RUN, *self._notices], b"")
             return
+        if self._random.random() < self.refuses:
+            await self._refuse(exchange, header(f"{PREFIX}request-id") or "")
+            return
+        await exchange._connection._socket.sendall(self._refused.pop(_connection(exchange), b""))
         self._running += 1
         try:
             await self._run(exchange, header(f"{PREFIX}request-id") or "")
         finally:
             self._running -= 1
 
+    async def _refuse(self, exchange: HttpExchange, request_id: str) -> None:
+        """Refuse a request, and keep the refusal to write it again before the next answer."""
+        names = [(f"{PREFIX}request-id", request_id)] if self._random.random() < 0.7 else []
+        headers = [*NOT_RUN, *self._notices, *names]
+        await exchange.answer(503, headers, b"")
+        lines = ["HTTP/1.1 503 X", *(f"{name}: {value}" for name, value in headers)]
+        refusal = "\r\n".join([*lines, "content-length: 0", "", ""])
+        self._refused[_connection(exchange)] = refusal.encode()
+
     async def _answer_call(self, exchange: HttpExchange) -> None:
         await exchange.answer(404, [], b"")
 
