Bound the limits that one status names

A status datagram named all limits: with some 1,400 limited upstreams it would have been over the 60,000 bytes that are sent at most, and entries would have heard nothing of each other. It names 32 now, all of them in turn; tests/gateway/test_limit_permits.py has the case. CAPACITY.md has what permits cost.

--- a/bluebellrun/gateway/_limit_permits.py
+++ b/bluebellrun/gateway/_limit_permits.py
@@ -41,6 +41,8 @@
 MIN_RATE_PER_S = 0.2
 # Permits that were not used accumulate up to this many seconds' worth.
 BURST_S = 1.0
+# Limits that one status names; the others follow in the next ones.
+MAX_REPORTS_PER_MESSAGE = 32
 # An owner answers within a few milliseconds.
 REPLY_TIMEOUT_S = 0.1
 # An owner that did not answer is asked again after this, or as soon as it is replaced.
@@ -110,6 +112,7 @@
         self._owners: dict[UpstreamIncarnation, str] = {}
         self._owners_membership = -1
         self._registered = 1
+        self._next_report = 0
         self._send: SendDatagram | None = None
         self._numbers = itertools.count(1)
         self._replies: dict[int, PermitReply] = {}
@@ -197,10 +200,14 @@
             await pending.set()
 
     def reports(self, now: float) -> list[LimitReport]:
-        """Return the limits to tell the other entries."""
+        """Return as many limits as one message has room for, in turn."""
+        known = self._limits.reports(now)
+        start = self._next_report % len(known) if known else 0
+        chosen = (known[start:] + known[:start])[:MAX_REPORTS_PER_MESSAGE]
+        self._next_report = start + len(chosen)
         return [
-            LimitReport(instance, started_ms, known.per_s, now - known.at)
-            for (instance, started_ms), known in self._limits.reports(now)
+            LimitReport(instance, started_ms, observed.per_s, now - observed.at)
+            for (instance, started_ms), observed in chosen
         ]
 
     def apply_reports(self, reports: Collection[LimitReport], entry: str, now: float) -> None:
--- a/tests/gateway/test_limit_permits.py
+++ b/tests/gateway/test_limit_permits.py
@@ -1,5 +1,6 @@
 """Guards: a limit that an upstream names is for all entries together (LIMIT)."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -172,6 +173,22 @@
     play(Entries(5, 2, 1.0), check)
 
 
+def test_a_status_stays_small_and_names_all_limits_in_turn():
+    async def check(entries: Entries) -> None:
+        for name in ("e0", "e1"):
+            await entries.send_request(name)
+        now, permits = entries.clock.time, entries.permits["e0"]
+        for upstream in entries.upstreams:
+            permits.limits.record_named(upstream.record.incarnation, 1.0, now)
+        named = [permits.reports(now) for _ in range(20)]
+        assert {len(reports) for reports in named} == {module.MAX_REPORTS_PER_MESSAGE}
+        counts = Counter(report.instance for reports in named for report in reports)
+        assert len(counts) == 200
+        assert set(counts.values()) <= {3, 4}
+
+    play(Entries(2, 200, 1.0), check)
+
+
 # Guards: builds before the limits read the status of this one, and this one theirs.
 def test_older_builds_and_this_one_read_each_other():
     status = EntryStatus("e", "i", 1, "10.0.0.1:1", 0.0, {}, limits=[LimitReport("u", 7, 1.5, 0.2)])
