Do not revoke a lease of before a restore of the store

A holder that gave the role up after a restore revoked its lease by an id that the store had granted anew, to the next holder, and so took the role away from it. A new test of the role found it; releases now revoke only leases of the current era.

--- a/bluebellrun/leases/_holder.py
+++ b/bluebellrun/leases/_holder.py
@@ -121,7 +121,7 @@
         if claim is None:
             return
         try:
-            await self._store.revoke_lease(claim.lease)
+            await self._revoke(claim)
         except PlatformError as error:
             _log.info("role lease not revoked, it will expire", role=self._role, error=str(error))
 
@@ -192,10 +192,15 @@
             return None if held is None else await self._settle(held)
         if number is None:
             self._claim = None
-            await self._store.revoke_lease(lease_id)
+            await self._revoke(claim)
             return None
         return self._set_lease(claim.requested_at, number)
 
+    async def _revoke(self, claim: _Claim) -> None:
+        """Revoke a claim's lease, unless a restore may have given its id to another process."""
+        if claim.era == self._store.era:
+            await self._store.revoke_lease(claim.lease)
+
     async def _create(self, claim: _Claim) -> int | None:
         """Create the record; return its fencing number, or ``None`` if one exists already."""
         record = RoleRecord(self._holder, claim.nonce, claim.lease)
--- a/tests/gateway/test_role.py
+++ b/tests/gateway/test_role.py
@@ -1,3 +1,4 @@
+from copy import deepcopy
 from random import Random
 from typing import Any, cast
 
@@ -15,6 +16,7 @@
 )
 from bluebellrun.leases import RoleHolder
 from standins.platform import DirectStore
+from standins.platform._store import MemoryStore
 
 KEY = "/t/roles/placement"
 
@@ -54,7 +56,9 @@
 
     async def refresh(self) -> None:
         found = (await self._store.get(KEY)).get(KEY)
-        self._record = found and RecordWritten(KEY, found.value, found.mod_revision)
+        self._record = found and RecordWritten(
+            KEY, found.value, found.mod_revision, era=self._store.era
+        )
 
     def record(self, key: str) -> RecordWritten | None:
         return self._record
@@ -114,3 +118,37 @@
         assert other.number is not None
 
     run_roles(check)
+
+
+# Guards: after a restore of the store the holder took its own record for that of another process.
+def test_a_holder_whose_record_the_store_still_has_after_a_restore_keeps_the_role():
+    async def check(holder: Entry, other: Entry) -> None:
+        before = holder.number
+        store = holder.view._store
+        store.restore(deepcopy(store.memory))
+        await holder.view.refresh()
+        assert holder.number == before
+        await holder.role._step()
+        assert before is not None and holder.number is not None and holder.number > before
+        await other.view.refresh()
+        await other.role._step()
+        assert other.number is None
+
+    run_roles(check)
+
+
+# Guards: a holder whose role was lost by a restore went on beside the next one.
+def test_a_holder_whose_role_was_lost_by_a_restore_gives_way_to_the_next():
+    async def check(holder: Entry, other: Entry) -> None:
+        store = other.view._store
+        store.restore(MemoryStore())
+        await other.view.refresh()
+        await other.role._step()
+        assert other.number is not None and holder.number is not None
+        assert other.number > holder.number
+        await holder.view.refresh()
+        assert holder.number is None
+        await holder.role._step()
+        assert (holder.number, other.number is not None) == (None, True)
+
+    run_roles(check)
