--- a/bluebellrun/gateway/_limit_permits.py
+++ b/bluebellrun/gateway/_limit_permits.py
@@ -43,6 +43,8 @@
 BURST_S = 1.0
 # Limits that one status names; the others follow in the next ones.
 MAX_REPORTS_PER_MESSAGE = 32
+# At MIN_RATE_PER_S of the least part of the entries a permit takes longer; it is asked for again.
+MAX_WAIT_S = 10.0
 # An owner answers within a few milliseconds.
 REPLY_TIMEOUT_S = 0.1
 # An owner that did not answer is asked again after this, or as soon as it is replaced.
@@ -142,7 +144,7 @@
             return 0.0
         key = upstream.incarnation
         if self._owner(key) == self._peers.entry:
-            return self._bucket(upstream.incarnation, now).wait_s(now)
+            return self._bucket(key, now).wait_s(now)
         return max(0.0, self._blocked_until.get(key, now) - now)
 
     def record(self, upstream: Upstream, notice: LimitNotice, sent_at: float, now: float) -> None:
@@ -167,7 +169,7 @@
         key = upstream.incarnation
         owner = self._owner(key)
         if owner == self._peers.entry:
-            granted = self._bucket(upstream.incarnation, now).try_acquire(now)
+            granted = self._bucket(key, now).try_acquire(now)
             outcome = PermitOutcome.GRANTED if granted else PermitOutcome.DENIED
         else:
             self._buckets.pop(key, None)
@@ -180,15 +182,15 @@
         now = self._clock.now()
         report = request.limit
         self.apply_reports([report], request.entry, now)
-        upstream = find(report.instance)
-        if upstream is None or upstream.incarnation != report.incarnation:
+        key, upstream = report.incarnation, find(report.instance)
+        if upstream is None or upstream.incarnation != key:
             return PermitReply(request.number, False, NOT_OWNER_PAUSE_S)
-        if self._owner(report.incarnation) != self._peers.entry:
-            self._buckets.pop(report.incarnation, None)
+        if self._owner(key) != self._peers.entry:
+            self._buckets.pop(key, None)
             return PermitReply(request.number, False, NOT_OWNER_PAUSE_S)
         if self.rate(upstream) is None:
             return PermitReply(request.number, True, 0.0)
-        bucket = self._bucket(upstream.incarnation, now)
+        bucket = self._bucket(key, now)
         granted = bucket.try_acquire(now)
         return PermitReply(request.number, granted, bucket.wait_s(now))
 
@@ -251,13 +253,13 @@
             _log.info("permit not requested", owner=owner, reason=str(error))
         finally:
             del self._pending[number]
-        reply = self._replies.pop(number, None)
+            reply = self._replies.pop(number, None)
         now = self._clock.now()
         if reply is None:
             self._blocked_until[key] = now + UNANSWERED_PAUSE_S
             _log.info("permit request unanswered", owner=owner, upstream=upstream.instance)
             return PermitOutcome.UNANSWERED
-        self._blocked_until[key] = now + max(0.0, reply.wait_s)
+        self._blocked_until[key] = now + min(MAX_WAIT_S, max(0.0, reply.wait_s))
         return PermitOutcome.GRANTED if reply.granted else PermitOutcome.DENIED
 
     def _bucket(self, key: UpstreamIncarnation, now: float) -> TokenBucket:
