--- a/bluebellrun/platform/_store.py
+++ b/bluebellrun/platform/_store.py
@@ -226,8 +226,10 @@
         await watch.start()
         return watch
 
-    async def wait_for_changes(self, prefix: str, after: StorePosition, wait_s: float) -> _Changes:
-        """Return the changes after a position; empty if there are none within ``wait_s``.
+    async def wait_for_changes(
+        self, prefix: str, after: int, wait_s: float, era: int = 0
+    ) -> _Changes:
+        """Return the changes after a revision of an era; empty if there are none in ``wait_s``.
 
         Era 0 stands for whatever era the store is in.
 
@@ -235,25 +237,23 @@
         store was restored, or there are too many changes for one answer.
         """
         wait_ms = max(1, int(wait_s * 1000))
-        query = urlencode({"prefix": prefix, "after": after.revision, "wait_ms": wait_ms})
+        query = urlencode({"prefix": prefix, "after": after, "wait_ms": wait_ms})
         target = f"{STORE_WATCH_PATH}?{query}"
         try:
             answer = await self._read(target, wait_s + self._timeouts.call_s)
         except StoreAnswerTooLongError as error:
-            _log.warning(
-                "watch answer too long, reading all keys", after=after.revision, reason=str(error)
-            )
-            raise CompactedError(after.revision) from error
-        if after.era and answer.era != after.era:
+            _log.warning("watch answer too long, reading all keys", after=after, reason=str(error))
+            raise CompactedError(after) from error
+        if era and answer.era != era:
             _log.info(
                 "store was restored, reading all keys",
                 era=answer.era,
-                known_era=after.era,
-                known_revision=after.revision,
+                known_era=era,
+                known_revision=after,
             )
-            raise CompactedError(after.revision)
+            raise CompactedError(after)
         if answer.status == GONE:
-            raise CompactedError(after.revision)
+            raise CompactedError(after)
         return self._decode(_changes, answer)
 
     async def close(self) -> None:
@@ -362,7 +362,9 @@
 
     async def _poll(self, wait_s: float) -> list[WatchEvent]:
         """Poll for changes since the last poll."""
-        changes = await self._store.wait_for_changes(self._prefix, self._after, wait_s)
+        changes = await self._store.wait_for_changes(
+            self._prefix, self._after.revision, wait_s, self._after.era
+        )
         revision = max(self._after.revision, changes.store_revision)
         self._after = StorePosition(self._after.era or self._store.era, revision)
         return [_watch_event(item) for item in changes.events]
