--- /dev/null
+++ b/review/standins/scene.py
@@ -0,0 +1,324 @@
+"""A small deployment on loopback: the store, replicas of one plain service, and gateways."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import tomllib
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from review.standins.store import Store
+from review.standins.wire import Channel, Message, Server, answer_bytes
+
+ROOT = Path(__file__).resolve().parents[2]
+STORE_PORT, CALLERS_PORT, READY_PORT, REPLICA_PORT = 8223, 8227, 8220, 8228
+METRICS_PORT = 9464
+FIRST_PORT, LAST_PORT = 7340, 7355
+GRACE_S, STABLE_S, DRAIN_S = 8.0, 3.0, 2.0
+HOST, KEY, TENANT, SERVICE = "ficu95.example", "n2ctnfzs989anu6wsjnb", "hule930", "job-ledger"
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+SETTINGS = """node = "{name}"
+role = "gateway"
+class = "front"
+serves = ["front"]
+ip = "{ip}"
+zone = "bidhannagar"
+region = "hooghly-belt"
+port_range = [{first}, {last}]
+seeds = []
+bootstrap = true
+heartbeat_ms = 1200
+[listen]
+front = "{ip}:{callers}"
+ready = "{ip}:{ready}"
+[limits]
+cpu_share = 0.817
+cores = 1
+ram_mb = 300
+max_fds = 4100
+link_mbps = 1000.0
+[bounds]
+stable_ms = 3000
+drain_ms = 2000
+grace_s = 8
+loss_slack_ms = 200
+apply_ms = 2000
+retry_ratio = 0.2
+retry_window_s = 10
+retry_slack = 90
+need_fence = true
+[platform]
+addr = "{store}"
+writes_per_s = 400
+reads_per_s = 2000
+ttl_min_ms = 1000
+"""
+
+
+class Record:
+    """What was sent, answered and run, with the seconds since the start of the case."""
+
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w")
+        self._began = time.monotonic()
+
+    def write(self, text: str) -> None:
+        """Write one line."""
+        self._file.write(f"{time.monotonic() - self._began:8.3f} s  {text}\n")
+        self._file.flush()
+
+
+@dataclass
+class Replica:
+    """One replica of the plain service: it runs each request for as long as its path says."""
+
+    name: str
+    ip: str
+    record: Record
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    ended: list[str] = field(default_factory=list)
+    extra_headers: dict[str, str] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._server = Server(self.ip, REPLICA_PORT, self._handle)
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """End the process."""
+        await self._server.stop()
+
+    def entry(self, version: str = "1") -> bytes:
+        """Return what the replica registers."""
+        told = {
+            "service": SERVICE,
+            "addr": f"{self.ip}:{REPLICA_PORT}",
+            "zone": "bidhannagar",
+            "version": version,
+            "slots": 6,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 0,
+            "born": 1_700_000_000_000,
+        }
+        return json.dumps(told).encode()
+
+    async def _handle(self, request: Message, writer: asyncio.StreamWriter) -> None:
+        """Run a request that is meant for this replica."""
+        name = request.headers.get("x-bluebellrun-request-id", "")
+        if request.headers.get("x-bluebellrun-expect-instance", self.name) != self.name:
+            writer.write(answer_bytes(421, {"x-bluebellrun-not-run": "1"}, b""))
+            return
+        self.arrivals.append((time.monotonic(), name))
+        self.record.write(f"{name} runs at {self.name}")
+        try:
+            await asyncio.sleep(float(request.target.rpartition("/")[2]) / 1000)
+        except asyncio.CancelledError:
+            self.record.write(f"{name} is dropped at {self.name}: its channel was closed")
+            raise
+        self.ended.append(name)
+        self.record.write(f"{name} has run at {self.name}")
+        stamp = f"{self.name}.{name}"
+        headers = {"x-bluebellrun-request-id": name, "x-bluebellrun-server-stamp": stamp}
+        headers.update(self.extra_headers)
+        writer.write(answer_bytes(200, headers, f"done {name}".encode()))
+
+
+@dataclass
+class Gateway:
+    """One gateway as a process of its own, started as the deploy file says."""
+
+    name: str
+    ip: str
+    store: str
+    folder: Path
+    process: "subprocess.Popen[bytes] | None" = None
+
+    def start(self) -> None:
+        """Write the settings and start the process."""
+        path = self.folder / f"{self.name}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                ip=self.ip,
+                store=self.store,
+                first=FIRST_PORT,
+                last=LAST_PORT,
+                callers=CALLERS_PORT,
+                ready=READY_PORT,
+            )
+        )
+        roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
+        command = roles["gateway"]["run"].split(" ")
+        command[0] = sys.executable if command[0] == "python3" else command[0]
+        environment = {
+            "PATH": os.environ.get("PATH", ""),
+            "BLUEBELLRUN_NODE_FILE": str(path),
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+        }
+        with (self.folder / f"{self.name}.log").open("ab") as output:
+            self.process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=output, stderr=subprocess.STDOUT
+            )
+
+    @property
+    def runs(self) -> bool:
+        """Return whether the process is there."""
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def is_ready(self) -> bool:
+        """Ask as the platform does whether the gateway takes consumers."""
+        channel = Channel(self.ip, READY_PORT)
+        try:
+            await channel.open()
+            _, answer = await channel.send("GET", "/api/ready", {"host": self.ip}, b"", 0.9)
+        except (OSError, TimeoutError):
+            return False
+        await channel.close()
+        return answer is not None and answer.status == 200
+
+
+@dataclass
+class Scene:
+    """All parts of a case."""
+
+    record: Record
+    folder: Path
+    gateways: int = 2
+    replicas: int = 3
+
+    def __post_init__(self) -> None:
+        net = _free_net()
+        self.store = Store()
+        self.ips = [f"{net}.{number}" for number in range(1, 1 + self.gateways)]
+        self.servers = [
+            Replica(f"i-replica{number}", f"{net}.{100 + number}", self.record)
+            for number in range(1, 1 + self.replicas)
+        ]
+        self.fronts = [
+            Gateway(f"front-{number}", ip, f"{net}.{50 + number}:{STORE_PORT}", self.folder)
+            for number, ip in enumerate(self.ips, 1)
+        ]
+
+    async def start(self, kind: str, timeout_ms: int, attempts: int) -> None:
+        """Start the parts, and write the first configuration."""
+        addresses = {}
+        for front in self.fronts:
+            ip, _, port = front.store.partition(":")
+            addresses[front.name] = (ip, int(port))
+        await self.store.start(addresses)
+        for server in self.servers:
+            await server.start()
+            self.store.put(f"servers/{server.name}", server.entry())
+        route = {
+            "name": "order",
+            "host": HOST,
+            "prefix": "/order/",
+            "service": SERVICE,
+            "kind": kind,
+            "timeout_ms": timeout_ms,
+            "goal_ms": 400,
+            "attempts": attempts,
+            "priority": 0,
+            "public": True,
+        }
+        limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        }
+        told = {
+            "version": 3,
+            "routes": [route],
+            "services": [{"name": SERVICE, "health_path": "/health", "max_conns": 100}],
+            "limits": limits,
+            "tenants": [{"name": TENANT, "api_keys": [KEY]}],
+        }
+        self.store.put("op/config", json.dumps(told).encode())
+        for front in self.fronts:
+            front.start()
+        until = time.monotonic() + 20.0
+        while not all([await front.is_ready() for front in self.fronts]):
+            if time.monotonic() > until:
+                raise RuntimeError("the gateways are not ready")
+            await asyncio.sleep(0.1)
+
+    def end(self) -> None:
+        """End all processes that the case started."""
+        for front in self.fronts:
+            if front.process is not None:
+                front.signal(signal.SIGKILL)
+                front.process.wait()
+
+
+def request_headers(name: str, deadline_ms: int) -> dict[str, str]:
+    """Return the headers of a consumer's request; its route is public, so it has no key."""
+    return {
+        "host": HOST,
+        "x-bluebellrun-request-id": name,
+        "x-bluebellrun-deadline-ms": str(deadline_ms),
+    }
+
+
+def _free_net() -> str:
+    """Return the first three parts of loopback addresses on which the ports are free."""
+    random = Random()
+    for _ in range(50):
+        net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
+        try:
+            for port in (CALLERS_PORT, READY_PORT, METRICS_PORT, FIRST_PORT):
+                with socket.socket() as probe:
+                    probe.bind((f"{net}.1", port))
+        except OSError:
+            continue
+        return net
+    raise RuntimeError("no loopback addresses with free ports were found")
+
+
+def run_case(folder: Path, case: "type[Case]") -> int:
+    """Run a case with or without its trouble; return its exit status."""
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    with tempfile.TemporaryDirectory() as temporary:
+        record = Record(folder / "record.txt")
+        scene = Scene(record, Path(temporary))
+        record.write(f"the case runs {'with' if trouble else 'without'} its trouble")
+        try:
+            status = asyncio.run(asyncio.wait_for(case(scene, trouble).run(), 110.0))
+        except (OSError, RuntimeError, TimeoutError) as error:
+            record.write(f"the case could not run: {error!r}")
+            status = NOT_RUN
+        finally:
+            scene.end()
+            for front in scene.fronts:
+                log = Path(temporary) / f"{front.name}.log"
+                if status != HELD and log.exists():
+                    record.write(f"log of {front.name}:\n{log.read_text()[-12000:]}")
+        record.write({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[status])
+    return status
+
+
+@dataclass
+class Case:
+    """A case: what it does, and the check of its rule."""
+
+    scene: Scene
+    trouble: bool
+
+    async def run(self) -> int:
+        """Do the case; return whether its rule held."""
+        raise NotImplementedError
