--- a/review/1/case.py
+++ b/review/1/case.py
@@ -36,7 +36,7 @@
 
     async def run(self) -> int:
         """Do the case and check LOST."""
-        await self.scene.start("non_idempotent", ROUTE_TIMEOUT_MS, 1)
+        await self.scene.start(ROUTE_TIMEOUT_MS)
         while not self.scene.store.role_holder:
             await asyncio.sleep(0.05)
         fronts = {front.name: front for front in self.scene.fronts}
@@ -95,29 +95,38 @@
         await asyncio.sleep(max(0.0, self.began + FIRST_S + number * NEXT_S - time.monotonic()))
         if not channel.is_open:
             self.scene.record.write(f"{name}: the channel was closed before; another gateway")
-            return await self._send_elsewhere(name)
+            return await self._send_elsewhere(name, number)
         sent = time.monotonic()
-        self.scene.record.write(f"{name} sent {sent - self.began:.3f} s after the SIGTERM")
+        target = self._target(number)
+        self.scene.record.write(
+            f"{name} ({target}) sent {sent - self.began:.3f} s after the SIGTERM"
+        )
         headers = request_headers(name, ROUTE_TIMEOUT_MS)
-        ending, answer = await channel.send("POST", f"/order/{WORK_MS}", headers, b"job", 9.0)
+        ending, answer = await channel.send("POST", target, headers, b"job", 9.0)
         took_s = time.monotonic() - sent
         status = None if answer is None else answer.status
         self.scene.record.write(f"{name} {ending} with {status} after {took_s:.3f} s")
         passed_on = [s for s in self.scene.servers if name in [run for _, run in s.arrivals]]
         if ending == "closed" and not passed_on:
-            return await self._send_elsewhere(name)
+            return await self._send_elsewhere(name, number)
         if status == 503 and not passed_on:
-            return await self._send_elsewhere(f"{name}-again")
+            return await self._send_elsewhere(f"{name}-again", number)
         in_time = took_s < ROUTE_TIMEOUT_MS / 1000
         late_enough = sent - self.began > EXCUSED_S
         return bool(passed_on) and ending == "closed" and in_time and late_enough
 
-    async def _send_elsewhere(self, name: str) -> bool:
+    @staticmethod
+    def _target(number: int) -> str:
+        """Return what a consumer asks for: every other one a booking, the others a letter."""
+        return f"/{'letter' if number % 2 else 'order'}/{WORK_MS}"
+
+    async def _send_elsewhere(self, name: str, number: int) -> bool:
         """Send a request to the gateway that is not stopped; it must be answered."""
         channel = Channel(self.other.ip, CALLERS_PORT)
         await channel.open()
         headers = request_headers(name, ROUTE_TIMEOUT_MS)
-        ending, answer = await channel.send("POST", f"/order/{WORK_MS}", headers, b"job", 9.0)
+        target = self._target(number)
+        ending, answer = await channel.send("POST", target, headers, b"job", 9.0)
         status = None if answer is None else answer.status
         self.scene.record.write(f"{name} at {self.other.name}: {ending} with {status}")
         await channel.close()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,7 +18,7 @@
 )
 from review.standins.wire import Channel
 
-ROUTE_TIMEOUT_MS, DEADLINE_MS, WORK_MS = 4_000, 4_026, 50
+ROUTE_TIMEOUT_MS, DEADLINE_MS, WORK_MS = 1_500, 1_532, 50
 CONSUMERS, PAUSE_S = 16, 0.1
 CALM_S = 4.0
 # The pause between two registrations: the second one reaches a watch that has just begun.
@@ -36,7 +36,7 @@
         """Do the case and check DRAIN."""
         scene = self.scene
         leaving = scene.servers[0]
-        await scene.start("non_idempotent", ROUTE_TIMEOUT_MS, 2)
+        await scene.start(ROUTE_TIMEOUT_MS)
         self.sent: dict[str, Gateway] = {}
         self.over = False
         consumers = [
