--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,7 +19,7 @@
 from review.standins.wire import Channel
 
 ROUTE_TIMEOUT_MS, DEADLINE_MS, WORK_MS = 1_500, 1_532, 50
-CONSUMERS, PAUSE_S = 16, 0.1
+CONSUMERS, PAUSE_S = 10, 0.1
 CALM_S = 4.0
 # The pause between two registrations: the second one reaches a watch that has just begun.
 SECOND_CHANGE_S = 0.3
