--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,8 +21,6 @@
 ROUTE_TIMEOUT_MS, DEADLINE_MS, WORK_MS = 1_500, 1_532, 50
 CONSUMERS, PAUSE_S = 10, 0.1
 CALM_S = 4.0
-# The pause between two registrations: the second one reaches a watch that has just begun.
-SECOND_CHANGE_S = 0.3
 # The entry is removed so long after the lost answer: the machine is in touch again.
 REMOVED_S = STABLE_S + 0.15
 # The replica serves a little longer than drain_ms, and then exits.
@@ -45,8 +43,7 @@
             for number in range(CONSUMERS)
         ]
         await asyncio.sleep(CALM_S)
-        scene.store.put(f"servers/{scene.servers[1].name}", scene.servers[1].entry(version="2"))
-        await asyncio.sleep(SECOND_CHANGE_S)
+        await scene.store.new_watch_of(scene.fronts[0].name)
         if self.trouble:
             scene.store.lose_watch_of = scene.fronts[0].name
         scene.store.put(f"servers/{scene.servers[2].name}", scene.servers[2].entry(version="2"))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -21,8 +21,6 @@
 ROUTE_TIMEOUT_MS, DEADLINE_MS, WORK_MS = 1_500, 1_532, 22
 CONSUMERS, PAUSE_S = 6, 0.1
 CALM_S = 4.0
-# The pause between two changes: the second one reaches a watch that has just begun.
-SECOND_CHANGE_S = 0.3
 APPLY_S = 2.0
 WATCHED_S = STABLE_S + 2.5
 
@@ -43,8 +41,7 @@
             for number in range(CONSUMERS)
         ]
         await asyncio.sleep(CALM_S)
-        scene.store.put(f"servers/{scene.servers[1].name}", scene.servers[1].entry(version="2"))
-        await asyncio.sleep(SECOND_CHANGE_S)
+        await scene.store.new_watch_of(scene.fronts[0].name)
         if self.trouble:
             scene.store.lose_watch_of = scene.fronts[0].name
         scene.write_configuration(7, ROUTE_TIMEOUT_MS, NEW_SERVICE)
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -31,6 +31,9 @@
     # The machine whose next watch with events gets no answer, and when that happened.
     lose_watch_of: str = ""
     lost_at: float = 0.0
+    # The machines whose latest watch began after one that ended without events, and when.
+    watch_began: dict[str, float] = field(default_factory=dict)
+    _quiet: set[str] = field(default_factory=set)
     # The machine that wrote the record of the placement role last.
     role_holder: str = ""
     _servers: list[Server] = field(default_factory=list)
@@ -87,7 +90,10 @@
             query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
             body = json.loads(request.body or b"{}")
             if url.path == "/api/kv-watch":
+                self._note_watch(machine)
                 status, value = await self._watch(query)
+                if not value["events"]:
+                    self._quiet.add(machine)
                 if value["events"] and self.lose_watch_of == machine:
                     self.lose_watch_of, self.lost_at = "", time.monotonic()
                     await asyncio.sleep(FOREVER_S)
@@ -99,6 +105,21 @@
 
         return handle
 
+    def _note_watch(self, machine: str) -> None:
+        """Note that a machine begins to watch."""
+        self.watch_began.pop(machine, None)
+        if machine in self._quiet:
+            self._quiet.remove(machine)
+            self.watch_began[machine] = time.monotonic()
+
+    async def new_watch_of(self, machine: str) -> None:
+        """Wait until a machine has just begun a watch, after one that told of nothing."""
+        while True:
+            began = self.watch_began.get(machine, 0.0)
+            if 0.05 < time.monotonic() - began < 0.15:
+                return
+            await asyncio.sleep(0.01)
+
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         """Answer as soon as there is an event, or at the end of the wait."""
         until = time.monotonic() + int(query["wait_ms"]) / 1000
