--- a/review/standins/scene.py
+++ b/review/standins/scene.py
@@ -324,7 +324,7 @@
     if not log.exists():
         return []
     told = [line for line in log.read_text().splitlines() if _is_telling(line)]
-    return told[-MOST_LOG_LINES:]
+    return [line.replace(f"{ROOT}/", "") for line in told[-MOST_LOG_LINES:]]
 
 
 def _is_telling(line: str) -> bool:
