--- a/review/standins/scene.py
+++ b/review/standins/scene.py
@@ -11,6 +11,7 @@
 import time
 import tomllib
 from dataclasses import dataclass, field
+from itertools import product
 from pathlib import Path
 from random import Random
 
@@ -21,8 +22,10 @@
 STORE_PORT, CALLERS_PORT, READY_PORT, REPLICA_PORT = 8223, 8227, 8220, 8228
 METRICS_PORT = 9464
 FIRST_PORT, LAST_PORT = 7340, 7355
+USED_PORTS = (CALLERS_PORT, READY_PORT, METRICS_PORT, FIRST_PORT, STORE_PORT, REPLICA_PORT)
+USED_ADDRESSES = (1, 2, 51, 52, 101, 102, 103, 104)
 GRACE_S, STABLE_S, DRAIN_S = 8.0, 3.0, 2.0
-HOST, KEY, TENANT, SERVICE = "ficu95.example", "n2ctnfzs989anu6wsjnb", "hule930", "bookings-app"
+HOST, KEY, TENANT, SERVICE = "review.example", "key-of-the-review", "one", "bookings-app"
 NEW_SERVICE = "bookings-new"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 MOST_LOG_LINES = 60
@@ -90,19 +93,23 @@
     ended: list[str] = field(default_factory=list)
     extra_headers: dict[str, str] = field(default_factory=dict)
     service: str = SERVICE
+    # A replica of a later release is not there when the deployment starts.
+    starts_later: bool = False
 
     def __post_init__(self) -> None:
         self._server = Server(self.ip, REPLICA_PORT, self._handle)
+        self._born = int(time.time() * 1000)
 
     async def start(self) -> None:
-        """Listen."""
+        """Start the process: it listens."""
+        self._born = int(time.time() * 1000)
         await self._server.start()
 
     async def stop(self) -> None:
         """End the process."""
         await self._server.stop()
 
-    def entry(self, version: str = "1") -> bytes:
+    def entry(self, state: str = "ready", cold_left_ms: int = 0, version: str = "1") -> bytes:
         """Return what the replica registers."""
         told = {
             "service": self.service,
@@ -110,10 +117,10 @@
             "zone": "cymru-a",
             "version": version,
             "slots": 6,
-            "state": "ready",
-            "cold_left_ms": 0,
+            "state": state,
+            "cold_left_ms": cold_left_ms,
             "seq": 0,
-            "born": 1_700_000_000_000,
+            "born": self._born,
         }
         return json.dumps(told).encode()
 
@@ -228,8 +235,9 @@
         self.ips = [f"{net}.{number}" for number in range(1, 1 + self.gateways)]
         self.servers = [
             Replica(f"i-replica{number}", f"{net}.{100 + number}", self.record)
-            for number in range(1, 1 + self.replicas)
+            for number in range(1, 2 + self.replicas)
         ]
+        self.servers[-1].starts_later = True
         self.fronts = [
             Gateway(f"front-{number}", ip, f"{net}.{50 + number}:{STORE_PORT}", self.folder)
             for number, ip in enumerate(self.ips, 1)
@@ -243,6 +251,8 @@
             addresses[front.name] = (ip, int(port))
         await self.store.start(addresses)
         for server in self.servers:
+            if server.starts_later:
+                continue
             await server.start()
             self.store.put(f"servers/{server.name}", server.entry())
         self.write_configuration(3, timeout_ms)
@@ -310,9 +320,9 @@
     for _ in range(50):
         net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         try:
-            for port in (CALLERS_PORT, READY_PORT, METRICS_PORT, FIRST_PORT):
+            for last, port in product(USED_ADDRESSES, USED_PORTS):
                 with socket.socket() as probe:
-                    probe.bind((f"{net}.1", port))
+                    probe.bind((f"{net}.{last}", port))
         except OSError:
             continue
         return net
@@ -338,24 +348,32 @@
 def run_case(folder: Path, case: "type[Case]") -> int:
     """Run a case with or without its trouble; return its exit status."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
+    record = Record(folder / "record.txt")
     with tempfile.TemporaryDirectory() as temporary:
-        record = Record(folder / "record.txt")
-        scene = Scene(record, Path(temporary))
-        record.write(f"the case runs {'with' if trouble else 'without'} its trouble")
+        scene: Scene | None = None
+        status = NOT_RUN
         try:
-            status = asyncio.run(asyncio.wait_for(case(scene, trouble).run(), 110.0))
-        except (OSError, RuntimeError, TimeoutError) as error:
+            scene = Scene(record, Path(temporary))
+            record.write(f"the case runs {'with' if trouble else 'without'} its trouble")
+            status = asyncio.run(asyncio.wait_for(case(scene, trouble).run(), 105.0))
+        except Exception as error:
             record.write(f"the case could not run: {error!r}")
-            status = NOT_RUN
         finally:
-            scene.end()
-            for front in scene.fronts:
-                for line in _telling_lines(Path(temporary) / f"{front.name}.log"):
-                    record.write(f"log of {front.name}: {line}")
-        record.write({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[status])
+            if scene is not None:
+                _finish(scene, record)
+    record.write({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[status])
     return status
 
 
+def _finish(scene: "Scene", record: Record) -> None:
+    """End the processes and keep what their logs tell."""
+    scene.end()
+    for front in scene.fronts:
+        for line in _telling_lines(front.folder / f"{front.name}.log"):
+            record.write(f"log of {front.name}: {line}")
+
+
 @dataclass
 class Case:
     """A case: what it does, and the check of its rule."""
