--- a/review/1/case.py
+++ b/review/1/case.py
@@ -66,7 +66,10 @@
         name = f"early-{number}"
         target = f"/order/{SHORT_WORK_MS}"
         headers = request_headers(name, ROUTE_TIMEOUT_MS)
+        self.scene.record.write(f"{name} sent to {front.name}")
         ending, answer = await channel.send("POST", target, headers, b"job", 8.0)
+        status = None if answer is None else answer.status
+        self.scene.record.write(f"{name} {ending} with {status}")
         if answer is None or answer.status != 200 or not channel.is_open:
             raise RuntimeError(f"{name} ended {ending} before any trouble")
         return channel
@@ -126,6 +129,7 @@
         await channel.open()
         headers = request_headers(name, ROUTE_TIMEOUT_MS)
         target = self._target(number)
+        self.scene.record.write(f"{name} ({target}) sent to {self.other.name}")
         ending, answer = await channel.send("POST", target, headers, b"job", 9.0)
         status = None if answer is None else answer.status
         self.scene.record.write(f"{name} at {self.other.name}: {ending} with {status}")
