--- a/review/5/case.py
+++ b/review/5/case.py
@@ -74,6 +74,7 @@
             name = f"{front.name}-{number}-{sent}"
             self.sent[name] = time.monotonic()
             headers = request_headers(name, DEADLINE_MS)
+            self.scene.record.write(f"{name} sent")
             _, answer = await channel.send("POST", f"/order/{WORK_MS}", headers, b"job", 2.0)
             status = None if answer is None else answer.status
             self.scene.record.write(f"{name} was answered {status}")
