Stop on time whatever the store does

Cause: the stop awaited the release of the role, two calls to the store, before it did anything that it promises; its times counted from the end of these calls.

Change: StopSignals tells when a signal arrived, by the handler rather than the event loop; the lifecycle counts from there; the role is resigned in a background task, and its task ends then and releases what it acquired meanwhile.

Why it works: between the signal and the first promise stands no call.

--- a/bluebellrun/gateway/_lifecycle.py
+++ b/bluebellrun/gateway/_lifecycle.py
@@ -31,9 +31,13 @@
         """Return whether the process accepts callers."""
         return not self._stopping and self._gateway.deployment is not None
 
-    async def stop(self) -> None:
-        """Keep serving briefly, then finish the requests in progress and return."""
-        started = time.monotonic()
+    async def stop(self, signalled_at: float | None = None) -> None:
+        """Keep serving briefly, then finish the requests in progress and return.
+
+        All times count from the signal, by default from now; it is a reading of the monotonic
+        clock.
+        """
+        started = time.monotonic() if signalled_at is None else signalled_at
         self._stopping = True
         self._server.end_connections()
         await self._sleep_until(started + ACCEPT_WHILE_STOPPING_S)
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -235,11 +235,17 @@
         """Serve until told to stop, then stop gracefully."""
         signals = StopSignals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
         await self._start()
-        while (number := await signals.next()) == signal.SIGHUP:
+        while (received := await signals.next()).number == signal.SIGHUP:
             _reload(self._settings)
-        _log.info("stopping", signal=number.name, in_progress=self._gateway.in_progress)
-        await self._role.release()
-        await self._lifecycle.stop()
+        _log.info(
+            "stopping",
+            signal=received.number.name,
+            noticed_after_s=round(time.monotonic() - received.received_at, 3),
+            in_progress=self._gateway.in_progress,
+        )
+        # In the background: a store that does not answer must not delay the stop.
+        await spawn_background(self._role.resign)
+        await self._lifecycle.stop(received.received_at)
         _log.info("stopped", in_progress=self._gateway.in_progress)
 
     async def _start(self) -> None:
--- a/bluebellrun/gateway/_role.py
+++ b/bluebellrun/gateway/_role.py
@@ -49,9 +49,12 @@
         self._logged_number: int | None = None
         self._last_lease: RoleLease | None = None
         self._refused: set[int] = set()
+        self._resigned = False
 
     def lease(self) -> RoleLease | None:
         """Return the lease if this process may act now, or none."""
+        if self._resigned:
+            return None
         lease = self._holder.current(self._clock.now())
         if lease is None and self._fenced:
             lease = self._last_lease
@@ -72,14 +75,22 @@
         if self._logged_number is not None:
             await self._holder.release()
 
+    async def resign(self) -> None:
+        """Release the role for good: this process is stopping."""
+        self._resigned = True
+        self._last_lease = None
+        await self._holder.release()
+
     async def run(self) -> None:
-        """Acquire and renew the role until cancelled."""
-        while True:
+        """Acquire and renew the role until cancelled or resigned."""
+        while not self._resigned:
             try:
                 await self._step()
             except LeaseError as error:
                 _log.info("role lease request failed", reason=str(error))
             await curio.sleep(RENEW_INTERVAL_S)
+        # Releases a role that was acquired while this process resigned.
+        await self._holder.release()
 
     async def _step(self) -> None:
         """Renew the role, or acquire it if it is free."""
@@ -89,7 +100,7 @@
             self._last_lease = await self._holder.renew()
         elif self._view.confirmed_at is not None and self._is_free():
             await curio.sleep(self._take_over_pause_s)
-            if self._is_free():
+            if self._is_free() and not self._resigned:
                 self._last_lease = await self._holder.acquire()
         elif self._fenced and await self._depose_silent():
             self._last_lease = await self._holder.acquire()
--- a/bluebellrun/runtime/__init__.py
+++ b/bluebellrun/runtime/__init__.py
@@ -4,7 +4,7 @@
 
 from bluebellrun.core import load_at_first_use
 from bluebellrun.runtime._program import run_program
-from bluebellrun.runtime._signals import StopSignals
+from bluebellrun.runtime._signals import ReceivedSignal, StopSignals
 from bluebellrun.runtime._tasks import spawn_background
 
 if TYPE_CHECKING:
@@ -21,6 +21,7 @@
 }
 
 __all__ = [
+    "ReceivedSignal",
     "StopSignals",
     "configure_link_security",
     "make_caller_tls",
--- a/bluebellrun/sidecar/main.py
+++ b/bluebellrun/sidecar/main.py
@@ -27,10 +27,10 @@
     server = HttpServer(address, EngineRelay(settings.upstream).handle, LIMITS)
     await spawn_background(server.run)
     _log.info("started", listen=str(address), engine=str(settings.upstream))
-    while (number := await signals.next()) == signal.SIGHUP:
+    while (received := await signals.next()).number == signal.SIGHUP:
         _log.info("nothing to read again; new settings need a restart")
     await server.close()
-    _log.info("stopped", signal=number.name)
+    _log.info("stopped", signal=received.number.name)
     return 0
 
 
--- a/standins/users_platform/_store.py
+++ b/standins/users_platform/_store.py
@@ -49,9 +49,13 @@
     era: int = 1
     has_era: bool = True
 
-    async def start(self, address: Address = ANY_ADDRESS) -> Address:
-        """Serve on loopback."""
-        self.server = HttpServer(address, self.handle, HttpLimits())
+    async def start(self, address: Address = ANY_ADDRESS, client: str = "") -> Address:
+        """Serve on a loopback address; it may be called once for each ``client``."""
+
+        async def handle(exchange: HttpExchange) -> None:
+            await self.handle(exchange, client)
+
+        self.server = HttpServer(address, handle, HttpLimits())
         await curio.spawn(self.server.run, daemon=True)
         return self.server.address
 
@@ -93,8 +97,8 @@
         self.compacted = self.revision
         self.events.clear()
 
-    async def handle(self, exchange: HttpExchange) -> None:
-        """Answer a call."""
+    async def handle(self, exchange: HttpExchange, client: str = "") -> None:
+        """Answer a call of a client."""
         self.calls += 1
         if self.silent:
             await curio.sleep(30)
--- /dev/null
+++ b/tests/gateway/test_planned_stop.py
@@ -0,0 +1,78 @@
+"""SIGTERM to gateway processes, with the store in every state."""
+
+import signal
+import time
+from pathlib import Path
+
+import curio
+import pytest
+
+from bench.platform_soak._programs import STOP_GRACE_S
+from bluebellrun.http import TransportError
+from tests.gateway.processes import Gateways, run_with_gateways
+
+# A platform asks for readiness once a second; the process refuses requests after this time.
+UNREADY_S, REFUSING_S = 0.5, 3.0
+OUTAGES = ("silent before", "silent after", "refusing", "slow")
+
+
+async def begin_outage(gateways: Gateways, outage: str) -> None:
+    """Let the store fail as named, shortly before the signal."""
+    store = gateways.store
+    match outage:
+        case "silent before":
+            store.silent = True
+            await curio.sleep(0.3)
+        case "refusing":
+            store.refuse = 503
+            await curio.sleep(0.3)
+        case "slow":
+            store.delay_s = 1.0
+
+
+# Guards: SIGTERM took effect only after a call to the store that did not answer; requests that
+# were taken meanwhile were cut.
+@pytest.mark.parametrize("outage", OUTAGES)
+def test_a_stop_does_not_wait_for_the_store(tmp_path: Path, outage: str) -> None:
+    async def check(gateways: Gateways) -> None:
+        (program,) = gateways.programs
+        await gateways.upstreams.start(gateways.store, "desk1", "desk")
+        await gateways.until(lambda: gateways.record("roles/placement"))
+        client = gateways.client(program)
+        async with curio.timeout_after(5.0):
+            while (await gateways.request(client, 0.0))[0] != 200:
+                await curio.sleep(0.1)
+        await begin_outage(gateways, outage)
+        began = time.monotonic()
+        program.signal(signal.SIGHUP)
+        program.signal(signal.SIGTERM)
+        if outage == "silent after":
+            await curio.sleep(0.02)
+            gateways.store.silent = True
+        await curio.sleep(UNREADY_S - (time.monotonic() - began))
+        assert not await gateways.is_ready(program)
+        program.signal(signal.SIGTERM)
+        late = gateways.client(program)
+        assert (await gateways.request(late, 0.0))[0] == 200
+        await curio.sleep(REFUSING_S + 0.1 - (time.monotonic() - began))
+        with pytest.raises(TransportError):
+            await gateways.request(gateways.client(program), 0.0)
+        status = await curio.run_in_thread(program.end, STOP_GRACE_S)
+        assert (status, time.monotonic() - began < REFUSING_S + 1.5) == (0, True)
+
+    run_with_gateways(tmp_path, check)
+
+
+# Guards: a process that was stopping took the placement role again after it had released it.
+def test_a_stopping_process_leaves_the_role_to_another(tmp_path: Path) -> None:
+    async def check(gateways: Gateways) -> None:
+        (program,) = gateways.programs
+        await gateways.until(lambda: gateways.record("roles/placement"))
+        taken = gateways.store.items["bluebellrun/roles/placement"]["rev"]
+        program.signal(signal.SIGTERM)
+        await gateways.until(lambda: not gateways.record("roles/placement"))
+        await curio.run_in_thread(program.end, STOP_GRACE_S)
+        records = [item for item in gateways.store.events if "/roles/" in item["key"]]
+        assert [item["rev"] for item in records if item["rev"] > taken and "value" in item] == []
+
+    run_with_gateways(tmp_path, check)
