Tell a lost answer of the store from an outage

Cause: any failure of following the store counted as an outage of the store. Removals that are read within a second of an outage may be registrations that lapsed, and their upstreams stayed in use for two seconds from the reading, which may be long after the removal.

Change: a watch that breaks proves nothing; the store fails from when a call is not answered that was made after it. A lapse counts from the end of the outage, not from the reading. Entries tell each other how long their last outage is past, so that a copy of the store from an entry in touch removes upstreams at once; builds that do not tell it are taken as before.

Why it works: a call after the lost answer is answered, so there was no outage and each removal that is read is final.

The directory's tests say when the outage ended in place of the time of reading; no bound changed.

--- a/bluebellrun/gateway/_catch_up.py
+++ b/bluebellrun/gateway/_catch_up.py
@@ -88,7 +88,7 @@
             if peer is None:
                 continue
             try:
-                await self._fetch(parse_address(peer.address))
+                await self._fetch(parse_address(peer.address), peer.outage_age_s)
             except (TransportError, ValueError, curio.TaskTimeout) as error:
                 _log.info("store copy not fetched", entry=peer.entry, reason=str(error))
 
@@ -102,8 +102,8 @@
             return None
         return peer
 
-    async def _fetch(self, address: Address) -> None:
-        """Fetch and apply what another entry read."""
+    async def _fetch(self, address: Address, outage_age_s: float) -> None:
+        """Fetch and apply what another entry read, ``outage_age_s`` after its last outage."""
         client = HttpClient(address, ClientTimeouts(CALL_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S))
         try:
             async with curio.timeout_after(CALL_TIMEOUT_S):
@@ -114,7 +114,7 @@
             raise ValueError(f"{address} answered {status} to a request for its store copy")
         copy = decode(_decoder, data)
         items = tuple(KeyValue(item.key, item.value, item.revision) for item in copy.keys)
-        self._view.apply_peer_snapshot(Snapshot(items, copy.revision, copy.era))
+        self._view.apply_peer_snapshot(Snapshot(items, copy.revision, copy.era), outage_age_s)
 
     async def _serve_copy(self, exchange: HttpExchange) -> None:
         """Answer with what this entry read."""
--- a/bluebellrun/gateway/_directory.py
+++ b/bluebellrun/gateway/_directory.py
@@ -1,8 +1,8 @@
 """Directory of the upstreams that may be sent work, from the store's registrations.
 
 Pure; times in seconds. A registration that lapsed during a store outage may be written again, so
-its upstream stays in use for a short time. One removed while the store is healthy is dropped
-immediately.
+its upstream stays in use for a short time after the outage. One removed while the store is healthy
+is dropped immediately.
 """
 
 from collections.abc import Iterable, Mapping
@@ -62,10 +62,10 @@
         self,
         records: Mapping[str, Upstream],
         now: float,
-        store_outage: bool,
+        outage_ended_at: float | None = None,
         restored: bool = False,
     ) -> None:
-        """Replace all registrations; those not in ``records`` have lapsed or were removed.
+        """Replace all registrations; those not in ``records`` were removed or have lapsed.
 
         With ``restored``, they are from an older copy of the store. An upstream that has left or
         is leaving by a later registration gets no work until it registers again, or is still
@@ -73,7 +73,7 @@
         """
         outdated = self._outdated(records.values()) if restored else []
         for instance in [name for name in self._upstreams if name not in records]:
-            self.remove(instance, now, store_outage)
+            self.remove(instance, outage_ended_at)
         for upstream in records.values():
             self.put(upstream)
         for upstream in outdated:
@@ -91,13 +91,16 @@
         self._upstreams[upstream.instance] = upstream
         self._index()
 
-    def remove(self, instance: str, now: float, store_outage: bool) -> None:
-        """Apply the removal of a registration."""
+    def remove(self, instance: str, outage_ended_at: float | None = None) -> None:
+        """Apply the removal of a registration.
+
+        It may have lapsed in an outage of the store if that ended at ``outage_ended_at``.
+        """
         known = self._upstreams.get(instance)
         if known is None:
             return
-        if store_outage and not known.leaving:
-            self._lapsed.setdefault(instance, now + LAPSE_GRACE_S)
+        if outage_ended_at is not None and not known.leaving:
+            self._lapsed.setdefault(instance, outage_ended_at + LAPSE_GRACE_S)
             return
         self._drop(instance)
         self._index()
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -48,6 +48,8 @@
     announced that they leave, by instance and start time. ``crashes`` are known crashes under
     prompts, and ``probing`` the suspected parts of prompts that the entry is probing. ``limits``
     are the rate limits that upstreams have named, none from builds that do not share permits.
+    ``outage_age_s`` are the seconds since the store's last outage for the entry, 0 while that
+    lasts.
 
     New fields go at the end and have defaults, so that older and newer builds read each other.
     """
@@ -63,6 +65,7 @@
     crashes: list[CrashReport] = msgspec.field(default_factory=list)
     probing: list[str] = msgspec.field(default_factory=list)
     limits: list[LimitReport] | None = None
+    outage_age_s: float = 0.0
 
 
 _decoder = msgspec.msgpack.Decoder(EntryStatus)
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -323,6 +323,7 @@
             self._crashes.outgoing(now),
             self._quarantine.probes,
             self._fleet.permits.reports(now),
+            min(self._view.outage_age_s(), NEVER_REACHED_S),
         )
 
     def _put_in_force(self, deployment: Deployment) -> bool:
--- a/bluebellrun/gateway/_store_view.py
+++ b/bluebellrun/gateway/_store_view.py
@@ -6,7 +6,7 @@
 
 from bluebellrun.core import Clock
 from bluebellrun.deployment import Bounds, Deployment
-from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.gateway._directory import LAPSE_GRACE_S, UpstreamDirectory
 from bluebellrun.gateway._models import Upstream
 from bluebellrun.gateway._store_changes import (
     ConfigurationWritten,
@@ -120,6 +120,16 @@
         confirmed_at = self._follower.confirmed_at
         return float("inf") if confirmed_at is None else self._clock.now() - confirmed_at
 
+    def outage_age_s(self) -> float:
+        """Return the seconds since the store's last outage for this process.
+
+        Zero while it lasts, and infinite if there was none.
+        """
+        if self._follower.failing_since is not None or self._follower.confirmed_at is None:
+            return 0.0
+        ended_at = self._follower.recovered_at
+        return float("inf") if ended_at is None else self._clock.now() - ended_at
+
     def is_cut_off(self, seconds: float) -> bool:
         """Return whether the store has failed this process for so long."""
         broken_at = self._follower.failing_since
@@ -135,11 +145,13 @@
         """Return the revision of ``position``."""
         return self.position.revision
 
-    def apply_peer_snapshot(self, copy: Snapshot) -> bool:
-        """Apply another entry's copy of the store while this one cannot reach the store.
+    def apply_peer_snapshot(self, copy: Snapshot, outage_age_s: float = 0.0) -> bool:
+        """Apply another entry's copy of the store while this one does not hear from the store.
 
         A copy older than this entry's own is ignored: it would restore upstreams that have left
-        and keys that were withdrawn. Return whether the copy was applied.
+        and keys that were withdrawn. Upstreams that are not in it have left, unless the store's
+        last outage for the other entry ended only ``outage_age_s`` ago: their registrations may
+        have lapsed. Return whether the copy was applied.
         """
         now = self._clock.now()
         known = self.position
@@ -148,7 +160,8 @@
         if applied:
             self._copied = position
             restored = self._enter_era(known.era, position.era)
-            self._replace_all(copy.items, now, store_outage=True, restored=restored)
+            ended_at = now - outage_age_s if outage_age_s < LAPSE_GRACE_S else None
+            self._replace_all(copy.items, now, now if restored else ended_at, restored)
         _log.info(
             "store copy of another entry applied" if applied else "older store copy ignored",
             keys=len(copy.items),
@@ -156,6 +169,7 @@
             era=copy.era,
             known_revision=known.revision,
             known_era=known.era,
+            outage_age_s=outage_age_s,
             silent_s=round(self.silence_s(), 3),
         )
         return applied
@@ -186,8 +200,8 @@
         self._records.clear()
         self._era = snapshot.era
         restored = self._enter_era(self.position.era, snapshot.era)
-        outage = restored or self._is_outage(now)
-        upstreams = self._replace_all(snapshot.items, now, outage, restored)
+        ended_at = now if restored else self._outage_ended_at(now)
+        upstreams = self._replace_all(snapshot.items, now, ended_at, restored)
         _log.info(
             "store read",
             revision=snapshot.revision,
@@ -197,7 +211,11 @@
         )
 
     def _replace_all(
-        self, items: Iterable[KeyValue], now: float, store_outage: bool, restored: bool = False
+        self,
+        items: Iterable[KeyValue],
+        now: float,
+        outage_ended_at: float | None,
+        restored: bool = False,
     ) -> int:
         """Replace all keys; return how many upstreams are registered."""
         upstreams: dict[str, Upstream] = {}
@@ -210,7 +228,7 @@
                 upstreams[item.upstream.instance] = item.upstream
             elif item is not None:
                 self._apply(item, now)
-        self._directory.replace_all(upstreams, now, store_outage, restored)
+        self._directory.replace_all(upstreams, now, outage_ended_at, restored)
         return len(upstreams)
 
     async def _apply_events(self, events: list[WatchEvent]) -> None:
@@ -252,9 +270,9 @@
                     leaving=upstream.leaving,
                 )
             case UpstreamRemoved(instance):
-                outage = self._is_outage(now)
-                self._directory.remove(instance, now, outage)
-                _log.info("upstream removed", upstream=instance, may_be_lapsed=outage)
+                ended_at = self._outage_ended_at(now)
+                self._directory.remove(instance, ended_at)
+                _log.info("upstream removed", upstream=instance, may_be_lapsed=ended_at is not None)
             case RecordWritten(key, value):
                 if value is None:
                     self._records.pop(key, None)
@@ -262,12 +280,15 @@
                     self._records[key] = replace(change, era=self._era)
             case Unreadable(key, reason, instance):
                 if instance is not None:
-                    self._directory.remove(instance, now, store_outage=False)
+                    self._directory.remove(instance)
                 _log.warning("key ignored", key=key, reason=reason)
 
-    def _is_outage(self, now: float) -> bool:
-        """Return whether a removal that is read now may be a lapse of the store's outage."""
+    def _outage_ended_at(self, now: float) -> float | None:
+        """Return when the outage ended in which a registration removed now may have lapsed.
+
+        None if there was no outage recently: the upstream has left.
+        """
         if self._follower.failing_since is not None:
-            return True
-        regained_at = self._follower.recovered_at
-        return regained_at is not None and now - regained_at < OUTAGE_GRACE_S
+            return now
+        ended_at = self._follower.recovered_at
+        return ended_at if ended_at is not None and now - ended_at < OUTAGE_GRACE_S else None
--- a/bluebellrun/store/_follow.py
+++ b/bluebellrun/store/_follow.py
@@ -29,6 +29,9 @@
     With ``from_revision``, only the changes after it are passed on, without a snapshot. A watch
     whose connection has stalled is detected by comparing revisions with the store whenever it
     has been quiet for about ``check_interval_s`` seconds.
+
+    The store fails from when a call is not answered that was made after a watch broke: a single
+    answer may be lost while the store serves everybody.
     """
 
     def __init__(
@@ -52,6 +55,8 @@
         self._resume_revision = from_revision
         self._delivered = StorePosition(store.era, from_revision)
         self._confirmed_at: float | None = None
+        self._is_watching = False
+        self._watch_broke_at: float | None = None
         self._failing_since: float | None = None
         self._recovered_at: float | None = None
         self._max_pause_s = max_pause_s
@@ -94,13 +99,18 @@
             except CompactedError:
                 self._resume_revision = 0
             except PlatformError as error:
-                if self._failing_since is None:
-                    self._failing_since = self._clock.now()
-                _log.info("following the store failed", prefix=self._prefix, error=str(error))
+                self._record_failure()
+                _log.info(
+                    "following the store failed",
+                    prefix=self._prefix,
+                    error=str(error),
+                    store_fails=self._failing_since is not None,
+                )
             await curio.sleep(backoff.pause_s())
 
     async def _follow(self, backoff: Backoff) -> None:
         """Read a snapshot unless the watch can be resumed, then process changes as they arrive."""
+        self._is_watching = False
         if not self._resume_revision:
             snapshot = await self._store.read_prefix(self._prefix)
             await self._on_snapshot(snapshot)
@@ -111,6 +121,7 @@
         self._require_era(self._store.era)
         watch = await self._store.watch(self._prefix, self._resume_revision + 1)
         self._record_confirmation()
+        self._is_watching = True
         try:
             while True:
                 if not await self._process_next(watch, self._next_check_interval_s()):
@@ -161,9 +172,18 @@
         newest = StorePosition(era, max(revisions, default=0))
         self._delivered = max(self._delivered, newest)
 
+    def _record_failure(self) -> None:
+        """Record that a watch broke or, if none was open, that the store fails."""
+        now = self._clock.now()
+        if self._is_watching:
+            self._watch_broke_at = now
+        elif self._failing_since is None:
+            self._failing_since = now if self._watch_broke_at is None else self._watch_broke_at
+
     def _record_confirmation(self) -> None:
         """Record that this process is up to date with the store."""
         self._confirmed_at = self._clock.now()
+        self._watch_broke_at = None
         if self._failing_since is not None:
             self._recovered_at = self._confirmed_at
         self._failing_since = None
--- a/standins/users_platform/_store.py
+++ b/standins/users_platform/_store.py
@@ -31,6 +31,7 @@
 class FakeStore:
     """Keys with revisions, leases, and calls that can be refused, delayed or lost.
 
+    The answer to the next watch that has events is lost for each client in ``lose_watches_of``.
     Leases run out only when ``expire_leases`` is called. ``restore`` brings back an older copy.
     """
 
@@ -42,6 +43,7 @@
     lose_answers: bool = False
     calls: int = 0
     silent: bool = False
+    lose_watches_of: set[str] = field(default_factory=set)
     delay_s: float = 0.0
     leases: dict[int, float] = field(default_factory=dict)
     lasting_s: dict[int, float] = field(default_factory=dict)
@@ -113,7 +115,9 @@
         }
         body = json.loads(exchange.request.body or b"{}")
         status, answer = await self._answer(url.path, query, body)
-        if self.lose_answers:
+        lost_watch = bool(answer.get("events")) and client in self.lose_watches_of
+        self.lose_watches_of.difference_update({client} if lost_watch else ())
+        if self.lose_answers or lost_watch:
             await curio.sleep(30)
         await self._send(exchange, status, answer)
 
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -24,14 +24,14 @@
 def test_a_registration_removed_without_an_outage_is_dropped_at_once():
     directory = UpstreamDirectory()
     directory.put(upstream("one"))
-    directory.remove("one", 10.0, store_outage=False)
+    directory.remove("one")
     assert names(directory, 10.0) == []
 
 
 def test_a_registration_lapsed_in_an_outage_is_kept_for_the_grace_period():
     directory = UpstreamDirectory()
     directory.put(upstream("one"))
-    directory.remove("one", 10.0, store_outage=True)
+    directory.remove("one", outage_ended_at=10.0)
     assert names(directory, 11.9) == ["one"]
     assert names(directory, 12.0) == []
 
@@ -39,7 +39,7 @@
 def test_a_lapsed_registration_that_is_written_again_in_time_stays():
     directory = UpstreamDirectory()
     directory.put(upstream("one"))
-    directory.remove("one", 10.0, store_outage=True)
+    directory.remove("one", outage_ended_at=10.0)
     directory.put(upstream("one"))
     assert names(directory, 60.0) == ["one"]
 
@@ -47,7 +47,7 @@
 def test_a_leaving_upstream_is_dropped_even_during_an_outage():
     directory = UpstreamDirectory()
     directory.put(upstream("one", leaving=True))
-    directory.remove("one", 10.0, store_outage=True)
+    directory.remove("one", outage_ended_at=10.0)
     assert list(directory.instances) == []
 
 
@@ -55,9 +55,9 @@
     directory = UpstreamDirectory()
     directory.put(upstream("one"))
     directory.put(upstream("two"))
-    directory.replace_all({"two": upstream("two")}, 5.0, store_outage=False)
+    directory.replace_all({"two": upstream("two")}, 5.0)
     assert names(directory, 5.0) == ["two"]
-    directory.replace_all({}, 6.0, store_outage=True)
+    directory.replace_all({}, 6.0, outage_ended_at=6.0)
     assert names(directory, 6.5) == ["two"]
     assert names(directory, 8.1) == []
 
@@ -80,7 +80,7 @@
     assert not directory.mark_leaving(("one", 0), 6.0)
     directory.put(upstream("one"))
     assert names(directory) == []
-    directory.remove("one", 7.0, store_outage=True)
+    directory.remove("one", outage_ended_at=7.0)
     directory.put(upstream("one"))
     assert names(directory) == []
 
@@ -112,7 +112,7 @@
         for instance in order:
             directory.put(upstream(instance, started_ms=2 if instance == "new" else 1, at=80))
         assert names(directory) == ["new"]
-    directory.remove("new", 5.0, store_outage=False)
+    directory.remove("new")
     assert names(directory) == ["old"]
 
 
@@ -137,20 +137,20 @@
         directory.put(upstream(name))
     copy = {name: upstream(name) for name in ("stays", "leaves", "left")}
     directory.put(upstream("leaves", leaving=True))
-    directory.remove("left", 4.0, store_outage=False)
-    directory.replace_all(copy, 5.0, store_outage=True, restored=True)
+    directory.remove("left")
+    directory.replace_all(copy, 5.0, outage_ended_at=5.0, restored=True)
     assert names(directory, 5.0) == ["stays"]
     directory.put(upstream("leaves"))
     assert names(directory, 5.1) == ["leaves", "stays"]
-    directory.remove("left", 5.2, store_outage=False)
+    directory.remove("left")
     assert names(directory, 5.0 + OUTDATED_S) == ["leaves", "stays"]
 
 
 def test_an_upstream_that_is_still_registered_in_the_older_copy_is_used_after_some_seconds():
     directory = UpstreamDirectory()
     directory.put(upstream("one"))
-    directory.remove("one", 4.0, store_outage=False)
-    directory.replace_all({"one": upstream("one")}, 5.0, store_outage=True, restored=True)
+    directory.remove("one")
+    directory.replace_all({"one": upstream("one")}, 5.0, outage_ended_at=5.0, restored=True)
     assert names(directory, 5.0 + OUTDATED_S - 0.1) == []
     assert names(directory, 5.0 + OUTDATED_S) == ["one"]
 
@@ -158,7 +158,7 @@
 def test_an_upstream_that_registered_in_the_lost_seconds_is_kept_for_a_while():
     directory = UpstreamDirectory()
     directory.put(upstream("late"))
-    directory.replace_all({}, 5.0, store_outage=True, restored=True)
+    directory.replace_all({}, 5.0, outage_ended_at=5.0, restored=True)
     assert names(directory, 5.1) == ["late"]
     directory.put(upstream("late"))
     assert names(directory, 60.0) == ["late"]
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -93,7 +93,7 @@
         await bench.start(("u1", is_silent))
         headers = {"X_Bluebellrun_Prefix_Hash": SOUND, "deadline": "300"}
         await bench.send_request("/ask/a", **headers)
-        bench.directory.remove("u1", 0.0, store_outage=False)
+        bench.directory.remove("u1")
         await bench.add("u2", sends(reply(200)))
         assert (await bench.send_request("/ask/a", **headers)).status == 200
 
--- a/tests/platform/test_departing_upstreams.py
+++ b/tests/platform/test_departing_upstreams.py
@@ -43,7 +43,7 @@
         assert registered is not None
         assert (await bench.send_request("/ask/a")).status == 200
         bench.directory.put(registered)
-        bench.directory.replace_all({"leaves": registered}, 0.0, store_outage=False)
+        bench.directory.replace_all({"leaves": registered}, 0.0)
         assert (await bench.send_request("/ask/a")).status == 503
         bench.directory.put(replace(registered, started_ms=registered.started_ms + 1))
         assert (await bench.send_request("/ask/a")).status == 200
--- a/tests/platform/upstreams.py
+++ b/tests/platform/upstreams.py
@@ -108,7 +108,7 @@
     async def restart_crashed(self) -> None:
         """Start a new upstream for each one that has crashed and is still registered."""
         for name in [name for name in self.crashed if self.directory.find(name) is not None]:
-            self.directory.remove(name, 0.0, store_outage=False)
+            self.directory.remove(name)
             await self.add(f"{name}+", self._scripts[name])
 
     async def _read(self, sock: Any, protocol: h11.Connection, name: str) -> Arrival | None:
