Read a change whose answer was lost before it has to be in force

Cause: a silent watch was found calm_s + apply_s - 0.5 s after its call began, as if apply_s counted from when the process is in touch again; it counts from the confirmation. Other entries were asked only after that.

Change: a call of the watch is given up within calm_s, with a reserve for the calls that read the change again. Entries tell each other the point in the store's history that they know; one that is behind another for 0.7 s fetches that one's copy, whatever the age of its own last contact. Older builds tell no point and are never ahead.

Why it works: what a lost answer told of is read at most 2.5 s and one call after the loss, with calm_s at 3 s; beside an entry that read it, after some 1.1 s.

--- a/bluebellrun/gateway/_catch_up.py
+++ b/bluebellrun/gateway/_catch_up.py
@@ -1,9 +1,12 @@
-"""Fetch the store's contents from another entry while the store does not answer this one.
+"""Fetch the store's contents from another entry while this one does not hear from the store.
 
-A store may reject single hosts and serve the others. Entries still reach each other then, so the
-one with the most recent store contact serves what it read: configuration and registrations.
+A store may reject single hosts and serve the others, and its answers to single calls may be lost.
+Entries still reach each other then, so the one with the most recent store contact serves what it
+read: configuration and registrations.
 """
 
+import time
+
 import curio
 import msgspec
 
@@ -18,13 +21,13 @@
     HttpServer,
     TransportError,
 )
-from bluebellrun.store import KeyValue, Snapshot
+from bluebellrun.store import KeyValue, Snapshot, StorePosition
 from bluebellrun.telemetry import get_logger
 
 SILENCE_S = 1.0
-# A watched store answers at the end of each wait; the answer itself may take this long.
-ANSWER_TIME_S = 0.6
-INTERVAL_S = 0.5
+# Entries read a change at the same time, but for a slow answer and a batch of changes.
+BEHIND_S = 0.7
+INTERVAL_S = 0.25
 CALL_TIMEOUT_S = 0.5
 # Finite value sent to other entries in place of infinity: the store was never reached.
 NEVER_REACHED_S = 1e6
@@ -60,13 +63,16 @@
 class CatchUp:
     """Serve this entry's copy of the store to others, and fetch theirs when the store is silent.
 
-    One call of the store's watch waits for ``watch_wait_s`` seconds.
+    One call of the store's watch takes up to ``watch_call_s`` seconds. Another entry's copy is
+    fetched too if that entry has known for ``BEHIND_S`` seconds what this one has not read.
     """
 
     def __init__(
-        self, address: Address, view: StoreView, table: PeerTable, watch_wait_s: float
+        self, address: Address, view: StoreView, table: PeerTable, watch_call_s: float
     ) -> None:
-        self._watched_silence_s = watch_wait_s + ANSWER_TIME_S
+        self._watched_silence_s = watch_call_s
+        self._awaited: StorePosition | None = None
+        self._awaited_since = 0.0
         self._view = view
         self._table = table
         self._server = HttpServer(address, self._serve_copy, HttpLimits(max_connections=64))
@@ -84,7 +90,7 @@
         """Fetch from another entry whenever the store is silent, until cancelled."""
         while True:
             await curio.sleep(INTERVAL_S)
-            peer = self._peer_to_query()
+            peer = self._peer_to_query() or self._peer_ahead(time.monotonic())
             if peer is None:
                 continue
             try:
@@ -102,6 +108,27 @@
             return None
         return peer
 
+    def _peer_ahead(self, now: float) -> EntryStatus | None:
+        """Return an entry that knows what this one should have read by now, or none."""
+        peer, known = self._table.furthest(), self._view.position
+        if self._awaited is None or known >= self._awaited:
+            is_ahead = peer is not None and peer.position > known
+            self._awaited = peer.position if peer is not None and is_ahead else None
+            self._awaited_since = now
+            return None
+        if peer is None or now - self._awaited_since < BEHIND_S:
+            return None
+        _log.info(
+            "behind another entry",
+            entry=peer.entry,
+            revision=known.revision,
+            era=known.era,
+            known_to_entry=peer.revision,
+            behind_s=round(now - self._awaited_since, 3),
+        )
+        self._awaited = None
+        return peer
+
     async def _fetch(self, address: Address, outage_age_s: float) -> None:
         """Fetch and apply what another entry read, ``outage_age_s`` after its last outage."""
         client = HttpClient(address, ClientTimeouts(CALL_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S))
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -13,6 +13,7 @@
 from bluebellrun.core import DecodingError, decode
 from bluebellrun.gateway._models import UpstreamIncarnation
 from bluebellrun.quarantine import CrashReport
+from bluebellrun.store import StorePosition
 
 
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
@@ -49,7 +50,8 @@
     prompts, and ``probing`` the suspected parts of prompts that the entry is probing. ``limits``
     are the rate limits that upstreams have named, none from builds that do not share permits.
     ``outage_age_s`` are the seconds since the store's last outage for the entry, 0 while that
-    lasts.
+    lasts. ``era`` and ``revision`` are the point in the store's history that the entry knows, 0
+    from builds that do not tell it.
 
     New fields go at the end and have defaults, so that older and newer builds read each other.
     """
@@ -66,6 +68,13 @@
     probing: list[str] = msgspec.field(default_factory=list)
     limits: list[LimitReport] | None = None
     outage_age_s: float = 0.0
+    era: int = 0
+    revision: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the point in the store's history that the entry knows."""
+        return StorePosition(self.era, self.revision)
 
 
 _decoder = msgspec.msgpack.Decoder(EntryStatus)
@@ -159,6 +168,11 @@
         status = (received.status for received in self._received.values())
         return min(status, key=lambda item: item.silence_s, default=None)
 
+    def furthest(self) -> EntryStatus | None:
+        """Return the status of the entry that knows most of the store's history, or none."""
+        status = (received.status for received in self._received.values())
+        return max(status, key=lambda item: item.position, default=None)
+
     def record(self, status: EntryStatus, now: float) -> bool:
         """Record an entry's status; return false if it is outdated."""
         if status.entry == self._entry:
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -189,7 +189,7 @@
         self._server = HttpServer(
             settings.callers, self._gateway.handle, HttpLimits(), listening=listening
         )
-        self._watching = watch_timing(settings.bounds, STORE_CALL_S)
+        self._watching = watch_timing(settings.bounds)
         self._store = PlatformStore(
             settings.store.address, StoreTimeouts(STORE_CALL_S), self._watching
         )
@@ -200,7 +200,7 @@
             self._put_in_force,
             MonotonicClock(),
             self._random,
-            watch_check_s(self._watching, STORE_CALL_S),
+            watch_check_s(self._watching),
         )
         self._crashes = CrashExchange(
             self._quarantine,
@@ -294,7 +294,7 @@
         self._peer_address = Address(settings.ip, settings.ports.first)
         self._incarnation = new_incarnation()
         self._status_numbers = itertools.count(1)
-        self._catch_up = CatchUp(self._peer_address, self._view, self._peers, self._watching.wait_s)
+        self._catch_up = CatchUp(self._peer_address, self._view, self._peers, self._watching.call_s)
         key = f"{OWN_PREFIX}entries/{settings.host}"
         self._gossip = Gossip(
             self._peer_address,
@@ -324,6 +324,8 @@
             self._quarantine.probes,
             self._fleet.permits.reports(now),
             min(self._view.outage_age_s(), NEVER_REACHED_S),
+            self._view.position.era,
+            self._view.position.revision,
         )
 
     def _put_in_force(self, deployment: Deployment) -> bool:
--- a/bluebellrun/gateway/_store_view.py
+++ b/bluebellrun/gateway/_store_view.py
@@ -32,8 +32,10 @@
 # Fraction of the time to apply a change that is spent on batching changes: each call to the store
 # has a cost, and registrations come in bursts of dozens.
 BATCH_FRACTION = 0.1
-# Reserve for the next call within the time to detect a silent connection to the store.
-SILENCE_DETECTION_MARGIN_S = 0.5
+# A store answers within this time after the wait of a watch, also when it is slow.
+ANSWER_S = 0.6
+# Reserve for the calls that read what a lost answer told of.
+READ_AGAIN_S = 0.5
 # Prevents a watch from polling without a pause under bounds tighter than any installation's.
 MIN_WATCH_WAIT_S = 1.0
 # The check interval varies at random between this fraction of it and as much above it.
@@ -46,22 +48,25 @@
 _log = get_logger("store-view")
 
 
-def watch_check_s(timing: WatchTiming, call_s: float) -> float:
+def watch_check_s(timing: WatchTiming) -> float:
     """Return how long a watch may be silent before it is compared with the store.
 
     Its calls end sooner, whatever the random variation of the interval.
     """
-    return (timing.wait_s + call_s) / MIN_CHECK_FRACTION
+    return timing.call_s / MIN_CHECK_FRACTION
 
 
-def watch_timing(bounds: Bounds, call_s: float) -> WatchTiming:
+def watch_timing(bounds: Bounds) -> WatchTiming:
     """Return how to watch the store, so that changes are in force in time.
 
-    A connection may go silent without an error: a waiting call ends ``call_s`` seconds after its
-    wait, and a change has to be in force once ``calm_s`` and ``apply_s`` have passed.
+    ``apply_s`` counts from the change, not from when it is read. If the answer that tells of it is
+    lost, or its connection has gone silent, the change has to be in force ``calm_s`` later: by then
+    the call was given up and the change was read again.
     """
-    detection_s = bounds.calm_s + bounds.apply_s - call_s - SILENCE_DETECTION_MARGIN_S
-    return WatchTiming(max(MIN_WATCH_WAIT_S, detection_s), BATCH_FRACTION * bounds.apply_s)
+    wait_s = bounds.calm_s - ANSWER_S - READ_AGAIN_S
+    return WatchTiming(
+        max(MIN_WATCH_WAIT_S, wait_s), BATCH_FRACTION * bounds.apply_s, answer_s=ANSWER_S
+    )
 
 
 class StoreView:
--- a/bluebellrun/platform/_store.py
+++ b/bluebellrun/platform/_store.py
@@ -227,11 +227,12 @@
         return watch
 
     async def wait_for_changes(
-        self, prefix: str, after: int, wait_s: float, era: int = 0
+        self, prefix: str, after: int, wait_s: float, era: int = 0, call_s: float | None = None
     ) -> _Changes:
         """Return the changes after a revision of an era; empty if there are none in ``wait_s``.
 
-        Era 0 stands for whatever era the store is in.
+        Era 0 stands for whatever era the store is in. The call is given up after ``call_s``, by
+        default as long as any other after its wait.
 
         Raises ``CompactedError`` if all keys have to be read again: the history was compacted, the
         store was restored, or there are too many changes for one answer.
@@ -240,7 +241,7 @@
         query = urlencode({"prefix": prefix, "after": after, "wait_ms": wait_ms})
         target = f"{STORE_WATCH_PATH}?{query}"
         try:
-            answer = await self._read(target, wait_s + self._timeouts.call_s)
+            answer = await self._read(target, call_s or wait_s + self._timeouts.call_s)
         except StoreAnswerTooLongError as error:
             _log.warning("watch answer too long, reading all keys", after=after, reason=str(error))
             raise CompactedError(after) from error
@@ -356,14 +357,14 @@
             await curio.sleep(self._timing.batch_delay_s)
         events, self._pending = self._pending, []
         if not events:
-            events = await self._poll(self._timing.wait_s)
+            events = await self._poll(self._timing.wait_s, self._timing.call_s)
         self._changed = bool(events)
         return events
 
-    async def _poll(self, wait_s: float) -> list[WatchEvent]:
+    async def _poll(self, wait_s: float, call_s: float | None = None) -> list[WatchEvent]:
         """Poll for changes since the last poll."""
         changes = await self._store.wait_for_changes(
-            self._prefix, self._after.revision, wait_s, self._after.era
+            self._prefix, self._after.revision, wait_s, self._after.era, call_s
         )
         revision = max(self._after.revision, changes.store_revision)
         self._after = StorePosition(self._after.era or self._store.era, revision)
--- a/bluebellrun/store/_models.py
+++ b/bluebellrun/store/_models.py
@@ -14,12 +14,19 @@
 class WatchTiming:
     """Long-polling intervals of a watch, in seconds.
 
-    A call waits up to ``wait_s`` for a change. After changes, the next call is made
-    ``batch_delay_s`` later, so that changes made together arrive in one batch.
+    A call waits up to ``wait_s`` for a change; its answer counts as lost ``answer_s`` after that.
+    After changes, the next call is made ``batch_delay_s`` later, so that changes made together
+    arrive in one batch.
     """
 
     wait_s: float = 3.0
     batch_delay_s: float = 0.1
+    answer_s: float = 0.6
+
+    @property
+    def call_s(self) -> float:
+        """Return after how long a call is given up."""
+        return self.wait_s + self.answer_s
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/users_platform/_store.py
+++ b/standins/users_platform/_store.py
@@ -31,7 +31,8 @@
 class FakeStore:
     """Keys with revisions, leases, and calls that can be refused, delayed or lost.
 
-    The answer to the next watch that has events is lost for each client in ``lose_watches_of``.
+    The answer to the next watch that has events is lost for each client in ``lose_watches_of``;
+    ``lost_at`` tells when that was, on the monotonic clock in seconds.
     Leases run out only when ``expire_leases`` is called. ``restore`` brings back an older copy.
     """
 
@@ -44,6 +45,7 @@
     calls: int = 0
     silent: bool = False
     lose_watches_of: set[str] = field(default_factory=set)
+    lost_at: dict[str, float] = field(default_factory=dict)
     delay_s: float = 0.0
     leases: dict[int, float] = field(default_factory=dict)
     lasting_s: dict[int, float] = field(default_factory=dict)
@@ -115,9 +117,11 @@
         }
         body = json.loads(exchange.request.body or b"{}")
         status, answer = await self._answer(url.path, query, body)
-        lost_watch = bool(answer.get("events")) and client in self.lose_watches_of
-        self.lose_watches_of.difference_update({client} if lost_watch else ())
-        if self.lose_answers or lost_watch:
+        if answer.get("events") and client in self.lose_watches_of:
+            self.lose_watches_of.remove(client)
+            self.lost_at[client] = time.monotonic()
+            await curio.sleep(30)
+        if self.lose_answers:
             await curio.sleep(30)
         await self._send(exchange, status, answer)
 
