Answer each request of a stopping gateway before its grace time ends

Cause: requests were refused from 3.0 s after the signal was noticed, while callers that sent theirs later than 3.0 s after the signal have to get an answer; a request that was queued or sent again was passed on however late; and at the end all connections were closed, also those whose request had not been sent to any upstream or whose answer had not begun.

Change: the gateway refuses by the time of the signal, from 2.7 s after it. No attempt is made whose answer is to be expected after the process gives up. 0.6 s before it is killed, requests get their final answer: 503 if they have not been sent, 502 if they may have run; only a stream that has begun is cut.

--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -1,9 +1,12 @@
 """The gateway: accepts callers' requests and answers each of them."""
 
 import json
+import math
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
+from typing import Any
 
 import curio
 
@@ -39,6 +42,7 @@
 BAD_REQUEST = 400
 NOT_AUTHENTICATED = 401
 NOT_FOUND = 404
+BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 # A started process reads its configuration within some tens of milliseconds if the store is
@@ -46,7 +50,10 @@
 FIRST_CONFIGURATION_WAIT_S = 0.4
 FIRST_CONFIGURATION_POLL_S = 0.02
 NO_DEPLOYMENT_RETRY_S = 0.5
+UNFINISHED_RETRY_S = 0.5
 STOPPING_RETRY_S = 0.1
+# Time to send the final answers of a process that gives up.
+FINAL_ANSWER_S = 0.15
 # Number of entries assumed to share the retry budget until the registrations have been read.
 ASSUMED_ENTRIES = 6
 
@@ -57,6 +64,21 @@
 _log = get_logger("gateway")
 
 
+class StopDeadlineError(curio.CancelledError):
+    """A request is unfinished when the process gives up its requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopTimes:
+    """When a stopping process refuses requests and gives up those in progress.
+
+    Both are readings of the monotonic clock in seconds.
+    """
+
+    refuse_from: float = math.inf
+    give_up_at: float = math.inf
+
+
 class Gateway:
     """Route, authenticate and relay requests; times in seconds of the monotonic clock."""
 
@@ -84,7 +106,8 @@
         self._engines: dict[str, EngineTerms | None] = {}
         self._entries = ASSUMED_ENTRIES
         self._in_progress = 0
-        self._refusing = False
+        self._stop = StopTimes()
+        self._relaying: set[Any] = set()
 
     @property
     def deployment(self) -> Deployment | None:
@@ -111,9 +134,14 @@
         for budget in self._budgets.values():
             budget.settings = self._budget_settings()
 
-    def refuse_new_requests(self) -> None:
-        """Refuse requests from now on: the process is about to stop."""
-        self._refusing = True
+    def begin_stop(self, times: StopTimes) -> None:
+        """Set when requests are refused and given up: the process is about to stop."""
+        self._stop = times
+
+    async def give_up(self) -> None:
+        """Give the requests in progress their final answer, as far as they can still get one."""
+        for task in list(self._relaying):
+            await task.cancel(exc=StopDeadlineError, blocking=False)
 
     async def handle(self, exchange: HttpExchange) -> None:
         """Answer one request."""
@@ -149,7 +177,7 @@
         """Return a request's route, or why it is refused."""
         if deployment is None:
             return Refused(UNAVAILABLE, "no configuration has been read", NO_DEPLOYMENT_RETRY_S)
-        if self._refusing:
+        if time.monotonic() >= self._stop.refuse_from:
             return Refused(UNAVAILABLE, "this process is stopping", STOPPING_RETRY_S)
         route = deployment.find_route(request.host, request.path)
         if route is None:
@@ -191,11 +219,32 @@
             self._admission_of(service),
             self._budget(service),
             self._guard,
+            lambda: self._stop.give_up_at,
         )
-        result: Result
+        try:
+            result = await self._run_relay(exchange, request, relay, deadline)
+        except CallerGoneError as error:
+            _log.info("caller left", request=request.id, reason=str(error))
+            exchange.abort()
+        except StopDeadlineError:
+            result = _unfinished(exchange, relay, BAD_GATEWAY, "this process is stopping")
+            async with curio.ignore_after(FINAL_ANSWER_S):
+                await self._conclude(exchange, request, route, service, result)
+        else:
+            await self._conclude(exchange, request, route, service, result)
+
+    async def _run_relay(
+        self, exchange: HttpExchange, request: CallerRequest, relay: Relay, deadline: float
+    ) -> Result:
+        """Return the result of a request, at its deadline at the latest.
+
+        Raises ``StopDeadlineError`` if the process gives up its requests before that.
+        """
+        task = await curio.current_task()
+        self._relaying.add(task)
         try:
             async with curio.timeout_after(max(0.0, deadline - time.monotonic())):
-                result = await relay.run()
+                return await relay.run()
         except curio.TaskTimeout:
             _log.info(
                 "request timed out",
@@ -203,12 +252,9 @@
                 upstream=relay.upstream,
                 attempts=relay.attempts,
             )
-            result = self._result_at_deadline(exchange, relay)
-        except CallerGoneError as error:
-            _log.info("caller left", request=request.id, reason=str(error))
-            exchange.abort()
-            return
-        await self._conclude(exchange, request, route, service, result)
+            return _unfinished(exchange, relay, GATEWAY_TIMEOUT, "the request's time is over")
+        finally:
+            self._relaying.discard(task)
 
     def _is_retry(self, request: CallerRequest, route: Route) -> bool:
         """Return whether the caller has certainly sent this request to some entry before."""
@@ -217,15 +263,6 @@
         )
         return returns or request.last_event_id is not None
 
-    def _result_at_deadline(self, exchange: HttpExchange, relay: Relay) -> Result:
-        """Return the result of a request that reached its deadline."""
-        reason = "the request's time is over"
-        if exchange.started:
-            return BrokenOff(reason, relay.attempts)
-        if relay.runs:
-            return Unresolved(GATEWAY_TIMEOUT, reason, relay.attempts)
-        return Refused(UNAVAILABLE, reason, NO_DEPLOYMENT_RETRY_S)
-
     async def _conclude(
         self,
         exchange: HttpExchange,
@@ -335,6 +372,15 @@
         )
 
 
+def _unfinished(exchange: HttpExchange, relay: Relay, status: int, reason: str) -> Result:
+    """Return the result of a request that is given up; ``status`` if it may have run."""
+    if exchange.started:
+        return BrokenOff(reason, relay.attempts)
+    if relay.runs:
+        return Unresolved(status, reason, relay.attempts)
+    return Refused(UNAVAILABLE, reason, UNFINISHED_RETRY_S)
+
+
 def _relative_length(request: CallerRequest, engine: EngineTerms | None) -> float:
     """Return the expected answer length relative to the typical one, at least 1."""
     if engine is None or engine.usual_answer_tokens <= 0:
--- a/bluebellrun/gateway/_lifecycle.py
+++ b/bluebellrun/gateway/_lifecycle.py
@@ -5,14 +5,17 @@
 import curio
 
 from bluebellrun.deployment import Bounds
-from bluebellrun.gateway._gateway import Gateway
+from bluebellrun.gateway._gateway import Gateway, StopTimes
 from bluebellrun.http import HttpServer
 
 # New connections arrive until the balancer has polled readiness twice, once a second.
 ACCEPT_WHILE_STOPPING_S = 2.5
-# Requests that arrive later than this after the stop started are refused: they could not finish.
-SERVE_WHILE_STOPPING_S = 3.0
-# Answers that are unfinished this long before the process is killed are aborted.
+# Requests that are read later than this after the signal are refused. Callers may be cut off at the
+# end if they sent their request within three seconds of the signal, which is noticed later.
+SERVE_WHILE_STOPPING_S = 2.7
+# Requests that are unfinished this long before the process is killed get their final answer.
+GIVE_UP_MARGIN_S = 0.6
+# The process ends this long before it is killed.
 KILL_MARGIN_S = 0.4
 POLL_S = 0.05
 
@@ -38,16 +41,24 @@
         clock.
         """
         started = time.monotonic() if signalled_at is None else signalled_at
+        killed_at = started + self._bounds.stop_grace_s
+        refuse_from = started + SERVE_WHILE_STOPPING_S
+        give_up_at = killed_at - GIVE_UP_MARGIN_S
         self._stopping = True
+        self._gateway.begin_stop(StopTimes(refuse_from, give_up_at))
         self._server.end_connections()
         await self._sleep_until(started + ACCEPT_WHILE_STOPPING_S)
         await self._server.close()
-        await self._sleep_until(started + SERVE_WHILE_STOPPING_S)
-        self._gateway.refuse_new_requests()
+        await self._sleep_until(refuse_from)
         await self._server.close_idle()
-        deadline = started + self._bounds.stop_grace_s - KILL_MARGIN_S
         # Let the event loop read the requests that have already arrived.
         await curio.sleep(POLL_S)
+        await self._finish_requests(give_up_at)
+        await self._gateway.give_up()
+        await self._finish_requests(killed_at - KILL_MARGIN_S)
+
+    async def _finish_requests(self, deadline: float) -> None:
+        """Wait until no request is in progress, or until a reading of the monotonic clock."""
         while self._gateway.in_progress and time.monotonic() < deadline:
             await curio.sleep(POLL_S)
 
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -6,7 +6,9 @@
 has.
 """
 
+import math
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from random import Random
@@ -105,7 +107,11 @@
 
 
 class Relay:
-    """The relaying of one request; created for each."""
+    """The relaying of one request; created for each.
+
+    ``stop_deadline`` returns when this process gives up its requests, infinity while it does not
+    stop.
+    """
 
     def __init__(
         self,
@@ -117,7 +123,9 @@
         admission_control: AdmissionControl,
         budget: AttemptBudget,
         guard: PromptGuard,
+        stop_deadline: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        self._stop_deadline = stop_deadline
         self._exchange = exchange
         self._request = request
         self._terms = terms
@@ -302,21 +310,33 @@
         """Return the inputs to the admission decision."""
         terms = self._terms
         caller_deadline = self._request.received + self._stream_timeout_s() - SERVING_TIME_S
-        answer_s = self._fleet.typical_s(terms.service, time.monotonic()) * terms.length
-        send_deadline = min(caller_deadline, terms.deadline - max(MIN_ANSWER_S, answer_s))
+        deadline = min(terms.deadline, self._stop_deadline())
+        send_deadline = min(caller_deadline, deadline - self._answer_s())
         return AdmissionTerms(
             self._request.id, terms.route, terms.urgency, send_deadline, terms.is_retry
         )
 
+    def _answer_s(self) -> float:
+        """Return the time that an answer is expected to take."""
+        typical_s = self._fleet.typical_s(self._service, time.monotonic())
+        return max(MIN_ANSWER_S, typical_s * self._terms.length)
+
+    def _is_stop_near(self, now: float) -> bool:
+        """Return whether this process stops before an answer is to be expected."""
+        stop_deadline = self._stop_deadline()
+        return stop_deadline < math.inf and now >= stop_deadline - self._answer_s()
+
     def _may_queue_again(self, terms: AdmissionTerms) -> bool:
         """Return whether a request that no upstream accepted is queued again."""
         now = time.monotonic()
+        if self._is_stop_near(now):
+            return False
         in_outage = self._admission_control.gate.is_unavailable(now)
         return (terms.is_retry or in_outage) and now < terms.send_deadline
 
     def _may_attempt(self, now: float) -> bool:
         """Return whether there is time for an attempt and, after the first, budget."""
-        if self._terms.deadline - now < MIN_REMAINING_S:
+        if self._terms.deadline - now < MIN_REMAINING_S or self._is_stop_near(now):
             return False
         if self._attempts == 0:
             self._budget.record_first(now)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -1,5 +1,6 @@
 """SIGTERM to gateway processes, with the store in every state."""
 
+import contextlib
 import signal
 import time
 from pathlib import Path
@@ -13,6 +14,8 @@
 
 # A platform asks for readiness once a second; the process refuses requests after this time.
 UNREADY_S, REFUSING_S = 0.5, 3.0
+# Requests that were sent later than this after the signal may not be cut off.
+EXCUSED_S = 3.0
 OUTAGES = ("silent before", "silent after", "refusing", "slow")
 
 
@@ -76,3 +79,32 @@
         assert [item["rev"] for item in records if item["rev"] > taken and "value" in item] == []
 
     run_with_gateways(tmp_path, check)
+
+
+# Guards: in a stop in calm, requests that came late in the grace time were passed on and cut off
+# at its end without an answer.
+def test_each_request_of_a_stopping_process_gets_an_answer(tmp_path: Path) -> None:
+    async def check(gateways: Gateways) -> None:
+        (program,) = gateways.programs
+        await gateways.upstreams.start(gateways.store, "desk1", "desk")
+        kept, early = gateways.client(program), gateways.client(program)
+        async with curio.timeout_after(5.0):
+            while (await gateways.request(kept, 0.0))[0] != 200:
+                await curio.sleep(0.1)
+        unfinished = await curio.spawn(gateways.request, early, 9.0)
+        late = gateways.client(program)
+        response = await late.open("GET", "/none/", [("host", "h.example")], b"")
+        await response.read_all(1.0)
+        began = time.monotonic()
+        program.signal(signal.SIGTERM)
+        await curio.sleep(EXCUSED_S - 0.2 - (time.monotonic() - began))
+        before = len(gateways.upstreams.arrivals["desk1"])
+        with contextlib.suppress(TransportError):
+            assert (await gateways.request(late, 5.5))[0] == 503
+        assert len(gateways.upstreams.arrivals["desk1"]) == before
+        status, _ = await unfinished.join()
+        assert (status, time.monotonic() - began < STOP_GRACE_S) == (502, True)
+        status = await curio.run_in_thread(program.end, STOP_GRACE_S)
+        assert (status, time.monotonic() - began < STOP_GRACE_S) == (0, True)
+
+    run_with_gateways(tmp_path, check)
