Finish the calls in progress when a sidecar stops

What callers saw: nothing at the edge, but the holder of the placement role lost the answer to an order that the sidecar was passing on, and did not know whether the engine had carried it out.

Cause: the process ended as soon as it no longer accepted connections.

Change: it closes idle connections and waits up to a second for the others, which end with their answer.

--- a/bluebellrun/sidecar/main.py
+++ b/bluebellrun/sidecar/main.py
@@ -3,6 +3,8 @@
 import signal
 import sys
 
+import curio
+
 from bluebellrun.core import Address
 from bluebellrun.deployment import HostSettings
 from bluebellrun.http import HttpLimits, HttpServer
@@ -13,6 +15,9 @@
 EXIT_BAD_SETTING = 2
 # The coordinator keeps its connections between reads that may be seconds apart.
 LIMITS = HttpLimits(max_header_bytes=8_192, max_body_bytes=1_048_576, max_connections=64)
+# An order's answer is delayed by some tenths of a second until the engine has carried it out.
+FINISH_CALLS_S = 1.0
+POLL_S = 0.02
 
 _log = get_logger("sidecar")
 
@@ -30,7 +35,11 @@
     while (received := await signals.next()).number == signal.SIGHUP:
         _log.info("nothing to read again; new settings need a restart")
     await server.close()
-    _log.info("stopped", signal=received.number.name)
+    await server.close_idle()
+    async with curio.ignore_after(FINISH_CALLS_S):
+        while server.open_connections:
+            await curio.sleep(POLL_S)
+    _log.info("stopped", signal=received.number.name, calls_cut=server.open_connections)
     return 0
 
 
