Test heads that are cut off and closed

An operator of another system reported that a replica which stopped in the middle of its answer's head and closed gave callers a 200 with an empty or short body, framed as whole.

The stand-in of the store takes an answer that is no object again.

--- a/standins/users_platform/_store.py
+++ b/standins/users_platform/_store.py
@@ -117,7 +117,7 @@
         }
         body = json.loads(exchange.request.body or b"{}")
         status, answer = await self._answer(url.path, query, body)
-        if answer.get("events") and client in self.lose_watches_of:
+        if client in self.lose_watches_of and answer.get("events"):
             self.lose_watches_of.remove(client)
             self.lost_at[client] = time.monotonic()
             await curio.sleep(30)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -317,6 +317,25 @@
     run_check(check, ("u1", resets))
 
 
+# Guards: an upstream closed in the middle of an answer's head, and the caller got a whole answer.
+@pytest.mark.parametrize("path", ["/once/a", "/ask/a", "/talk/a", "/tell/a"])
+def test_a_head_cut_short_is_no_answer(path):
+    head = reply(200, X_Bluebellrun_Server_Stamp="st", Content_Type="text/event-stream")
+    cuts = [len(b"HTTP/1.1 200"), head.index(b"\r\n") + 2, head.rindex(b"\r\n\r\n") + 2]
+    pieces = iter([head[:cut] for cut in cuts for _ in range(3)])
+
+    async def cut(sock: Any, arrival: Any) -> None:
+        await sock.sendall(next(pieces, head[:9]))
+        await sock.close()
+
+    async def check(bench: GatewayBench) -> None:
+        for _ in cuts:
+            answer = await bench.send_request(path, "POST", b"x", deadline="700")
+            assert answer.status in (502, 503, 504)
+
+    run_check(check, ("u1", cut))
+
+
 def test_an_answer_cut_short_is_no_success():
     async def check(bench: GatewayBench) -> None:
         assert (await bench.send_request("/once/a", "POST", b"x")).status == 502
