Give up pages of the store that do not end

An operator of another system reported bytes without end that were all kept until memory ran out. Tried here: heads, bodies, chunks, trailers, stray answers, counts, orders, watches and copies are bounded and tested (tests/http/test_endless_answers.py, tests/platform/test_endless_*.py).

What was not bounded: a range of keys that the store gives page by page. A store that says has_more without end, or names the same last key again, was read until the process had no memory left.

Change: pages are given up over 32 MB in all, or when the last key does not advance; following the store goes on as after any failure.

--- a/bluebellrun/platform/_store.py
+++ b/bluebellrun/platform/_store.py
@@ -54,6 +54,9 @@
 NO_EFFECT_STATUSES = (429, 503)
 CONNECT_SHARE = 0.5
 MAX_LOGGED_CHARACTERS = 60
+# Bytes of all pages that are read together: the configuration and the registrations of the largest
+# fleets take a few megabytes.
+MAX_SNAPSHOT_BYTES = 33_554_432
 MAX_ERA_DIGITS = 12
 JSON_HEADERS = [("content-type", "application/json")]
 
@@ -163,10 +166,11 @@
     async def read_prefix(self, prefix: str) -> Snapshot:
         """Read all keys below a prefix; the revision is that of the first page.
 
-        Raises ``StoreUnavailableError`` if the store is restored between two pages.
+        Raises ``StoreUnavailableError`` if the store is restored between two pages, and
+        ``StoreAnswerTooLongError`` if the pages do not end or are over ``MAX_SNAPSHOT_BYTES``.
         """
         items: list[KeyValue] = []
-        revision, era = 0, None
+        revision, era, size = 0, None, 0
         query = {"prefix": prefix}
         while True:
             answer = await self._read(f"{STORE_RANGE_PATH}?{urlencode(query)}")
@@ -178,7 +182,11 @@
             revision = revision or page.store_revision
             if not page.has_more or not page.items:
                 return Snapshot(tuple(items), revision, era)
-            query["after"] = page.items[-1].key
+            size += len(answer.data)
+            last = page.items[-1].key
+            if size > MAX_SNAPSHOT_BYTES or last <= query.get("after", ""):
+                raise StoreAnswerTooLongError(f"pages of {prefix!r} do not end: {size} bytes")
+            query["after"] = last
 
     async def read_revisions(self, prefix: str) -> Snapshot:
         """Read all keys below a prefix."""
--- a/tests/platform/test_endless_store.py
+++ b/tests/platform/test_endless_store.py
@@ -1,5 +1,6 @@
 """Endless answers of the store or engines neither block the caller nor exhaust memory."""
 
+import json
 import time
 
 import curio
@@ -7,8 +8,15 @@
 
 from bluebellrun.core import Address
 from bluebellrun.gateway import RankCallError, Upstream
+from bluebellrun.http import HttpExchange, HttpLimits, HttpServer
 from bluebellrun.platform import EngineClient, PlatformStore
-from bluebellrun.store import CompactedError, PlatformError, StoreTimeouts
+from bluebellrun.platform._store import MAX_SNAPSHOT_BYTES
+from bluebellrun.store import (
+    CompactedError,
+    PlatformError,
+    StoreAnswerTooLongError,
+    StoreTimeouts,
+)
 from tests.endless import serving
 
 BEGIN = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -56,3 +64,31 @@
     with serving(BEGIN, piece, pause_s) as flood:
         curio.run(main, flood.address)
     assert flood.sent < BUFFERED_BYTES
+
+
+def _page(number: int, fill: str) -> bytes:
+    item = {"key": f"a/{number:09}", "value": fill, "rev": 1, "created": 1, "lease": 0}
+    return json.dumps({"items": [item], "has_more": True, "store_revision": 1}).encode()
+
+
+# Guards: pages of the store that went on without end were all kept, until memory ran out.
+@pytest.mark.parametrize("is_repeated", [False, True])
+def test_pages_of_the_store_that_do_not_end_are_given_up(is_repeated: bool) -> None:
+    sent = 0
+
+    async def handle(exchange: HttpExchange) -> None:
+        nonlocal sent
+        body = _page(0 if is_repeated else sent, "x" * 1_000_000)
+        sent += 1
+        await exchange.answer(200, [("content-type", "application/json")], body)
+
+    async def main() -> None:
+        server = HttpServer(Address("127.0.0.1", 0), handle, HttpLimits())
+        await curio.spawn(server.run, daemon=True)
+        store = PlatformStore(server.address, StoreTimeouts(2.0))
+        async with curio.timeout_after(15.0):
+            with pytest.raises(StoreAnswerTooLongError):
+                await store.read_prefix("a/")
+
+    curio.run(main)
+    assert sent <= 2 if is_repeated else sent * 1_000_000 < 2 * MAX_SNAPSHOT_BYTES
