Quarantine a whole prompt that crashes its upstreams

Cause: only the parts that a prompt shares with others were accused. The log shows that all requests that crashed a replica had one and the same last part, which no other request had; their shared parts were answered in other requests and so cleared, and nothing was left to accuse. Then the clearances were doubted, and sound requests were withheld and probed.

Change: a digest of the whole prompt is judged beside its parts. It is accused only by an answer that was beginning and only if no shared part may explain the crash, so that a part that crashes replicas in ever new prompts is found as soon as before; a prompt that is answered is cleared. Crashes under different prompts that have cleared parts in common let the next crash accuse these parts. Logs name the digest. Entries tell it in a new field of the report; older builds ignore it and take the reports as before.

Tests: test_a_whole_prompt_that_crashes_upstreams_ends_one_of_them fails on the commit before (more than one upstream ended) and passes now; six more in tests/quarantine.

--- a/bluebellrun/gateway/_crash_exchange.py
+++ b/bluebellrun/gateway/_crash_exchange.py
@@ -102,7 +102,8 @@
         chosen: list[CrashReport] = []
         parts = 0
         for report in reports[start:] + reports[:start]:
-            parts += len(report.beginning) + len(report.waiting) + len(report.cleared)
+            parts += len(report.beginning) + len(report.waiting)
+            parts += len(report.cleared) + len(report.prompts)
             if chosen and parts > MAX_PARTS_PER_MESSAGE:
                 break
             chosen.append(report)
@@ -121,6 +122,7 @@
                 beginning=report.beginning,
                 waiting=report.waiting,
                 cleared=report.cleared,
+                prompts=report.prompts,
             )
 
     def _read_stored(self) -> None:
--- a/bluebellrun/gateway/_models.py
+++ b/bluebellrun/gateway/_models.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from xxhash import xxh64_hexdigest
+
 from bluebellrun.core import Address
 from bluebellrun.http import Headers
 
@@ -42,6 +44,11 @@
         """Return the parts of the prompt that other requests may have too."""
         return self.prompt_parts[:-1]
 
+    @property
+    def prompt_digest(self) -> str:
+        """Return a digest of the whole prompt, empty if the request has none."""
+        return xxh64_hexdigest(",".join(self.prompt_parts).encode()) if self.prompt_parts else ""
+
 
 # An upstream's instance and its start in Unix milliseconds.
 UpstreamIncarnation = tuple[str, int]
--- a/bluebellrun/gateway/_prompt_guard.py
+++ b/bluebellrun/gateway/_prompt_guard.py
@@ -124,26 +124,38 @@
         """Record that a probe has ended."""
         self._quarantine.end_probe(probe.parts)
 
-    def record_answer(self, request_id: str, service: str, parts: Collection[str]) -> None:
-        """Record that an answer has begun, which clears the parts of its prompt."""
-        cleared = self._quarantine.record_answer(service, parts, time.monotonic())
+    def record_answer(
+        self, request_id: str, service: str, parts: Collection[str], prompt: str = ""
+    ) -> None:
+        """Record that an answer has begun, which clears the parts of its prompt and all of it.
+
+        ``prompt`` is the digest of the whole prompt.
+        """
+        cleared = self._quarantine.record_answer(service, parts, time.monotonic(), prompt)
         if cleared:
             _log.info("suspected parts cleared", request=request_id, service=service, parts=cleared)
 
     async def record_lost(
-        self, upstream: Upstream, parts: Collection[str], outcome: Lost, has_head: bool, events: int
+        self,
+        upstream: Upstream,
+        parts: Collection[str],
+        outcome: Lost,
+        has_head: bool,
+        events: int,
+        prompt: str = "",
     ) -> LossCause:
         """Record an attempt whose answer was lost; return the cause.
 
         If the upstream has ended, and the request had no content of its answer yet, the parts of
-        its prompt are accused.
+        its prompt are accused, or all of it by the digest ``prompt``.
         """
-        cause = await self._cause(upstream, parts, outcome, has_head, events)
+        has_prompt = bool(parts or prompt)
+        cause = await self._cause(upstream, has_prompt, outcome, has_head, events)
         self._record_loss(upstream.service, cause)
-        if cause in (LossCause.CRASH, LossCause.ENDED) and parts and not events:
+        if cause in (LossCause.CRASH, LossCause.ENDED) and has_prompt and not events:
             now = time.monotonic()
             accused = self._quarantine.record_crash(
-                upstream.service, upstream.incarnation, parts, has_head, now
+                upstream.service, upstream.incarnation, parts, has_head, now, prompt
             )
             _log.info(
                 "upstream ended under a request",
@@ -151,6 +163,7 @@
                 started_ms=upstream.started_ms,
                 answer_begun=has_head,
                 parts=tuple(parts),
+                prompt=prompt,
                 accused=accused,
             )
             if accused:
@@ -158,12 +171,12 @@
         return cause
 
     async def _cause(
-        self, upstream: Upstream, parts: Collection[str], outcome: Lost, has_head: bool, events: int
+        self, upstream: Upstream, has_prompt: bool, outcome: Lost, has_head: bool, events: int
     ) -> LossCause:
         """Return why an answer was lost; only a process that had a suspect is checked."""
         if not outcome.ended_by_peer:
             return LossCause.OTHER
-        if events or not parts:
+        if events or not has_prompt:
             return LossCause.ENDED if self._fleet.is_known_ended(upstream) else LossCause.CLOSED
         # Without a head it may be an idle connection that the upstream has closed.
         checks = END_CHECKS_AFTER_HEAD if has_head else 1
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -177,7 +177,7 @@
         outage of the service.
         """
         terms = self._admission_terms()
-        decision = self._guard.decide(self._service, self._request.shared_parts)
+        decision = self._guard.decide(self._service, self._prompt_keys())
         if isinstance(decision, Quarantined):
             return self._withhold(decision)
         while True:
@@ -271,9 +271,8 @@
         """Return none if the request may be sent as far as its prompt is known, else its result."""
         if self._exchange.started:
             return None
-        parts = self._request.shared_parts
         deadline = self._admission_terms().send_deadline
-        decision = await self._guard.admit(self._service, parts, deadline)
+        decision = await self._guard.admit(self._service, self._prompt_keys(), deadline)
         match decision:
             case Allowed():
                 return None
@@ -283,6 +282,10 @@
             case Pending() | Quarantined():
                 return self._withhold(decision)
 
+    def _prompt_keys(self) -> tuple[str, ...]:
+        """Return what of the prompt may be suspected: its shared parts, and all of it."""
+        return (*self._request.shared_parts, self._request.prompt_digest)
+
     def _end_probe(self) -> None:
         """End the probe of suspected parts that this request was allowed, if it was."""
         if self._probe is not None:
@@ -432,8 +435,15 @@
 
     async def _record_loss(self, upstream: Upstream, outcome: Lost) -> LossCause:
         """Record a lost answer and return its cause."""
-        parts = self._request.shared_parts
-        return await self._guard.record_lost(upstream, parts, outcome, self._has_head, self._events)
+        request = self._request
+        return await self._guard.record_lost(
+            upstream,
+            request.shared_parts,
+            outcome,
+            self._has_head,
+            self._events,
+            request.prompt_digest,
+        )
 
     def _record_outcome(
         self, upstream: Upstream, outcome: Outcome, started: float, cause: LossCause | None
@@ -470,6 +480,7 @@
             has_head=self._has_head,
             events=self._events,
             parts=self._request.prompt_parts[:MAX_LOGGED_PARTS],
+            prompt=self._request.prompt_digest,
         )
 
     def _record_prompt_read(self, upstream: Upstream) -> None:
@@ -563,8 +574,10 @@
 
     def _record_answer(self) -> None:
         """Record that an upstream has begun to answer the prompt."""
-        parts = self._request.shared_parts
-        self._guard.record_answer(self._request.id, self._service, parts)
+        request = self._request
+        self._guard.record_answer(
+            request.id, self._service, request.shared_parts, request.prompt_digest
+        )
 
     async def _read_refusal(self, upstream: Upstream, response: HttpResponse) -> None:
         """Read the rest of a refusal; its head has said that the request did not run."""
--- a/bluebellrun/quarantine/_models.py
+++ b/bluebellrun/quarantine/_models.py
@@ -15,8 +15,8 @@
     After a crash its reports are awaited for ``settle_s``. A part is quarantined for ``first_s``
     after one crash under an answer that was beginning, for ``repeated_s`` after two crashes, and
     for twice as long after each further one, up to ``max_s``. A crash is forgotten after
-    ``retention_s``, and that a part was answered after ``clearance_s``. A probe without a result
-    ends after ``probe_s``.
+    ``retention_s``, and that a part or a whole prompt was answered after ``clearance_s``. A probe
+    without a result ends after ``probe_s``.
     """
 
     settle_s: float = 0.5
@@ -29,6 +29,7 @@
     max_crashes: int = 32
     max_parts_per_crash: int = 32
     max_cleared_parts: int = 4_096
+    max_cleared_prompts: int = 4_096
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
@@ -36,8 +37,9 @@
 
     ``beginning`` are the parts of requests whose answers had begun without any content,
     ``waiting`` those of requests without any answer, and ``cleared`` those of either kind that have
-    been answered elsewhere. The last part of a prompt is in none of them. ``age_s`` is the time
-    since the crash in seconds.
+    been answered elsewhere. The last part of a prompt is in none of them. ``prompts`` are digests
+    of the whole prompts of requests whose answers had begun without any content, none from builds
+    that do not tell them. ``age_s`` is the time since the crash in seconds.
     """
 
     service: str
@@ -47,6 +49,7 @@
     beginning: list[str]
     waiting: list[str]
     cleared: list[str] = msgspec.field(default_factory=list)
+    prompts: list[str] = msgspec.field(default_factory=list)
 
     @property
     def incarnation(self) -> UpstreamIncarnation:
--- a/bluebellrun/quarantine/_quarantine.py
+++ b/bluebellrun/quarantine/_quarantine.py
@@ -2,9 +2,11 @@
 
 A part of a prompt may crash each upstream that begins to answer a request with it. A crash accuses
 the parts of the requests whose answers were just beginning, or if there are none, those of the
-requests that waited for an answer; parts that were answered before are cleared. A request that has
-all the parts that may explain a crash is not sent again; one that has only some of them is
-sent alone, as a probe: either its answer begins and clears them, or they crash another upstream.
+requests that waited for an answer; parts that were answered before are cleared. If none is left,
+the crash accuses the whole prompts of the requests whose answers were beginning, by their digests,
+which are judged like parts. A request that has all the parts that may explain a crash is not sent
+again; one that has only some of them is sent alone, as a probe: either its answer begins and clears
+them, or they crash another upstream.
 
 An upstream that was killed leaves the same trace, so every quarantine ends with a probe.
 """
@@ -30,18 +32,34 @@
     beginning: set[str] = field(default_factory=set)
     waiting: set[str] = field(default_factory=set)
     cleared: set[str] = field(default_factory=set)
+    prompts: set[str] = field(default_factory=set)
     is_explained: bool = True
     is_own: bool = False
 
     @property
     def accused(self) -> set[str]:
         """Return the parts that the crash accuses, also those that were cleared of it."""
-        return self.beginning or self.waiting
+        return self.beginning if self.beginning or self.prompts else self.waiting
+
+    @property
+    def told(self) -> set[str]:
+        """Return all parts and prompts that were told of the crash."""
+        return self.beginning | self.waiting | self.prompts
+
+    @property
+    def size(self) -> tuple[int, int]:
+        """Return how many parts and prompts were told of the crash and cleared of it."""
+        return len(self.beginning) + len(self.waiting) + len(self.prompts), len(self.cleared)
+
+    @property
+    def is_explained_by_parts(self) -> bool:
+        """Return whether a part may have caused the crash."""
+        return not self.accused <= self.cleared
 
     @property
     def candidates(self) -> set[str]:
-        """Return the parts that may have caused the crash."""
-        return self.accused - self.cleared
+        """Return the parts that may have caused the crash or, if none may, the whole prompts."""
+        return self.accused - self.cleared or self.prompts - self.cleared
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +90,7 @@
         self._settings = settings
         self._crashes: dict[UpstreamIncarnation, _Crash] = {}
         self._answered = AnsweredParts(settings.max_cleared_parts, settings.clearance_s)
+        self._answered_prompts = AnsweredParts(settings.max_cleared_prompts, settings.clearance_s)
         self._suspects: dict[str, dict[str, _Suspect]] = {}
         self._probes: dict[str, float] = {}
         self._peer_probes: dict[str, _PeerProbes] = {}
@@ -96,7 +115,10 @@
         return sum(map(len, self._suspects.values()))
 
     def decide(self, service: str, parts: Collection[str], now: float) -> Decision:
-        """Return what is to be done with a request that has these parts, without its last one."""
+        """Return what is to be done with a request that has these parts.
+
+        They are its prompt's parts without the last one, and the digest of the whole prompt.
+        """
         suspects = self._suspects.get(service)
         if not suspects:
             return Allowed()
@@ -135,14 +157,23 @@
         else:
             self._peer_probes.pop(entry, None)
 
-    def record_answer(self, service: str, parts: Iterable[str], now: float) -> list[str]:
-        """Record that an answer has begun; return the suspected parts that it clears."""
+    def record_answer(
+        self, service: str, parts: Iterable[str], now: float, prompt: str = ""
+    ) -> list[str]:
+        """Record that an answer has begun; return the suspected parts that it clears.
+
+        ``prompt`` is the digest of the whole prompt, empty for a request without one.
+        """
         suspects = self._suspects.get(service, {})
         cleared = []
         for part in parts:
             self._answered.record(service, part, now)
             if part in suspects:
                 cleared.append(part)
+        if prompt:
+            self._answered_prompts.record(service, prompt, now)
+            if any(prompt in crash.prompts - crash.cleared for crash in self._crashes.values()):
+                cleared.append(prompt)
         if cleared:
             self._clear(service, cleared)
             self._update(now)
@@ -155,28 +186,33 @@
         parts: Collection[str],
         beginning: bool,
         now: float,
+        prompt: str = "",
     ) -> bool:
         """Record that an upstream ended while it had a request without any content of its answer.
 
-        ``beginning`` tells whether the answer's head had arrived. Return whether the crash accuses
-        a part of the request.
+        ``beginning`` tells whether the answer's head had arrived, and ``prompt`` is the digest of
+        the whole prompt. Return whether the crash accuses the request.
         """
         crash = self._crash(service, upstream, now)
         crash.is_own = True
         self._accuse(crash, crash.beginning if beginning else crash.waiting, parts)
+        if beginning and prompt:
+            self._accuse_prompts(crash, [prompt])
         self._update(now)
-        return not crash.candidates.isdisjoint(parts)
+        return not crash.candidates.isdisjoint((*parts, prompt))
 
     def apply(self, report: CrashReport, now: float) -> bool:
         """Apply another entry's report; return whether it tells anything new."""
-        if report.age_s > self._settings.retention_s or not (report.beginning or report.waiting):
+        accused = report.beginning or report.waiting or report.prompts
+        if report.age_s > self._settings.retention_s or not accused:
             return False
         crash = self._crash(report.service, report.incarnation, now - max(0.0, report.age_s))
-        before = len(crash.beginning), len(crash.waiting), len(crash.cleared)
+        before = crash.size
         self._accuse(crash, crash.beginning, report.beginning)
         self._accuse(crash, crash.waiting, report.waiting)
-        crash.cleared.update((crash.beginning | crash.waiting).intersection(report.cleared))
-        is_news = before != (len(crash.beginning), len(crash.waiting), len(crash.cleared))
+        self._accuse_prompts(crash, report.prompts)
+        crash.cleared.update(crash.told.intersection(report.cleared))
+        is_news = before != crash.size
         if is_news:
             self._update(now)
         return is_news
@@ -200,9 +236,10 @@
         """Forget what is too old."""
         settings = self._settings
         self._answered.expire(now)
+        self._answered_prompts.expire(now)
         for crash in self._crashes.values():
-            if crash.is_explained and now - crash.at > settings.settle_s and not crash.candidates:
-                self._doubt_clearances(crash)
+            if crash.is_explained and now - crash.at > settings.settle_s:
+                self._review(crash)
         for part in [part for part, at in self._probes.items() if now - at > settings.probe_s]:
             del self._probes[part]
         for entry in [
@@ -237,15 +274,46 @@
         cleared = set(parts)
         for crash in self._crashes.values():
             if crash.service == service:
-                crash.cleared |= cleared & (crash.beginning | crash.waiting)
+                crash.cleared |= cleared & crash.told
+
+    def _accuse_prompts(self, crash: _Crash, prompts: Iterable[str]) -> None:
+        """Add whole prompts to those that a crash accuses while there is room."""
+        for prompt in prompts:
+            if len(crash.prompts) < self._settings.max_parts_per_crash:
+                crash.prompts.add(prompt)
+            if prompt in crash.prompts and self._answered_prompts.includes(crash.service, prompt):
+                crash.cleared.add(prompt)
 
-    def _doubt_clearances(self, crash: _Crash) -> None:
-        """Let the next crash accuse the parts that were cleared of one that nothing else explains.
+    def _review(self, crash: _Crash) -> None:
+        """Doubt the clearances of parts that a crash leaves unexplained.
 
         A part that was answered may crash upstreams later, as with another version of a model.
+        That is likely if no prompt explains the crash, or if crashes under different prompts have
+        the part in common.
         """
+        if not crash.candidates:
+            self._doubt_clearances(crash, crash.accused)
+        elif not crash.is_explained_by_parts:
+            for other in self._crashes.values():
+                if self._has_other_prompts(crash, other) and not crash.accused.isdisjoint(
+                    other.accused
+                ):
+                    self._doubt_clearances(crash, crash.accused & other.accused)
+
+    @staticmethod
+    def _has_other_prompts(crash: _Crash, other: _Crash) -> bool:
+        """Return whether two crashes of a service are explained by different prompts alone."""
+        return (
+            other.service == crash.service
+            and not other.is_explained_by_parts
+            and bool(other.prompts)
+            and other.prompts.isdisjoint(crash.prompts)
+        )
+
+    def _doubt_clearances(self, crash: _Crash, parts: Iterable[str]) -> None:
+        """Let the next crash accuse parts that were cleared of one that nothing else explains."""
         crash.is_explained = False
-        for part in crash.accused:
+        for part in parts:
             self._answered.forget(crash.service, part)
 
     def _quarantine_end(self, suspect: _Suspect) -> float:
@@ -320,4 +388,5 @@
         sorted(crash.beginning),
         sorted(crash.waiting),
         sorted(crash.cleared),
+        sorted(crash.prompts),
     )
--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -48,6 +48,24 @@
     curio.run(main)
 
 
+# Guards against one whole prompt, whose shared parts are sound, ending one replica after the other.
+def test_a_whole_prompt_that_crashes_upstreams_ends_one_of_them():
+    async def main() -> None:
+        bench = GatewayBench()
+        script = crashes_under(bench, "dead", stream(1, 2), HEAD)
+        await bench.start(*((name, script) for name in UPSTREAMS))
+        for number in range(8):
+            sound = f"a1:40,b2:30,e{number}:20"
+            answer = await bench.send_request("/talk/a", "POST", X_Bluebellrun_Prefix_Hash=sound)
+            assert answer.status == 200
+            deadly = "a1:40,b2:30,dead:20"
+            await bench.send_request("/talk/a", "POST", X_Bluebellrun_Prefix_Hash=deadly)
+            await bench.restart_crashed()
+        assert len(bench.crashed) == 1
+
+    curio.run(main)
+
+
 # Guards against carrying the request under which a replica ended on to the next replica.
 def test_a_request_under_which_an_upstream_crashed_is_not_sent_to_another():
     async def main() -> None:
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -28,13 +28,13 @@
         self.quarantine = PromptQuarantine(settings)
         self.now = 100.0
 
-    def crash(self, upstream: str, *parts: str, beginning: bool = True) -> bool:
+    def crash(self, upstream: str, *parts: str, beginning: bool = True, prompt: str = "") -> bool:
         return self.quarantine.record_crash(
-            SERVICE, (upstream, 1), parts, beginning=beginning, now=self.now
+            SERVICE, (upstream, 1), parts, beginning=beginning, now=self.now, prompt=prompt
         )
 
-    def answer(self, *parts: str) -> list[str]:
-        return self.quarantine.record_answer(SERVICE, parts, self.now)
+    def answer(self, *parts: str, prompt: str = "") -> list[str]:
+        return self.quarantine.record_answer(SERVICE, parts, self.now, prompt)
 
     def decide(self, *parts: str) -> object:
         return self.quarantine.decide(SERVICE, parts, self.now)
@@ -329,3 +329,71 @@
     assert not entry.quarantine.apply(CrashReport(SERVICE, "u", 1, 0.0, [], []), entry.now)
     old = CrashReport(SERVICE, "u", 1, SETTINGS.retention_s + 1, ["dead"], [])
     assert not entry.quarantine.apply(old, entry.now)
+
+
+# Guards against one whole prompt, whose shared parts are answered in others, crashing replica
+# after replica.
+def test_a_prompt_whose_parts_were_all_answered_is_quarantined_after_one_crash():
+    entry, other = Entry(), Entry()
+    entry.answer("common", prompt="sound")
+    assert entry.crash("u1", "common", prompt="deadly")
+    other.hear(entry)
+    for side in (entry, other):
+        side.settle()
+        decision = side.decide("common", "deadly")
+        assert isinstance(decision, Quarantined)
+        assert decision.part == "deadly"
+        assert isinstance(side.decide("common", "sound"), Allowed)
+        assert isinstance(side.decide("common", "new"), Allowed)
+
+
+def test_a_prompt_is_accused_once_its_parts_are_cleared():
+    entry = Entry()
+    entry.crash("u1", "common", prompt="deadly")
+    entry.settle()
+    assert isinstance(entry.decide("common", "new"), Quarantined)
+    assert entry.answer("common", prompt="sound") == ["common"]
+    assert isinstance(entry.decide("common", "new"), Allowed)
+    assert isinstance(entry.decide("common", "deadly"), Quarantined)
+
+
+def test_a_prompt_that_is_answered_is_cleared_before_and_after_a_crash():
+    entry = Entry()
+    entry.answer("common", prompt="sound")
+    assert not entry.crash("u1", "common", prompt="sound")
+    entry.crash("u2", "common", prompt="in progress elsewhere")
+    assert entry.answer("common", prompt="in progress elsewhere") == ["in progress elsewhere"]
+    entry.settle()
+    assert isinstance(entry.decide("in progress elsewhere"), Allowed)
+
+
+def test_a_prompt_that_only_waited_is_not_accused():
+    entry = Entry()
+    entry.answer("common", prompt="sound")
+    assert not entry.crash("u1", "common", beginning=False, prompt="waiting")
+    entry.settle()
+    assert isinstance(entry.decide("common", "waiting"), Allowed)
+
+
+def test_of_two_prompts_that_were_beginning_the_answered_one_is_cleared():
+    entry = Entry()
+    entry.answer("common", prompt="other")
+    entry.crash("u1", "common", prompt="deadly")
+    entry.crash("u1", "common", prompt="sound")
+    entry.settle()
+    assert isinstance(entry.decide("common", "sound"), Probe)
+    entry.answer("common", prompt="sound")
+    assert isinstance(entry.decide("common", "deadly"), Quarantined)
+
+
+# Guards: a part that was answered once and crashes upstreams in ever new prompts was never accused.
+def test_a_part_that_crashes_under_different_prompts_have_in_common_is_accused():
+    entry = Entry()
+    entry.answer("dead", "a", prompt="sound")
+    entry.crash("u1", "dead", "a", prompt="first")
+    entry.settle()
+    entry.crash("u2", "dead", prompt="second")
+    entry.settle()
+    assert entry.crash("u3", "dead", "b", prompt="third")
+    entry.settle()
+    assert not isinstance(entry.decide("dead", "new"), Allowed)
