Forward header values byte by byte, and answer when a handler fails

Cause: headers were read as Latin-1 text and written as ASCII; the error ended the task of the connection. So did any other unexpected error of a handler.

Change: headers are written as they are read, a byte for a character; values of our own that may hold any text (a customer's name, an instance) go as UTF-8. A head that cannot be sent is found before the answer counts as begun. After an unexpected error the caller gets 500, which promises nothing, or a broken-off answer if it had begun; the log has the error. This holds for each server of the project.

--- a/bluebellrun/http/__init__.py
+++ b/bluebellrun/http/__init__.py
@@ -22,6 +22,7 @@
     HttpLimits,
     HttpRequest,
     end_to_end,
+    header_text,
     header_value,
 )
 from bluebellrun.http._retry_after import read_retry_after_s
@@ -70,6 +71,7 @@
     "connect",
     "decompress_body",
     "end_to_end",
+    "header_text",
     "header_value",
     "link_security",
     "read_retry_after_s",
--- a/bluebellrun/http/_client.py
+++ b/bluebellrun/http/_client.py
@@ -17,7 +17,13 @@
     PeerTimeoutError,
 )
 from bluebellrun.http._listener import is_readable
-from bluebellrun.http._models import ClientTimeouts, Headers, decode_headers, header_value
+from bluebellrun.http._models import (
+    ClientTimeouts,
+    Headers,
+    decode_headers,
+    encode_headers,
+    header_value,
+)
 from bluebellrun.http._tls import Tls
 
 READ_SIZE = 65_536
@@ -311,7 +317,7 @@
         if "content-length" not in names and (body or method in ("POST", "PUT", "PATCH")):
             complete.append(("content-length", str(len(body))))
         protocol = self._protocol
-        self._request = h11.Request(method=method, target=target, headers=complete)
+        self._request = h11.Request(method=method, target=target, headers=encode_headers(complete))
         data = protocol.send(self._request) or b""
         if body:
             data += protocol.send(h11.Data(data=body)) or b""
--- a/bluebellrun/http/_models.py
+++ b/bluebellrun/http/_models.py
@@ -73,10 +73,20 @@
 
 
 def decode_headers(raw: object) -> Headers:
-    """Return h11's headers as text with lower-case names."""
+    """Return h11's headers as text with lower-case names, one character for each byte."""
     return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in raw]  # type: ignore[attr-defined]
 
 
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return the bytes of headers as ``decode_headers`` read them or ``header_text`` made them."""
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+
+
+def header_text(text: str) -> str:
+    """Return a header's value that holds any text, in UTF-8."""
+    return text.encode().decode("latin-1")
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Return the headers without those that concern a single connection."""
     named = {
--- a/bluebellrun/http/_server.py
+++ b/bluebellrun/http/_server.py
@@ -14,14 +14,21 @@
 import curio
 import h11
 
-from bluebellrun.core import Address, new_request_id
+from bluebellrun.core import Address, InvariantError, new_request_id
 from bluebellrun.http._listener import Listener, is_readable
-from bluebellrun.http._models import Headers, HttpLimits, HttpRequest, decode_headers
+from bluebellrun.http._models import (
+    Headers,
+    HttpLimits,
+    HttpRequest,
+    decode_headers,
+    encode_headers,
+)
 from bluebellrun.http._tls import Tls
 from bluebellrun.telemetry import get_logger
 
 READ_SIZE = 65_536
 BAD_REQUEST = 400
+INTERNAL_ERROR = 500
 UNAVAILABLE = 503
 REQUEST_TIMEOUT = 408
 PAYLOAD_TOO_LARGE = 413
@@ -97,11 +104,12 @@
 
     async def send_head(self, status: int, headers: Headers) -> None:
         """Send the status and headers; without a length, the body is chunked."""
-        self._started = True
-        self._status = status
         if self._connection.closes_after_answer():
             headers = [*headers, ("connection", "close")]
-        await self._connection.send(h11.Response(status_code=status, headers=headers))
+        head = h11.Response(status_code=status, headers=encode_headers(headers))
+        self._started = True
+        self._status = status
+        await self._connection.send(head)
 
     async def send_body(self, data: bytes) -> None:
         """Send a part of the body."""
@@ -242,12 +250,26 @@
             raise handler.exception
 
     async def _handle(self, exchange: HttpExchange) -> None:
-        """Run the handler; that its caller left is no fault of it."""
+        """Run the handler; that its caller left is no fault of it.
+
+        After an unexpected error the caller gets an answer that does not tell whether the request
+        has run.
+        """
+        path = exchange.request.path
         try:
             await self._handler(exchange)
         except CallerGoneError as error:
-            _log.info("caller left", target=exchange.request.path, reason=str(error))
+            _log.info("caller left", target=path, reason=str(error))
             exchange.abort()
+        except (OSError, InvariantError):
+            raise
+        except Exception as error:
+            _log.exception("handler failed", target=path, error=type(error).__name__)
+            if exchange.started:
+                exchange.abort()
+            else:
+                detail = "the server failed; its log has the error"
+                await exchange.answer_json(INTERNAL_ERROR, {"detail": detail})
 
 
 class _Connection:
@@ -341,7 +363,7 @@
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         try:
-            await self.send(h11.Response(status_code=status, headers=headers))
+            await self.send(h11.Response(status_code=status, headers=encode_headers(headers)))
             await self.send(h11.Data(data=body))
             await self.send(h11.EndOfMessage())
             await self._linger()
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -19,6 +19,7 @@
     HttpClient,
     TransportError,
     compress_body,
+    header_text,
 )
 from bluebellrun.placement import (
     ArmMap,
@@ -181,7 +182,7 @@
         instance = upstream.instance
         known = self._counts.get(instance)
         number = 0 if known is None else known[0]
-        headers = [(EXPECT_INSTANCE, instance), (COUNTS_KNOWN, str(number))]
+        headers = [(EXPECT_INSTANCE, header_text(instance)), (COUNTS_KNOWN, str(number))]
         client = self._client(self._relays, instance, self._relay_address(upstream))
         call = _Call("GET", COUNTS_PATH)
         answer = await self._fetch(client, upstream, call, headers, b"", COUNTS_TIMEOUT_S)
@@ -327,7 +328,7 @@
 
 def _headers(instance: str, call: _Call) -> Headers:
     """Return the headers of a call to an upstream instance."""
-    headers = [(EXPECT_INSTANCE, instance)]
+    headers = [(EXPECT_INSTANCE, header_text(instance))]
     return [*headers, ("content-type", "application/json")] if call.body else headers
 
 
--- a/bluebellrun/platform/_messages.py
+++ b/bluebellrun/platform/_messages.py
@@ -18,6 +18,7 @@
     Headers,
     HttpRequest,
     end_to_end,
+    header_text,
     header_value,
     read_retry_after_s,
 )
@@ -102,11 +103,11 @@
         headers = [
             *request.headers,
             (DEADLINE_MS, str(remaining_ms)),
-            (EXPECT_INSTANCE, attempt.upstream.instance),
+            (EXPECT_INSTANCE, header_text(attempt.upstream.instance)),
             (PRIORITY, str(min(LEAST_URGENT_PRIORITY, max(0, attempt.urgency)))),
         ]
         if attempt.customer is not None:
-            headers.append((TENANT, attempt.customer))
+            headers.append((TENANT, header_text(attempt.customer)))
         if attempt.last_event_id is not None:
             headers.append((LAST_EVENT_ID, str(attempt.last_event_id)))
         return headers
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -317,6 +317,22 @@
     run_check(check, ("u1", resets))
 
 
+# Guards: a sound answer with a byte beyond ASCII in a header closed the caller's connection.
+@pytest.mark.parametrize("path", ["/once/a", "/ask/a", "/talk/a"])
+def test_headers_beyond_ascii_are_forwarded(path):
+    name = "attachment; filename=reçu.txt"
+
+    async def check(bench: GatewayBench) -> None:
+        answer = await bench.send_request(path, "POST", b"x", X_Name="tŵr", request="r1é")
+        assert (answer.status, answer.is_complete) == (200, True)
+        assert answer.headers["content-disposition"] == name
+
+    done = reply(200, b"id: 1\ndata: x\n\n", request="r1é", Content_Disposition=name)
+    bench = run_check(check, ("u1", sends(done)))
+    (arrival,) = bench.arrivals
+    assert arrival.headers["x-name"] == "tŵr"
+
+
 # Guards: an upstream closed in the middle of an answer's head, and the caller got a whole answer.
 @pytest.mark.parametrize("path", ["/once/a", "/ask/a", "/talk/a", "/tell/a"])
 def test_a_head_cut_short_is_no_answer(path):
