Count the crashes of one outage of a group as one

Cause: a replica that ends accuses the parts of the requests that wait there, and two crashes confirm a part. All replicas of a group stall when one ends, so any part may wait at two of them that are killed shortly after each other: the second crash was no evidence of its own.

Change: crashes of upstreams that fail together count as one as long as no answer of the service has begun between them, for at most ten seconds. A part under which only such crashes came is probed or told when to come back, and not refused for good. Upstreams that fail one by one are judged as before.

Tests: tests/quarantine, test_crashes_in_one_outage_of_a_group_count_as_one and three more; the tests of upstreams that fail one by one are unchanged.

--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -126,6 +126,10 @@
         self._deployment = deployment
         return True
 
+    def fails_together(self, service: str) -> bool:
+        """Return whether the upstreams of a service work in step, so that they fail together."""
+        return self._group_terms(service) is not None
+
     def set_entries(self, entries: int) -> None:
         """Set the number of entries that share the retry budget."""
         if entries == self._entries:
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -170,7 +170,9 @@
         )
         quarantine_settings = QuarantineSettings()
         crash_recorded = curio.Event()
-        self._quarantine = PromptQuarantine(quarantine_settings)
+        self._quarantine = PromptQuarantine(
+            quarantine_settings, lambda service: self._gateway.fails_together(service)
+        )
         self._guard = PromptGuard(
             self._quarantine,
             self._fleet,
--- a/bluebellrun/quarantine/_models.py
+++ b/bluebellrun/quarantine/_models.py
@@ -16,7 +16,8 @@
     after one crash under an answer that was beginning, for ``repeated_s`` after two crashes, and
     for twice as long after each further one, up to ``max_s``. A crash is forgotten after
     ``retention_s``, and that a part or a whole prompt was answered after ``clearance_s``. A probe
-    without a result ends after ``probe_s``.
+    without a result ends after ``probe_s``. Upstreams that fail together recover from a crash
+    within ``max_outage_s``.
     """
 
     settle_s: float = 0.5
@@ -26,6 +27,7 @@
     retention_s: float = 21_600.0
     clearance_s: float = 600.0
     probe_s: float = 3.0
+    max_outage_s: float = 10.0
     max_crashes: int = 32
     max_parts_per_crash: int = 32
     max_cleared_parts: int = 4_096
--- a/bluebellrun/quarantine/_quarantine.py
+++ b/bluebellrun/quarantine/_quarantine.py
@@ -9,9 +9,13 @@
 them, or they crash another upstream.
 
 An upstream that was killed leaves the same trace, so every quarantine ends with a probe.
+
+Upstreams that fail together begin no answer from the crash of one of them until all are back. What
+waits meanwhile at others that end too has had no part in it, so all crashes of one outage count as
+one.
 """
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from itertools import chain
 
@@ -29,6 +33,8 @@
 
     service: str
     at: float
+    # The number of the outage that the crash belongs to.
+    outage: int
     beginning: set[str] = field(default_factory=set)
     waiting: set[str] = field(default_factory=set)
     cleared: set[str] = field(default_factory=set)
@@ -66,10 +72,11 @@
 class _Suspect:
     """A suspected part: its crashes, the time of the last one, and whether answers were beginning.
 
-    ``alternatives`` are the parts, itself included, that explain all of its crashes.
+    ``outages`` is the number of outages that its crashes belong to. ``alternatives`` are the parts,
+    itself included, that explain all of its crashes.
     """
 
-    crashes: frozenset[UpstreamIncarnation]
+    outages: int
     last_at: float
     beginning: bool
     alternatives: frozenset[str]
@@ -84,10 +91,20 @@
 
 
 class PromptQuarantine:
-    """The crashes known to one entry, and the parts they accuse; times in seconds."""
+    """The crashes known to one entry, and the parts they accuse; times in seconds.
+
+    ``fails_together`` tells whether the upstreams of a service fail together.
+    """
 
-    def __init__(self, settings: QuarantineSettings) -> None:
+    def __init__(
+        self,
+        settings: QuarantineSettings,
+        fails_together: Callable[[str], bool] = lambda service: False,
+    ) -> None:
         self._settings = settings
+        self._fails_together = fails_together
+        self._last_answer_at: dict[str, float] = {}
+        self._outages = 0
         self._crashes: dict[UpstreamIncarnation, _Crash] = {}
         self._answered = AnsweredParts(settings.max_cleared_parts, settings.clearance_s)
         self._answered_prompts = AnsweredParts(settings.max_cleared_prompts, settings.clearance_s)
@@ -131,7 +148,7 @@
                 return Pending()
             remaining_s = self._quarantine_end(suspect) - now
             if remaining_s > 0 and suspect.alternatives.issubset(parts):
-                return Quarantined(part, len(suspect.crashes), remaining_s)
+                return Quarantined(part, suspect.outages, remaining_s)
         if not self._probes.keys().isdisjoint(accused) or self._probed_by(accused, now):
             return Pending()
         return Probe(tuple(accused))
@@ -164,6 +181,7 @@
 
         ``prompt`` is the digest of the whole prompt, empty for a request without one.
         """
+        self._last_answer_at[service] = now
         suspects = self._suspects.get(service, {})
         cleared = []
         for part in parts:
@@ -256,11 +274,31 @@
         """Return the record of a crash, created on its first report."""
         crash = self._crashes.get(upstream)
         if crash is None:
-            crash = self._crashes[upstream] = _Crash(service, at)
+            crash = _Crash(service, at, self._outage_of(service, at))
+            self._crashes[upstream] = crash
             if len(self._crashes) > self._settings.max_crashes:
                 del self._crashes[min(self._crashes, key=lambda key: self._crashes[key].at)]
         return crash
 
+    def _outage_of(self, service: str, at: float) -> int:
+        """Return the number of the outage to which a crash belongs: a known one, or a new one."""
+        if self._fails_together(service):
+            known = [crash for crash in self._crashes.values() if crash.service == service]
+            nearest = min(known, key=lambda crash: abs(crash.at - at), default=None)
+            if nearest is not None and not self._is_independent(nearest, at):
+                return nearest.outage
+        self._outages += 1
+        return self._outages
+
+    def _is_independent(self, before: _Crash, at: float) -> bool:
+        """Return whether the service had recovered from one crash before another."""
+        settings = self._settings
+        if abs(at - before.at) <= settings.settle_s:
+            return False
+        last_answer_at = self._last_answer_at.get(before.service, float("-inf"))
+        answered = before.at + settings.settle_s < last_answer_at <= at
+        return answered or abs(at - before.at) > settings.max_outage_s
+
     def _accuse(self, crash: _Crash, accused: set[str], parts: Iterable[str]) -> None:
         """Add parts to those that a crash accuses while there is room, unanswered ones first."""
         new = [part for part in dict.fromkeys(parts) if part not in accused]
@@ -318,7 +356,7 @@
 
     def _quarantine_end(self, suspect: _Suspect) -> float:
         """Return when a suspected part may be probed."""
-        settings, crashes = self._settings, len(suspect.crashes)
+        settings, crashes = self._settings, suspect.outages
         if crashes < CONFIRMING_CRASHES:
             return suspect.last_at + (settings.first_s if suspect.beginning else 0.0)
         duration_s = settings.repeated_s * 2.0 ** (crashes - CONFIRMING_CRASHES)
@@ -372,7 +410,7 @@
         """Return what crashes tell of the parts that all of them accuse."""
         records = [self._crashes[upstream] for upstream in crashes]
         return _Suspect(
-            crashes,
+            len({record.outage for record in records}),
             max(record.at for record in records),
             any(record.beginning for record in records),
             alternatives,
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -24,8 +24,10 @@
 class Entry:
     """One entry's quarantine, with a clock that the test moves."""
 
-    def __init__(self, settings: QuarantineSettings = SETTINGS) -> None:
-        self.quarantine = PromptQuarantine(settings)
+    def __init__(
+        self, settings: QuarantineSettings = SETTINGS, fails_together: bool = False
+    ) -> None:
+        self.quarantine = PromptQuarantine(settings, lambda service: fails_together)
         self.now = 100.0
 
     def crash(self, upstream: str, *parts: str, beginning: bool = True, prompt: str = "") -> bool:
@@ -397,3 +399,47 @@
     assert entry.crash("u3", "dead", "b", prompt="third")
     entry.settle()
     assert not isinstance(entry.decide("dead", "new"), Allowed)
+
+
+# Guards against refusing sound requests for good that waited at upstreams of a group which ended
+# one after the other in one outage.
+@pytest.mark.parametrize("gap_s", [0.0, 1.2, 4.0])
+def test_crashes_in_one_outage_of_a_group_count_as_one(gap_s: float):
+    entry = Entry(fails_together=True)
+    entry.answer("other")
+    for number in range(8):
+        entry.crash(f"u{number}", "waiting", beginning=False)
+        entry.now += gap_s if number == 3 else 0.001
+    entry.settle()
+    assert isinstance(entry.decide("waiting"), Probe)
+
+
+def test_crashes_in_two_outages_of_a_group_confirm_each_other():
+    entry = Entry(fails_together=True)
+    entry.crash("u1", "waiting", beginning=False)
+    entry.now += 4.0
+    entry.answer("other")
+    entry.crash("u2", "waiting", beginning=False)
+    entry.settle()
+    decision = entry.decide("waiting")
+    assert isinstance(decision, Quarantined)
+    assert decision.crashes == 2
+
+
+def test_upstreams_of_a_group_that_end_together_under_answers_are_one_outage():
+    entry = Entry(fails_together=True)
+    entry.crash("u1", "hot")
+    entry.crash("u2", "hot")
+    entry.settle()
+    decision = entry.decide("hot")
+    assert isinstance(decision, Quarantined)
+    assert (decision.crashes, decision.retry_after_s <= SETTINGS.first_s) == (1, True)
+
+
+def test_crashes_long_after_one_another_are_independent_without_an_answer():
+    entry = Entry(fails_together=True)
+    entry.crash("u1", "dead", beginning=False)
+    entry.now += SETTINGS.max_outage_s + 0.1
+    entry.crash("u2", "dead", beginning=False)
+    entry.settle()
+    assert isinstance(entry.decide("dead"), Quarantined)
