Register a gateway again whose registration went with an older lease

Cause: a write whose answer was lost and that is carried out late binds the key to a lease that nobody renews. The key goes with it, and the gateway renews its newer lease, which has no key.

Change: at each renewal the entry writes its key again if the store, as it was read, has none.

Evidence: test_an_entry_whose_registration_went_registers_again fails without the change (no key in the store) and passes now.

--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -141,11 +141,13 @@
     async def _register(self) -> None:
         """Renew the registration, or create a new one.
 
-        After a restore of the store the lease's id may have been granted to another process.
+        After a restore of the store the lease's id may have been granted to another process. A
+        write whose answer was lost may be carried out late and bind the key to an older lease, with
+        which the key goes; the registration is created again then.
         """
         if self._lease and self._is_lease_current():
             remaining_s = await self._store.keep_alive(self._lease)
-            if remaining_s > 0 and self._is_lease_current():
+            if remaining_s > 0 and self._is_lease_current() and not self._is_key_missing():
                 return
         self._lease = 0
         lease = await self._store.grant_lease(REGISTRATION_S)
@@ -154,6 +156,10 @@
         self._lease, self._lease_era = lease, era
         _log.info("entry registered", key=self._key, address=str(self._address), era=era)
 
+    def _is_key_missing(self) -> bool:
+        """Return whether the store, as far as it was read, has no registration of this entry."""
+        return self._view.confirmed_at is not None and self._view.record(self._key) is None
+
     async def _send(self, sock: object, peers: list[Address]) -> None:
         """Send this entry's status to other entries."""
         if not peers:
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -12,11 +12,12 @@
 from bluebellrun.platform import PlatformCatalogue, PlatformStore
 from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
 from bluebellrun.store import StoreTimeouts
+from standins.users_platform import FakeStore
 
 NOWHERE = Address("127.0.0.1", 1)
 
 
-def gossip(store: PlatformStore | None = None) -> Gossip:
+def gossip(store: PlatformStore | None = None, key: str = "e/me") -> Gossip:
     store = store or PlatformStore(NOWHERE, StoreTimeouts(1.0))
     view = StoreView(
         store, PlatformCatalogue(), UpstreamDirectory(), lambda d: True, BootClock(), Random(1)
@@ -26,7 +27,7 @@
     table, slow = PeerTable("me"), SlowUpstreams()
     settings = QuarantineSettings()
     crashes = CrashExchange(PromptQuarantine(settings), settings, store, view, "c/", "me")
-    return Gossip(NOWHERE, "e/me", store, view, table, slow, fleet, lambda: status, crashes)
+    return Gossip(NOWHERE, key, store, view, table, slow, fleet, lambda: status, crashes)
 
 
 def peers(count: int) -> list[Address]:
@@ -82,3 +83,29 @@
         await sending.cancel()
 
     curio.run(main)
+
+
+# Guards: a registration that was written late went with an older lease, and the entry renewed
+# another lease while no other entry knew of it.
+def test_an_entry_whose_registration_went_registers_again():
+    async def main() -> None:
+        fake = FakeStore()
+        subject = gossip(PlatformStore(await fake.start(), StoreTimeouts(1.0)), "bluebellrun/e/me")
+        await curio.spawn(subject._view.run, daemon=True)
+        await subject._register()
+        key = subject._key
+        fake.delete(key)
+        async with curio.timeout_after(3.0):
+            while subject._view.confirmed_at is None or subject._view.record(key) is not None:
+                await curio.sleep(0.01)
+        await subject._register()
+        assert fake.items[key]["lease"] == subject._lease
+        calls = fake.calls
+        async with curio.timeout_after(3.0):
+            while subject._view.record(key) is None:
+                await curio.sleep(0.01)
+        await subject._register()
+        assert len([item for item in fake.events if item["key"] == key]) == 3
+        assert fake.calls > calls
+
+    curio.run(main)
