Let SIGHUP not end a process that is starting

What callers saw: connections that waited for a starting gateway were reset when its settings changed at that moment (noticed by the review).

Cause: the handlers of signals are set once the code is loaded; until then SIGHUP has its default, which ends the process.

Change: gateway and sidecar ignore SIGHUP from their first line; they read the settings after it.

--- a/bluebellrun/gateway/main.py
+++ b/bluebellrun/gateway/main.py
@@ -4,6 +4,7 @@
 answer instead of being refused a connection.
 """
 
+import signal
 import socket
 import sys
 
@@ -16,6 +17,8 @@
 
 def run() -> None:
     """Start the program."""
+    # Its default ends a process; the settings are read after this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         settings = read_settings(settings_path())
         if settings.callers is None:
--- a/bluebellrun/sidecar/main.py
+++ b/bluebellrun/sidecar/main.py
@@ -45,6 +45,8 @@
 
 def run() -> None:
     """Start the program."""
+    # Its default ends a process; the settings are read after this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         status = run_program(_serve, read_settings(settings_path()))
     except SettingsError as error:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -10,7 +10,7 @@
 
 from bench.platform_soak._programs import STOP_GRACE_S
 from bluebellrun.http import TransportError
-from tests.gateway.processes import Gateways, run_with_gateways
+from tests.gateway.processes import START_S, Gateways, configuration, run_with_gateways
 
 # A platform asks for readiness once a second; the process refuses requests after this time.
 UNREADY_S, REFUSING_S = 0.5, 3.0
@@ -108,3 +108,33 @@
         assert (status, time.monotonic() - began < STOP_GRACE_S) == (0, True)
 
     run_with_gateways(tmp_path, check)
+
+
+# Guards: SIGHUP while the code was being loaded ended the process.
+def test_a_process_that_is_starting_goes_on_after_sighup(tmp_path: Path) -> None:
+    gateways = Gateways(tmp_path)
+
+    async def main() -> None:
+        (program,) = gateways.programs
+        gateways.store.put("op/config", configuration(3))
+        await gateways.store.start(program.store, program.name)
+        program.start()
+        async with curio.timeout_after(START_S):
+            while True:
+                try:
+                    sock = await curio.open_connection(program.callers.ip, program.callers.port)
+                except OSError:
+                    await curio.sleep(0.005)
+                else:
+                    break
+        await sock.close()
+        program.signal(signal.SIGHUP)
+        async with curio.timeout_after(START_S):
+            while not await gateways.is_ready(program):
+                assert program.runs
+                await curio.sleep(0.02)
+
+    try:
+        curio.run(main)
+    finally:
+        gateways.end()
