Soak: stops in outages, lost answers of the store, departures after them

A request that reaches a replica over two seconds after it left is a violation, shown to be found in tests/bench/test_platform_soak.py.

--- a/bench/platform_soak/__main__.py
+++ b/bench/platform_soak/__main__.py
@@ -50,6 +50,8 @@
         # Older builds know neither the quarantine of prompts nor limits.
         world.record.crashing.clear()
         world.record.limits.clear()
+        # Nor a lost answer from an outage of the store.
+        world.record.left.clear()
     found = ended + faults.failures + find_violations(callers.told, world.record)
     found += find_unrecovered(callers.told, whole_since)
     found += [f"maps mixed: {line}" for line in world.group.mixed + world.group.ranks.mixed]
--- a/bench/platform_soak/_checks.py
+++ b/bench/platform_soak/_checks.py
@@ -4,13 +4,15 @@
 
 from bench.platform_soak._callers import Told
 from bench.platform_soak._upstreams import Record, Run, event, event_count, whole_answer
-from bench.platform_soak._world import DEADLINE_S
+from bench.platform_soak._world import DEADLINE_S, DRAIN_S
 
 # Statuses that promise that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 OK = 200
 MOST_ATTEMPTS = {"draft": 3, "order": 1, "look": 2}
 DEADLINE_SLACK_S = 0.5
+# What a request takes from a gateway to an upstream.
+ARRIVAL_S = 0.05
 # Of the requests that began after the faults had ended, this part has to be served.
 LEAST_SERVED_AFTER = 0.95
 # In any window an upstream that names a limit gets half more than that and a slack at most, from
@@ -34,7 +36,7 @@
         found += _check_runs(caller, runs)
     for item in told:
         found += _check_answer(item, record.runs.get(item.request_id, []))
-    found += _check_limits(by_id, record)
+    found += _check_limits(by_id, record) + _check_departures(by_id, record)
     return found + _check_crashing_parts(record)
 
 
@@ -60,6 +62,21 @@
     return found
 
 
+def _check_departures(by_id: dict[str, Told], record: Record) -> list[str]:
+    """Check that upstreams that have left get no requests."""
+    found = []
+    for request_id, runs in record.runs.items():
+        told = by_id.get(request_id)
+        for run in runs:
+            left_at = record.left.get(run.upstream)
+            if left_at is None or told is None or told.disturbed:
+                continue
+            if run.began > left_at + DRAIN_S + ARRIVAL_S:
+                late_s = run.began - left_at
+                found.append(f"{request_id} ran at {run.upstream} {late_s:.1f} s after it left")
+    return found
+
+
 def _check_crashing_parts(record: Record) -> list[str]:
     """Check that requests known to crash upstreams are kept from them."""
     found = []
--- a/bench/platform_soak/_faults.py
+++ b/bench/platform_soak/_faults.py
@@ -12,7 +12,7 @@
 from bench.platform_soak._links import FaultyLink
 from bench.platform_soak._programs import STOP_GRACE_S, Program
 from bench.platform_soak._upstreams import CrashingPart
-from bench.platform_soak._world import AFTERMATH_S, World
+from bench.platform_soak._world import AFTERMATH_S, DRAIN_S, World
 
 # Faults that run at the same time, each in a series of its own.
 SERIES = 3
@@ -20,6 +20,8 @@
 STORM_S = (4.0, 10.0)
 SIGNALS_S = 8.0
 KILL_AFTER_S = STOP_GRACE_S + 2.0
+# After a lost answer of the store a gateway is in touch again.
+IN_TOUCH_S = 3.1
 _REGISTRATION = (
     b'{"service":"job-ledger","zone":"a","state":"ready","slots":%s,"addr":"%s","more":%s}'
 )
@@ -59,6 +61,8 @@
             (1, self.store_forgets),
             (2, self.store_restored),
             (2, self.store_cut_for_one),
+            (1, self.store_loses_watch),
+            (1, self.stop_in_outage),
             (1, self.store_slow),
             (2, self.rank_crashes),
             (2, self.part_crashes_ranks),
@@ -104,6 +108,7 @@
 
     async def _signals(self, until: float) -> None:
         """Stop and start gateways by signals alone, one after the other."""
+        await self.leave_after_lost_answer(self._random)
         while time.monotonic() < until:
             await self.stop_gracefully(self._random)
             await curio.sleep(self._random.uniform(0.2, 1.0))
@@ -185,6 +190,47 @@
         await self._wait(random.uniform(1.0, 3.0))
         self._world.store.delay_s = 0.0
 
+    async def store_loses_watch(self, random: Random) -> None:
+        """Let the answer to one gateway's next change be lost, and no other."""
+        self._world.store.lose_watches_of.add(random.choice(self._world.gateways).name)
+        self._world.write_configuration()
+        await self._wait(0.0)
+
+    async def leave_after_lost_answer(self, random: Random) -> None:
+        """Lose one answer in calm; then a replica leaves without notice, and serves on a while."""
+        world = self._world
+        lost = random.choice(world.gateways).name
+        self.counts["leave_after_lost_answer"] += 1
+        self._say(f"leave_after_lost_answer {lost}")
+        world.store.lose_watches_of.add(lost)
+        world.write_configuration()
+        await curio.sleep(random.uniform(IN_TOUCH_S, IN_TOUCH_S + 1.0))
+        upstream = random.choice([u for u in world.upstreams if u.service == "job-ledger"])
+        world.store.delete(f"servers/{upstream.instance}")
+        world.record.left[upstream.instance] = time.monotonic()
+        await curio.sleep(DRAIN_S + 0.5)
+        world.disturb(0.0)
+        await world.replace(upstream, 0.3)
+        world.store.lose_watches_of.clear()
+        await curio.sleep(AFTERMATH_S)
+
+    async def stop_in_outage(self, random: Random) -> None:
+        """Stop a gateway while the store answers nothing; it must end in time all the same."""
+        program = random.choice(self._world.gateways)
+        if self._world.has_older_builds or not self._take(program.name):
+            return
+        program.disturbed_until = time.monotonic() + KILL_AFTER_S + AFTERMATH_S
+        self._world.store.silent = True
+        await self._wait(random.uniform(0.0, 1.0))
+        program.signal(signal.SIGTERM)
+        await self._wait(random.uniform(0.5, 3.0))
+        self._world.store.silent = False
+        status = await curio.run_in_thread(program.end, KILL_AFTER_S)
+        if status != 0:
+            self.failures.append(f"{program.name} ended with {status} after SIGTERM in an outage")
+        program.start()
+        self._busy.discard(program.name)
+
     async def store_forgets(self, random: Random) -> None:
         """Let the store drop its history."""
         self._world.store.compact()
--- a/bench/platform_soak/_upstreams.py
+++ b/bench/platform_soak/_upstreams.py
@@ -69,6 +69,8 @@
     runs: dict[str, list[Run]] = field(default_factory=dict)
     limits: list[LimitPeriod] = field(default_factory=list)
     crashing: dict[str, CrashingPart] = field(default_factory=dict)
+    # When the registrations of upstreams that left without notice were removed.
+    left: dict[str, float] = field(default_factory=dict)
 
     def crashing_part(self, exchange: HttpExchange) -> CrashingPart | None:
         """Return the crashing part of a request's prompt, or none."""
--- a/bench/platform_soak/_world.py
+++ b/bench/platform_soak/_world.py
@@ -31,6 +31,8 @@
 KEYS = {"key-one": "one", "key-two": "two"}
 HOST = "soak.example"
 DEADLINE_S = 6.0
+# An upstream that has left gets no requests after this.
+DRAIN_S = 2.0
 LEASES_CHECKED_S = 0.2
 # How often the store is copied, and how many copies are kept: those of the last seconds.
 COPIED_S, COPIES = 0.5, 12
@@ -63,6 +65,8 @@
         self._net = net
         store = Address(f"{net}.9.1", PORT)
         self._store_address = store
+        # Where each gateway's calls reach the store, so that a fault can be given to one of them.
+        self._store_clients: dict[str, Address] = {}
         for number in range(1, RANKS + 1):
             link, engine = Address(f"{net}.2.{number}", PORT), Address(f"{net}.3.{number}", PORT)
             self.upstreams.append(
@@ -76,8 +80,12 @@
             self.links[f"job{number}"] = FaultyLink(link, replica)
         self.gateways = []
         for number in range(1, GATEWAYS + 1):
-            through = Address(f"{net}.8.{number}", PORT)
-            self.links[f"store{number}"] = FaultyLink(through, store)
+            through, served = (
+                Address(f"{net}.8.{number}", PORT),
+                Address(f"{net}.9.{10 + number}", PORT),
+            )
+            self.links[f"store{number}"] = FaultyLink(through, served)
+            self._store_clients[f"gateway{number}"] = served
             ip, zone = f"{net}.1.{number}", ZONES[number - 1]
             program = Program(f"gateway{number}", "gateway", ip, zone, through, folder)
             if older is not None:
@@ -104,6 +112,8 @@
     async def start(self) -> None:
         """Start everything and wait until all gateways are ready."""
         await self.store.start(self._store_address)
+        for client, address in self._store_clients.items():
+            await self.store.start(address, client)
         for link in self.links.values():
             await link.bring_up()
         for upstream in self.upstreams:
--- a/tests/bench/test_platform_soak.py
+++ b/tests/bench/test_platform_soak.py
@@ -116,3 +116,11 @@
 
 def test_a_short_run_keeps_all_promises(tmp_path):
     assert run(4, 6.0, tmp_path, "127.201") == 0
+
+
+def test_a_request_at_an_upstream_that_has_left_is_found():
+    record = Record({"r1": [RUN]}, left={RUN.upstream: RUN.began - 2.2})
+    found = find_violations([told()], record)
+    assert "after it left" in found[0]
+    record.left[RUN.upstream] = RUN.began - 1.9
+    assert find_violations([told()], record) == []
