Do not count the entries before the register has been read

What callers saw: a gateway that restarted while the store refused it counted itself alone, and took the whole slack of the retry budget that all share (noticed by the review, not shown to break a rule).

Cause: an empty register, as it is before the first reading, was taken for one without other entries, a second after the start.

Change: until the register has been read, the number that is assumed at the start stays.

Evidence: test_an_entry_that_has_not_read_the_register_does_not_count_the_others.

--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -88,6 +88,11 @@
                 _log.warning("entry ignored", key=record.key, reason=str(error))
         return found
 
+    @property
+    def others(self) -> int | None:
+        """Return the number of the other entries, none while the register has not been read."""
+        return None if self._view.confirmed_at is None else len(self.peers)
+
     def is_silent(self, entry: str) -> bool:
         """Return whether an entry has been silent while others kept sending."""
         silent_s = SUSPECT_FRACTION * silent_after_s(len(self.peers))
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -341,9 +341,10 @@
         """Drop removed upstreams and count the entries, until cancelled."""
         while True:
             await curio.sleep(CLEANUP_INTERVAL_S)
-            others = len(self._gossip.peers)
-            self._gateway.set_entries(1 + others)
-            self._fleet.set_other_entries(others, status_age_s(others))
+            others = self._gossip.others
+            if others is not None:
+                self._gateway.set_entries(1 + others)
+                self._fleet.set_other_entries(others, status_age_s(others))
             await self._fleet.forget_departed()
 
 
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -109,3 +109,23 @@
         assert fake.calls > calls
 
     curio.run(main)
+
+
+# Guards: an entry that started while the store refused it took itself for the only one, and with
+# that the whole slack of the retry budget that all entries share.
+def test_an_entry_that_has_not_read_the_register_does_not_count_the_others():
+    async def main() -> None:
+        fake = FakeStore()
+        fake.put("bluebellrun/e/other", b"10.0.0.1:7000")
+        fake.refuse = 503
+        subject = gossip(PlatformStore(await fake.start(), StoreTimeouts(1.0)), "bluebellrun/e/me")
+        await curio.spawn(subject._view.run, daemon=True)
+        await curio.sleep(0.2)
+        assert subject.others is None
+        fake.refuse = 0
+        async with curio.timeout_after(3.0):
+            while subject.others is None:
+                await curio.sleep(0.01)
+        assert subject.others == 1
+
+    curio.run(main)
