Add the table of the groups of a service

Routing and admission need to know which upstreams form a group, as a broken group must cost only its own share.

--- a/bluebellrun/routing/__init__.py
+++ b/bluebellrun/routing/__init__.py
@@ -5,6 +5,7 @@
 from bluebellrun.routing._baselines import LeastRequestsRouting, RoundRobinRouting
 from bluebellrun.routing._ejection import OutlierEjection
 from bluebellrun.routing._expected_finish import ExpectedFinishRouting
+from bluebellrun.routing._group_table import GroupMembers, GroupTable
 from bluebellrun.routing._least_work import LeastWorkRouting, UnreportedRequests, UpstreamWork
 from bluebellrun.routing._lockstep import ranks_to_drain
 from bluebellrun.routing._models import Candidate, RoutedWork, RoutingPolicy, UpstreamLoad
@@ -19,6 +20,8 @@
     "AttemptBudgetSettings",
     "Candidate",
     "ExpectedFinishRouting",
+    "GroupMembers",
+    "GroupTable",
     "LeastRequestsRouting",
     "LeastWorkRouting",
     "LimitObservation",
