Manage the expert maps of several groups of one service

The states of all upstreams of a service were filed by rank alone and counted as complete only if they named one group, so that with three groups no map was ever changed. States are now split by group name and latest epoch, each group has a manager with its own ranks, demand, map, change and claims, and each manager runs in a task of its own, under the one placement role. Map versions are shared by the groups of a role, as a rank that moved may have prepared a map of its former group. The client caches the bodies of several orders, as groups send theirs at the same time.

Not yet measured on a deployment.

--- a/bluebellrun/gateway/_service_group.py
+++ b/bluebellrun/gateway/_service_group.py
@@ -6,10 +6,12 @@
 import curio
 
 from bluebellrun.deployment import ExpertTerms
-from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.gateway._map_versions import MapVersions
 from bluebellrun.gateway._models import Upstream
 from bluebellrun.gateway._ports import OrderReply, RankCallError, RankCalls, RankReplacedError
 from bluebellrun.gateway._role import PlacementRole
+from bluebellrun.gateway._service_ranks import ServiceRanks, run_all
+from bluebellrun.gateway._survey import split_groups
 from bluebellrun.placement import (
     ArmMap,
     ChangeSettings,
@@ -47,11 +49,6 @@
 PLAN_INTERVAL_S = 0.2
 # Choices observed before the first plan: a few dozen for each expert of a group.
 MIN_CHOICES_PER_EXPERT = 20
-# How long upstreams without a registration are still polled: they may still be ranks.
-RETENTION_S = 15.0
-# Map versions of a holder of the role start at its fencing number times this; a holder that has
-# used up its range acquires the role again.
-VERSIONS_PER_HOLDER = 1_000_000
 
 ACCEPTED_REPLIES = frozenset({OrderReply.ACCEPTED, OrderReply.DONE})
 
@@ -68,20 +65,22 @@
     def __init__(
         self,
         service: str,
+        name: str,
         experts: ExpertTerms,
         calls: RankCalls,
-        directory: UpstreamDirectory,
+        upstreams: ServiceRanks,
         role: PlacementRole,
+        versions: MapVersions,
         load: Callable[[str], float],
     ) -> None:
         self._service = service
+        self._name = name
         self._experts = experts
         self._calls = calls
-        self._directory = directory
+        self._upstreams = upstreams
         self._role = role
+        self._versions = versions
         self._load = load
-        self._seen_at: dict[str, float] = {}
-        self._upstreams: dict[str, Upstream] = {}
         self._states: dict[int, RankState] = {}
         self._ranks: dict[int, Upstream] = {}
         self._read_at = 0.0
@@ -95,7 +94,6 @@
         self._change: PlacementChange | None = None
         self._demand = DemandEstimator(experts.layers, experts.experts, DemandSettings())
         self._step_times = StepTimes(StepTimesSettings())
-        self._changes = 0
 
     @property
     def slowness(self) -> dict[str, float]:
@@ -134,100 +132,56 @@
 
     async def _reread_states(self, ranks: list[int]) -> bool:
         """Read the states of some ranks; return whether the group is still the same."""
-
-        async def read(rank: int) -> None:
-            try:
-                state = await self._calls.state(self._ranks[rank])
-            except RankCallError as error:
-                _log.info("rank not read", rank=rank, reason=str(error))
-                return
-            if state is None or (state.group, state.epoch, state.rank) != (*epoch, rank):
-                self._read_at = 0.0
-                return
-            self._states[rank] = state
-
         epoch = self._epoch or ("", 0)
-        await _run_all([(read, (rank,)) for rank in ranks])
+        numbers = {self._ranks[rank].instance: rank for rank in ranks}
+        for upstream, state in await self._upstreams.read([self._ranks[rank] for rank in ranks]):
+            rank = numbers[upstream.instance]
+            if (state.group, state.epoch, state.rank) != (*epoch, rank):
+                self._read_at = 0.0
+            else:
+                self._states[rank] = state
         return self._read_at > 0.0
 
     async def _read_states(self) -> bool:
-        """Read the states of all upstreams; return whether one complete group answered."""
-        now = time.monotonic()
-        await self._update_upstreams(now)
-        found: dict[int, tuple[Upstream, RankState]] = {}
+        """Read the states of the group's upstreams; return whether the complete group answered.
 
-        async def read(upstream: Upstream) -> None:
-            try:
-                state = await self._calls.state(upstream)
-            except RankReplacedError:
-                await self._forget(upstream)
-                return
-            except RankCallError as error:
-                _log.info("rank not read", upstream=upstream.instance, reason=str(error))
-                return
-            if state is not None:
-                known = found.get(state.rank)
-                if known is None or known[1].epoch < state.epoch:
-                    found[state.rank] = (upstream, state)
-
-        # Of two registrations with one address the later one is that of the current incarnation.
-        by_address = {upstream.address: upstream for upstream in self._upstreams.values()}
-        await _run_all([(read, (upstream,)) for upstream in by_address.values()])
-        states = {rank: state for rank, (_, state) in sorted(found.items())}
-        names = {(state.group, state.epoch, state.size) for state in states.values()}
-        complete = (
-            len(names) == 1
-            and all(state.is_open for state in states.values())
-            and sorted(states) == list(range(next(iter(states.values())).size))
-        )
-        if not complete:
+        Upstreams that no survey has found to be ranks are asked too while ranks are missing.
+        """
+        now = time.monotonic()
+        await self._upstreams.update(now)
+        asked = self._upstreams.of_group(self._name, with_unknown=not self._read_at)
+        found = split_groups(await self._upstreams.read(asked)).get(self._name)
+        if found is None or not found.is_complete:
             self._read_at = 0.0
             return False
         self._read_at = now
-        self._states = states
-        self._ranks = {rank: upstream for rank, (upstream, _) in found.items()}
-        first = states[0]
-        if self._epoch != (first.group, first.epoch):
-            self._begin_epoch(first)
-        self._demand.settings = demand_settings(first.size)
+        self._states = {rank: state for rank, (_, state) in found.ranks.items()}
+        self._ranks = {rank: upstream for rank, (upstream, _) in found.ranks.items()}
+        if self._epoch != (found.name, found.epoch):
+            self._begin_epoch(found.epoch)
+        self._demand.settings = demand_settings(found.size)
         return True
 
     def _begin_role(self, fencing: int) -> None:
         """Reset under a new fencing number: another process may have acted meanwhile."""
         self._fencing = fencing
-        self._changes = 0
         self._read_at = 0.0
         self._claimed.clear()
         self._current = None
         self._change = None
 
-    def _begin_epoch(self, state: RankState) -> None:
+    def _begin_epoch(self, epoch: int) -> None:
         """Reset: the group has re-formed, with nothing prepared, armed or held."""
-        _log.info("group formed", service=self._service, group=state.group, epoch=state.epoch)
-        self._epoch = (state.group, state.epoch)
+        _log.info("group formed", service=self._service, group=self._name, epoch=epoch)
+        self._epoch = (self._name, epoch)
         self._claimed.clear()
         self._current = None
         self._change = None
 
     async def _forget(self, upstream: Upstream) -> None:
         """Drop an upstream whose incarnation has ended."""
-        instance = upstream.instance
-        _log.info("upstream replaced", service=self._service, upstream=instance)
-        self._directory.mark_replaced(upstream.incarnation)
-        self._seen_at.pop(instance, None)
-        self._upstreams.pop(instance, None)
         self._read_at = 0.0
-        await self._calls.forget(instance)
-
-    async def _update_upstreams(self, now: float) -> None:
-        """Update the service's upstreams; removed ones are kept for RETENTION_S."""
-        for upstream in self._directory.of_service(self._service):
-            self._upstreams[upstream.instance] = upstream
-            self._seen_at[upstream.instance] = now
-        for instance, seen in list(self._seen_at.items()):
-            if now - seen > RETENTION_S:
-                del self._seen_at[instance], self._upstreams[instance]
-                await self._calls.forget(instance)
+        await self._upstreams.forget(upstream)
 
     async def _claim(self, fencing: int) -> bool:
         """Make every rank refuse older fencing numbers; return whether all do."""
@@ -265,7 +219,9 @@
         version, step = armed[0].armed_version, armed[0].armed_step
         if version is None or step is None:
             return
-        _log.info("change resumed", service=self._service, version=version, step=step)
+        _log.info(
+            "change resumed", service=self._service, group=self._name, version=version, step=step
+        )
         self._change = PlacementChange(version, None, ChangeSettings(), time.monotonic())
         self._change.resume_armed(step)
 
@@ -279,7 +235,7 @@
             except RankCallError as error:
                 _log.info("map not read", rank=rank, reason=str(error))
 
-        await _run_all([(read, (rank,)) for rank in self._ranks])
+        await run_all([(read, (rank,)) for rank in self._ranks])
         if len(held) < len(self._ranks):
             return None
         layers = range(self._experts.layers)
@@ -306,6 +262,7 @@
             _log.info(
                 "map in use",
                 service=self._service,
+                group=self._name,
                 version=change.version,
                 prepare_s=round(lasted.prepare_s, 3),
                 arm_s=round(lasted.arm_s, 3),
@@ -314,7 +271,9 @@
             self._current = change.placement
             self._change = None
         elif change.failed:
-            _log.warning("map change failed", service=self._service, version=change.version)
+            _log.warning(
+                "map change failed", service=self._service, group=self._name, version=change.version
+            )
             self._change = None
 
     async def _release_stray_holds(self, fencing: int) -> None:
@@ -347,14 +306,21 @@
             self._demand.observe(counts, time.monotonic())
             read.append(counts.step)
 
-        await _run_all([(read_one, (rank,)) for rank in (*ranks[:RANKS_READ_ALWAYS], *chosen)])
+        await run_all([(read_one, (rank,)) for rank in (*ranks[:RANKS_READ_ALWAYS], *chosen)])
         if read and self._step_times.observe(max(read), now):
-            _log.info("steps became longer", service=self._service, step=max(read))
+            _log.info(
+                "steps became longer", service=self._service, group=self._name, step=max(read)
+            )
             self._read_at = min(self._read_at, now - STATES_INTERVAL_S)
         distance = self._demand.distance()
         if self._demand.reset_on_shift():
             self._planned_at = 0.0
-            _log.info("demand shifted", service=self._service, distance=round(distance, 3))
+            _log.info(
+                "demand shifted",
+                service=self._service,
+                group=self._name,
+                distance=round(distance, 3),
+            )
 
     async def _plan(self, fencing: int) -> None:
         """Plan a better map and begin a change to it if it is worthwhile."""
@@ -380,6 +346,7 @@
         _log.info(
             "map planned",
             service=self._service,
+            group=self._name,
             skew_before=round(plan.skew_before, 3),
             skew_after=round(plan.skew_after, 3),
             copies=plan.copies,
@@ -389,16 +356,20 @@
         )
         if not worthwhile or self._role.lease() is None:
             return
-        self._changes += 1
-        if self._changes >= VERSIONS_PER_HOLDER:
+        version = self._versions.next(fencing)
+        if version is None or version <= self._highest_version():
+            # A new number is higher than all that ranks have prepared.
             raise FencedError
-        version = fencing * VERSIONS_PER_HOLDER + self._changes
         margin = margin_steps(
             len(self._ranks), self._arm_s, self._step_times.step_s, MarginSettings()
         )
         settings = ChangeSettings(margin_steps=margin)
         self._change = PlacementChange(version, plan.placement, settings, time.monotonic())
 
+    def _highest_version(self) -> int:
+        """Return the highest map version that a rank uses or has prepared."""
+        return max(max(state.active, state.prepared or 0) for state in self._states.values())
+
     async def _send_orders(
         self, orders: list[tuple[int, RankOrder]], fencing: int
     ) -> dict[int, OrderReply | None]:
@@ -427,14 +398,7 @@
 
         if self._role.lease() is None:
             return replies
-        await _run_all([(send, pair) for pair in orders])
+        await run_all([(send, pair) for pair in orders])
         if OrderReply.FENCED in replies.values():
             raise FencedError
         return replies
-
-
-async def _run_all(calls: list[tuple[Callable[..., object], tuple[object, ...]]]) -> None:
-    """Run calls concurrently and wait for all."""
-    async with curio.TaskGroup() as group:
-        for function, arguments in calls:
-            await group.spawn(function, *arguments)
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -54,6 +54,9 @@
 COUNTS_TIMEOUT_S = 0.4
 # An engine copies experts within this time unless its group is waiting.
 PREPARE_TIMEOUT_S = 0.5
+# Bodies of orders that are kept for the other ranks: a process changes the maps of a few groups at
+# a time, and each change sends one order after the other.
+CACHED_BODIES = 8
 # Upper bound for the HTTP client; each call has a shorter timeout of its own.
 MAX_CALL_S = 1.0
 
@@ -147,8 +150,8 @@
         self._relay_bypassed_until: dict[str, float] = {}
         # The last report number and the full counts, by instance.
         self._counts: dict[str, tuple[int, tuple[int, ...]]] = {}
-        self._last_order: tuple[tuple[RankOrder, int, int], bytes] | None = None
-        self._last_compressed = (b"", b"")
+        self._order_bodies: dict[tuple[RankOrder, int, int], bytes] = {}
+        self._compressed_bodies: dict[bytes, bytes] = {}
 
     async def state(self, upstream: Upstream) -> RankState | None:
         """Return the state of an upstream's rank, or ``None`` if it is not a rank of a group."""
@@ -299,23 +302,23 @@
         return Address(upstream.address.ip, self._relay_port)
 
     def _order_body(self, order: RankOrder, epoch: int, fencing: int) -> bytes:
-        """Return an order's encoded body; the last one is cached, as all ranks get the same."""
+        """Return an order's encoded body; it is cached, as all ranks of a group get the same."""
         order_key = (order, epoch, fencing)
-        if self._last_order is None or self._last_order[0] != order_key:
+        if order_key not in self._order_bodies:
             body = msgspec.json.encode({**_order(order), "epoch": epoch, "fence": fencing})
-            self._last_order = (order_key, body)
-        return self._last_order[1]
+            _cache(self._order_bodies, order_key, body)
+        return self._order_bodies[order_key]
 
     def _compressed(self, headers: Headers, body: bytes) -> tuple[Headers, bytes]:
         """Return headers and body of a call to a sidecar, with a large body compressed.
 
-        The last compressed body is cached, as all ranks get the same map.
+        The compressed body is cached, as all ranks of a group get the same map.
         """
         if len(body) < COMPRESSED_FROM_BYTES:
             return headers, body
-        if self._last_compressed[0] != body:
-            self._last_compressed = (body, compress_body(body))
-        return [*headers, COMPRESSED], self._last_compressed[1]
+        if body not in self._compressed_bodies:
+            _cache(self._compressed_bodies, body, compress_body(body))
+        return [*headers, COMPRESSED], self._compressed_bodies[body]
 
     def _client(self, pool: dict[str, HttpClient], instance: str, address: Address) -> HttpClient:
         """Return the pooled client for an upstream; replace it if the address has changed."""
@@ -326,6 +329,13 @@
         return client
 
 
+def _cache(cache: dict[Any, bytes], key: Any, body: bytes) -> None:
+    """Add to a cache of the last bodies; the oldest is dropped first."""
+    cache[key] = body
+    if len(cache) > CACHED_BODIES:
+        del cache[next(iter(cache))]
+
+
 def _headers(instance: str, call: _Call) -> Headers:
     """Return the headers of a call to an upstream instance."""
     headers = [(EXPECT_INSTANCE, header_text(instance))]
