Move the managers of expert maps into a package of their own

gateway/_service_group.py had 440 lines and mixed reading ranks, demand, planning and driving. The package expert_maps takes it over with the role and the slow upstreams, split by responsibility.

--- a/bluebellrun/gateway/_expert_maps.py
+++ b/bluebellrun/expert_maps/_expert_maps.py
@@ -11,13 +11,12 @@
 import curio
 
 from bluebellrun.deployment import Deployment, ExpertTerms
-from bluebellrun.gateway._directory import UpstreamDirectory
-from bluebellrun.gateway._map_versions import MapVersions
-from bluebellrun.gateway._ports import RankCalls
-from bluebellrun.gateway._role import PlacementRole
-from bluebellrun.gateway._service_group import FencedError, ServiceGroup
-from bluebellrun.gateway._service_ranks import ServiceRanks
-from bluebellrun.gateway._slow_upstreams import SlowUpstreams
+from bluebellrun.expert_maps._group_manager import FencedError, GroupManager
+from bluebellrun.expert_maps._map_versions import MapVersions
+from bluebellrun.expert_maps._ports import RankCalls, Registrations
+from bluebellrun.expert_maps._role import PlacementRole
+from bluebellrun.expert_maps._service_ranks import ServiceRanks
+from bluebellrun.expert_maps._slow_upstreams import SlowUpstreams
 from bluebellrun.runtime import spawn_background
 
 # Interval at which a process without the role checks whether it has acquired it.
@@ -34,7 +33,7 @@
         self,
         role: PlacementRole,
         calls: RankCalls,
-        directory: UpstreamDirectory,
+        directory: Registrations,
         deployment: Callable[[], Deployment | None],
         slow: SlowUpstreams,
         load: Callable[[str], float],
@@ -48,7 +47,7 @@
         self._versions = MapVersions()
         # Groups by service and name, as long as a task manages them.
         self._services: dict[str, ServiceRanks] = {}
-        self._groups: dict[tuple[str, str], ServiceGroup] = {}
+        self._groups: dict[tuple[str, str], GroupManager] = {}
 
     async def run(self) -> None:
         """Manage the maps until cancelled."""
@@ -78,7 +77,7 @@
         terms = self._experts().get(service)
         for name in upstreams.names:
             if terms is not None and (service, name) not in self._groups:
-                group = ServiceGroup(
+                group = GroupManager(
                     service,
                     name,
                     terms,
@@ -92,7 +91,7 @@
                 await spawn_background(self._run_group, service, name, group, upstreams)
 
     async def _run_group(
-        self, service: str, name: str, group: ServiceGroup, upstreams: ServiceRanks
+        self, service: str, name: str, group: GroupManager, upstreams: ServiceRanks
     ) -> None:
         """Manage a group while this process may and upstreams report it."""
         try:
--- /dev/null
+++ b/bluebellrun/expert_maps/_group_demand.py
@@ -0,0 +1,101 @@
+"""Read how often the requests of a group choose each expert, from the counts of its ranks."""
+
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from bluebellrun.deployment import ExpertTerms
+from bluebellrun.expert_maps._ports import RankCallError, RankCalls
+from bluebellrun.expert_maps._service_ranks import run_all
+from bluebellrun.gateway._models import Upstream
+from bluebellrun.placement import (
+    DemandEstimator,
+    DemandSettings,
+    StepTimes,
+    StepTimesSettings,
+    demand_settings,
+)
+from bluebellrun.telemetry import get_logger
+
+# A jump of demand shows in any rank's counts: the first ranks are read on each turn and the others
+# in rotation, as a call costs both hosts about a millisecond.
+RANKS_READ_ALWAYS = 4
+RANKS_READ_IN_ROTATION = 20
+# Choices observed before the first plan: a few dozen for each expert of a group.
+MIN_CHOICES_PER_EXPERT = 20
+
+_log = get_logger("expert-maps")
+
+
+@dataclass(frozen=True, slots=True)
+class CountsRead:
+    """What a reading of counts showed.
+
+    A rank is in another epoch, the group's steps became longer, or demand has shifted.
+    """
+
+    other_epoch: bool = False
+    slowed: bool = False
+    shifted: bool = False
+
+
+class GroupDemand:
+    """The demand for the experts of one group."""
+
+    def __init__(self, service: str, group: str, experts: ExpertTerms, calls: RankCalls) -> None:
+        self._names = {"service": service, "group": group}
+        self._calls = calls
+        self._min_choices = MIN_CHOICES_PER_EXPERT * experts.layers * experts.experts
+        self._estimator = DemandEstimator(experts.layers, experts.experts, DemandSettings())
+        self._step_times = StepTimes(StepTimesSettings())
+        self._next_read = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether enough choices were observed to plan for."""
+        return self._estimator.total >= self._min_choices
+
+    @property
+    def step_s(self) -> float | None:
+        """Return the mean duration of a step, none if unknown."""
+        return self._step_times.step_s
+
+    def by_layer(self) -> list[list[float]]:
+        """Return the choices as ``[layer][expert]``; the past fades."""
+        return self._estimator.demand()
+
+    def set_size(self, ranks: int) -> None:
+        """Adapt to the group's size."""
+        self._estimator.settings = demand_settings(ranks)
+
+    async def read(self, upstreams: Mapping[int, Upstream], epoch: int) -> CountsRead:
+        """Read the counts of some ranks: a few always, the others in rotation."""
+        now = time.monotonic()
+        ranks = sorted(upstreams)
+        others = ranks[RANKS_READ_ALWAYS:]
+        start = self._next_read % max(1, len(others))
+        self._next_read = start + RANKS_READ_IN_ROTATION
+        chosen = (others[start:] + others[:start])[:RANKS_READ_IN_ROTATION]
+        steps: list[int] = []
+        epochs: set[int] = set()
+
+        async def read_one(rank: int) -> None:
+            try:
+                counts = await self._calls.counts(upstreams[rank], rank)
+            except RankCallError as error:
+                _log.info("counts not read", **self._names, rank=rank, reason=str(error))
+                return
+            epochs.add(counts.epoch)
+            if counts.epoch == epoch:
+                self._estimator.observe(counts, time.monotonic())
+                steps.append(counts.step)
+
+        await run_all([(read_one, (rank,)) for rank in (*ranks[:RANKS_READ_ALWAYS], *chosen)])
+        slowed = bool(steps) and self._step_times.observe(max(steps), now)
+        if slowed:
+            _log.info("steps became longer", **self._names, step=max(steps))
+        distance = self._estimator.distance()
+        shifted = self._estimator.reset_on_shift()
+        if shifted:
+            _log.info("demand shifted", **self._names, distance=round(distance, 3))
+        return CountsRead(bool(epochs - {epoch}), slowed, shifted)
--- a/bluebellrun/gateway/_service_group.py
+++ b/bluebellrun/expert_maps/_group_manager.py
@@ -3,52 +3,39 @@
 import time
 from collections.abc import Callable
 
-import curio
-
 from bluebellrun.deployment import ExpertTerms
-from bluebellrun.gateway._map_versions import MapVersions
+from bluebellrun.expert_maps._group_demand import GroupDemand
+from bluebellrun.expert_maps._group_planning import plan_map
+from bluebellrun.expert_maps._map_versions import MapVersions
+from bluebellrun.expert_maps._ports import OrderReply, RankCallError, RankCalls, RankReplacedError
+from bluebellrun.expert_maps._role import PlacementRole
+from bluebellrun.expert_maps._service_ranks import ServiceRanks, run_all
+from bluebellrun.expert_maps._survey import split_groups
 from bluebellrun.gateway._models import Upstream
-from bluebellrun.gateway._ports import OrderReply, RankCallError, RankCalls, RankReplacedError
-from bluebellrun.gateway._role import PlacementRole
-from bluebellrun.gateway._service_ranks import ServiceRanks, run_all
-from bluebellrun.gateway._survey import split_groups
 from bluebellrun.placement import (
     ArmMap,
     ChangeSettings,
     ClaimRank,
-    DemandEstimator,
-    DemandSettings,
     MarginSettings,
     Placement,
     PlacementChange,
-    PlanSettings,
     PrepareMap,
     RankOrder,
     RankState,
-    RequiredGainSettings,
-    StepTimes,
-    StepTimesSettings,
     default_placement,
-    demand_settings,
     margin_steps,
-    plan_placement,
     release_held_passes,
-    required_gain,
 )
 from bluebellrun.telemetry import get_logger
 
 READ_INTERVAL_S = 0.12
 # Ranks are polled this often during a change: passes take some dozens of milliseconds.
 CHANGE_INTERVAL_S = 0.02
-# A jump of demand shows in any rank's counts: the first ranks are read on each turn and the others
-# in rotation, as a call costs both hosts about a millisecond.
-RANKS_READ_ALWAYS = 4
-RANKS_READ_IN_ROTATION = 20
 # States are re-read this often without a change, to detect ranks that left, joined or slowed.
 STATES_INTERVAL_S = 1.5
+# The epoch of a group before its ranks were read.
+NO_EPOCH = -1
 PLAN_INTERVAL_S = 0.2
-# Choices observed before the first plan: a few dozen for each expert of a group.
-MIN_CHOICES_PER_EXPERT = 20
 
 ACCEPTED_REPLIES = frozenset({OrderReply.ACCEPTED, OrderReply.DONE})
 
@@ -59,7 +46,7 @@
     """A rank has seen a higher fencing number."""
 
 
-class ServiceGroup:
+class GroupManager:
     """One group: its ranks, the demand for its experts and the current change."""
 
     def __init__(
@@ -75,6 +62,7 @@
     ) -> None:
         self._service = service
         self._name = name
+        self._names = {"service": service, "group": name}
         self._experts = experts
         self._calls = calls
         self._upstreams = upstreams
@@ -85,15 +73,13 @@
         self._ranks: dict[int, Upstream] = {}
         self._read_at = 0.0
         self._planned_at = 0.0
-        self._next_read = 0
         self._arm_s: float | None = None
-        self._epoch: tuple[str, int] | None = None
+        self._epoch = NO_EPOCH
         self._fencing = 0
         self._claimed: set[int] = set()
         self._current: Placement | None = None
         self._change: PlacementChange | None = None
-        self._demand = DemandEstimator(experts.layers, experts.experts, DemandSettings())
-        self._step_times = StepTimes(StepTimesSettings())
+        self._demand = GroupDemand(service, name, experts, calls)
 
     @property
     def slowness(self) -> dict[str, float]:
@@ -117,7 +103,7 @@
             await self._drive(self._change, fencing)
             return CHANGE_INTERVAL_S
         await self._release_stray_holds(fencing)
-        await self._read_counts()
+        await self._read_counts(self._epoch)
         if time.monotonic() - self._planned_at > PLAN_INTERVAL_S:
             await self._plan(fencing)
         return READ_INTERVAL_S if self._change is None else 0.0
@@ -132,11 +118,10 @@
 
     async def _reread_states(self, ranks: list[int]) -> bool:
         """Read the states of some ranks; return whether the group is still the same."""
-        epoch = self._epoch or ("", 0)
         numbers = {self._ranks[rank].instance: rank for rank in ranks}
         for upstream, state in await self._upstreams.read([self._ranks[rank] for rank in ranks]):
             rank = numbers[upstream.instance]
-            if (state.group, state.epoch, state.rank) != (*epoch, rank):
+            if (state.group, state.epoch, state.rank) != (self._name, self._epoch, rank):
                 self._read_at = 0.0
             else:
                 self._states[rank] = state
@@ -157,9 +142,9 @@
         self._read_at = now
         self._states = {rank: state for rank, (_, state) in found.ranks.items()}
         self._ranks = {rank: upstream for rank, (upstream, _) in found.ranks.items()}
-        if self._epoch != (found.name, found.epoch):
+        if self._epoch != found.epoch:
             self._begin_epoch(found.epoch)
-        self._demand.settings = demand_settings(found.size)
+        self._demand.set_size(found.size)
         return True
 
     def _begin_role(self, fencing: int) -> None:
@@ -172,8 +157,8 @@
 
     def _begin_epoch(self, epoch: int) -> None:
         """Reset: the group has re-formed, with nothing prepared, armed or held."""
-        _log.info("group formed", service=self._service, group=self._name, epoch=epoch)
-        self._epoch = (self._name, epoch)
+        _log.info("group formed", **self._names, epoch=epoch)
+        self._epoch = epoch
         self._claimed.clear()
         self._current = None
         self._change = None
@@ -219,9 +204,7 @@
         version, step = armed[0].armed_version, armed[0].armed_step
         if version is None or step is None:
             return
-        _log.info(
-            "change resumed", service=self._service, group=self._name, version=version, step=step
-        )
+        _log.info("change resumed", **self._names, version=version, step=step)
         self._change = PlacementChange(version, None, ChangeSettings(), time.monotonic())
         self._change.resume_armed(step)
 
@@ -261,8 +244,7 @@
             self._arm_s = lasted.arm_s
             _log.info(
                 "map in use",
-                service=self._service,
-                group=self._name,
+                **self._names,
                 version=change.version,
                 prepare_s=round(lasted.prepare_s, 3),
                 arm_s=round(lasted.arm_s, 3),
@@ -271,100 +253,47 @@
             self._current = change.placement
             self._change = None
         elif change.failed:
-            _log.warning(
-                "map change failed", service=self._service, group=self._name, version=change.version
-            )
+            _log.warning("map change failed", **self._names, version=change.version)
             self._change = None
 
     async def _release_stray_holds(self, fencing: int) -> None:
         """Release passes held without a change: an order may be carried out late."""
         orders = release_held_passes(self._states)
         if orders:
-            _log.info("stray holds released", service=self._service, ranks=len(orders))
+            _log.info("stray holds released", **self._names, ranks=len(orders))
             await self._send_orders(orders, fencing)
             self._read_at = 0.0
 
-    async def _read_counts(self) -> None:
-        """Read the counts of some ranks: a few always, the others in rotation."""
-        now = time.monotonic()
-        ranks = sorted(self._ranks)
-        others = ranks[RANKS_READ_ALWAYS:]
-        start = self._next_read % max(1, len(others))
-        self._next_read = start + RANKS_READ_IN_ROTATION
-        chosen = (others[start:] + others[:start])[:RANKS_READ_IN_ROTATION]
-        read: list[int] = []
-
-        async def read_one(rank: int) -> None:
-            try:
-                counts = await self._calls.counts(self._ranks[rank], rank)
-            except RankCallError as error:
-                _log.info("counts not read", rank=rank, reason=str(error))
-                return
-            if self._epoch is not None and counts.epoch != self._epoch[1]:
-                self._read_at = 0.0
-                return
-            self._demand.observe(counts, time.monotonic())
-            read.append(counts.step)
-
-        await run_all([(read_one, (rank,)) for rank in (*ranks[:RANKS_READ_ALWAYS], *chosen)])
-        if read and self._step_times.observe(max(read), now):
-            _log.info(
-                "steps became longer", service=self._service, group=self._name, step=max(read)
-            )
-            self._read_at = min(self._read_at, now - STATES_INTERVAL_S)
-        distance = self._demand.distance()
-        if self._demand.reset_on_shift():
+    async def _read_counts(self, epoch: int) -> None:
+        """Read the demand, and note what else that shows."""
+        read = await self._demand.read(self._ranks, epoch)
+        if read.other_epoch:
+            self._read_at = 0.0
+        elif read.slowed:
+            self._read_at = min(self._read_at, time.monotonic() - STATES_INTERVAL_S)
+        if read.shifted:
             self._planned_at = 0.0
-            _log.info(
-                "demand shifted",
-                service=self._service,
-                group=self._name,
-                distance=round(distance, 3),
-            )
 
     async def _plan(self, fencing: int) -> None:
         """Plan a better map and begin a change to it if it is worthwhile."""
-        sizes = self._experts
-        min_choices = MIN_CHOICES_PER_EXPERT * sizes.layers * sizes.experts
-        if self._current is None or self._demand.total < min_choices:
+        if self._current is None or not self._demand.is_known:
             return
         self._planned_at = time.monotonic()
         slowness = [self._states[rank].slowness for rank in sorted(self._states)]
-        bounds = PlanSettings(slots=sizes.slots, max_new_experts=sizes.most_new)
-        steps = plan_placement(self._current, self._demand.demand(), slowness, bounds)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as done:
-                plan = done.value
-                break
-            await curio.sleep(0)
-        gain = plan.skew_before - plan.skew_after
         load = self._load(self._service)
-        needed = required_gain(plan.copies, len(slowness), load, RequiredGainSettings())
-        worthwhile = plan.copies > 0 and gain >= needed
-        _log.info(
-            "map planned",
-            service=self._service,
-            group=self._name,
-            skew_before=round(plan.skew_before, 3),
-            skew_after=round(plan.skew_after, 3),
-            copies=plan.copies,
-            load=round(load, 2),
-            worthwhile=worthwhile,
-            took_ms=round(1000 * (time.monotonic() - self._planned_at)),
+        demand = self._demand.by_layer()
+        placement = await plan_map(
+            self._names, self._experts, self._current, demand, slowness, load
         )
-        if not worthwhile or self._role.lease() is None:
+        if placement is None or self._role.lease() is None:
             return
         version = self._versions.next(fencing)
         if version is None or version <= self._highest_version():
             # A new number is higher than all that ranks have prepared.
             raise FencedError
-        margin = margin_steps(
-            len(self._ranks), self._arm_s, self._step_times.step_s, MarginSettings()
-        )
+        margin = margin_steps(len(self._ranks), self._arm_s, self._demand.step_s, MarginSettings())
         settings = ChangeSettings(margin_steps=margin)
-        self._change = PlacementChange(version, plan.placement, settings, time.monotonic())
+        self._change = PlacementChange(version, placement, settings, time.monotonic())
 
     def _highest_version(self) -> int:
         """Return the highest map version that a rank uses or has prepared."""
@@ -375,7 +304,7 @@
     ) -> dict[int, OrderReply | None]:
         """Send orders to ranks concurrently; a reply is none if none arrived."""
         replies: dict[int, OrderReply | None] = {}
-        epoch = 0 if self._epoch is None else self._epoch[1]
+        epoch = self._epoch
 
         async def send(rank: int, order: RankOrder) -> None:
             replies[rank] = None
--- a/bluebellrun/gateway/_role.py
+++ b/bluebellrun/expert_maps/_role.py
@@ -5,7 +5,7 @@
 import curio
 
 from bluebellrun.core import Clock
-from bluebellrun.gateway._store_view import StoreView
+from bluebellrun.expert_maps._ports import StoreRecords
 from bluebellrun.leases import LeaseError, RoleHolder, RoleLease, decode_record
 from bluebellrun.telemetry import get_logger
 
@@ -34,7 +34,7 @@
     def __init__(
         self,
         holder: RoleHolder,
-        view: StoreView,
+        view: StoreRecords,
         clock: Clock,
         fenced: bool,
         take_over_pause_s: float = TAKE_OVER_PAUSE_S,
--- a/bluebellrun/gateway/_service_ranks.py
+++ b/bluebellrun/expert_maps/_service_ranks.py
@@ -5,10 +5,14 @@
 
 import curio
 
-from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.expert_maps._ports import (
+    RankCallError,
+    RankCalls,
+    RankReplacedError,
+    Registrations,
+)
+from bluebellrun.expert_maps._survey import Reported
 from bluebellrun.gateway._models import Upstream
-from bluebellrun.gateway._ports import RankCallError, RankCalls, RankReplacedError
-from bluebellrun.gateway._survey import Reported
 from bluebellrun.telemetry import get_logger
 
 # How long upstreams without a registration are still polled: they may still be ranks.
@@ -20,7 +24,7 @@
 class ServiceRanks:
     """Reads the states of a service's upstreams; times in seconds of the monotonic clock."""
 
-    def __init__(self, service: str, calls: RankCalls, directory: UpstreamDirectory) -> None:
+    def __init__(self, service: str, calls: RankCalls, directory: Registrations) -> None:
         self._service = service
         self._calls = calls
         self._directory = directory
--- a/bluebellrun/gateway/__init__.py
+++ b/bluebellrun/gateway/__init__.py
@@ -27,14 +27,7 @@
         Upstream,
         UpstreamAnswer,
     )
-    from bluebellrun.gateway._ports import (
-        BadRequestError,
-        OrderReply,
-        RankCallError,
-        RankCalls,
-        RankReplacedError,
-        Wire,
-    )
+    from bluebellrun.gateway._ports import BadRequestError, Wire
     from bluebellrun.gateway._relay import Relay
     from bluebellrun.gateway._store_changes import (
         ConfigurationWritten,
@@ -61,10 +54,6 @@
     "NamedLimit": "_models",
     "NoLimit": "_models",
     "StoreChange": "_store_changes",
-    "OrderReply": "_ports",
-    "RankCallError": "_ports",
-    "RankCalls": "_ports",
-    "RankReplacedError": "_ports",
     "RecordWritten": "_store_changes",
     "Refused": "_models",
     "Relay": "_relay",
@@ -97,10 +86,6 @@
     "LimitNotice",
     "NamedLimit",
     "NoLimit",
-    "OrderReply",
-    "RankCallError",
-    "RankCalls",
-    "RankReplacedError",
     "RecordWritten",
     "Refused",
     "Relay",
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -8,6 +8,7 @@
 from curio import socket
 
 from bluebellrun.core import Address, parse_address
+from bluebellrun.expert_maps import SlowUpstreams
 from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._limit_permits import (
@@ -22,7 +23,6 @@
     decode_status,
     encode_status,
 )
-from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView
 from bluebellrun.runtime import spawn_background
 from bluebellrun.store import KeyValueStore, PlatformError, Put
--- a/bluebellrun/gateway/_ports.py
+++ b/bluebellrun/gateway/_ports.py
@@ -1,11 +1,9 @@
 """Interfaces that the platform's adapter implements for the gateway."""
 
-from enum import Enum
 from typing import Protocol
 
-from bluebellrun.gateway._models import Attempt, CallerRequest, Upstream, UpstreamAnswer
+from bluebellrun.gateway._models import Attempt, CallerRequest, UpstreamAnswer
 from bluebellrun.http import AcceptResponse, Headers, HttpRequest
-from bluebellrun.placement import RankCounts, RankOrder, RankState
 
 
 class BadRequestError(Exception):
@@ -29,45 +27,3 @@
 
     def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
         """Return the headers of an answer that the gateway generates itself."""
-
-
-class RankCallError(Exception):
-    """A rank did not answer, or its answer cannot be read; an order may still be carried out."""
-
-
-class RankReplacedError(RankCallError):
-    """Another upstream has the rank's address: this incarnation of the rank has ended."""
-
-
-class OrderReply(Enum):
-    """A rank's reply to an order."""
-
-    # The order has begun or is recorded.
-    ACCEPTED = "accepted"
-    # The ordered state is already reached.
-    DONE = "done"
-    # The order does not fit the rank's state; read the state again.
-    CONFLICT = "conflict"
-    # The rank has seen a higher fencing number: another process acts for the group.
-    FENCED = "fenced"
-
-
-class RankCalls(Protocol):
-    """Calls to the ranks of a group. Raises ``RankCallError``."""
-
-    async def state(self, upstream: Upstream) -> RankState | None:
-        """Return the state of an upstream's rank, none if it is no rank of a group."""
-
-    async def counts(self, upstream: Upstream, rank: int) -> RankCounts:
-        """Return how often the rank's requests chose each expert."""
-
-    async def placement_held(self, upstream: Upstream) -> list[frozenset[int]]:
-        """Return the experts that a rank holds in use, layer by layer."""
-
-    async def send_order(
-        self, upstream: Upstream, order: RankOrder, epoch: int, fencing: int
-    ) -> OrderReply:
-        """Send an order."""
-
-    async def forget(self, instance: str) -> None:
-        """Close the connections to a removed upstream."""
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -11,10 +11,16 @@
 
 from bluebellrun.core import Address, BootClock, MonotonicClock, new_incarnation
 from bluebellrun.deployment import Deployment, HostSettings
+from bluebellrun.expert_maps import (
+    LEASE_S,
+    ExpertMaps,
+    PlacementRole,
+    SlowUpstreams,
+    take_over_pause_s,
+)
 from bluebellrun.gateway._catch_up import NEVER_REACHED_S, CatchUp
 from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._directory import UpstreamDirectory
-from bluebellrun.gateway._expert_maps import ExpertMaps
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._gateway import Gateway
 from bluebellrun.gateway._gossip import Gossip, status_age_s
@@ -22,8 +28,6 @@
 from bluebellrun.gateway._limit_permits import LimitPermits
 from bluebellrun.gateway._peers import EntryStatus, PeerTable
 from bluebellrun.gateway._prompt_guard import PromptGuard
-from bluebellrun.gateway._role import LEASE_S, PlacementRole, take_over_pause_s
-from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
 from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
 from bluebellrun.leases import RoleHolder
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from bluebellrun.core import Address, DecodingError, decode
-from bluebellrun.gateway import OrderReply, RankCallError, RankReplacedError, Upstream
+from bluebellrun.expert_maps import OrderReply, RankCallError, RankReplacedError
+from bluebellrun.gateway import Upstream
 from bluebellrun.http import (
     COMPRESSED,
     COMPRESSED_FROM_BYTES,
--- a/tests/expert_maps/fake_ranks.py
+++ b/tests/expert_maps/fake_ranks.py
@@ -10,13 +10,8 @@
 
 from bluebellrun.core import parse_address
 from bluebellrun.deployment import ExpertTerms
-from bluebellrun.gateway import (
-    OrderReply,
-    RankCallError,
-    RankReplacedError,
-    Upstream,
-    UpstreamDirectory,
-)
+from bluebellrun.expert_maps import OrderReply, RankCallError, RankReplacedError
+from bluebellrun.gateway import Upstream, UpstreamDirectory
 from bluebellrun.leases import RoleLease
 from bluebellrun.placement import PrepareMap, RankCounts, RankOrder, RankState
 from standins.users_platform._group import FakeGroup
--- a/tests/expert_maps/test_expert_maps.py
+++ b/tests/expert_maps/test_expert_maps.py
@@ -4,8 +4,7 @@
 
 import curio
 
-from bluebellrun.gateway._expert_maps import ExpertMaps
-from bluebellrun.gateway._slow_upstreams import SlowUpstreams
+from bluebellrun.expert_maps import ExpertMaps, SlowUpstreams
 from bluebellrun.placement import PrepareMap
 from tests.expert_maps.fake_ranks import SERVICE, TERMS, FakeRanks, FakeRole, wait_until
 
--- a/tests/gateway/test_role.py
+++ b/tests/expert_maps/test_role.py
@@ -6,14 +6,14 @@
 import pytest
 
 from bluebellrun.core import ManualClock
-from bluebellrun.gateway import RecordWritten
-from bluebellrun.gateway._role import (
+from bluebellrun.expert_maps._role import (
     LEASE_S,
     SLOW_LINK_PAUSE_S,
     TAKE_OVER_PAUSE_S,
     PlacementRole,
     take_over_pause_s,
 )
+from bluebellrun.gateway import RecordWritten
 from bluebellrun.leases import RoleHolder
 from standins.platform import DirectStore
 from standins.platform._store import MemoryStore
--- a/tests/gateway/test_slow_upstreams.py
+++ b/tests/expert_maps/test_slow_upstreams.py
@@ -1,9 +1,9 @@
 from random import Random
 
 from bluebellrun.core import parse_address
+from bluebellrun.expert_maps._slow_upstreams import VALIDITY_S, SlowUpstreams
 from bluebellrun.gateway import Fleet, Upstream, UpstreamDirectory
 from bluebellrun.gateway._peers import EntryStatus, PeerTable, decode_status, encode_status
-from bluebellrun.gateway._slow_upstreams import VALIDITY_S, SlowUpstreams
 
 
 def directory(count: int) -> UpstreamDirectory:
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -3,11 +3,11 @@
 import curio
 
 from bluebellrun.core import Address, BootClock
+from bluebellrun.expert_maps import SlowUpstreams
 from bluebellrun.gateway import Fleet, StoreView, UpstreamDirectory
 from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._gossip import PEERS_PER_ROUND, SEND_INTERVAL_S, Gossip, silent_after_s
 from bluebellrun.gateway._peers import SILENT_S, EntryStatus, PeerTable
-from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_changes import RecordWritten
 from bluebellrun.platform import PlatformCatalogue, PlatformStore
 from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -13,7 +13,8 @@
 from hypothesis import strategies as st
 
 from bluebellrun.core import Address
-from bluebellrun.gateway import BadRequestError, EventSplitter, RankCallError, StoreChange, Upstream
+from bluebellrun.expert_maps import RankCallError
+from bluebellrun.gateway import BadRequestError, EventSplitter, StoreChange, Upstream
 from bluebellrun.gateway._peers import EntryStatus, PeerTable, decode_status, encode_status
 from bluebellrun.http import AnswerTooLongError, HttpRequest, decompress_body
 from bluebellrun.platform import EngineClient, PlatformCatalogue, PlatformWire
--- a/tests/platform/test_endless_store.py
+++ b/tests/platform/test_endless_store.py
@@ -7,7 +7,8 @@
 import pytest
 
 from bluebellrun.core import Address
-from bluebellrun.gateway import RankCallError, Upstream
+from bluebellrun.expert_maps import RankCallError
+from bluebellrun.gateway import Upstream
 from bluebellrun.http import HttpExchange, HttpLimits, HttpServer
 from bluebellrun.platform import EngineClient, PlatformStore
 from bluebellrun.platform._store import MAX_SNAPSHOT_BYTES
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -9,7 +9,8 @@
 import pytest
 
 from bluebellrun.core import Address
-from bluebellrun.gateway import OrderReply, RankCallError, RankReplacedError, Upstream
+from bluebellrun.expert_maps import OrderReply, RankCallError, RankReplacedError
+from bluebellrun.gateway import Upstream
 from bluebellrun.http import HttpExchange, HttpLimits, HttpServer, Listener
 from bluebellrun.placement import (
     ArmMap,
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -10,9 +10,9 @@
 import pytest
 
 from bluebellrun.core import Address, ManualClock, MonotonicClock
+from bluebellrun.expert_maps._map_versions import VERSIONS_PER_HOLDER
 from bluebellrun.gateway import RecordWritten, StoreView
 from bluebellrun.gateway._catch_up import _Key, _StoreCopy
-from bluebellrun.gateway._map_versions import VERSIONS_PER_HOLDER
 from bluebellrun.leases import RoleHolder
 from bluebellrun.platform import PlatformStore
 from bluebellrun.platform._configuration import read_configuration
--- a/tests/platform/upstreams.py
+++ b/tests/platform/upstreams.py
@@ -10,8 +10,8 @@
 
 from bluebellrun.core import Address
 from bluebellrun.deployment import HostSettings, ReservedPorts, StoreTerms
+from bluebellrun.expert_maps import SlowUpstreams
 from bluebellrun.gateway import Fleet, Gateway, Upstream, UpstreamDirectory
-from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.http import HttpLimits, HttpServer, Listener
 from bluebellrun.platform import PlatformWire
 from bluebellrun.platform._configuration import read_configuration
