Record the groups of a service in the store, and follow the record in every gateway

Only the process that manages the maps knew which upstreams form a group. The holder of the placement role now records the groups of each service that has several, when they change and at most once a second, and every gateway fills its table of groups from its view of the store. The table is passed to Fleet and Gateway.

--- a/bluebellrun/expert_maps/__init__.py
+++ b/bluebellrun/expert_maps/__init__.py
@@ -15,17 +15,20 @@
         RankCalls,
         RankReplacedError,
     )
+    from bluebellrun.expert_maps._recorded_groups import GroupsWriter, RecordedGroups
     from bluebellrun.expert_maps._role import LEASE_S, PlacementRole, take_over_pause_s
     from bluebellrun.expert_maps._slow_upstreams import SlowUpstreams
 
 _LOADED_AT_FIRST_USE = {
     "LEASE_S": "_role",
     "ExpertMaps": "_expert_maps",
+    "GroupsWriter": "_recorded_groups",
     "OrderReply": "_ports",
     "PlacementRole": "_role",
     "RankCallError": "_ports",
     "RankCalls": "_ports",
     "RankReplacedError": "_ports",
+    "RecordedGroups": "_recorded_groups",
     "SlowUpstreams": "_slow_upstreams",
     "take_over_pause_s": "_role",
 }
@@ -33,11 +36,13 @@
 __all__ = [
     "LEASE_S",
     "ExpertMaps",
+    "GroupsWriter",
     "OrderReply",
     "PlacementRole",
     "RankCallError",
     "RankCalls",
     "RankReplacedError",
+    "RecordedGroups",
     "SlowUpstreams",
     "take_over_pause_s",
 ]
--- a/bluebellrun/expert_maps/_expert_maps.py
+++ b/bluebellrun/expert_maps/_expert_maps.py
@@ -14,6 +14,7 @@
 from bluebellrun.expert_maps._group_manager import FencedError, GroupManager
 from bluebellrun.expert_maps._map_versions import MapVersions
 from bluebellrun.expert_maps._ports import RankCalls, Registrations
+from bluebellrun.expert_maps._recorded_groups import GroupsWriter, RecordedGroups
 from bluebellrun.expert_maps._role import PlacementRole
 from bluebellrun.expert_maps._service_ranks import ServiceRanks
 from bluebellrun.expert_maps._slow_upstreams import SlowUpstreams
@@ -37,6 +38,8 @@
         deployment: Callable[[], Deployment | None],
         slow: SlowUpstreams,
         load: Callable[[str], float],
+        recorded: RecordedGroups,
+        writer: GroupsWriter,
     ) -> None:
         self._role = role
         self._calls = calls
@@ -44,6 +47,8 @@
         self._deployment = deployment
         self._slow = slow
         self._load = load
+        self._recorded = recorded
+        self._writer = writer
         self._versions = MapVersions()
         # Groups by service and name, as long as a task manages them.
         self._services: dict[str, ServiceRanks] = {}
@@ -52,9 +57,11 @@
     async def run(self) -> None:
         """Manage the maps until cancelled."""
         while True:
-            for service in self._experts():
+            services = self._experts()
+            self._recorded.follow(services.keys(), time.monotonic())
+            for service in services:
                 if service not in self._services:
-                    upstreams = ServiceRanks(service, self._calls, self._directory)
+                    upstreams = ServiceRanks(service, self._calls, self._directory, self._recorded)
                     self._services[service] = upstreams
                     await spawn_background(self._run_service, service, upstreams)
             await curio.sleep(IDLE_INTERVAL_S)
@@ -74,6 +81,8 @@
         now = time.monotonic()
         await upstreams.update(now)
         await upstreams.read(upstreams.not_asked_since(now - SURVEY_INTERVAL_S))
+        key = self._recorded.key(service)
+        await self._writer.write(key, upstreams.members(), time.monotonic())
         terms = self._experts().get(service)
         for name in upstreams.names:
             if terms is not None and (service, name) not in self._groups:
--- a/bluebellrun/expert_maps/_service_ranks.py
+++ b/bluebellrun/expert_maps/_service_ranks.py
@@ -11,8 +11,11 @@
     RankReplacedError,
     Registrations,
 )
+from bluebellrun.expert_maps._recorded_groups import RecordedGroups
 from bluebellrun.expert_maps._survey import Reported
 from bluebellrun.gateway._models import Upstream
+from bluebellrun.placement import RankState
+from bluebellrun.routing import GroupMembers
 from bluebellrun.telemetry import get_logger
 
 # How long upstreams without a registration are still polled: they may still be ranks.
@@ -24,14 +27,25 @@
 class ServiceRanks:
     """Reads the states of a service's upstreams; times in seconds of the monotonic clock."""
 
-    def __init__(self, service: str, calls: RankCalls, directory: Registrations) -> None:
+    def __init__(
+        self,
+        service: str,
+        calls: RankCalls,
+        directory: Registrations,
+        recorded: RecordedGroups | None = None,
+    ) -> None:
         self._service = service
         self._calls = calls
         self._directory = directory
         self._upstreams: dict[str, Upstream] = {}
         self._seen_at: dict[str, float] = {}
-        self._group_of: dict[str, str | None] = {}
+        self._recorded = recorded
+        # The last state that each upstream reported, none if it is no rank of a group.
+        self._reported: dict[str, RankState | None] = {}
         self._asked_at: dict[str, float] = {}
+        # The upstreams by group, none if it has to be built again.
+        self._index: dict[str | None, list[Upstream]] | None = None
+        self._recorded_changes = 0
 
     async def update(self, now: float) -> None:
         """Follow the registrations; removed upstreams are kept for RETENTION_S."""
@@ -41,7 +55,9 @@
             if known is not None and known.incarnation != upstream.incarnation:
                 # A new incarnation may be a rank of another group.
                 self._asked_at.pop(instance, None)
-            self._upstreams[instance] = upstream
+            if known != upstream:
+                self._upstreams[instance] = upstream
+                self._index = None
             self._seen_at[instance] = now
         for instance, seen in list(self._seen_at.items()):
             if now - seen > RETENTION_S:
@@ -51,18 +67,31 @@
     @property
     def all(self) -> list[Upstream]:
         """Return the upstreams; of two with one address, that of the current incarnation."""
-        return list({item.address: item for item in self._upstreams.values()}.values())
+        return [item for upstreams in self._by_group().values() for item in upstreams]
 
     @property
     def names(self) -> set[str]:
         """Return the names of the groups that upstreams last reported."""
-        named = (self._group_of.get(upstream.instance) for upstream in self.all)
-        return {name for name in named if name is not None}
+        return {name for name in self._by_group() if name is not None}
 
     def of_group(self, name: str, with_unknown: bool = False) -> list[Upstream]:
         """Return the upstreams that last reported a group, or also those that reported none."""
-        names = (name, None) if with_unknown else (name,)
-        return [item for item in self.all if self._group_of.get(item.instance) in names]
+        by_group = self._by_group()
+        return by_group.get(name, []) + (by_group.get(None, []) if with_unknown else [])
+
+    def members(self) -> list[GroupMembers]:
+        """Return the groups as last reported; an upstream that does not answer stays a member."""
+        recorded = {} if self._recorded is None else self._recorded.groups(self._service)
+        found = []
+        for name in sorted(self.names):
+            instances = frozenset(item.instance for item in self.of_group(name))
+            states = [self._reported.get(instance) for instance in instances]
+            formed = [(state.epoch, state.size) for state in states if state is not None]
+            if name in recorded:
+                formed.append((recorded[name].epoch, recorded[name].size))
+            epoch, size = max(formed, default=(0, 0))
+            found.append(GroupMembers(name, epoch, size, instances))
+        return found
 
     def not_asked_since(self, moment: float) -> list[Upstream]:
         """Return the upstreams that were last asked before a moment, or never."""
@@ -87,7 +116,10 @@
                 _log.info("rank not read", upstream=instance, reason=str(error))
                 return
             if instance in self._upstreams:
-                self._group_of[instance] = None if state is None else state.group
+                before = self._group_of(instance)
+                self._reported[instance] = state
+                if self._group_of(instance) != before:
+                    self._index = None
             if state is not None:
                 found.append((upstream, state))
 
@@ -105,11 +137,31 @@
         self._drop(instance)
         await self._calls.forget(instance)
 
+    def _by_group(self) -> dict[str | None, list[Upstream]]:
+        """Return the upstreams by the group that they last reported."""
+        recorded = 0 if self._recorded is None else self._recorded.changes
+        if self._index is None or recorded != self._recorded_changes:
+            self._recorded_changes = recorded
+            self._index = {}
+            for item in {known.address: known for known in self._upstreams.values()}.values():
+                self._index.setdefault(self._group_of(item.instance), []).append(item)
+        return self._index
+
+    def _group_of(self, instance: str) -> str | None:
+        """Return the group that an upstream last reported, or else the recorded one."""
+        if instance in self._reported:
+            state = self._reported[instance]
+            return None if state is None else state.group
+        if self._recorded is None:
+            return None
+        return self._recorded.group_of(self._service, instance)
+
     def _drop(self, instance: str) -> None:
         """Drop what is known of an instance."""
+        self._index = None
         self._upstreams.pop(instance, None)
         self._seen_at.pop(instance, None)
-        self._group_of.pop(instance, None)
+        self._reported.pop(instance, None)
         self._asked_at.pop(instance, None)
 
 
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -15,6 +15,7 @@
 from bluebellrun.gateway._peers import PeerTable
 from bluebellrun.http import ClientTimeouts, ConnectError, HttpClient, connect
 from bluebellrun.routing import (
+    GroupTable,
     LeastWorkRouting,
     OutlierEjection,
     RequestedBackoff,
@@ -58,8 +59,10 @@
         running_elsewhere: Callable[[str], int] = lambda instance: 0,
         slow_now: Callable[[float], Mapping[str, float]] = lambda now: {},
         permits: LimitPermits | None = None,
+        groups: GroupTable | None = None,
     ) -> None:
         self._directory = directory
+        self._groups = groups or GroupTable()
         self._routing = LeastWorkRouting(random, failure_domain)
         self._ejection = OutlierEjection()
         self._backoff = RequestedBackoff()
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -36,7 +36,7 @@
 from bluebellrun.gateway._relay import Relay, RelayTerms, choose_service, request_urgency
 from bluebellrun.http import CallerGoneError, HttpExchange
 from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
-from bluebellrun.routing import AttemptBudget, AttemptBudgetSettings
+from bluebellrun.routing import AttemptBudget, AttemptBudgetSettings, GroupTable
 from bluebellrun.telemetry import get_logger
 
 BAD_REQUEST = 400
@@ -90,8 +90,10 @@
         random: Random,
         record_request: RecordRequest | None = None,
         guard: PromptGuard | None = None,
+        groups: GroupTable | None = None,
     ) -> None:
         self._settings = settings
+        self._groups = groups or GroupTable()
         self._fleet = fleet
         self._wire = wire
         self._random = random
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -9,15 +9,9 @@
 
 import curio
 
-from bluebellrun.core import Address, BootClock, MonotonicClock, new_incarnation
+from bluebellrun.core import Address, MonotonicClock, new_incarnation
 from bluebellrun.deployment import Deployment, HostSettings
-from bluebellrun.expert_maps import (
-    LEASE_S,
-    ExpertMaps,
-    PlacementRole,
-    SlowUpstreams,
-    take_over_pause_s,
-)
+from bluebellrun.expert_maps import PlacementRole, SlowUpstreams
 from bluebellrun.gateway._catch_up import NEVER_REACHED_S, CatchUp
 from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._directory import UpstreamDirectory
@@ -26,11 +20,11 @@
 from bluebellrun.gateway._gossip import Gossip, status_age_s
 from bluebellrun.gateway._lifecycle import Lifecycle
 from bluebellrun.gateway._limit_permits import LimitPermits
+from bluebellrun.gateway._maps_setup import MapsSetup
 from bluebellrun.gateway._peers import EntryStatus, PeerTable
 from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
 from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
-from bluebellrun.leases import RoleHolder
 from bluebellrun.platform import (
     OWN_PREFIX,
     READY_PATH,
@@ -43,6 +37,7 @@
     settings_path,
 )
 from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
+from bluebellrun.routing import GroupTable
 from bluebellrun.runtime import StopSignals, run_program, spawn_background
 from bluebellrun.store import StoreTimeouts
 from bluebellrun.telemetry import ServingMetrics, configure_serving_logs, get_logger
@@ -55,8 +50,6 @@
 # The address of the metrics, as the deploy file names it.
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
-# The role of the process that manages the expert maps.
-PLACEMENT_ROLE = "placement"
 # Interval of dropping removed upstreams.
 CLEANUP_INTERVAL_S = 1.0
 
@@ -164,6 +157,7 @@
         self._peers = PeerTable(settings.host)
         self._metrics = ServingMetrics()
         self._slow = SlowUpstreams()
+        self._groups = GroupTable()
         self._fleet = Fleet(
             self._directory,
             settings.failure_domain,
@@ -171,6 +165,7 @@
             self._peers.running,
             self._slow.current,
             LimitPermits(self._peers, lambda outcome: self._metrics.record_permit(outcome.value)),
+            groups=self._groups,
         )
         quarantine_settings = QuarantineSettings()
         crash_recorded = curio.Event()
@@ -191,6 +186,7 @@
             self._random,
             self._metrics.record_request,
             self._guard,
+            groups=self._groups,
         )
         self._server = HttpServer(
             settings.callers, self._gateway.handle, HttpLimits(), listening=listening
@@ -217,14 +213,18 @@
             settings.host,
             crash_recorded,
         )
-        self._role = self._make_role()
-        self._maps = ExpertMaps(
+        setup = MapsSetup(
+            settings, OWN_PREFIX, self._store, self._view, self._is_silent, self._random
+        )
+        self._role = setup.placement_role()
+        self._maps = setup.expert_maps(
             self._role,
             EngineClient(settings.ports.first, self._fleet.accepts_requests),
             self._directory,
             lambda: self._gateway.deployment,
             self._slow,
             self._load,
+            self._groups,
         )
         self._connect_entries()
         self._lifecycle = Lifecycle(self._gateway, self._server, settings.bounds)
@@ -267,28 +267,9 @@
         settings = self._settings
         _log.info("started", callers=str(settings.callers), domain=settings.failure_domain)
 
-    def _make_role(self) -> PlacementRole:
-        """Return the placement role."""
-        clock = BootClock()
-        holder = RoleHolder(
-            self._store,
-            OWN_PREFIX.rstrip("/"),
-            PLACEMENT_ROLE,
-            self._settings.host,
-            LEASE_S,
-            clock,
-            self._random,
-        )
-        settings = self._settings
-        pause_s = take_over_pause_s(settings.link_bits_s)
-        return PlacementRole(
-            holder,
-            self._view,
-            clock,
-            settings.bounds.fenced_orders,
-            pause_s,
-            lambda host: self._gossip.is_silent(host),
-        )
+    def _is_silent(self, entry: str) -> bool:
+        """Return whether an entry has been silent while others kept sending."""
+        return self._gossip.is_silent(entry)
 
     def _load(self, service: str) -> float:
         """Return the fraction of a service's slots that all entries occupy."""
--- a/tests/expert_maps/fake_ranks.py
+++ b/tests/expert_maps/fake_ranks.py
@@ -8,20 +8,44 @@
 
 import curio
 
-from bluebellrun.core import parse_address
+from bluebellrun.core import MonotonicClock, parse_address
 from bluebellrun.deployment import ExpertTerms
-from bluebellrun.expert_maps import OrderReply, RankCallError, RankReplacedError
-from bluebellrun.gateway import Upstream, UpstreamDirectory
+from bluebellrun.expert_maps import OrderReply, RankCallError, RankReplacedError, RecordedGroups
+from bluebellrun.gateway import RecordWritten, Upstream, UpstreamDirectory
 from bluebellrun.leases import RoleLease
 from bluebellrun.placement import PrepareMap, RankCounts, RankOrder, RankState
+from bluebellrun.routing import GroupTable
+from standins.platform import DirectStore
 from standins.users_platform._group import FakeGroup
 
 SERVICE = "chat"
 TERMS = ExpertTerms(layers=2, experts=8, slots=4, most_new=2, copy_bytes=1.0, share=0.85)
+PREFIX = "p/groups/"
 PASS_S = 0.005
 CHOICES_PER_S = 40_000
 
 
+class MemoryView:
+    """The records of a store in memory, without delay."""
+
+    def __init__(self, store: DirectStore) -> None:
+        self.confirmed_at: float | None = 0.0
+        self._store = store
+
+    def record(self, key: str) -> RecordWritten | None:
+        found = self._store.memory.select(key.encode(), None)
+        if not found:
+            return None
+        record = found[0][1]
+        era = self._store.era
+        return RecordWritten(key, record.value, record.mod_revision, record.create_revision, era)
+
+    def records_below(self, prefix: str) -> list[RecordWritten]:
+        keys = [key.decode() for key, _ in self._store.memory.select(b"", b"\0")]
+        found = [self.record(key) for key in keys if key.startswith(prefix)]
+        return [item for item in found if item is not None]
+
+
 @dataclass
 class FakeRanks:
     """Ranks by instance; ``broken`` are groups that are not formed, ``silent`` never answer."""
@@ -36,6 +60,12 @@
     asked: list[str] = field(default_factory=list)
     born: dict[str, int] = field(default_factory=dict)
     began: float = field(default_factory=time.monotonic)
+    store: DirectStore = field(default_factory=lambda: DirectStore(MonotonicClock()))
+    table: GroupTable = field(default_factory=GroupTable)
+
+    def __post_init__(self) -> None:
+        self.view = MemoryView(self.store)
+        self.recorded = RecordedGroups(self.view, PREFIX, self.table)
 
     def add_group(self, name: str, size: int) -> None:
         """Add a formed group with upstreams of its own."""
--- a/tests/expert_maps/test_expert_maps.py
+++ b/tests/expert_maps/test_expert_maps.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from bluebellrun.expert_maps import ExpertMaps, SlowUpstreams
+from bluebellrun.expert_maps import ExpertMaps, GroupsWriter, SlowUpstreams
 from bluebellrun.placement import PrepareMap
 from tests.expert_maps.fake_ranks import SERVICE, TERMS, FakeRanks, FakeRole, wait_until
 
@@ -25,6 +25,8 @@
             lambda: cast(Any, DEPLOYMENT),
             SlowUpstreams(),
             lambda service: 1.0,
+            ranks.recorded,
+            GroupsWriter(ranks.store, ranks.view),
         )
         await curio.spawn(maps.run, daemon=True)
         await curio.spawn(ranks.passes, daemon=True)
