Divide the groups of a service among the gateways by a role for each

One process managed all groups, and its failure stopped the maps of all. Each recorded group has a role of its own with a lease and a fencing number, bluebellrun/placement/SERVICE/GROUP. Gateways rank themselves for each group by rendezvous hashing; one that is not the first waits 0.6 s longer for each gateway before it, so that usually one process asks the store. A silent holder is deposed as before, in the same order. A role returns to the first in the ranking once that has been there for 10 s. With one group the placement role manages it as before.

Several entries report slow ranks now: a new last field of the status carries the own report, merged by sender, and the old field repeats all reports for older builds.

--- a/bluebellrun/expert_maps/__init__.py
+++ b/bluebellrun/expert_maps/__init__.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from bluebellrun.expert_maps._expert_maps import ExpertMaps
+    from bluebellrun.expert_maps._group_roles import GatewayRanking, GroupRoles
     from bluebellrun.expert_maps._ports import (
         OrderReply,
         RankCallError,
@@ -16,12 +17,19 @@
         RankReplacedError,
     )
     from bluebellrun.expert_maps._recorded_groups import GroupsWriter, RecordedGroups
-    from bluebellrun.expert_maps._role import LEASE_S, PlacementRole, take_over_pause_s
+    from bluebellrun.expert_maps._role import (
+        LEASE_S,
+        PlacementRole,
+        RoleOrder,
+        take_over_pause_s,
+    )
     from bluebellrun.expert_maps._slow_upstreams import SlowUpstreams
 
 _LOADED_AT_FIRST_USE = {
     "LEASE_S": "_role",
     "ExpertMaps": "_expert_maps",
+    "GatewayRanking": "_group_roles",
+    "GroupRoles": "_group_roles",
     "GroupsWriter": "_recorded_groups",
     "OrderReply": "_ports",
     "PlacementRole": "_role",
@@ -29,6 +37,7 @@
     "RankCalls": "_ports",
     "RankReplacedError": "_ports",
     "RecordedGroups": "_recorded_groups",
+    "RoleOrder": "_role",
     "SlowUpstreams": "_slow_upstreams",
     "take_over_pause_s": "_role",
 }
@@ -36,6 +45,8 @@
 __all__ = [
     "LEASE_S",
     "ExpertMaps",
+    "GatewayRanking",
+    "GroupRoles",
     "GroupsWriter",
     "OrderReply",
     "PlacementRole",
@@ -43,6 +54,7 @@
     "RankCalls",
     "RankReplacedError",
     "RecordedGroups",
+    "RoleOrder",
     "SlowUpstreams",
     "take_over_pause_s",
 ]
--- a/bluebellrun/expert_maps/_group_manager.py
+++ b/bluebellrun/expert_maps/_group_manager.py
@@ -1,7 +1,7 @@
 """One model group: its ranks, the demand for its experts and the current change of its map."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from bluebellrun.deployment import ExpertTerms
 from bluebellrun.expert_maps._group_demand import GroupDemand
@@ -58,7 +58,7 @@
         upstreams: ServiceRanks,
         role: PlacementRole,
         versions: MapVersions,
-        load: Callable[[str], float],
+        load: Callable[[str, Collection[str]], float],
     ) -> None:
         self._service = service
         self._name = name
@@ -71,6 +71,7 @@
         self._load = load
         self._states: dict[int, RankState] = {}
         self._ranks: dict[int, Upstream] = {}
+        self._is_complete = False
         self._read_at = 0.0
         self._planned_at = 0.0
         self._arm_s: float | None = None
@@ -91,6 +92,16 @@
             if rank in states
         }
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all ranks answered, and the group is formed."""
+        return self._is_complete
+
+    @property
+    def is_changing(self) -> bool:
+        """Return whether a change of the map is in progress."""
+        return self._change is not None
+
     async def turn(self, fencing: int) -> float:
         """Do the next step of the group's work; return the seconds to the next turn."""
         if fencing != self._fencing:
@@ -136,6 +147,7 @@
         await self._upstreams.update(now)
         asked = self._upstreams.of_group(self._name, with_unknown=not self._read_at)
         found = split_groups(await self._upstreams.read(asked)).get(self._name)
+        self._is_complete = found is not None and found.is_complete
         if found is None or not found.is_complete:
             self._read_at = 0.0
             return False
@@ -280,7 +292,7 @@
             return
         self._planned_at = time.monotonic()
         slowness = [self._states[rank].slowness for rank in sorted(self._states)]
-        load = self._load(self._service)
+        load = self._load(self._service, [item.instance for item in self._ranks.values()])
         demand = self._demand.by_layer()
         placement = await plan_map(
             self._names, self._experts, self._current, demand, slowness, load
--- a/bluebellrun/expert_maps/_role.py
+++ b/bluebellrun/expert_maps/_role.py
@@ -1,6 +1,7 @@
-"""Hold the placement role: a lease in the store that one process has at a time."""
+"""Hold a role in managing expert maps: a lease in the store that one process has at a time."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 import curio
 
@@ -23,6 +24,28 @@
 _log = get_logger("role")
 
 
+class RoleOrder(Protocol):
+    """The order in which processes acquire a role."""
+
+    def pause_s(self) -> float:
+        """Return how much longer this process waits than the first before it acquires the role."""
+
+    def returns(self) -> bool:
+        """Return whether the holder gives the role back to the first now."""
+
+
+class NoOrder:
+    """All processes are equal, and the holder keeps the role."""
+
+    def pause_s(self) -> float:
+        """Return no additional pause."""
+        return 0.0
+
+    def returns(self) -> bool:
+        """Return that the role is kept."""
+        return False
+
+
 class PlacementRole:
     """Acquire the role when it is free, and renew it.
 
@@ -39,6 +62,7 @@
         fenced: bool,
         take_over_pause_s: float = TAKE_OVER_PAUSE_S,
         is_silent: Callable[[str], bool] = lambda host: False,
+        order: RoleOrder | None = None,
     ) -> None:
         self._holder = holder
         self._view = view
@@ -46,6 +70,7 @@
         self._fenced = fenced
         self._take_over_pause_s = take_over_pause_s
         self._is_silent = is_silent
+        self._order = order or NoOrder()
         self._logged_number: int | None = None
         self._last_lease: RoleLease | None = None
         self._refused: set[int] = set()
@@ -64,7 +89,7 @@
 
     async def mark_fenced(self, number: int) -> None:
         """Stop acting under a number: a rank has seen a higher one."""
-        _log.warning("role lost to a higher fencing number", number=number)
+        _log.warning("role lost to a higher fencing number", key=self._holder.key, number=number)
         self._refused.add(number)
         self._last_lease = None
         await self._holder.release()
@@ -87,7 +112,7 @@
             try:
                 await self._step()
             except LeaseError as error:
-                _log.info("role lease request failed", reason=str(error))
+                _log.info("role lease request failed", key=self._holder.key, reason=str(error))
             await curio.sleep(RENEW_INTERVAL_S)
         # Releases a role that was acquired while this process resigned.
         await self._holder.release()
@@ -96,10 +121,15 @@
         """Renew the role, or acquire it if it is free."""
         if self._last_lease is not None and self._is_superseded(self._last_lease):
             await self.release()
+        if self.lease() is not None and self._order.returns():
+            _log.info("role returned to the first in the ranking", key=self._holder.key)
+            await self.release()
+            self._log_change()
+            return
         if self._last_lease is not None or self._holder.current(self._clock.now()) is not None:
             self._last_lease = await self._holder.renew()
         elif self._view.confirmed_at is not None and self._is_free():
-            await curio.sleep(self._take_over_pause_s)
+            await curio.sleep(self._take_over_pause_s + self._order.pause_s())
             if self._is_free() and not self._resigned:
                 self._last_lease = await self._holder.acquire()
         elif self._fenced and await self._depose_silent():
@@ -114,8 +144,18 @@
         holder = decode_record(record.value).holder
         if not self._is_silent(holder):
             return False
+        pause_s = self._order.pause_s()
+        if pause_s:
+            await curio.sleep(pause_s)
+            if self._view.record(self._holder.key) != record or not self._is_silent(holder):
+                return False
         deposed = await self._holder.delete_record(record.position)
-        _log.warning("silent holder of the role deposed", holder=holder, deposed=deposed)
+        _log.warning(
+            "silent holder of the role deposed",
+            key=self._holder.key,
+            holder=holder,
+            deposed=deposed,
+        )
         return deposed
 
     def _is_superseded(self, lease: RoleLease) -> bool:
@@ -137,7 +177,8 @@
         lease = self.lease()
         number = None if lease is None else lease.number
         if number != self._logged_number:
-            _log.info("role acquired" if number is not None else "role lost", number=number)
+            event = "role acquired" if number is not None else "role lost"
+            _log.info(event, key=self._holder.key, number=number)
             self._logged_number = number
 
 
--- a/bluebellrun/expert_maps/_service_ranks.py
+++ b/bluebellrun/expert_maps/_service_ranks.py
@@ -20,6 +20,8 @@
 
 # How long upstreams without a registration are still polled: they may still be ranks.
 RETENTION_S = 15.0
+# A report that is older counts no longer once the record of the groups has changed.
+REPORT_VALIDITY_S = 6.0
 
 _log = get_logger("expert-maps")
 
@@ -140,8 +142,11 @@
     def _by_group(self) -> dict[str | None, list[Upstream]]:
         """Return the upstreams by the group that they last reported."""
         recorded = 0 if self._recorded is None else self._recorded.changes
-        if self._index is None or recorded != self._recorded_changes:
+        if recorded != self._recorded_changes:
             self._recorded_changes = recorded
+            self._index = None
+            self._drop_old_reports(time.monotonic())
+        if self._index is None:
             self._index = {}
             for item in {known.address: known for known in self._upstreams.values()}.values():
                 self._index.setdefault(self._group_of(item.instance), []).append(item)
@@ -156,6 +161,12 @@
             return None
         return self._recorded.group_of(self._service, instance)
 
+    def _drop_old_reports(self, now: float) -> None:
+        """Drop reports that the surveyor, which may be another process, knows better by now."""
+        for instance, asked_at in self._asked_at.items():
+            if now - asked_at > REPORT_VALIDITY_S:
+                self._reported.pop(instance, None)
+
     def _drop(self, instance: str) -> None:
         """Drop what is known of an instance."""
         self._index = None
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -150,6 +150,12 @@
         slots = sum(self._usable_slots(item, typical_s) for item in usable)
         return SlotUsage(max(math.ceil(slots), 1 if usable else 0), taken, typical_s)
 
+    def load_of(self, instances: Collection[str]) -> float:
+        """Return the fraction of the slots of some upstreams that all entries occupy."""
+        found = [item for name in instances if (item := self._directory.find(name)) is not None]
+        slots = sum(item.slots for item in found)
+        return sum(self.running(item.instance) for item in found) / slots if slots else 0.0
+
     def typical_s(self, service: str, now: float) -> float:
         """Return the typical duration of a request of a service, 0 while it is unknown."""
         return self._averages(self._accepting(service, now))[0]
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -211,8 +211,9 @@
         now = time.monotonic()
         if not self._table.record(status, now):
             return
-        if status.slow is not None:
-            self._slow.replace(status.slow, now)
+        slow = status.slow if status.group_slow is None else status.group_slow
+        if slow is not None:
+            self._slow.replace(slow, now, status.entry)
         self._crashes.receive(status.entry, status.crashes, status.probing, now)
         for incarnation in status.leaving:
             self._fleet.mark_leaving(incarnation, now, reported_by=status.entry)
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -51,7 +51,9 @@
     are the rate limits that upstreams have named, none from builds that do not share permits.
     ``outage_age_s`` are the seconds since the store's last outage for the entry, 0 while that
     lasts. ``era`` and ``revision`` are the point in the store's history that the entry knows, 0
-    from builds that do not tell it.
+    from builds that do not tell it. ``group_slow`` are the slow ranks of the groups that the entry
+    manages, none if it manages none; receivers that know it ignore ``slow``, which repeats what all
+    managers reported for older builds.
 
     New fields go at the end and have defaults, so that older and newer builds read each other.
     """
@@ -70,6 +72,7 @@
     outage_age_s: float = 0.0
     era: int = 0
     revision: int = 0
+    group_slow: dict[str, float] | None = None
 
     @property
     def position(self) -> StorePosition:
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -4,7 +4,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 
 import curio
@@ -20,7 +20,7 @@
 from bluebellrun.gateway._gossip import Gossip, status_age_s
 from bluebellrun.gateway._lifecycle import Lifecycle
 from bluebellrun.gateway._limit_permits import LimitPermits
-from bluebellrun.gateway._maps_setup import MapsSetup
+from bluebellrun.gateway._maps_setup import MapsSetup, register_map_gauges
 from bluebellrun.gateway._peers import EntryStatus, PeerTable
 from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
@@ -233,6 +233,7 @@
         )
         _register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
         _register_store_gauges(self._metrics, self._store)
+        register_map_gauges(self._metrics, self._maps)
         _register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
         self._collectors = HttpServer(address, _metrics_handler(self._metrics), HttpLimits())
@@ -251,6 +252,7 @@
         )
         # In the background: a store that does not answer must not delay the stop.
         await spawn_background(self._role.resign)
+        await self._maps.resign()
         await self._lifecycle.stop(received.received_at)
         _log.info("stopped", in_progress=self._gateway.in_progress)
 
@@ -271,8 +273,10 @@
         """Return whether an entry has been silent while others kept sending."""
         return self._gossip.is_silent(entry)
 
-    def _load(self, service: str) -> float:
-        """Return the fraction of a service's slots that all entries occupy."""
+    def _load(self, service: str, ranks: Collection[str]) -> float:
+        """Return the fraction of a group's slots that all entries occupy."""
+        if self._groups.groups(service):
+            return self._fleet.load_of(ranks)
         return self._fleet.slot_usage(service, time.monotonic()).load
 
     def _connect_entries(self) -> None:
@@ -298,6 +302,7 @@
     def _entry_status(self) -> EntryStatus:
         """Return the next status for the other entries."""
         now = time.monotonic()
+        surveys = self._role.lease() is not None
         return EntryStatus(
             self._settings.host,
             self._incarnation,
@@ -305,7 +310,7 @@
             str(self._peer_address),
             min(self._view.silence_s(), NEVER_REACHED_S),
             self._fleet.running_here(),
-            None if self._role.lease() is None else dict(self._slow.slowness),
+            dict(self._slow.current(now)) if surveys else None,
             self._directory.recently_leaving(now),
             self._crashes.outgoing(now),
             self._quarantine.probes,
@@ -313,6 +318,7 @@
             min(self._view.outage_age_s(), NEVER_REACHED_S),
             self._view.position.era,
             self._view.position.revision,
+            self._slow.outgoing(now) if surveys or self._maps.managed else None,
         )
 
     def _put_in_force(self, deployment: Deployment) -> bool:
--- a/bluebellrun/leases/_holder.py
+++ b/bluebellrun/leases/_holder.py
@@ -61,9 +61,10 @@
         ttl_s: int,
         clock: Clock,
         random: Random,
+        key: str | None = None,
     ) -> None:
         self._store = store
-        self._key = f"{prefix}/roles/{role}"
+        self._key = key or f"{prefix}/roles/{role}"
         self._role = role
         self._holder = holder
         self._ttl_s = ttl_s
--- a/tests/expert_maps/fake_ranks.py
+++ b/tests/expert_maps/fake_ranks.py
@@ -21,6 +21,8 @@
 SERVICE = "chat"
 TERMS = ExpertTerms(layers=2, experts=8, slots=4, most_new=2, copy_bytes=1.0, share=0.85)
 PREFIX = "p/groups/"
+# Numbers of group roles from here on are those of a second acquisition.
+NEXT_NUMBERS = 1000
 PASS_S = 0.005
 CHOICES_PER_S = 40_000
 
@@ -159,6 +161,25 @@
         self.number = number + 1
 
 
+class FakeRoles:
+    """Roles of recorded groups; this process holds all of them along with the placement role."""
+
+    def __init__(self, placement: FakeRole) -> None:
+        self._placement = placement
+        self.roles: dict[tuple[str, str], FakeRole] = {}
+
+    def get(self, group: tuple[str, str]) -> FakeRole | None:
+        return self.roles.get(group)
+
+    async def follow(self, groups: Any, is_changing: Any) -> None:
+        for group in groups:
+            role = self.roles.setdefault(group, FakeRole(100 + 100 * len(self.roles)))
+            if self._placement.number is None:
+                role.number = None
+            elif role.number is None:
+                role.number = NEXT_NUMBERS + 100 * len(self.roles)
+
+
 async def wait_until(condition: Callable[[], bool], timeout_s: float = 8.0) -> None:
     """Wait until a condition holds; fail after the timeout."""
     until = time.monotonic() + timeout_s
