--- a/bluebellrun/gateway/_service_group.py
+++ b/bluebellrun/expert_maps/_group_manager.py
@@ -1,57 +1,41 @@
 """One model group: its ranks, the demand for its experts and the current change of its map."""
 
 import time
-from collections.abc import Callable
-
-import curio
+from collections.abc import Callable, Collection
 
 from bluebellrun.deployment import ExpertTerms
-from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.expert_maps._group_demand import GroupDemand
+from bluebellrun.expert_maps._group_planning import plan_map
+from bluebellrun.expert_maps._map_versions import MapVersions
+from bluebellrun.expert_maps._ports import OrderReply, RankCallError, RankCalls, RankReplacedError
+from bluebellrun.expert_maps._role import PlacementRole
+from bluebellrun.expert_maps._service_ranks import ServiceRanks, run_all
+from bluebellrun.expert_maps._survey import split_groups
 from bluebellrun.gateway._models import Upstream
-from bluebellrun.gateway._ports import OrderReply, RankCallError, RankCalls, RankReplacedError
-from bluebellrun.gateway._role import PlacementRole
 from bluebellrun.placement import (
     ArmMap,
     ChangeSettings,
     ClaimRank,
-    DemandEstimator,
-    DemandSettings,
     MarginSettings,
     Placement,
     PlacementChange,
-    PlanSettings,
     PrepareMap,
     RankOrder,
     RankState,
-    RequiredGainSettings,
-    StepTimes,
-    StepTimesSettings,
     default_placement,
-    demand_settings,
     margin_steps,
-    plan_placement,
     release_held_passes,
-    required_gain,
 )
 from bluebellrun.telemetry import get_logger
 
 READ_INTERVAL_S = 0.12
 # Ranks are polled this often during a change: passes take some dozens of milliseconds.
 CHANGE_INTERVAL_S = 0.02
-# A jump of demand shows in any rank's counts: the first ranks are read on each turn and the others
-# in rotation, as a call costs both hosts about a millisecond.
-RANKS_READ_ALWAYS = 4
-RANKS_READ_IN_ROTATION = 20
 # States are re-read this often without a change, to detect ranks that left, joined or slowed.
 STATES_INTERVAL_S = 1.5
+# The epoch of a group before its ranks were read.
+NO_EPOCH = -1
 PLAN_INTERVAL_S = 0.2
-# Choices observed before the first plan: a few dozen for each expert of a group.
-MIN_CHOICES_PER_EXPERT = 20
-# How long upstreams without a registration are still polled: they may still be ranks.
-RETENTION_S = 15.0
-# Map versions of a holder of the role start at its fencing number times this; a holder that has
-# used up its range acquires the role again.
-VERSIONS_PER_HOLDER = 1_000_000
 
 ACCEPTED_REPLIES = frozenset({OrderReply.ACCEPTED, OrderReply.DONE})
 
@@ -62,40 +46,41 @@
     """A rank has seen a higher fencing number."""
 
 
-class ServiceGroup:
+class GroupManager:
     """One group: its ranks, the demand for its experts and the current change."""
 
     def __init__(
         self,
         service: str,
+        name: str,
         experts: ExpertTerms,
         calls: RankCalls,
-        directory: UpstreamDirectory,
+        upstreams: ServiceRanks,
         role: PlacementRole,
-        load: Callable[[str], float],
+        versions: MapVersions,
+        load: Callable[[str, Collection[str]], float],
     ) -> None:
         self._service = service
+        self._name = name
+        self._names = {"service": service, "group": name}
         self._experts = experts
         self._calls = calls
-        self._directory = directory
+        self._upstreams = upstreams
         self._role = role
+        self._versions = versions
         self._load = load
-        self._seen_at: dict[str, float] = {}
-        self._upstreams: dict[str, Upstream] = {}
         self._states: dict[int, RankState] = {}
         self._ranks: dict[int, Upstream] = {}
+        self._is_complete = False
         self._read_at = 0.0
         self._planned_at = 0.0
-        self._next_read = 0
         self._arm_s: float | None = None
-        self._epoch: tuple[str, int] | None = None
+        self._epoch = NO_EPOCH
         self._fencing = 0
         self._claimed: set[int] = set()
         self._current: Placement | None = None
         self._change: PlacementChange | None = None
-        self._demand = DemandEstimator(experts.layers, experts.experts, DemandSettings())
-        self._step_times = StepTimes(StepTimesSettings())
-        self._changes = 0
+        self._demand = GroupDemand(service, name, experts, calls)
 
     @property
     def slowness(self) -> dict[str, float]:
@@ -107,6 +92,16 @@
             if rank in states
         }
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all ranks answered, and the group is formed."""
+        return self._is_complete
+
+    @property
+    def is_changing(self) -> bool:
+        """Return whether a change of the map is in progress."""
+        return self._change is not None
+
     async def turn(self, fencing: int) -> float:
         """Do the next step of the group's work; return the seconds to the next turn."""
         if fencing != self._fencing:
@@ -119,7 +114,7 @@
             await self._drive(self._change, fencing)
             return CHANGE_INTERVAL_S
         await self._release_stray_holds(fencing)
-        await self._read_counts()
+        await self._read_counts(self._epoch)
         if time.monotonic() - self._planned_at > PLAN_INTERVAL_S:
             await self._plan(fencing)
         return READ_INTERVAL_S if self._change is None else 0.0
@@ -134,100 +129,56 @@
 
     async def _reread_states(self, ranks: list[int]) -> bool:
         """Read the states of some ranks; return whether the group is still the same."""
-
-        async def read(rank: int) -> None:
-            try:
-                state = await self._calls.state(self._ranks[rank])
-            except RankCallError as error:
-                _log.info("rank not read", rank=rank, reason=str(error))
-                return
-            if state is None or (state.group, state.epoch, state.rank) != (*epoch, rank):
+        numbers = {self._ranks[rank].instance: rank for rank in ranks}
+        for upstream, state in await self._upstreams.read([self._ranks[rank] for rank in ranks]):
+            rank = numbers[upstream.instance]
+            if (state.group, state.epoch, state.rank) != (self._name, self._epoch, rank):
                 self._read_at = 0.0
-                return
-            self._states[rank] = state
-
-        epoch = self._epoch or ("", 0)
-        await _run_all([(read, (rank,)) for rank in ranks])
+            else:
+                self._states[rank] = state
         return self._read_at > 0.0
 
     async def _read_states(self) -> bool:
-        """Read the states of all upstreams; return whether one complete group answered."""
-        now = time.monotonic()
-        await self._update_upstreams(now)
-        found: dict[int, tuple[Upstream, RankState]] = {}
+        """Read the states of the group's upstreams; return whether the complete group answered.
 
-        async def read(upstream: Upstream) -> None:
-            try:
-                state = await self._calls.state(upstream)
-            except RankReplacedError:
-                await self._forget(upstream)
-                return
-            except RankCallError as error:
-                _log.info("rank not read", upstream=upstream.instance, reason=str(error))
-                return
-            if state is not None:
-                known = found.get(state.rank)
-                if known is None or known[1].epoch < state.epoch:
-                    found[state.rank] = (upstream, state)
-
-        # Of two registrations with one address the later one is that of the current incarnation.
-        by_address = {upstream.address: upstream for upstream in self._upstreams.values()}
-        await _run_all([(read, (upstream,)) for upstream in by_address.values()])
-        states = {rank: state for rank, (_, state) in sorted(found.items())}
-        names = {(state.group, state.epoch, state.size) for state in states.values()}
-        complete = (
-            len(names) == 1
-            and all(state.is_open for state in states.values())
-            and sorted(states) == list(range(next(iter(states.values())).size))
-        )
-        if not complete:
+        Upstreams that no survey has found to be ranks are asked too while ranks are missing.
+        """
+        now = time.monotonic()
+        await self._upstreams.update(now)
+        asked = self._upstreams.of_group(self._name, with_unknown=not self._read_at)
+        found = split_groups(await self._upstreams.read(asked)).get(self._name)
+        self._is_complete = found is not None and found.is_complete
+        if found is None or not found.is_complete:
             self._read_at = 0.0
             return False
         self._read_at = now
-        self._states = states
-        self._ranks = {rank: upstream for rank, (upstream, _) in found.items()}
-        first = states[0]
-        if self._epoch != (first.group, first.epoch):
-            self._begin_epoch(first)
-        self._demand.settings = demand_settings(first.size)
+        self._states = {rank: state for rank, (_, state) in found.ranks.items()}
+        self._ranks = {rank: upstream for rank, (upstream, _) in found.ranks.items()}
+        if self._epoch != found.epoch:
+            self._begin_epoch(found.epoch)
+        self._demand.set_size(found.size)
         return True
 
     def _begin_role(self, fencing: int) -> None:
         """Reset under a new fencing number: another process may have acted meanwhile."""
         self._fencing = fencing
-        self._changes = 0
         self._read_at = 0.0
         self._claimed.clear()
         self._current = None
         self._change = None
 
-    def _begin_epoch(self, state: RankState) -> None:
+    def _begin_epoch(self, epoch: int) -> None:
         """Reset: the group has re-formed, with nothing prepared, armed or held."""
-        _log.info("group formed", service=self._service, group=state.group, epoch=state.epoch)
-        self._epoch = (state.group, state.epoch)
+        _log.info("group formed", **self._names, epoch=epoch)
+        self._epoch = epoch
         self._claimed.clear()
         self._current = None
         self._change = None
 
     async def _forget(self, upstream: Upstream) -> None:
         """Drop an upstream whose incarnation has ended."""
-        instance = upstream.instance
-        _log.info("upstream replaced", service=self._service, upstream=instance)
-        self._directory.mark_replaced(upstream.incarnation)
-        self._seen_at.pop(instance, None)
-        self._upstreams.pop(instance, None)
         self._read_at = 0.0
-        await self._calls.forget(instance)
-
-    async def _update_upstreams(self, now: float) -> None:
-        """Update the service's upstreams; removed ones are kept for RETENTION_S."""
-        for upstream in self._directory.of_service(self._service):
-            self._upstreams[upstream.instance] = upstream
-            self._seen_at[upstream.instance] = now
-        for instance, seen in list(self._seen_at.items()):
-            if now - seen > RETENTION_S:
-                del self._seen_at[instance], self._upstreams[instance]
-                await self._calls.forget(instance)
+        await self._upstreams.forget(upstream)
 
     async def _claim(self, fencing: int) -> bool:
         """Make every rank refuse older fencing numbers; return whether all do."""
@@ -265,7 +216,7 @@
         version, step = armed[0].armed_version, armed[0].armed_step
         if version is None or step is None:
             return
-        _log.info("change resumed", service=self._service, version=version, step=step)
+        _log.info("change resumed", **self._names, version=version, step=step)
         self._change = PlacementChange(version, None, ChangeSettings(), time.monotonic())
         self._change.resume_armed(step)
 
@@ -279,7 +230,7 @@
             except RankCallError as error:
                 _log.info("map not read", rank=rank, reason=str(error))
 
-        await _run_all([(read, (rank,)) for rank in self._ranks])
+        await run_all([(read, (rank,)) for rank in self._ranks])
         if len(held) < len(self._ranks):
             return None
         layers = range(self._experts.layers)
@@ -305,7 +256,7 @@
             self._arm_s = lasted.arm_s
             _log.info(
                 "map in use",
-                service=self._service,
+                **self._names,
                 version=change.version,
                 prepare_s=round(lasted.prepare_s, 3),
                 arm_s=round(lasted.arm_s, 3),
@@ -314,97 +265,58 @@
             self._current = change.placement
             self._change = None
         elif change.failed:
-            _log.warning("map change failed", service=self._service, version=change.version)
+            _log.warning("map change failed", **self._names, version=change.version)
             self._change = None
 
     async def _release_stray_holds(self, fencing: int) -> None:
         """Release passes held without a change: an order may be carried out late."""
         orders = release_held_passes(self._states)
         if orders:
-            _log.info("stray holds released", service=self._service, ranks=len(orders))
+            _log.info("stray holds released", **self._names, ranks=len(orders))
             await self._send_orders(orders, fencing)
             self._read_at = 0.0
 
-    async def _read_counts(self) -> None:
-        """Read the counts of some ranks: a few always, the others in rotation."""
-        now = time.monotonic()
-        ranks = sorted(self._ranks)
-        others = ranks[RANKS_READ_ALWAYS:]
-        start = self._next_read % max(1, len(others))
-        self._next_read = start + RANKS_READ_IN_ROTATION
-        chosen = (others[start:] + others[:start])[:RANKS_READ_IN_ROTATION]
-        read: list[int] = []
-
-        async def read_one(rank: int) -> None:
-            try:
-                counts = await self._calls.counts(self._ranks[rank], rank)
-            except RankCallError as error:
-                _log.info("counts not read", rank=rank, reason=str(error))
-                return
-            if self._epoch is not None and counts.epoch != self._epoch[1]:
-                self._read_at = 0.0
-                return
-            self._demand.observe(counts, time.monotonic())
-            read.append(counts.step)
-
-        await _run_all([(read_one, (rank,)) for rank in (*ranks[:RANKS_READ_ALWAYS], *chosen)])
-        if read and self._step_times.observe(max(read), now):
-            _log.info("steps became longer", service=self._service, step=max(read))
-            self._read_at = min(self._read_at, now - STATES_INTERVAL_S)
-        distance = self._demand.distance()
-        if self._demand.reset_on_shift():
+    async def _read_counts(self, epoch: int) -> None:
+        """Read the demand, and note what else that shows."""
+        read = await self._demand.read(self._ranks, epoch)
+        if read.other_epoch:
+            self._read_at = 0.0
+        elif read.slowed:
+            self._read_at = min(self._read_at, time.monotonic() - STATES_INTERVAL_S)
+        if read.shifted:
             self._planned_at = 0.0
-            _log.info("demand shifted", service=self._service, distance=round(distance, 3))
 
     async def _plan(self, fencing: int) -> None:
         """Plan a better map and begin a change to it if it is worthwhile."""
-        sizes = self._experts
-        min_choices = MIN_CHOICES_PER_EXPERT * sizes.layers * sizes.experts
-        if self._current is None or self._demand.total < min_choices:
+        if self._current is None or not self._demand.is_known:
             return
         self._planned_at = time.monotonic()
         slowness = [self._states[rank].slowness for rank in sorted(self._states)]
-        bounds = PlanSettings(slots=sizes.slots, max_new_experts=sizes.most_new)
-        steps = plan_placement(self._current, self._demand.demand(), slowness, bounds)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as done:
-                plan = done.value
-                break
-            await curio.sleep(0)
-        gain = plan.skew_before - plan.skew_after
-        load = self._load(self._service)
-        needed = required_gain(plan.copies, len(slowness), load, RequiredGainSettings())
-        worthwhile = plan.copies > 0 and gain >= needed
-        _log.info(
-            "map planned",
-            service=self._service,
-            skew_before=round(plan.skew_before, 3),
-            skew_after=round(plan.skew_after, 3),
-            copies=plan.copies,
-            load=round(load, 2),
-            worthwhile=worthwhile,
-            took_ms=round(1000 * (time.monotonic() - self._planned_at)),
+        load = self._load(self._service, [item.instance for item in self._ranks.values()])
+        demand = self._demand.by_layer()
+        placement = await plan_map(
+            self._names, self._experts, self._current, demand, slowness, load
         )
-        if not worthwhile or self._role.lease() is None:
+        if placement is None or self._role.lease() is None:
             return
-        self._changes += 1
-        if self._changes >= VERSIONS_PER_HOLDER:
+        version = self._versions.next(fencing)
+        if version is None or version <= self._highest_version():
+            # A new number is higher than all that ranks have prepared.
             raise FencedError
-        version = fencing * VERSIONS_PER_HOLDER + self._changes
-        margin = margin_steps(
-            len(self._ranks), self._arm_s, self._step_times.step_s, MarginSettings()
-        )
+        margin = margin_steps(len(self._ranks), self._arm_s, self._demand.step_s, MarginSettings())
         settings = ChangeSettings(margin_steps=margin)
-        self._change = PlacementChange(version, plan.placement, settings, time.monotonic())
+        self._change = PlacementChange(version, placement, settings, time.monotonic())
+
+    def _highest_version(self) -> int:
+        """Return the highest map version that a rank uses or has prepared."""
+        return max(max(state.active, state.prepared or 0) for state in self._states.values())
 
     async def _send_orders(
         self, orders: list[tuple[int, RankOrder]], fencing: int
     ) -> dict[int, OrderReply | None]:
         """Send orders to ranks concurrently; a reply is none if none arrived."""
         replies: dict[int, OrderReply | None] = {}
-        epoch = 0 if self._epoch is None else self._epoch[1]
+        epoch = self._epoch
 
         async def send(rank: int, order: RankOrder) -> None:
             replies[rank] = None
@@ -427,14 +339,7 @@
 
         if self._role.lease() is None:
             return replies
-        await _run_all([(send, pair) for pair in orders])
+        await run_all([(send, pair) for pair in orders])
         if OrderReply.FENCED in replies.values():
             raise FencedError
         return replies
-
-
-async def _run_all(calls: list[tuple[Callable[..., object], tuple[object, ...]]]) -> None:
-    """Run calls concurrently and wait for all."""
-    async with curio.TaskGroup() as group:
-        for function, arguments in calls:
-            await group.spawn(function, *arguments)
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -4,29 +4,27 @@
 import signal
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 
 import curio
 
-from bluebellrun.core import Address, BootClock, MonotonicClock, new_incarnation
+from bluebellrun.core import Address, MonotonicClock, new_incarnation
 from bluebellrun.deployment import Deployment, HostSettings
+from bluebellrun.expert_maps import PlacementRole, SlowUpstreams
 from bluebellrun.gateway._catch_up import NEVER_REACHED_S, CatchUp
 from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._directory import UpstreamDirectory
-from bluebellrun.gateway._expert_maps import ExpertMaps
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._gateway import Gateway
 from bluebellrun.gateway._gossip import Gossip, status_age_s
 from bluebellrun.gateway._lifecycle import Lifecycle
 from bluebellrun.gateway._limit_permits import LimitPermits
+from bluebellrun.gateway._maps_setup import MapsSetup, register_map_gauges
 from bluebellrun.gateway._peers import EntryStatus, PeerTable
 from bluebellrun.gateway._prompt_guard import PromptGuard
-from bluebellrun.gateway._role import LEASE_S, PlacementRole, take_over_pause_s
-from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
 from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
-from bluebellrun.leases import RoleHolder
 from bluebellrun.platform import (
     OWN_PREFIX,
     READY_PATH,
@@ -39,6 +37,7 @@
     settings_path,
 )
 from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
+from bluebellrun.routing import GroupTable
 from bluebellrun.runtime import StopSignals, run_program, spawn_background
 from bluebellrun.store import StoreTimeouts
 from bluebellrun.telemetry import ServingMetrics, configure_serving_logs, get_logger
@@ -51,8 +50,6 @@
 # The address of the metrics, as the deploy file names it.
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
-# The role of the process that manages the expert maps.
-PLACEMENT_ROLE = "placement"
 # Interval of dropping removed upstreams.
 CLEANUP_INTERVAL_S = 1.0
 
@@ -160,6 +157,7 @@
         self._peers = PeerTable(settings.host)
         self._metrics = ServingMetrics()
         self._slow = SlowUpstreams()
+        self._groups = GroupTable()
         self._fleet = Fleet(
             self._directory,
             settings.failure_domain,
@@ -167,6 +165,7 @@
             self._peers.running,
             self._slow.current,
             LimitPermits(self._peers, lambda outcome: self._metrics.record_permit(outcome.value)),
+            groups=self._groups,
         )
         quarantine_settings = QuarantineSettings()
         crash_recorded = curio.Event()
@@ -187,6 +186,7 @@
             self._random,
             self._metrics.record_request,
             self._guard,
+            groups=self._groups,
         )
         self._server = HttpServer(
             settings.callers, self._gateway.handle, HttpLimits(), listening=listening
@@ -213,14 +213,18 @@
             settings.host,
             crash_recorded,
         )
-        self._role = self._make_role()
-        self._maps = ExpertMaps(
+        setup = MapsSetup(
+            settings, OWN_PREFIX, self._store, self._view, self._is_silent, self._random
+        )
+        self._role = setup.placement_role()
+        self._maps = setup.expert_maps(
             self._role,
             EngineClient(settings.ports.first, self._fleet.accepts_requests),
             self._directory,
             lambda: self._gateway.deployment,
             self._slow,
             self._load,
+            self._groups,
         )
         self._connect_entries()
         self._lifecycle = Lifecycle(self._gateway, self._server, settings.bounds)
@@ -229,6 +233,7 @@
         )
         _register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
         _register_store_gauges(self._metrics, self._store)
+        register_map_gauges(self._metrics, self._maps)
         _register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
         self._collectors = HttpServer(address, _metrics_handler(self._metrics), HttpLimits())
@@ -247,6 +252,7 @@
         )
         # In the background: a store that does not answer must not delay the stop.
         await spawn_background(self._role.resign)
+        await self._maps.resign()
         await self._lifecycle.stop(received.received_at)
         _log.info("stopped", in_progress=self._gateway.in_progress)
 
@@ -263,31 +269,14 @@
         settings = self._settings
         _log.info("started", callers=str(settings.callers), domain=settings.failure_domain)
 
-    def _make_role(self) -> PlacementRole:
-        """Return the placement role."""
-        clock = BootClock()
-        holder = RoleHolder(
-            self._store,
-            OWN_PREFIX.rstrip("/"),
-            PLACEMENT_ROLE,
-            self._settings.host,
-            LEASE_S,
-            clock,
-            self._random,
-        )
-        settings = self._settings
-        pause_s = take_over_pause_s(settings.link_bits_s)
-        return PlacementRole(
-            holder,
-            self._view,
-            clock,
-            settings.bounds.fenced_orders,
-            pause_s,
-            lambda host: self._gossip.is_silent(host),
-        )
+    def _is_silent(self, entry: str) -> bool:
+        """Return whether an entry has been silent while others kept sending."""
+        return self._gossip.is_silent(entry)
 
-    def _load(self, service: str) -> float:
-        """Return the fraction of a service's slots that all entries occupy."""
+    def _load(self, service: str, ranks: Collection[str]) -> float:
+        """Return the fraction of a group's slots that all entries occupy."""
+        if self._groups.groups(service):
+            return self._fleet.load_of(ranks)
         return self._fleet.slot_usage(service, time.monotonic()).load
 
     def _connect_entries(self) -> None:
@@ -313,6 +302,7 @@
     def _entry_status(self) -> EntryStatus:
         """Return the next status for the other entries."""
         now = time.monotonic()
+        surveys = self._role.lease() is not None
         return EntryStatus(
             self._settings.host,
             self._incarnation,
@@ -320,7 +310,7 @@
             str(self._peer_address),
             min(self._view.silence_s(), NEVER_REACHED_S),
             self._fleet.running_here(),
-            None if self._role.lease() is None else dict(self._slow.slowness),
+            dict(self._slow.current(now)) if surveys else None,
             self._directory.recently_leaving(now),
             self._crashes.outgoing(now),
             self._quarantine.probes,
@@ -328,6 +318,7 @@
             min(self._view.outage_age_s(), NEVER_REACHED_S),
             self._view.position.era,
             self._view.position.revision,
+            self._slow.outgoing(now) if surveys or self._maps.managed else None,
         )
 
     def _put_in_force(self, deployment: Deployment) -> bool:
