--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -33,7 +33,8 @@
 )
 from bluebellrun.gateway._ports import BadRequestError, Wire
 from bluebellrun.gateway._prompt_guard import PromptGuard
-from bluebellrun.gateway._relay import Relay, RelayTerms, choose_service, request_urgency
+from bluebellrun.gateway._relay import Relay
+from bluebellrun.gateway._relay_terms import RelayTerms, choose_service, request_urgency
 from bluebellrun.http import CallerGoneError, HttpExchange
 from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
 from bluebellrun.routing import AttemptBudget, AttemptBudgetSettings
