Track outages of a service's model groups one by one

The gate treated a service as unavailable after two refusals, so that one broken group of three stopped new work at all of them. GroupGates holds a gate for each group of the GroupTable and one for the service where the table has none. The fleet leaves out the upstreams of unavailable groups; a request at its first upstream is now and then sent to such a group to find out whether it has formed, more often once another entry has requests there. A refused probe costs a retry, so a group is probed once a second per entry while others are available.

--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -3,6 +3,7 @@
 from bluebellrun.admission._estimates import stated_answer_tokens
 from bluebellrun.admission._fair import FairAdmission
 from bluebellrun.admission._fifo import FifoAdmission
+from bluebellrun.admission._group_gates import GroupGates, GroupGateSettings
 from bluebellrun.admission._models import (
     AdmissionPolicy,
     AdmissionSettings,
@@ -26,6 +27,8 @@
     "FairAdmission",
     "FifoAdmission",
     "GateSettings",
+    "GroupGateSettings",
+    "GroupGates",
     "PauseLimit",
     "PauseSettings",
     "PriorityTarget",
--- a/bluebellrun/gateway/_admission_control.py
+++ b/bluebellrun/gateway/_admission_control.py
@@ -17,11 +17,11 @@
 import curio
 
 from bluebellrun.admission import (
+    GroupGates,
     PauseLimit,
     RecoveryLimit,
     RecoverySettings,
     ReserveSettings,
-    ServiceGate,
     SlotAdmission,
     SlotUsage,
     Ticket,
@@ -88,7 +88,7 @@
         self,
         service: str,
         fleet: Fleet,
-        gate: ServiceGate,
+        gate: GroupGates,
         admission: SlotAdmission,
         pauses: PauseLimit | None,
         entries: Callable[[], int],
@@ -106,8 +106,8 @@
         self._recovery = RecoveryLimit(RecoverySettings())
 
     @property
-    def gate(self) -> ServiceGate:
-        """Return the gate that tracks the service's outages."""
+    def gate(self) -> GroupGates:
+        """Return the gates that track the outages of the service and its groups."""
         return self._gate
 
     async def admit(self, terms: AdmissionTerms, attempted: bool = False) -> Refused | None:
--- a/bluebellrun/gateway/_attempts.py
+++ b/bluebellrun/gateway/_attempts.py
@@ -155,7 +155,7 @@
                 if unreachable:
                     self._fleet.record_unreachable(upstream.instance, now)
                 if had_slots:
-                    self._admission_control.gate.record_refusal(now)
+                    self._admission_control.gate.record_refusal(now, upstream.instance)
             case Lost(reason):
                 self._fleet.record_result(upstream.instance, True, now - started, now)
             case Failed(answer, _):
@@ -243,7 +243,7 @@
             running = self._fleet.running(upstream.instance)
             had_slots = not answer.misdirected and running <= upstream.slots
             return Declined(f"upstream answered {answer.status}: not run", had_slots=had_slots)
-        self._admission_control.gate.record_accepted(time.monotonic())
+        self._admission_control.gate.record_accepted(time.monotonic(), upstream.instance)
         if self._exchange.started and not (self._route.streamed and answer.is_stream):
             return Lost(f"upstream answered {answer.status}, which continues no stream")
         if self._route.streamed and answer.is_stream:
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -10,11 +10,13 @@
 
 from bluebellrun.admission import SlotUsage
 from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.gateway._fleet_groups import FleetGroups
 from bluebellrun.gateway._limit_permits import LimitPermits
 from bluebellrun.gateway._models import Upstream, UpstreamIncarnation
 from bluebellrun.gateway._peers import PeerTable
 from bluebellrun.http import ClientTimeouts, ConnectError, HttpClient, connect
 from bluebellrun.routing import (
+    GroupTable,
     LeastWorkRouting,
     OutlierEjection,
     RequestedBackoff,
@@ -58,8 +60,10 @@
         running_elsewhere: Callable[[str], int] = lambda instance: 0,
         slow_now: Callable[[float], Mapping[str, float]] = lambda now: {},
         permits: LimitPermits | None = None,
+        groups: GroupTable | None = None,
     ) -> None:
         self._directory = directory
+        self._groups = FleetGroups(groups or GroupTable(), running_elsewhere)
         self._routing = LeastWorkRouting(random, failure_domain)
         self._ejection = OutlierEjection()
         self._backoff = RequestedBackoff()
@@ -83,6 +87,11 @@
         """Return the permits to send to upstreams that limit their rate."""
         return self._permits
 
+    @property
+    def groups(self) -> FleetGroups:
+        """Return the groups of the services."""
+        return self._groups
+
     def set_other_entries(self, entries: int, status_age_s: float) -> None:
         """Set the number of other entries that send requests, and the age of their status."""
         self._others = entries
@@ -116,7 +125,9 @@
 
         With ``unlimited``, upstreams that limit their rate are left out.
         """
-        usable = self.available(service, now)
+        usable = self._all_accepting(service, now)
+        usable = self._groups.open_or_probed(service, usable, not excluded, now)
+        usable = [item for item in usable if not self._permits.wait_s(item, now)]
         candidates = [upstream for upstream in usable if upstream.instance not in excluded]
         if unlimited:
             candidates = [item for item in candidates if self._permits.rate(item) is None]
@@ -253,6 +264,10 @@
             await client.close()
 
     def _accepting(self, service: str, now: float) -> list[Upstream]:
+        """Return the upstreams of a service that accept requests, without unavailable groups."""
+        return self._groups.open_only(service, self._all_accepting(service, now), now)
+
+    def _all_accepting(self, service: str, now: float) -> list[Upstream]:
         """Return the usable upstreams of a service that have not asked for a backoff."""
         usable = self._directory.usable(service, now)
         return [item for item in usable if not self._backoff.remaining_s(item.incarnation, now)]
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -3,7 +3,7 @@
 import json
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -12,11 +12,11 @@
 
 from bluebellrun.admission import (
     GateSettings,
+    GroupGates,
     PauseLimit,
     PauseSettings,
     RetryDetector,
     RetryDetectorSettings,
-    ServiceGate,
     SlotAdmission,
     SlotAdmissionSettings,
 )
@@ -37,7 +37,7 @@
 from bluebellrun.gateway._relay_terms import RelayTerms, choose_service, request_urgency
 from bluebellrun.http import CallerGoneError, HttpExchange
 from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
-from bluebellrun.routing import AttemptBudget, AttemptBudgetSettings
+from bluebellrun.routing import AttemptBudget, AttemptBudgetSettings, GroupTable
 from bluebellrun.telemetry import get_logger
 
 BAD_REQUEST = 400
@@ -91,7 +91,9 @@
         random: Random,
         record_request: RecordRequest | None = None,
         guard: PromptGuard | None = None,
+        groups: GroupTable | None = None,
     ) -> None:
+        self._groups = fleet.groups.table if groups is None else groups
         self._settings = settings
         self._fleet = fleet
         self._wire = wire
@@ -345,10 +347,12 @@
         control = self._admissions.get(service)
         if control is None or self._engines[service] != engine:
             self._engines[service] = engine
+            gates = self._make_gates(service, fails_together=engine is not None)
+            self._fleet.groups.set_gates(service, gates)
             control = self._admissions[service] = AdmissionControl(
                 service,
                 self._fleet,
-                ServiceGate(GateSettings(), fails_together=engine is not None),
+                gates,
                 self._admission,
                 _pause_limit(engine),
                 lambda: self._entries,
@@ -356,6 +360,17 @@
             )
         return control
 
+    def _make_gates(self, service: str, fails_together: bool) -> GroupGates:
+        """Return the gates of a service's groups."""
+        directory = self._fleet.directory
+
+        def instances() -> Iterable[str]:
+            return (item.instance for item in directory.usable(service, time.monotonic()))
+
+        return GroupGates(
+            GateSettings(), service, self._groups, instances, fails_together, random=self._random
+        )
+
     def _group_terms(self, service: str) -> EngineTerms | None:
         """Return the terms of a service whose upstreams work in step, none of any other."""
         terms = None if self._deployment is None else self._deployment.services.get(service)
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -39,6 +39,7 @@
     settings_path,
 )
 from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
+from bluebellrun.routing import GroupTable
 from bluebellrun.runtime import StopSignals, run_program, spawn_background
 from bluebellrun.store import StoreTimeouts
 from bluebellrun.telemetry import ServingMetrics, configure_serving_logs, get_logger
@@ -160,6 +161,7 @@
         self._peers = PeerTable(settings.host)
         self._metrics = ServingMetrics()
         self._slow = SlowUpstreams()
+        self._groups = GroupTable()
         self._fleet = Fleet(
             self._directory,
             settings.failure_domain,
@@ -167,6 +169,7 @@
             self._peers.running,
             self._slow.current,
             LimitPermits(self._peers, lambda outcome: self._metrics.record_permit(outcome.value)),
+            self._groups,
         )
         quarantine_settings = QuarantineSettings()
         crash_recorded = curio.Event()
@@ -187,6 +190,7 @@
             self._random,
             self._metrics.record_request,
             self._guard,
+            self._groups,
         )
         self._server = HttpServer(
             settings.callers, self._gateway.handle, HttpLimits(), listening=listening
--- a/bluebellrun/routing/__init__.py
+++ b/bluebellrun/routing/__init__.py
@@ -5,6 +5,8 @@
 from bluebellrun.routing._baselines import LeastRequestsRouting, RoundRobinRouting
 from bluebellrun.routing._ejection import OutlierEjection
 from bluebellrun.routing._expected_finish import ExpectedFinishRouting
+from bluebellrun.routing._group_keys import GroupKey, group_key, group_label
+from bluebellrun.routing._group_table import GroupMembers, GroupTable
 from bluebellrun.routing._least_work import LeastWorkRouting, UnreportedRequests, UpstreamWork
 from bluebellrun.routing._lockstep import ranks_to_drain
 from bluebellrun.routing._models import Candidate, RoutedWork, RoutingPolicy, UpstreamLoad
@@ -19,6 +21,9 @@
     "AttemptBudgetSettings",
     "Candidate",
     "ExpectedFinishRouting",
+    "GroupKey",
+    "GroupMembers",
+    "GroupTable",
     "LeastRequestsRouting",
     "LeastWorkRouting",
     "LimitObservation",
@@ -33,6 +38,8 @@
     "UnreportedRequests",
     "UpstreamLoad",
     "UpstreamWork",
+    "group_key",
+    "group_label",
     "make_routing",
     "ranks_to_drain",
 ]
--- a/tests/gateway/test_admission_control.py
+++ b/tests/gateway/test_admission_control.py
@@ -10,8 +10,8 @@
 
 from bluebellrun.admission import (
     GateSettings,
+    GroupGates,
     RecoverySettings,
-    ServiceGate,
     SlotAdmission,
     SlotAdmissionSettings,
 )
@@ -39,7 +39,7 @@
         self.upstream = Upstream("u", "s", Address("127.0.0.1", 1), "a", SLOTS)
         directory.put(self.upstream)
         self.fleet = Fleet(directory, "a", Random(1))
-        self.gate = ServiceGate(GateSettings())
+        self.gate = GroupGates(GateSettings())
         self.admission_control = AdmissionControl(
             "s",
             self.fleet,
--- /dev/null
+++ b/tests/gateway/test_fleet_groups.py
@@ -0,0 +1,95 @@
+"""The fleet of a service with three groups, of which some are unavailable."""
+
+from collections import Counter
+from random import Random
+
+from bluebellrun.admission import GateSettings, GroupGates
+from bluebellrun.core import Address
+from bluebellrun.gateway import Fleet, Upstream, UpstreamDirectory
+from bluebellrun.routing import GroupMembers, GroupTable
+
+RANKS = {name: [f"{name}{rank}" for rank in range(4)] for name in "abc"}
+SLOTS = 5
+
+
+class Service:
+    """Three groups of four ranks, their gates and what other entries have running."""
+
+    def __init__(self, *, grouped: bool = True) -> None:
+        self.elsewhere: Counter[str] = Counter()
+        self.slow: dict[str, float] = {}
+        self.table = GroupTable()
+        if grouped:
+            members = [GroupMembers(name, 1, 4, frozenset(RANKS[name])) for name in "abc"]
+            self.table.replace("s", members)
+        directory = UpstreamDirectory()
+        self.fleet = Fleet(
+            directory,
+            "z0",
+            Random(1),
+            lambda instance: self.elsewhere[instance],
+            lambda now: self.slow,
+            groups=self.table,
+        )
+        for number, name in enumerate(name for ranks in RANKS.values() for name in ranks):
+            address = Address("10.0.0.1", 80 + number)
+            directory.put(Upstream(name, "s", address, f"z{number % 3}", SLOTS))
+        self.gates = GroupGates(GateSettings(), "s", self.table, lambda: directory.instances)
+        self.fleet.groups.set_gates("s", self.gates)
+
+    def break_groups(self, names: str, at: float) -> None:
+        for name in names:
+            for rank in RANKS[name][:2]:
+                self.gates.record_refusal(at, rank)
+
+    def chosen_groups(self, at: float, excluded: tuple[str, ...] = (), requests: int = 60) -> str:
+        """Return the groups that get requests at one moment."""
+        chosen = [self.fleet.choose("s", excluded, at) for _ in range(requests)]
+        return "".join(sorted({item.instance[0] for item in chosen if item is not None}))
+
+
+# Guards: a broken group got its share of the requests, each of which cost a retry.
+def test_a_broken_group_gets_only_probes_and_its_slots_do_not_count():
+    service = Service()
+    assert service.fleet.slot_usage("s", 10.0).total == 12 * SLOTS
+    service.break_groups("b", 10.0)
+    service.chosen_groups(11.1, requests=1)
+    assert service.chosen_groups(11.1) == "ac"
+    assert service.fleet.slot_usage("s", 11.1).total == 8 * SLOTS
+    probes = [service.fleet.choose("s", (), 12.2) for _ in range(60)]
+    assert sum(item is not None and item.instance[0] == "b" for item in probes) == 1
+
+
+# Guards: a retry spent on a probe is refused once more.
+def test_a_retry_is_no_probe():
+    service = Service()
+    service.break_groups("b", 10.0)
+    assert service.chosen_groups(11.9, excluded=("b0",)) == "ac"
+
+
+def test_a_group_that_formed_gets_work_at_once():
+    service = Service()
+    service.break_groups("b", 10.0)
+    service.gates.record_accepted(10.5, "b3")
+    assert "b" in service.chosen_groups(10.5)
+    assert service.fleet.slot_usage("s", 10.5).total == 12 * SLOTS
+
+
+# Guards: with all groups unavailable, the upstreams were none and the admitted probe found no one.
+def test_in_an_outage_of_all_groups_the_admitted_request_is_the_probe():
+    service = Service()
+    service.break_groups("abc", 10.0)
+    assert service.gates.is_unavailable(10.1)
+    assert service.gates.admits(10.1)
+    assert service.fleet.choose("s", (), 10.1) is not None
+    assert service.fleet.slot_usage("s", 10.1).total == 12 * SLOTS
+
+
+# Guards: services with one group draw other random numbers than before.
+def test_a_service_without_groups_leaves_no_upstream_out():
+    service = Service(grouped=False)
+    before = Fleet(service.fleet.directory, "z0", Random(1))
+    service.break_groups("b", 10.0)
+    for _ in range(50):
+        assert service.fleet.choose("s", (), 10.1) == before.choose("s", (), 10.1)
+    assert service.fleet.slot_usage("s", 10.1) == before.slot_usage("s", 10.1)
