Move the controls of each service out of the gateway

Admission control, gates and retry budget of each service are created in _service_controls.py. No behaviour changes.

--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -3,25 +3,15 @@
 import json
 import math
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 from typing import Any
 
 import curio
 
-from bluebellrun.admission import (
-    GateSettings,
-    GroupGates,
-    PauseLimit,
-    PauseSettings,
-    RetryDetector,
-    RetryDetectorSettings,
-    SlotAdmission,
-    SlotAdmissionSettings,
-)
-from bluebellrun.deployment import Deployment, EngineTerms, HostSettings, Route
-from bluebellrun.gateway._admission_control import AdmissionControl
+from bluebellrun.admission import RetryDetector, RetryDetectorSettings
+from bluebellrun.deployment import Deployment, HostSettings, Route
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._models import (
     Answered,
@@ -35,9 +25,10 @@
 from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._relay import Relay
 from bluebellrun.gateway._relay_terms import RelayTerms, choose_service, request_urgency
+from bluebellrun.gateway._service_controls import ServiceControls
 from bluebellrun.http import CallerGoneError, HttpExchange
 from bluebellrun.quarantine import PromptQuarantine, QuarantineSettings
-from bluebellrun.routing import AttemptBudget, AttemptBudgetSettings, GroupTable
+from bluebellrun.routing import GroupTable
 from bluebellrun.telemetry import get_logger
 
 BAD_REQUEST = 400
@@ -55,8 +46,6 @@
 STOPPING_RETRY_S = 0.1
 # Time to send the final answers of a process that gives up.
 FINAL_ANSWER_S = 0.15
-# Number of entries assumed to share the retry budget until the registrations have been read.
-ASSUMED_ENTRIES = 6
 
 # Called with the service, the outcome's name, the status, the attempts, the seconds that the
 # request took and those to the first byte of its answer, none for an answer without a body.
@@ -93,7 +82,6 @@
         guard: PromptGuard | None = None,
         groups: GroupTable | None = None,
     ) -> None:
-        self._groups = fleet.groups.table if groups is None else groups
         self._settings = settings
         self._fleet = fleet
         self._wire = wire
@@ -102,12 +90,14 @@
         quarantine = PromptQuarantine(QuarantineSettings())
         self._guard = guard or PromptGuard(quarantine, fleet, settings.host)
         self._deployment: Deployment | None = None
-        self._budgets: dict[str, AttemptBudget] = {}
-        self._admission = SlotAdmission(SlotAdmissionSettings())
         self._retry_detector = RetryDetector(RetryDetectorSettings())
-        self._admissions: dict[str, AdmissionControl] = {}
-        self._engines: dict[str, EngineTerms | None] = {}
-        self._entries = ASSUMED_ENTRIES
+        self._controls = ServiceControls(
+            settings.bounds,
+            fleet,
+            fleet.groups.table if groups is None else groups,
+            lambda: self._deployment,
+            random,
+        )
         self._in_progress = 0
         self._stop = StopTimes()
         self._relaying: set[Any] = set()
@@ -131,15 +121,11 @@
 
     def fails_together(self, service: str) -> bool:
         """Return whether the upstreams of a service work in step, so that they fail together."""
-        return self._group_terms(service) is not None
+        return self._controls.group_terms(service) is not None
 
     def set_entries(self, entries: int) -> None:
         """Set the number of entries that share the retry budget."""
-        if entries == self._entries:
-            return
-        self._entries = entries
-        for budget in self._budgets.values():
-            budget.settings = self._budget_settings()
+        self._controls.set_entries(entries)
 
     def begin_stop(self, times: StopTimes) -> None:
         """Set when requests are refused and given up: the process is about to stop."""
@@ -215,7 +201,7 @@
             request_urgency(route, deployment, request.key),
             deadline,
             self._is_retry(request, route),
-            _relative_length(request, self._group_terms(service)),
+            self._controls.relative_length(service, request.expected_tokens),
         )
         relay = Relay(
             exchange,
@@ -223,8 +209,8 @@
             terms,
             self._fleet,
             self._wire,
-            self._admission_of(service),
-            self._budget(service),
+            self._controls.admission(service),
+            self._controls.budget(service),
             self._guard,
             lambda: self._stop.give_up_at,
         )
@@ -341,56 +327,6 @@
         body = json.dumps({"status": status, "detail": reason}).encode()
         await exchange.answer(status, headers, body)
 
-    def _admission_of(self, service: str) -> AdmissionControl:
-        """Return a service's admission control, recreated when its engine terms change."""
-        engine = self._group_terms(service)
-        control = self._admissions.get(service)
-        if control is None or self._engines[service] != engine:
-            self._engines[service] = engine
-            gates = self._make_gates(service, fails_together=engine is not None)
-            self._fleet.groups.set_gates(service, gates)
-            control = self._admissions[service] = AdmissionControl(
-                service,
-                self._fleet,
-                gates,
-                self._admission,
-                _pause_limit(engine),
-                lambda: self._entries,
-                self._random,
-            )
-        return control
-
-    def _make_gates(self, service: str, fails_together: bool) -> GroupGates:
-        """Return the gates of a service's groups."""
-        directory = self._fleet.directory
-
-        def instances() -> Iterable[str]:
-            return (item.instance for item in directory.usable(service, time.monotonic()))
-
-        return GroupGates(
-            GateSettings(), service, self._groups, instances, fails_together, random=self._random
-        )
-
-    def _group_terms(self, service: str) -> EngineTerms | None:
-        """Return the terms of a service whose upstreams work in step, none of any other."""
-        terms = None if self._deployment is None else self._deployment.services.get(service)
-        engine = None if terms is None else terms.engine
-        return engine if engine is not None and engine.experts is not None else None
-
-    def _budget(self, service: str) -> AttemptBudget:
-        """Return the retry budget of a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = AttemptBudget(self._budget_settings())
-        return budget
-
-    def _budget_settings(self) -> AttemptBudgetSettings:
-        """Return the settings of the retry budget, shared by all entries."""
-        bounds = self._settings.bounds
-        return AttemptBudgetSettings(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, self._entries
-        )
-
 
 def _unfinished(exchange: HttpExchange, relay: Relay, status: int, reason: str) -> Result:
     """Return the result of a request that is given up; ``status`` if it may have run."""
@@ -399,17 +335,3 @@
     if relay.runs:
         return Unresolved(status, reason, relay.attempts)
     return Refused(UNAVAILABLE, reason, UNFINISHED_RETRY_S)
-
-
-def _relative_length(request: CallerRequest, engine: EngineTerms | None) -> float:
-    """Return the expected answer length relative to the typical one, at least 1."""
-    if engine is None or engine.usual_answer_tokens <= 0:
-        return 1.0
-    return max(1.0, request.expected_tokens / engine.usual_answer_tokens)
-
-
-def _pause_limit(engine: EngineTerms | None) -> PauseLimit | None:
-    """Return the limit based on stream pauses, none for a service without passes."""
-    if engine is None:
-        return None
-    return PauseLimit(PauseSettings(), engine.stride * engine.step_s)
--- /dev/null
+++ b/bluebellrun/gateway/_service_controls.py
@@ -0,0 +1,120 @@
+"""The admission control and the retry budget of each service."""
+
+import time
+from collections.abc import Callable, Iterable
+from random import Random
+
+from bluebellrun.admission import (
+    GateSettings,
+    GroupGates,
+    PauseLimit,
+    PauseSettings,
+    SlotAdmission,
+    SlotAdmissionSettings,
+)
+from bluebellrun.deployment import Bounds, Deployment, EngineTerms
+from bluebellrun.gateway._admission_control import AdmissionControl
+from bluebellrun.gateway._fleet import Fleet
+from bluebellrun.routing import AttemptBudget, AttemptBudgetSettings, GroupTable
+
+# Number of entries assumed to share the retry budget until the registrations have been read.
+ASSUMED_ENTRIES = 6
+
+
+class ServiceControls:
+    """Create and keep what limits the requests of each service.
+
+    ``deployment`` returns the configuration in force, none before the first was read.
+    """
+
+    def __init__(
+        self,
+        bounds: Bounds,
+        fleet: Fleet,
+        groups: GroupTable,
+        deployment: Callable[[], Deployment | None],
+        random: Random,
+    ) -> None:
+        self._bounds = bounds
+        self._fleet = fleet
+        self._groups = groups
+        self._deployment = deployment
+        self._random = random
+        self._budgets: dict[str, AttemptBudget] = {}
+        self._admission = SlotAdmission(SlotAdmissionSettings())
+        self._admissions: dict[str, AdmissionControl] = {}
+        self._engines: dict[str, EngineTerms | None] = {}
+        self._entries = ASSUMED_ENTRIES
+
+    def set_entries(self, entries: int) -> None:
+        """Set the number of entries that share the retry budget."""
+        if entries == self._entries:
+            return
+        self._entries = entries
+        for budget in self._budgets.values():
+            budget.settings = self._budget_settings()
+
+    def relative_length(self, service: str, expected_tokens: int) -> float:
+        """Return an answer's expected length relative to the typical one, at least 1."""
+        engine = self.group_terms(service)
+        if engine is None or engine.usual_answer_tokens <= 0:
+            return 1.0
+        return max(1.0, expected_tokens / engine.usual_answer_tokens)
+
+    def admission(self, service: str) -> AdmissionControl:
+        """Return a service's admission control, recreated when its engine terms change."""
+        engine = self.group_terms(service)
+        control = self._admissions.get(service)
+        if control is None or self._engines[service] != engine:
+            self._engines[service] = engine
+            gates = self._make_gates(service, fails_together=engine is not None)
+            self._fleet.groups.set_gates(service, gates)
+            control = self._admissions[service] = AdmissionControl(
+                service,
+                self._fleet,
+                gates,
+                self._admission,
+                _pause_limit(engine),
+                lambda: self._entries,
+                self._random,
+            )
+        return control
+
+    def _make_gates(self, service: str, fails_together: bool) -> GroupGates:
+        """Return the gates of a service's groups."""
+        directory = self._fleet.directory
+
+        def instances() -> Iterable[str]:
+            return (item.instance for item in directory.usable(service, time.monotonic()))
+
+        return GroupGates(
+            GateSettings(), service, self._groups, instances, fails_together, random=self._random
+        )
+
+    def group_terms(self, service: str) -> EngineTerms | None:
+        """Return the terms of a service whose upstreams work in step, none of any other."""
+        deployment = self._deployment()
+        terms = None if deployment is None else deployment.services.get(service)
+        engine = None if terms is None else terms.engine
+        return engine if engine is not None and engine.experts is not None else None
+
+    def budget(self, service: str) -> AttemptBudget:
+        """Return the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = AttemptBudget(self._budget_settings())
+        return budget
+
+    def _budget_settings(self) -> AttemptBudgetSettings:
+        """Return the settings of the retry budget, shared by all entries."""
+        bounds = self._bounds
+        return AttemptBudgetSettings(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, self._entries
+        )
+
+
+def _pause_limit(engine: EngineTerms | None) -> PauseLimit | None:
+    """Return the limit based on stream pauses, none for a service without passes."""
+    if engine is None:
+        return None
+    return PauseLimit(PauseSettings(), engine.stride * engine.step_s)
