Bound the slots of each model group by its own passes

One PauseLimit bounded the slots of a service by the slowest passes of any of its groups, ignored pauses over twice the longest and never went under 0.75 of the slots. Fleet.slot_usage is the sum of the groups' slots times their fractions. A service with one group keeps its single limit and settings.

--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -4,6 +4,7 @@
 from bluebellrun.admission._fair import FairAdmission
 from bluebellrun.admission._fifo import FifoAdmission
 from bluebellrun.admission._group_gates import GroupGates, GroupGateSettings
+from bluebellrun.admission._group_pauses import GroupPauses, GroupPauseSettings
 from bluebellrun.admission._models import (
     AdmissionPolicy,
     AdmissionSettings,
@@ -29,6 +30,8 @@
     "GateSettings",
     "GroupGateSettings",
     "GroupGates",
+    "GroupPauseSettings",
+    "GroupPauses",
     "PauseLimit",
     "PauseSettings",
     "PriorityTarget",
--- a/bluebellrun/admission/_pauses.py
+++ b/bluebellrun/admission/_pauses.py
@@ -21,6 +21,7 @@
     ``target_fraction`` of the longest that is in time, as load reports are some tenths of a second
     old. Pauses beyond ``outlier_factor`` times that come from an outage, not from load. At least
     ``min_fraction`` of the slots is used. A bound that moved by ``report_step`` is reported.
+    Growth that was seen at a load below ``min_load`` counts as seen at that load.
     """
 
     window_s: float = 0.2
@@ -30,6 +31,7 @@
     outlier_factor: float = 2.0
     min_fraction: float = 0.75
     report_step: float = 0.05
+    min_load: float = 0.0
 
 
 class PauseLimit:
@@ -76,13 +78,17 @@
 
     def slot_fraction(self, max_pause_s: float, now: float) -> float:
         """Return the fraction of slots that may be taken; 1 means no bound."""
-        self._drop_expired(now)
-        growth = max((growth for _, growth in self._growths), default=0.0)
+        growth = self.growth_s(now) or 0.0
         available_s = self._settings.target_fraction * max_pause_s - self._fixed_s
         if growth <= 0.0 or available_s >= growth:
             return 1.0
         return min(1.0, max(self._settings.min_fraction, available_s / growth))
 
+    def growth_s(self, now: float) -> float | None:
+        """Return by how much a pass would grow if all slots were taken, none while unknown."""
+        self._drop_expired(now)
+        return max((growth for _, growth in self._growths), default=None)
+
     def _if_changed(self, fraction: float) -> float | None:
         """Return the fraction if it has moved enough since the last report, else none."""
         if abs(fraction - self._reported) < self._settings.report_step and (
@@ -96,7 +102,7 @@
         """Record by how much a pass would grow if all slots were taken."""
         if load <= 0:
             return
-        growth = growth_s / load
+        growth = growth_s / max(load, self._settings.min_load)
         while self._growths and self._growths[-1][1] <= growth:
             self._growths.pop()
         self._growths.append((now, growth))
--- a/bluebellrun/gateway/_admission_control.py
+++ b/bluebellrun/gateway/_admission_control.py
@@ -18,7 +18,7 @@
 
 from bluebellrun.admission import (
     GroupGates,
-    PauseLimit,
+    GroupPauses,
     RecoveryLimit,
     RecoverySettings,
     ReserveSettings,
@@ -90,7 +90,7 @@
         fleet: Fleet,
         gate: GroupGates,
         admission: SlotAdmission,
-        pauses: PauseLimit | None,
+        pauses: GroupPauses | None,
         entries: Callable[[], int],
         random: Random,
     ) -> None:
@@ -154,18 +154,29 @@
             retry_after_s = self._recovery.retry_after_s(retry_after_s, share, usage.typical_s, now)
         return Refused(UNAVAILABLE, reason, retry_after_s)
 
-    def record_pause(self, pause_s: float, max_pause_s: float | None, now: float) -> None:
+    def record_pause(
+        self,
+        pause_s: float,
+        max_pause_s: float | None,
+        now: float,
+        instance: str | None = None,
+    ) -> None:
         """Record the pause between two events of one upstream's stream."""
         if self._pauses is None or not max_pause_s:
             return
-        part = self._pauses.observe(pause_s, max_pause_s, self._load, now)
+
+        def load() -> float:
+            return self._fleet.load(self._service, instance, time.monotonic())
+
+        part = self._pauses.observe(pause_s, max_pause_s, load, now, instance)
         if part is not None:
             _log.info(
                 "slots limited because of stream pauses" if part < 1.0 else "slot limit lifted",
                 service=self._service,
                 part=round(part, 2),
                 pause_s=round(pause_s, 3),
-                load=round(self._load(), 2),
+                load=round(load(), 2),
+                **self._fleet.groups.log_fields(self._service, instance),
             )
 
     async def _wait(
@@ -278,10 +289,6 @@
         """Return the slots of the service and how many are occupied."""
         return self._fleet.slot_usage(self._service, time.monotonic())
 
-    def _load(self) -> float:
-        """Return the fraction of the service's slots that is occupied."""
-        return self._slot_usage().load
-
 
 def _is_late(terms: AdmissionTerms, queued_at: float) -> bool:
     """Return whether a queued request can hardly be answered within its objective."""
--- a/bluebellrun/gateway/_attempts.py
+++ b/bluebellrun/gateway/_attempts.py
@@ -298,7 +298,8 @@
         self._record_prompt_read(upstream)
         if pause_s is not None:
             max_pause_s = self._route.longest_pause_s
-            self._admission_control.record_pause(pause_s, max_pause_s, time.monotonic())
+            now = time.monotonic()
+            self._admission_control.record_pause(pause_s, max_pause_s, now, upstream.instance)
 
 
 def _lost(error: TransportError) -> Lost:
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -155,9 +155,22 @@
         usable = self._without_slow(usable, len(usable), now)
         typical_s, _ = self._averages(usable)
         taken = sum(self.running(item.instance) for item in usable)
-        slots = sum(self._usable_slots(item, typical_s) for item in usable)
+        slots = sum(self._usable_slots(item, typical_s, now) for item in usable)
         return SlotUsage(max(math.ceil(slots), 1 if usable else 0), taken, typical_s)
 
+    def load(self, service: str, instance: str | None, now: float) -> float:
+        """Return the fraction of the slots taken: of an upstream's group, if it is one of several.
+
+        Slots that the group must leave free for its passes to be in time count too.
+        """
+        upstream = None if instance is None else self._directory.find(instance)
+        if upstream is None or not self._groups.has_several(service):
+            return self.slot_usage(service, now).load
+        key = self._groups.key(upstream)
+        ranks = self._groups.split(self._directory.usable(service, now)).get(key, [])
+        slots = sum(item.slots for item in ranks)
+        return sum(self.running(item.instance) for item in ranks) / slots if slots else 0.0
+
     def typical_s(self, service: str, now: float) -> float:
         """Return the typical duration of a request of a service, 0 while it is unknown."""
         return self._averages(self._accepting(service, now))[0]
@@ -277,12 +290,15 @@
         backoff_s = self._backoff.remaining_s(upstream.incarnation, now)
         return max(backoff_s, self._permits.wait_s(upstream, now))
 
-    def _usable_slots(self, upstream: Upstream, typical_s: float) -> float:
-        """Return how many slots of an upstream its rate limit fills."""
+    def _usable_slots(self, upstream: Upstream, typical_s: float, now: float) -> float:
+        """Return how many slots of an upstream its rate limit fills and its passes allow."""
+        slots: float = upstream.slots
+        if self._groups.has_several(upstream.service):
+            slots *= self._groups.fraction(upstream, now)
         rate = self._permits.rate(upstream)
         if rate is None or not typical_s:
-            return upstream.slots
-        return min(upstream.slots, rate * typical_s)
+            return slots
+        return min(slots, rate * typical_s)
 
     def _without_slow(
         self, upstreams: Collection[Upstream], group_size: int, now: float
--- a/bluebellrun/gateway/_fleet_groups.py
+++ b/bluebellrun/gateway/_fleet_groups.py
@@ -1,10 +1,14 @@
 """The model groups of the services as the fleet sees them: which are open, and which is probed."""
 
+import math
 from collections.abc import Callable, Collection, Sequence
 
-from bluebellrun.admission import GroupGates
+from bluebellrun.admission import GroupGates, GroupPauses
 from bluebellrun.gateway._models import Upstream
-from bluebellrun.routing import GroupKey, GroupTable, group_key
+from bluebellrun.routing import GroupKey, GroupTable, group_key, group_label
+
+# The slots of a service are read several times for each request, the pauses change them less often.
+FRACTION_VALIDITY_S = 0.02
 
 
 class FleetGroups:
@@ -14,15 +18,20 @@
         self._table = table
         self._running_elsewhere = running_elsewhere
         self._gates: dict[str, GroupGates] = {}
+        self._pauses: dict[str, GroupPauses | None] = {}
+        self._fractions: dict[str, tuple[float, dict[GroupKey, float]]] = {}
 
     @property
     def table(self) -> GroupTable:
         """Return the table of the groups."""
         return self._table
 
-    def set_gates(self, service: str, gates: GroupGates) -> None:
-        """Set the gates that tell which groups of a service are unavailable."""
+    def set_limits(
+        self, service: str, gates: GroupGates, pauses: GroupPauses | None = None
+    ) -> None:
+        """Set what tells which groups of a service are unavailable, and how far each is used."""
         self._gates[service] = gates
+        self._pauses[service] = pauses
 
     def has_several(self, service: str) -> bool:
         """Return whether a service has several known groups."""
@@ -32,6 +41,12 @@
         """Return the key of the group of an upstream whose service has several."""
         return group_key(self._table, upstream.instance)
 
+    def log_fields(self, service: str, instance: str | None) -> dict[str, str]:
+        """Return the fields of a log line that name an upstream's group, if there are several."""
+        if instance is None or not self.has_several(service):
+            return {}
+        return {"group": group_label(group_key(self._table, instance))}
+
     def split(self, upstreams: Collection[Upstream]) -> dict[GroupKey, list[Upstream]]:
         """Return the upstreams of a service with several groups by group."""
         groups: dict[GroupKey, list[Upstream]] = {}
@@ -39,6 +54,20 @@
             groups.setdefault(self.key(upstream), []).append(upstream)
         return groups
 
+    def fraction(self, upstream: Upstream, now: float) -> float:
+        """Return the fraction of its slots that an upstream's group may use; 1 is no bound."""
+        pauses = self._pauses.get(upstream.service)
+        if pauses is None:
+            return 1.0
+        read_at, fractions = self._fractions.get(upstream.service, (-math.inf, {}))
+        if now - read_at > FRACTION_VALIDITY_S:
+            fractions = {}
+            self._fractions[upstream.service] = (now, fractions)
+        key = self.key(upstream)
+        if key not in fractions:
+            fractions[key] = pauses.group_fraction(key, now)
+        return fractions[key]
+
     def unavailable(self, service: str, now: float) -> frozenset[GroupKey]:
         """Return the groups of a service that accept no work."""
         gates = self._gates.get(service)
--- a/bluebellrun/gateway/_service_controls.py
+++ b/bluebellrun/gateway/_service_controls.py
@@ -7,8 +7,8 @@
 from bluebellrun.admission import (
     GateSettings,
     GroupGates,
-    PauseLimit,
-    PauseSettings,
+    GroupPauses,
+    GroupPauseSettings,
     SlotAdmission,
     SlotAdmissionSettings,
 )
@@ -68,13 +68,14 @@
         if control is None or self._engines[service] != engine:
             self._engines[service] = engine
             gates = self._make_gates(service, fails_together=engine is not None)
-            self._fleet.groups.set_gates(service, gates)
+            pauses = self._make_pauses(service, engine)
+            self._fleet.groups.set_limits(service, gates, pauses)
             control = self._admissions[service] = AdmissionControl(
                 service,
                 self._fleet,
                 gates,
                 self._admission,
-                _pause_limit(engine),
+                pauses,
                 lambda: self._entries,
                 self._random,
             )
@@ -91,6 +92,13 @@
             GateSettings(), service, self._groups, instances, fails_together, random=self._random
         )
 
+    def _make_pauses(self, service: str, engine: EngineTerms | None) -> GroupPauses | None:
+        """Return the limit based on stream pauses, none for a service without passes."""
+        if engine is None:
+            return None
+        fixed_s = engine.stride * engine.step_s
+        return GroupPauses(GroupPauseSettings(), fixed_s, service, self._groups)
+
     def group_terms(self, service: str) -> EngineTerms | None:
         """Return the terms of a service whose upstreams work in step, none of any other."""
         deployment = self._deployment()
@@ -111,10 +119,3 @@
         return AttemptBudgetSettings(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, self._entries
         )
-
-
-def _pause_limit(engine: EngineTerms | None) -> PauseLimit | None:
-    """Return the limit based on stream pauses, none for a service without passes."""
-    if engine is None:
-        return None
-    return PauseLimit(PauseSettings(), engine.stride * engine.step_s)
--- a/tests/gateway/test_fleet_groups.py
+++ b/tests/gateway/test_fleet_groups.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from random import Random
 
-from bluebellrun.admission import GateSettings, GroupGates
+from bluebellrun.admission import GateSettings, GroupGates, GroupPauses, GroupPauseSettings
 from bluebellrun.core import Address
 from bluebellrun.gateway import Fleet, Upstream, UpstreamDirectory
 from bluebellrun.routing import GroupMembers, GroupTable
@@ -35,7 +35,8 @@
             address = Address("10.0.0.1", 80 + number)
             directory.put(Upstream(name, "s", address, f"z{number % 3}", SLOTS))
         self.gates = GroupGates(GateSettings(), "s", self.table, lambda: directory.instances)
-        self.fleet.groups.set_gates("s", self.gates)
+        self.pauses = GroupPauses(GroupPauseSettings(), 0.034, "s", self.table)
+        self.fleet.groups.set_limits("s", self.gates, self.pauses)
 
     def break_groups(self, names: str, at: float) -> None:
         for name in names:
@@ -85,6 +86,22 @@
     assert service.fleet.slot_usage("s", 10.1).total == 12 * SLOTS
 
 
+# Guards: late passes of one group took slots from all groups.
+def test_only_the_slots_of_a_group_with_late_passes_are_bounded():
+    service = Service()
+    for rank in RANKS["b"]:
+        service.elsewhere[rank] = SLOTS
+    assert service.fleet.load("s", "b1", 10.0) == 1.0
+    assert service.fleet.load("s", "a1", 10.0) == 0.0
+    for step in range(100):
+        now = 10.0 + step / 50
+        load = service.fleet.load("s", "b1", now)
+        service.pauses.observe(0.194, 0.120, lambda load=load: load, now, "b1")
+    usage = service.fleet.slot_usage("s", 12.0)
+    assert usage.taken == 4 * SLOTS
+    assert usage.total == 8 * SLOTS + 4 * SLOTS / 2
+
+
 # Guards: services with one group draw other random numbers than before.
 def test_a_service_without_groups_leaves_no_upstream_out():
     service = Service(grouped=False)
