Let a broken group cost only its own share of the requests

After a lost answer or a refusal despite free slots a request excluded one rank and tried the next of the same group, which refused as well; a stream paused 0.25 s before each try. With several groups the whole group is excluded while another is open, and a stream is resumed there at once. Retry budget and attempts are unchanged. A refusal by a group that is known to be unavailable does not count as one of a full upstream.

--- a/bluebellrun/gateway/_attempts.py
+++ b/bluebellrun/gateway/_attempts.py
@@ -239,7 +239,7 @@
             await self._read_refusal(upstream, response)
             if answer.misdirected:
                 self._fleet.directory.mark_replaced(upstream.incarnation)
-            self._refusals += not answer.misdirected
+            self._refusals += not answer.misdirected and not self._is_group_unavailable(upstream)
             running = self._fleet.running(upstream.instance)
             had_slots = not answer.misdirected and running <= upstream.slots
             return Declined(f"upstream answered {answer.status}: not run", had_slots=had_slots)
@@ -263,6 +263,16 @@
             self._record_answer()
         return outcome
 
+    def _is_group_unavailable(self, upstream: Upstream) -> bool:
+        """Return whether an upstream refuses as its group is unavailable and others are not.
+
+        Such a refusal says nothing of how full the other groups are.
+        """
+        now = time.monotonic()
+        if not self._fleet.groups.is_unavailable(upstream, now):
+            return False
+        return not self._admission_control.gate.is_unavailable(now)
+
     def _apply_notices(self, upstream: Upstream, answer: UpstreamAnswer) -> None:
         """Apply an upstream's notices of leaving, backoff and rate limit."""
         if answer.misdirected:
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -118,6 +118,19 @@
         accepting = self._accepting(upstream.service, now)
         return any(self._permits.rate(item) is None for item in accepting if item != upstream)
 
+    def has_other_group(self, upstream: Upstream, excluded: Collection[str], now: float) -> bool:
+        """Return whether another group of the service accepts a request now."""
+        if not self._groups.has_several(upstream.service):
+            return False
+        available = self.available(upstream.service, now)
+        left = [item for item in available if item.instance not in excluded]
+        return self._groups.has_other_open(upstream, left, now)
+
+    def group_instances(self, upstream: Upstream) -> Collection[str]:
+        """Return the upstreams of a group that is one of several, also those that are leaving."""
+        service = self._directory.of_service(upstream.service)
+        return [item.instance for item in self._groups.split(service)[self._groups.key(upstream)]]
+
     def choose(
         self, service: str, excluded: Collection[str], now: float, unlimited: bool = False
     ) -> Upstream | None:
@@ -134,7 +147,7 @@
         names = [upstream.instance for upstream in candidates]
         ejected = self._ejection.ejected(names, now)
         healthy = [item for item in candidates if item.instance not in ejected] or candidates
-        healthy = self._without_slow(healthy, len(usable), now)
+        healthy = self._without_slow(service, healthy, len(usable), now)
         typical_s, failure_rate = self._averages(healthy)
         works = [self._work(item, typical_s, failure_rate) for item in healthy]
         unreported = self._unreported.setdefault(service, UnreportedRequests())
@@ -147,12 +160,12 @@
         if upstream.instance not in self._slow_now(now):
             return False
         usable = self._directory.usable(upstream.service, now)
-        return upstream not in self._without_slow(usable, len(usable), now)
+        return upstream not in self._without_slow(upstream.service, usable, len(usable), now)
 
     def slot_usage(self, service: str, now: float) -> SlotUsage:
         """Return the slots of a service and how many requests occupy or await one."""
         usable = self._accepting(service, now)
-        usable = self._without_slow(usable, len(usable), now)
+        usable = self._without_slow(service, usable, len(usable), now)
         typical_s, _ = self._averages(usable)
         taken = sum(self.running(item.instance) for item in usable)
         slots = sum(self._usable_slots(item, typical_s, now) for item in usable)
@@ -301,14 +314,20 @@
         return min(slots, rate * typical_s)
 
     def _without_slow(
-        self, upstreams: Collection[Upstream], group_size: int, now: float
+        self, service: str, upstreams: Collection[Upstream], size: int, now: float
     ) -> list[Upstream]:
-        """Return the upstreams without the ranks that delay their group, if those are few."""
+        """Return the upstreams without the ranks that delay their group, if those are few.
+
+        ``size`` is that of the group if the service has only one.
+        """
         slow = self._slow_now(now)
         if not slow:
             return list(upstreams)
-        reported = {item.instance: slow.get(item.instance, 1.0) for item in upstreams}
-        drained = ranks_to_drain(reported, group_size)
+        if self._groups.has_several(service):
+            drained = self._groups.ranks_to_drain(upstreams, slow)
+        else:
+            reported = {item.instance: slow.get(item.instance, 1.0) for item in upstreams}
+            drained = ranks_to_drain(reported, size)
         return [item for item in upstreams if item.instance not in drained]
 
     def _averages(self, upstreams: Collection[Upstream]) -> tuple[float, float]:
--- a/bluebellrun/gateway/_fleet_groups.py
+++ b/bluebellrun/gateway/_fleet_groups.py
@@ -1,11 +1,11 @@
 """The model groups of the services as the fleet sees them: which are open, and which is probed."""
 
 import math
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 from bluebellrun.admission import GroupGates, GroupPauses
 from bluebellrun.gateway._models import Upstream
-from bluebellrun.routing import GroupKey, GroupTable, group_key, group_label
+from bluebellrun.routing import GroupKey, GroupTable, group_key, group_label, ranks_to_drain
 
 # The slots of a service are read several times for each request, the pauses change them less often.
 FRACTION_VALIDITY_S = 0.02
@@ -54,16 +54,39 @@
             groups.setdefault(self.key(upstream), []).append(upstream)
         return groups
 
+    def ranks_to_drain(
+        self, upstreams: Collection[Upstream], slow: Mapping[str, float]
+    ) -> frozenset[str]:
+        """Return the ranks that delay their group, if those of each group are few."""
+        drained: set[str] = set()
+        for ranks in self.split(upstreams).values():
+            reported = {item.instance: slow.get(item.instance, 1.0) for item in ranks}
+            drained |= ranks_to_drain(reported, self._group_size(ranks[0]))
+        return frozenset(drained)
+
+    def has_other_open(self, upstream: Upstream, others: Collection[Upstream], now: float) -> bool:
+        """Return whether one of ``others`` is in another group than an upstream, which is open."""
+        key, closed = self.key(upstream), self.unavailable(upstream.service, now)
+        return any(self.key(item) != key and self.key(item) not in closed for item in others)
+
+    def is_unavailable(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an upstream belongs to one of several groups that accepts no work."""
+        closed = self.unavailable(upstream.service, now)
+        return bool(closed) and self.key(upstream) in closed
+
     def fraction(self, upstream: Upstream, now: float) -> float:
         """Return the fraction of its slots that an upstream's group may use; 1 is no bound."""
-        pauses = self._pauses.get(upstream.service)
+        return self._fraction(upstream.service, self.key(upstream), now)
+
+    def _fraction(self, service: str, key: GroupKey, now: float) -> float:
+        """Return the fraction of its slots that a group may use; 1 is no bound."""
+        pauses = self._pauses.get(service)
         if pauses is None:
             return 1.0
-        read_at, fractions = self._fractions.get(upstream.service, (-math.inf, {}))
+        read_at, fractions = self._fractions.get(service, (-math.inf, {}))
         if now - read_at > FRACTION_VALIDITY_S:
             fractions = {}
-            self._fractions[upstream.service] = (now, fractions)
-        key = self.key(upstream)
+            self._fractions[service] = (now, fractions)
         if key not in fractions:
             fractions[key] = pauses.group_fraction(key, now)
         return fractions[key]
@@ -108,6 +131,12 @@
                 return groups[probed]
         return [item for item in upstreams if self.key(item) not in closed] or upstreams
 
+    def _group_size(self, upstream: Upstream) -> int:
+        """Return the number of ranks of the group of an upstream whose service has several."""
+        name, _ = self.key(upstream)
+        group = self._table.groups(upstream.service).get(name)
+        return 1 if group is None else group.size
+
     def _hinted(self, ranks: Sequence[Upstream]) -> bool:
         """Return whether another entry has requests at a rank of a group."""
         return any(self._running_elsewhere(item.instance) for item in ranks)
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -168,9 +168,9 @@
                 case Lost():
                     if not self._may_run_again():
                         return await self._give_up(outcome)
-            self._excluded.add(upstream.instance)
+            self._exclude(upstream, outcome)
             resumes = self._exchange.started and not isinstance(outcome, Moved)
-            if resumes and not await self._await_resumption():
+            if resumes and not await self._await_resumption(upstream):
                 return await self._give_up(outcome)
 
     async def _choose_upstream(self) -> Upstream | None:
@@ -281,13 +281,27 @@
             is_resumable and self._route.repeatable and self._attempts.runs < self._route.attempts
         )
 
-    async def _await_resumption(self) -> bool:
+    def _exclude(self, upstream: Upstream, outcome: Outcome) -> None:
+        """Exclude an upstream from further attempts, with its group if another group is open.
+
+        A lost answer and a refusal despite free slots show that the group has broken.
+        """
+        self._excluded.add(upstream.instance)
+        match outcome:
+            case Lost() | Declined(had_slots=True) | Declined(unreachable=True):
+                if self._fleet.has_other_group(upstream, self._excluded, time.monotonic()):
+                    self._excluded.update(self._fleet.group_instances(upstream))
+
+    async def _await_resumption(self, upstream: Upstream) -> bool:
         """Pause before a stream is resumed; return false if its caller has given up.
 
-        All upstreams are tried again once each has refused.
+        It is resumed at once where another group than that of its last upstream accepts it. All
+        upstreams are tried again once each has refused.
         """
         if self._has_caller_given_up():
             return False
+        if self._fleet.has_other_group(upstream, self._excluded, time.monotonic()):
+            return True
         available = self._fleet.available(self._service, time.monotonic())
         if all(upstream.instance in self._excluded for upstream in available):
             self._excluded.clear()
--- a/tests/gateway/test_fleet_groups.py
+++ b/tests/gateway/test_fleet_groups.py
@@ -44,9 +44,15 @@
                 self.gates.record_refusal(at, rank)
 
     def chosen_groups(self, at: float, excluded: tuple[str, ...] = (), requests: int = 60) -> str:
-        """Return the groups that get requests at one moment."""
-        chosen = [self.fleet.choose("s", excluded, at) for _ in range(requests)]
-        return "".join(sorted({item.instance[0] for item in chosen if item is not None}))
+        """Return the groups that get requests at one moment, if none of these has ended."""
+        chosen = []
+        for _ in range(requests):
+            item = self.fleet.choose("s", excluded, at)
+            chosen.append(item.instance)
+            self.fleet.stats(item.instance).running += 1
+        for instance in chosen:
+            self.fleet.stats(instance).running -= 1
+        return "".join(sorted({instance[0] for instance in chosen}))
 
 
 # Guards: a broken group got its share of the requests, each of which cost a retry.
@@ -110,3 +116,25 @@
     for _ in range(50):
         assert service.fleet.choose("s", (), 10.1) == before.choose("s", (), 10.1)
     assert service.fleet.slot_usage("s", 10.1) == before.slot_usage("s", 10.1)
+
+
+# Guards: a rank that slows one group was drained by the size of the service, or drained others.
+def test_slow_ranks_are_drained_by_group():
+    service = Service()
+    service.slow = {"b0": 4.0, "b1": 3.0, "a0": 2.0}
+    fleet = service.fleet
+    upstreams = {name: fleet.directory.find(name) for name in ("a0", "a1", "b0", "b1", "c0")}
+    drained = {name for name, item in upstreams.items() if fleet.is_drained(item, 10.0)}
+    assert drained == {"a0", "b0"}
+    assert fleet.slot_usage("s", 10.0).total == 10 * SLOTS
+
+
+def test_another_group_is_one_that_accepts_work():
+    service = Service()
+    rank = service.fleet.directory.find("a0")
+    assert service.fleet.has_other_group(rank, ("a0",), 10.0)
+    assert set(service.fleet.group_instances(rank)) == set(RANKS["a"])
+    assert not service.fleet.has_other_group(rank, [*RANKS["b"], *RANKS["c"]], 10.0)
+    service.break_groups("bc", 10.0)
+    assert not service.fleet.has_other_group(rank, (), 10.0)
+    assert not Service(grouped=False).fleet.has_other_group(rank, (), 10.0)
