Send requests to the group that would finish them first

Least work compares single upstreams, but an answer takes as long in all ranks of a group, and groups with different expert maps make passes of different lengths. Where a service has several groups, the fleet first chooses a group by when it would finish the request: fixed and load-dependent part of its passes as seen in the pauses of its streams, the prompts still to be read, and the wait for a slot that it may use. Unreported requests of other entries are distributed in thought until all groups finish together. Within the group the upstream is chosen as before. Services with one group are routed as before.

--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -63,7 +63,9 @@
         groups: GroupTable | None = None,
     ) -> None:
         self._directory = directory
-        self._groups = FleetGroups(groups or GroupTable(), running_elsewhere)
+        self._groups = FleetGroups(
+            groups or GroupTable(), failure_domain, random, running_elsewhere
+        )
         self._routing = LeastWorkRouting(random, failure_domain)
         self._ejection = OutlierEjection()
         self._backoff = RequestedBackoff()
@@ -152,7 +154,10 @@
         works = [self._work(item, typical_s, failure_rate) for item in healthy]
         unreported = self._unreported.setdefault(service, UnreportedRequests())
         unreported.record(now)
-        chosen = self._routing.choose(works, unreported.expected(self._others, self._status_age_s))
+        expected = unreported.expected(self._others, self._status_age_s)
+        if self._groups.has_several(service):
+            works, expected = self._groups.choose(service, works, expected, now)
+        chosen = self._routing.choose(works, expected)
         return None if chosen is None else self._directory.find(chosen.name)
 
     def is_drained(self, upstream: Upstream, now: float) -> bool:
--- a/bluebellrun/gateway/_fleet_groups.py
+++ b/bluebellrun/gateway/_fleet_groups.py
@@ -2,10 +2,21 @@
 
 import math
 from collections.abc import Callable, Collection, Mapping, Sequence
+from random import Random
 
 from bluebellrun.admission import GroupGates, GroupPauses
 from bluebellrun.gateway._models import Upstream
-from bluebellrun.routing import GroupKey, GroupTable, group_key, group_label, ranks_to_drain
+from bluebellrun.routing import (
+    GroupKey,
+    GroupTable,
+    GroupWork,
+    PassTerms,
+    UpstreamWork,
+    choose_group,
+    group_key,
+    group_label,
+    ranks_to_drain,
+)
 
 # The slots of a service are read several times for each request, the pauses change them less often.
 FRACTION_VALIDITY_S = 0.02
@@ -14,11 +25,20 @@
 class FleetGroups:
     """Split the upstreams of services with several groups; other services are not touched."""
 
-    def __init__(self, table: GroupTable, running_elsewhere: Callable[[str], int]) -> None:
+    def __init__(
+        self,
+        table: GroupTable,
+        failure_domain: str,
+        random: Random,
+        running_elsewhere: Callable[[str], int],
+    ) -> None:
         self._table = table
+        self._failure_domain = failure_domain
+        self._random = random
         self._running_elsewhere = running_elsewhere
         self._gates: dict[str, GroupGates] = {}
         self._pauses: dict[str, GroupPauses | None] = {}
+        self._terms: dict[str, PassTerms] = {}
         self._fractions: dict[str, tuple[float, dict[GroupKey, float]]] = {}
 
     @property
@@ -27,11 +47,16 @@
         return self._table
 
     def set_limits(
-        self, service: str, gates: GroupGates, pauses: GroupPauses | None = None
+        self,
+        service: str,
+        gates: GroupGates,
+        pauses: GroupPauses | None = None,
+        terms: PassTerms | None = None,
     ) -> None:
-        """Set what tells which groups of a service are unavailable, and how far each is used."""
+        """Set what tells which groups of a service are unavailable, and how long passes take."""
         self._gates[service] = gates
         self._pauses[service] = pauses
+        self._terms[service] = terms or PassTerms()
 
     def has_several(self, service: str) -> bool:
         """Return whether a service has several known groups."""
@@ -131,6 +156,38 @@
                 return groups[probed]
         return [item for item in upstreams if self.key(item) not in closed] or upstreams
 
+    def choose(
+        self, service: str, works: Sequence[UpstreamWork], unreported: float, now: float
+    ) -> tuple[list[UpstreamWork], float]:
+        """Return the upstreams of the group that a request goes to.
+
+        The second value is the part of the ``unreported`` requests of others that go there too.
+        """
+        groups: dict[GroupKey, list[UpstreamWork]] = {}
+        for item in works:
+            groups.setdefault(group_key(self._table, item.name), []).append(item)
+        loads = [self._group_work(service, key, ranks, now) for key, ranks in groups.items()]
+        terms = self._terms.get(service, PassTerms())
+        choice = choose_group(loads, terms, self._random, unreported)
+        return ([], 0.0) if choice is None else (groups[choice.key], choice.share * unreported)
+
+    def _group_work(
+        self, service: str, key: GroupKey, ranks: Sequence[UpstreamWork], now: float
+    ) -> GroupWork:
+        """Return the work of a group as routing's input."""
+        slots = sum(item.slots for item in ranks)
+        pauses = self._pauses.get(service)
+        local = sum(item.failure_domain == self._failure_domain for item in ranks)
+        return GroupWork(
+            key=key,
+            slots=slots,
+            usable=slots * self._fraction(service, key, now),
+            running=sum(item.running for item in ranks),
+            unread_tokens=max(item.unread_tokens for item in ranks),
+            growth_s=None if pauses is None else pauses.growth_s(key, now),
+            local_fraction=local / len(ranks),
+        )
+
     def _group_size(self, upstream: Upstream) -> int:
         """Return the number of ranks of the group of an upstream whose service has several."""
         name, _ = self.key(upstream)
--- a/bluebellrun/gateway/_service_controls.py
+++ b/bluebellrun/gateway/_service_controls.py
@@ -15,7 +15,7 @@
 from bluebellrun.deployment import Bounds, Deployment, EngineTerms
 from bluebellrun.gateway._admission_control import AdmissionControl
 from bluebellrun.gateway._fleet import Fleet
-from bluebellrun.routing import AttemptBudget, AttemptBudgetSettings, GroupTable
+from bluebellrun.routing import AttemptBudget, AttemptBudgetSettings, GroupTable, PassTerms
 
 # Number of entries assumed to share the retry budget until the registrations have been read.
 ASSUMED_ENTRIES = 6
@@ -69,7 +69,7 @@
             self._engines[service] = engine
             gates = self._make_gates(service, fails_together=engine is not None)
             pauses = self._make_pauses(service, engine)
-            self._fleet.groups.set_limits(service, gates, pauses)
+            self._fleet.groups.set_limits(service, gates, pauses, _pass_terms(engine))
             control = self._admissions[service] = AdmissionControl(
                 service,
                 self._fleet,
@@ -119,3 +119,15 @@
         return AttemptBudgetSettings(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, self._entries
         )
+
+
+def _pass_terms(engine: EngineTerms | None) -> PassTerms:
+    """Return what an answer of a service costs, as far as its configuration tells."""
+    if engine is None or not engine.stride:
+        return PassTerms()
+    return PassTerms(
+        fixed_s=engine.stride * engine.step_s,
+        growth_s=engine.stride * engine.writer_s * engine.slots,
+        passes=max(1.0, engine.usual_answer_tokens / engine.stride),
+        read_tokens_per_s=engine.read_tokens_per_s,
+    )
--- a/bluebellrun/routing/__init__.py
+++ b/bluebellrun/routing/__init__.py
@@ -5,6 +5,7 @@
 from bluebellrun.routing._baselines import LeastRequestsRouting, RoundRobinRouting
 from bluebellrun.routing._ejection import OutlierEjection
 from bluebellrun.routing._expected_finish import ExpectedFinishRouting
+from bluebellrun.routing._group_choice import GroupChoice, GroupWork, PassTerms, choose_group
 from bluebellrun.routing._group_keys import GroupKey, group_key, group_label
 from bluebellrun.routing._group_table import GroupMembers, GroupTable
 from bluebellrun.routing._least_work import LeastWorkRouting, UnreportedRequests, UpstreamWork
@@ -21,13 +22,16 @@
     "AttemptBudgetSettings",
     "Candidate",
     "ExpectedFinishRouting",
+    "GroupChoice",
     "GroupKey",
     "GroupMembers",
     "GroupTable",
+    "GroupWork",
     "LeastRequestsRouting",
     "LeastWorkRouting",
     "LimitObservation",
     "OutlierEjection",
+    "PassTerms",
     "RequestedBackoff",
     "RequestedLimits",
     "RetryBudget",
@@ -38,6 +42,7 @@
     "UnreportedRequests",
     "UpstreamLoad",
     "UpstreamWork",
+    "choose_group",
     "group_key",
     "group_label",
     "make_routing",
--- a/tests/gateway/test_fleet_groups.py
+++ b/tests/gateway/test_fleet_groups.py
@@ -118,6 +118,24 @@
     assert service.fleet.slot_usage("s", 10.1) == before.slot_usage("s", 10.1)
 
 
+# Guards: a group on a bad expert map got as many requests as one whose passes are in time.
+def test_a_group_with_long_passes_gets_fewer_requests():
+    service = Service()
+    for step in range(100):
+        now = 10.0 + step / 50
+        for group, pause_s in (("a", 0.06), ("b", 0.110), ("c", 0.06)):
+            service.pauses.observe(pause_s, 0.120, lambda: 0.9, now, group + "0")
+    running: Counter[str] = Counter()
+    for _ in range(36):
+        chosen = service.fleet.choose("s", (), 12.0)
+        service.elsewhere[chosen.instance] += 1
+        running[chosen.instance[0]] += 1
+    assert running["b"] < 0.6 * running["a"]
+    assert abs(running["a"] - running["c"]) <= 2
+    ranks = [service.elsewhere[rank] for rank in RANKS["a"]]
+    assert max(ranks) - min(ranks) <= 1
+
+
 # Guards: a rank that slows one group was drained by the size of the service, or drained others.
 def test_slow_ranks_are_drained_by_group():
     service = Service()
