Move the connections to upstreams out of the fleet

Pooled clients and the checks of whether an upstream's process has ended are in _connections.py. No behaviour changes.

--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -6,15 +6,14 @@
 from dataclasses import dataclass
 from random import Random
 
-import curio
-
 from bluebellrun.admission import SlotUsage
+from bluebellrun.gateway._connections import UpstreamConnections
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._fleet_groups import FleetGroups
 from bluebellrun.gateway._limit_permits import LimitPermits
 from bluebellrun.gateway._models import Upstream, UpstreamIncarnation
 from bluebellrun.gateway._peers import PeerTable
-from bluebellrun.http import ClientTimeouts, ConnectError, HttpClient, connect
+from bluebellrun.http import HttpClient
 from bluebellrun.routing import (
     GroupTable,
     LeastWorkRouting,
@@ -28,13 +27,6 @@
 
 _log = get_logger("fleet")
 
-# Connecting within a region takes milliseconds; a lost packet costs a second.
-CONNECT_TIMEOUT_S = 0.4
-# A process that ends closes its connections and its listening socket within milliseconds of each
-# other; one that still accepts connections may be checked again after this time.
-END_CHECK_INTERVAL_S = 0.05
-# Bound on the duration of an answer where neither caller nor route sets one.
-MAX_ANSWER_S = 600.0
 # Weight of the previous value in the moving averages of durations and failures.
 SMOOTHING = 0.9
 
@@ -70,10 +62,9 @@
         self._ejection = OutlierEjection()
         self._backoff = RequestedBackoff()
         self._permits = permits or LimitPermits(PeerTable(""))
-        self._clients: dict[UpstreamIncarnation, HttpClient] = {}
+        self._connections = UpstreamConnections(self.record_unreachable)
         self._stats: dict[str, UpstreamStats] = {}
         self._unreported: dict[str, UnreportedRequests] = {}
-        self._ended: set[UpstreamIncarnation] = set()
         self._others = 0
         self._status_age_s = 0.0
         self._running_elsewhere = running_elsewhere
@@ -207,12 +198,7 @@
 
     def client(self, upstream: Upstream) -> HttpClient:
         """Return the client that pools connections to an upstream."""
-        client = self._clients.get(upstream.incarnation)
-        if client is None:
-            timeouts = ClientTimeouts(CONNECT_TIMEOUT_S, MAX_ANSWER_S, MAX_ANSWER_S)
-            client = HttpClient(upstream.address, timeouts)
-            self._clients[upstream.incarnation] = client
-        return client
+        return self._connections.client(upstream)
 
     def mark_leaving(
         self, incarnation: UpstreamIncarnation, now: float, reported_by: str | None = None
@@ -241,24 +227,11 @@
 
     def is_known_ended(self, upstream: Upstream) -> bool:
         """Return whether an upstream's process was found to have ended."""
-        return upstream.incarnation in self._ended
+        return self._connections.is_known_ended(upstream)
 
     async def has_ended(self, upstream: Upstream, checks: int = 1) -> bool:
         """Return whether an upstream's process has ended: its host refuses connections to it."""
-        for check in range(checks):
-            if check:
-                await curio.sleep(END_CHECK_INTERVAL_S)
-            if upstream.incarnation in self._ended:
-                return True
-            try:
-                sock = await connect(upstream.address, CONNECT_TIMEOUT_S)
-            except ConnectError as error:
-                self.record_unreachable(upstream.instance, time.monotonic())
-                if error.refused:
-                    self._ended.add(upstream.incarnation)
-                return error.refused
-            await sock.close()
-        return False
+        return await self._connections.has_ended(upstream, checks)
 
     def record_result(self, instance: str, failed: bool, seconds: float, now: float) -> None:
         """Record the duration of a request at an upstream and whether it failed."""
@@ -276,13 +249,9 @@
         """Close pooled connections to removed upstreams and drop their statistics."""
         known = set(self._directory.instances)
         incarnations = self._directory.incarnations
-        for incarnation in [
-            incarnation for incarnation in self._clients if incarnation not in incarnations
-        ]:
-            await self._clients.pop(incarnation).close()
+        await self._connections.retain(incarnations)
         self._backoff.retain(incarnations)
         self._permits.retain(incarnations)
-        self._ended &= incarnations
         departed = [name for name, item in self._stats.items() if name not in known]
         for instance in departed:
             if self._stats[instance].running == 0:
@@ -291,8 +260,7 @@
 
     async def close(self) -> None:
         """Close all pooled connections."""
-        for client in self._clients.values():
-            await client.close()
+        await self._connections.close()
 
     def _accepting(self, service: str, now: float) -> list[Upstream]:
         """Return the upstreams of a service that accept requests, without unavailable groups."""
