Probe a group that formed at once, and only one that can be reached

A probe was chosen before upstreams at their rate limits were left out, so that it could find no upstream and the request was refused; with all open groups at their limits, requests went to the unavailable one. An upstream that was removed during its attempt had no group, which ended the request with an error. A group whose epoch has changed has formed anew and is probed without waiting for the interval.

--- a/bluebellrun/admission/_group_gates.py
+++ b/bluebellrun/admission/_group_gates.py
@@ -21,8 +21,9 @@
     While another group is available, an unavailable one is probed every ``probe_interval_s``, as
     each refused probe costs a retry of a request that could be served. It is probed every
     ``hinted_probe_interval_s`` while another entry has requests there, which shows that it may have
-    formed. Without probes it counts as available after ``outage_expiry_s``; that is longer than the
-    interval, so that an idle entry's first request does not find the outage again.
+    formed, and at once when its epoch has changed. Without refusals it counts as available after
+    ``outage_expiry_s``; that is longer than the intervals, so that an entry with few requests does
+    not find the outage again and again.
     """
 
     probe_interval_s: float = 1.0
@@ -57,6 +58,7 @@
         self._whole = ServiceGate(settings, fails_together)
         self._gates: dict[GroupKey, ServiceGate] = {}
         self._probed_at: dict[GroupKey, float] = {}
+        self._probed_epochs: dict[GroupKey, int] = {}
         self._any_probed_at = 0.0
         self._due: GroupKey | None = None
         self._was_unavailable = False
@@ -108,7 +110,7 @@
         candidates = self.unavailable(now) & present
         if candidates:
             self._due = min(candidates, key=lambda key: (self._probed_at.get(key, 0.0), key))
-            self._probed_at[self._due] = now
+            self._record_probe(self._due, now)
         return True
 
     def take_probe(
@@ -126,10 +128,10 @@
         settings = self._group_settings
         for key in candidates:
             probed_s = now - self._probed_at.get(key, 0.0)
-            if probed_s < settings.hinted_probe_interval_s:
-                continue
-            if probed_s >= settings.probe_interval_s or hinted(key):
-                self._probed_at[key] = now
+            is_hinted = probed_s >= settings.hinted_probe_interval_s and hinted(key)
+            has_formed = self._probed_epochs.get(key) != self._epoch(key)
+            if probed_s >= settings.probe_interval_s or is_hinted or has_formed:
+                self._record_probe(key, now)
                 return key
         return None
 
@@ -142,9 +144,8 @@
             was_out = self._is_out(key, now)
             self._gate(key).record_refusal(now)
             if not was_out and self._is_out(key, now):
-                self._probed_at[key] = now - self._random.uniform(
-                    0.0, self._group_settings.probe_interval_s
-                )
+                spread_s = self._random.uniform(0.0, self._group_settings.probe_interval_s)
+                self._record_probe(key, now - spread_s)
             self.is_unavailable(now)
 
     def record_accepted(self, now: float, instance: str | None = None) -> None:
@@ -166,6 +167,16 @@
         keys = self.unavailable(now)
         return min(self._gates[key].retry_after_s(now) for key in keys)
 
+    def _record_probe(self, key: GroupKey, now: float) -> None:
+        """Record that a group is probed."""
+        self._probed_at[key] = now
+        self._probed_epochs[key] = self._epoch(key)
+
+    def _epoch(self, key: GroupKey) -> int:
+        """Return the epoch of a group, 0 for an upstream in no known group."""
+        group = self._table.groups(self._service).get(key[0])
+        return 0 if group is None else group.epoch
+
     def _has_groups(self) -> bool:
         """Return whether the service has several known groups; forget groups that are gone."""
         groups = self._table.groups(self._service)
@@ -174,6 +185,7 @@
         if self._gates:
             self._gates.clear()
             self._probed_at.clear()
+            self._probed_epochs.clear()
             self._due = None
         return False
 
@@ -208,3 +220,4 @@
             if name not in names if name else instance not in present:
                 del self._gates[key]
                 self._probed_at.pop(key, None)
+                self._probed_epochs.pop(key, None)
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -121,8 +121,8 @@
 
     def group_instances(self, upstream: Upstream) -> Collection[str]:
         """Return the upstreams of a group that is one of several, also those that are leaving."""
-        service = self._directory.of_service(upstream.service)
-        return [item.instance for item in self._groups.split(service)[self._groups.key(upstream)]]
+        groups = self._groups.split(self._directory.of_service(upstream.service))
+        return [item.instance for item in groups.get(self._groups.key(upstream), [])]
 
     def choose(
         self, service: str, excluded: Collection[str], now: float, unlimited: bool = False
@@ -132,8 +132,9 @@
         With ``unlimited``, upstreams that limit their rate are left out.
         """
         usable = self._all_accepting(service, now)
-        usable = self._groups.open_or_probed(service, usable, not excluded, now)
-        usable = [item for item in usable if not self._permits.wait_s(item, now)]
+        ready = [item for item in usable if not self._permits.wait_s(item, now)]
+        may_probe = not excluded and not unlimited
+        usable = self._groups.open_or_probed(service, usable, ready, may_probe, now)
         candidates = [upstream for upstream in usable if upstream.instance not in excluded]
         if unlimited:
             candidates = [item for item in candidates if self._permits.rate(item) is None]
--- a/bluebellrun/gateway/_fleet_groups.py
+++ b/bluebellrun/gateway/_fleet_groups.py
@@ -138,23 +138,31 @@
         return [item for item in upstreams if self.key(item) not in closed] or upstreams
 
     def open_or_probed(
-        self, service: str, upstreams: list[Upstream], is_first: bool, now: float
+        self,
+        service: str,
+        accepting: list[Upstream],
+        ready: list[Upstream],
+        may_probe: bool,
+        now: float,
     ) -> list[Upstream]:
-        """Return the upstreams that one request may be sent to, those of a group that it probes.
+        """Return the ``ready`` upstreams of open groups, or of a group that the request probes.
 
-        Only requests at their first upstream are probes, as a refused one needs a retry.
+        All are returned if no group of the ``accepting`` upstreams is open. Only requests at their
+        first upstream are probes, as a refused one needs a retry.
         """
         closed = self.unavailable(service, now)
         if not closed:
-            return upstreams
-        groups = self.split(upstreams)
+            return ready
+        groups = self.split(ready)
         gates = self._gates[service]
         candidates = sorted(key for key in groups if key in closed)
-        if is_first and candidates:
+        if may_probe and candidates:
             probed = gates.take_probe(candidates, lambda key: self._hinted(groups[key]), now)
             if probed is not None:
                 return groups[probed]
-        return [item for item in upstreams if self.key(item) not in closed] or upstreams
+        if all(self.key(item) in closed for item in accepting):
+            return ready
+        return [item for item in ready if self.key(item) not in closed]
 
     def choose(
         self, service: str, works: Sequence[UpstreamWork], unreported: float, now: float
--- a/tests/admission/test_group_gates.py
+++ b/tests/admission/test_group_gates.py
@@ -1,5 +1,7 @@
 """Outages of single groups of a service, and of all of them."""
 
+from dataclasses import replace
+
 from bluebellrun.admission import GateSettings, GroupGates, ServiceGate
 from bluebellrun.routing import GroupMembers, GroupTable
 
@@ -90,6 +92,20 @@
     assert not gates.unavailable(14.1)
 
 
+# Guards: a group that formed again waited for the next probe.
+def test_a_group_whose_epoch_changed_is_probed_at_once():
+    table = table_of()
+    gates = gates_of(table)
+    break_groups(gates, "a", 10.0)
+    now = 11.01
+    key = gates.take_probe(gates.unavailable(now), lambda key: False, now)
+    assert key == ("a", "")
+    assert gates.take_probe(gates.unavailable(now), lambda key: False, now) is None
+    table.replace("s", [replace(group, epoch=2) for group in table.groups("s").values()])
+    assert gates.take_probe(gates.unavailable(now), lambda key: False, now) == ("a", "")
+    assert gates.take_probe(gates.unavailable(now), lambda key: False, now) is None
+
+
 # Guards: upstreams that have just started were counted to a broken group, or to none.
 def test_an_upstream_in_no_known_group_is_a_group_of_its_own():
     gates = gates_of(table_of(), "new")
--- a/tests/gateway/test_fleet_groups.py
+++ b/tests/gateway/test_fleet_groups.py
@@ -92,6 +92,30 @@
     assert service.fleet.slot_usage("s", 10.1).total == 12 * SLOTS
 
 
+# Guards: a probe of a group whose upstreams are at their rate limits found no upstream at all.
+def test_a_group_at_its_rate_limits_is_not_probed_and_does_not_stand_in_for_open_ones():
+    service = Service()
+    service.break_groups("b", 10.0)
+    limits = service.fleet.permits.limits
+    for rank in RANKS["b"]:
+        limits.record_named((rank, 0), 0.2, 10.0)
+    assert service.chosen_groups(11.5) == "ac"
+    for rank in RANKS["a"] + RANKS["c"]:
+        limits.record_named((rank, 0), 0.2, 10.0)
+    for rank in RANKS["b"]:
+        limits.record_named((rank, 0), 1_000.0, 11.5)
+    assert service.fleet.choose("s", ("a0",), 11.6) is None
+
+
+# Guards: an upstream that was removed during its attempt ended the request with an error.
+def test_a_removed_upstream_has_no_group_left_to_exclude():
+    service = Service()
+    rank = service.fleet.directory.find("a0")
+    for name in RANKS["a"]:
+        service.fleet.directory.remove(name)
+    assert not service.fleet.group_instances(rank)
+
+
 # Guards: late passes of one group took slots from all groups.
 def test_only_the_slots_of_a_group_with_late_passes_are_bounded():
     service = Service()
