Report the outages of single groups

Nothing told an operator which group of a service had failed. The entry logs when a group becomes unavailable and available again, failed attempts name the group, and bluebellrun_unavailable_groups counts the groups by service. Only services with several groups have these.

--- a/bluebellrun/gateway/_attempts.py
+++ b/bluebellrun/gateway/_attempts.py
@@ -156,6 +156,7 @@
                     self._fleet.record_unreachable(upstream.instance, now)
                 if had_slots:
                     self._admission_control.gate.record_refusal(now, upstream.instance)
+                    self._fleet.groups.log_changes(self._service, now)
             case Lost(reason):
                 self._fleet.record_result(upstream.instance, True, now - started, now)
             case Failed(answer, _):
@@ -181,6 +182,7 @@
             events=self._events,
             parts=self._request.prompt_parts[:MAX_LOGGED_PARTS],
             prompt=self._request.prompt_digest,
+            **self._fleet.groups.log_fields(self._service, upstream.instance),
         )
 
     def _record_prompt_read(self, upstream: Upstream) -> None:
@@ -243,7 +245,9 @@
             running = self._fleet.running(upstream.instance)
             had_slots = not answer.misdirected and running <= upstream.slots
             return Declined(f"upstream answered {answer.status}: not run", had_slots=had_slots)
-        self._admission_control.gate.record_accepted(time.monotonic(), upstream.instance)
+        now = time.monotonic()
+        self._admission_control.gate.record_accepted(now, upstream.instance)
+        self._fleet.groups.log_changes(self._service, now)
         if self._exchange.started and not (self._route.streamed and answer.is_stream):
             return Lost(f"upstream answered {answer.status}, which continues no stream")
         if self._route.streamed and answer.is_stream:
--- a/bluebellrun/gateway/_fleet_groups.py
+++ b/bluebellrun/gateway/_fleet_groups.py
@@ -17,6 +17,9 @@
     group_label,
     ranks_to_drain,
 )
+from bluebellrun.telemetry import get_logger
+
+_log = get_logger("groups")
 
 # The slots of a service are read several times for each request, the pauses change them less often.
 FRACTION_VALIDITY_S = 0.02
@@ -38,6 +41,7 @@
         self._running_elsewhere = running_elsewhere
         self._gates: dict[str, GroupGates] = {}
         self._pauses: dict[str, GroupPauses | None] = {}
+        self._logged: dict[str, frozenset[GroupKey]] = {}
         self._terms: dict[str, PassTerms] = {}
         self._fractions: dict[str, tuple[float, dict[GroupKey, float]]] = {}
 
@@ -121,14 +125,27 @@
         gates = self._gates.get(service)
         return frozenset() if gates is None else gates.unavailable(now)
 
-    def unavailable_count(self, service: str, now: float) -> int:
-        """Return how many groups of a service accept no work; a single group counts as one."""
-        gates = self._gates.get(service)
-        if gates is None:
-            return 0
-        if self.has_several(service):
-            return len(gates.unavailable(now))
-        return int(gates.is_unavailable(now))
+    def unavailable_counts(self, now: float) -> dict[str, float]:
+        """Return how many groups accept no work, for each service with several."""
+        return {
+            service: len(gates.unavailable(now))
+            for service, gates in self._gates.items()
+            if self.has_several(service)
+        }
+
+    def log_changes(self, service: str, now: float) -> None:
+        """Log which groups of a service with several became unavailable, or available again."""
+        if not self.has_several(service):
+            self._logged.pop(service, None)
+            return
+        closed, logged = self.unavailable(service, now), self._logged.get(service, frozenset())
+        if closed == logged:
+            return
+        self._logged[service] = closed
+        for key in sorted(closed - logged):
+            _log.info("group unavailable", service=service, group=group_label(key))
+        for key in sorted(logged - closed):
+            _log.info("group available", service=service, group=group_label(key))
 
     def open_only(self, service: str, upstreams: list[Upstream], now: float) -> list[Upstream]:
         """Return the upstreams whose group accepts work, all of them if none does."""
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -17,6 +17,11 @@
 from bluebellrun.gateway._expert_maps import ExpertMaps
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._gateway import Gateway
+from bluebellrun.gateway._gauges import (
+    register_gauges,
+    register_quarantine_gauges,
+    register_store_gauges,
+)
 from bluebellrun.gateway._gossip import Gossip, status_age_s
 from bluebellrun.gateway._lifecycle import Lifecycle
 from bluebellrun.gateway._limit_permits import LimitPermits
@@ -95,58 +100,6 @@
     return handle
 
 
-def _register_gauges(
-    metrics: ServingMetrics,
-    gateway: Gateway,
-    view: StoreView,
-    role: PlacementRole,
-    fleet: Fleet,
-) -> None:
-    """Register the gauges of the process's state."""
-
-    def version() -> float:
-        return 0 if gateway.deployment is None else gateway.deployment.version
-
-    metrics.gauge("bluebellrun_in_progress", "Requests in progress", lambda: gateway.in_progress)
-    metrics.gauge("bluebellrun_configuration_version", "Configuration in force", version)
-    metrics.gauge(
-        "bluebellrun_store_silence_seconds", "Seconds since the store spoke", view.silence_s
-    )
-    metrics.gauge(
-        "bluebellrun_limited_upstreams",
-        "Upstreams that name a rate limit",
-        lambda: len(fleet.permits.limits.limited()),
-    )
-    metrics.gauge(
-        "bluebellrun_keeps_maps",
-        "1 if this process keeps the expert maps",
-        lambda: float(role.lease() is not None),
-    )
-
-
-def _register_store_gauges(metrics: ServingMetrics, store: PlatformStore) -> None:
-    """Register the gauges of the store."""
-    metrics.gauge(
-        "bluebellrun_store_era", "How often the store was restored from a copy", lambda: store.era
-    )
-
-
-def _register_quarantine_gauges(
-    metrics: ServingMetrics, quarantine: PromptQuarantine, guard: PromptGuard
-) -> None:
-    """Register the gauges of the quarantine of prompt parts."""
-    metrics.gauge(
-        "bluebellrun_suspected_prompt_parts",
-        "Parts of prompts under which upstreams crashed",
-        quarantine.suspect_count,
-    )
-    metrics.gauge(
-        "bluebellrun_quarantined_requests",
-        "Requests not sent because of their prompts, since the start",
-        lambda: guard.refusals,
-    )
-
-
 class _Process:
     """The components of a gateway, connected."""
 
@@ -231,9 +184,9 @@
         self._readiness = HttpServer(
             settings.readiness, _readiness(lambda: self._lifecycle.ready), HttpLimits()
         )
-        _register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
-        _register_store_gauges(self._metrics, self._store)
-        _register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
+        register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
+        register_store_gauges(self._metrics, lambda: self._store.era)
+        register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
         self._collectors = HttpServer(address, _metrics_handler(self._metrics), HttpLimits())
 
--- a/bluebellrun/telemetry/_serving_metrics.py
+++ b/bluebellrun/telemetry/_serving_metrics.py
@@ -1,13 +1,31 @@
 """Counters and latency histograms of a serving process, in Prometheus text format."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
 
 # Dense around the usual objectives for time to first byte, and up to request deadlines.
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
 
 
+class _ServiceGauge(Collector):
+    """A gauge with one value for each service, read at each collection."""
+
+    def __init__(self, name: str, help_text: str, read: Callable[[], Mapping[str, float]]) -> None:
+        self._name = name
+        self._help = help_text
+        self._read = read
+
+    def collect(self) -> Iterable[GaugeMetricFamily]:
+        """Return the present values."""
+        family = GaugeMetricFamily(self._name, self._help, labels=["service"])
+        for service, value in sorted(self._read().items()):
+            family.add_metric([service], value)
+        return [family]
+
+
 class ServingMetrics:
     """Metrics of a gateway. Times are in seconds."""
 
@@ -56,6 +74,12 @@
         """Register a gauge whose value is read at each collection."""
         Gauge(name, help_text, registry=self._registry).set_function(read)
 
+    def gauge_by_service(
+        self, name: str, help_text: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Register a gauge whose values by service are read at each collection."""
+        self._registry.register(_ServiceGauge(name, help_text, read))
+
     def record_request(
         self,
         service: str,
--- a/tests/gateway/test_fleet_groups.py
+++ b/tests/gateway/test_fleet_groups.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from random import Random
 
+from structlog.testing import capture_logs
+
 from bluebellrun.admission import GateSettings, GroupGates, GroupPauses, GroupPauseSettings
 from bluebellrun.core import Address
 from bluebellrun.gateway import Fleet, Upstream, UpstreamDirectory
@@ -180,3 +182,21 @@
     service.break_groups("bc", 10.0)
     assert not service.fleet.has_other_group(rank, (), 10.0)
     assert not Service(grouped=False).fleet.has_other_group(rank, (), 10.0)
+
+
+# Guards: an operator did not see which group had failed, or saw each refusal of it.
+def test_the_outage_of_a_group_is_counted_and_logged_once():
+    service = Service()
+    with capture_logs() as logs:
+        service.break_groups("b", 10.0)
+        for _ in range(3):
+            service.fleet.groups.log_changes("s", 10.1)
+        assert service.fleet.groups.unavailable_counts(10.1) == {"s": 1}
+        service.gates.record_accepted(10.2, "b2")
+        service.fleet.groups.log_changes("s", 10.2)
+    assert [(line["event"], line["group"]) for line in logs] == [
+        ("group unavailable", "b"),
+        ("group available", "b"),
+    ]
+    assert service.fleet.groups.unavailable_counts(10.2) == {"s": 0}
+    assert not Service(grouped=False).fleet.groups.unavailable_counts(10.2)
