--- a/bluebellrun/admission/__init__.py
+++ b/bluebellrun/admission/__init__.py
@@ -3,6 +3,8 @@
 from bluebellrun.admission._estimates import stated_answer_tokens
 from bluebellrun.admission._fair import FairAdmission
 from bluebellrun.admission._fifo import FifoAdmission
+from bluebellrun.admission._group_gates import GroupGates, GroupGateSettings
+from bluebellrun.admission._group_pauses import GroupPauses, GroupPauseSettings
 from bluebellrun.admission._models import (
     AdmissionPolicy,
     AdmissionSettings,
@@ -26,6 +28,10 @@
     "FairAdmission",
     "FifoAdmission",
     "GateSettings",
+    "GroupGateSettings",
+    "GroupGates",
+    "GroupPauseSettings",
+    "GroupPauses",
     "PauseLimit",
     "PauseSettings",
     "PriorityTarget",
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -6,14 +6,14 @@
 from dataclasses import dataclass
 from random import Random
 
-import curio
-
 from bluebellrun.admission import SlotUsage
+from bluebellrun.gateway._connections import UpstreamConnections
 from bluebellrun.gateway._directory import UpstreamDirectory
+from bluebellrun.gateway._fleet_groups import FleetGroups
 from bluebellrun.gateway._limit_permits import LimitPermits
 from bluebellrun.gateway._models import Upstream, UpstreamIncarnation
 from bluebellrun.gateway._peers import PeerTable
-from bluebellrun.http import ClientTimeouts, ConnectError, HttpClient, connect
+from bluebellrun.http import HttpClient
 from bluebellrun.routing import (
     GroupTable,
     LeastWorkRouting,
@@ -27,13 +27,6 @@
 
 _log = get_logger("fleet")
 
-# Connecting within a region takes milliseconds; a lost packet costs a second.
-CONNECT_TIMEOUT_S = 0.4
-# A process that ends closes its connections and its listening socket within milliseconds of each
-# other; one that still accepts connections may be checked again after this time.
-END_CHECK_INTERVAL_S = 0.05
-# Bound on the duration of an answer where neither caller nor route sets one.
-MAX_ANSWER_S = 600.0
 # Weight of the previous value in the moving averages of durations and failures.
 SMOOTHING = 0.9
 
@@ -62,15 +55,16 @@
         groups: GroupTable | None = None,
     ) -> None:
         self._directory = directory
-        self._groups = groups or GroupTable()
+        self._groups = FleetGroups(
+            groups or GroupTable(), failure_domain, random, running_elsewhere
+        )
         self._routing = LeastWorkRouting(random, failure_domain)
         self._ejection = OutlierEjection()
         self._backoff = RequestedBackoff()
         self._permits = permits or LimitPermits(PeerTable(""))
-        self._clients: dict[UpstreamIncarnation, HttpClient] = {}
+        self._connections = UpstreamConnections(self.record_unreachable)
         self._stats: dict[str, UpstreamStats] = {}
         self._unreported: dict[str, UnreportedRequests] = {}
-        self._ended: set[UpstreamIncarnation] = set()
         self._others = 0
         self._status_age_s = 0.0
         self._running_elsewhere = running_elsewhere
@@ -86,6 +80,11 @@
         """Return the permits to send to upstreams that limit their rate."""
         return self._permits
 
+    @property
+    def groups(self) -> FleetGroups:
+        """Return the groups of the services."""
+        return self._groups
+
     def set_other_entries(self, entries: int, status_age_s: float) -> None:
         """Set the number of other entries that send requests, and the age of their status."""
         self._others = entries
@@ -112,6 +111,19 @@
         accepting = self._accepting(upstream.service, now)
         return any(self._permits.rate(item) is None for item in accepting if item != upstream)
 
+    def has_other_group(self, upstream: Upstream, excluded: Collection[str], now: float) -> bool:
+        """Return whether another group of the service accepts a request now."""
+        if not self._groups.has_several(upstream.service):
+            return False
+        available = self.available(upstream.service, now)
+        left = [item for item in available if item.instance not in excluded]
+        return self._groups.has_other_open(upstream, left, now)
+
+    def group_instances(self, upstream: Upstream) -> Collection[str]:
+        """Return the upstreams of a group that is one of several, also those that are leaving."""
+        groups = self._groups.split(self._directory.of_service(upstream.service))
+        return [item.instance for item in groups.get(self._groups.key(upstream), [])]
+
     def choose(
         self, service: str, excluded: Collection[str], now: float, unlimited: bool = False
     ) -> Upstream | None:
@@ -119,19 +131,25 @@
 
         With ``unlimited``, upstreams that limit their rate are left out.
         """
-        usable = self.available(service, now)
+        usable = self._all_accepting(service, now)
+        ready = [item for item in usable if not self._permits.wait_s(item, now)]
+        may_probe = not excluded and not unlimited
+        usable = self._groups.open_or_probed(service, usable, ready, may_probe, now)
         candidates = [upstream for upstream in usable if upstream.instance not in excluded]
         if unlimited:
             candidates = [item for item in candidates if self._permits.rate(item) is None]
         names = [upstream.instance for upstream in candidates]
         ejected = self._ejection.ejected(names, now)
         healthy = [item for item in candidates if item.instance not in ejected] or candidates
-        healthy = self._without_slow(healthy, len(usable), now)
+        healthy = self._without_slow(service, healthy, len(usable), now)
         typical_s, failure_rate = self._averages(healthy)
         works = [self._work(item, typical_s, failure_rate) for item in healthy]
         unreported = self._unreported.setdefault(service, UnreportedRequests())
         unreported.record(now)
-        chosen = self._routing.choose(works, unreported.expected(self._others, self._status_age_s))
+        expected = unreported.expected(self._others, self._status_age_s)
+        if self._groups.has_several(service):
+            works, expected = self._groups.choose(service, works, expected, now)
+        chosen = self._routing.choose(works, expected)
         return None if chosen is None else self._directory.find(chosen.name)
 
     def is_drained(self, upstream: Upstream, now: float) -> bool:
@@ -139,15 +157,15 @@
         if upstream.instance not in self._slow_now(now):
             return False
         usable = self._directory.usable(upstream.service, now)
-        return upstream not in self._without_slow(usable, len(usable), now)
+        return upstream not in self._without_slow(upstream.service, usable, len(usable), now)
 
     def slot_usage(self, service: str, now: float) -> SlotUsage:
         """Return the slots of a service and how many requests occupy or await one."""
         usable = self._accepting(service, now)
-        usable = self._without_slow(usable, len(usable), now)
+        usable = self._without_slow(service, usable, len(usable), now)
         typical_s, _ = self._averages(usable)
         taken = sum(self.running(item.instance) for item in usable)
-        slots = sum(self._usable_slots(item, typical_s) for item in usable)
+        slots = sum(self._usable_slots(item, typical_s, now) for item in usable)
         return SlotUsage(max(math.ceil(slots), 1 if usable else 0), taken, typical_s)
 
     def load_of(self, instances: Collection[str]) -> float:
@@ -156,6 +174,19 @@
         slots = sum(item.slots for item in found)
         return sum(self.running(item.instance) for item in found) / slots if slots else 0.0
 
+    def load(self, service: str, instance: str | None, now: float) -> float:
+        """Return the fraction of the slots taken: of an upstream's group, if it is one of several.
+
+        Slots that the group must leave free for its passes to be in time count too.
+        """
+        upstream = None if instance is None else self._directory.find(instance)
+        if upstream is None or not self._groups.has_several(service):
+            return self.slot_usage(service, now).load
+        key = self._groups.key(upstream)
+        ranks = self._groups.split(self._directory.usable(service, now)).get(key, [])
+        slots = sum(item.slots for item in ranks)
+        return sum(self.running(item.instance) for item in ranks) / slots if slots else 0.0
+
     def typical_s(self, service: str, now: float) -> float:
         """Return the typical duration of a request of a service, 0 while it is unknown."""
         return self._averages(self._accepting(service, now))[0]
@@ -174,12 +205,7 @@
 
     def client(self, upstream: Upstream) -> HttpClient:
         """Return the client that pools connections to an upstream."""
-        client = self._clients.get(upstream.incarnation)
-        if client is None:
-            timeouts = ClientTimeouts(CONNECT_TIMEOUT_S, MAX_ANSWER_S, MAX_ANSWER_S)
-            client = HttpClient(upstream.address, timeouts)
-            self._clients[upstream.incarnation] = client
-        return client
+        return self._connections.client(upstream)
 
     def mark_leaving(
         self, incarnation: UpstreamIncarnation, now: float, reported_by: str | None = None
@@ -208,24 +234,11 @@
 
     def is_known_ended(self, upstream: Upstream) -> bool:
         """Return whether an upstream's process was found to have ended."""
-        return upstream.incarnation in self._ended
+        return self._connections.is_known_ended(upstream)
 
     async def has_ended(self, upstream: Upstream, checks: int = 1) -> bool:
         """Return whether an upstream's process has ended: its host refuses connections to it."""
-        for check in range(checks):
-            if check:
-                await curio.sleep(END_CHECK_INTERVAL_S)
-            if upstream.incarnation in self._ended:
-                return True
-            try:
-                sock = await connect(upstream.address, CONNECT_TIMEOUT_S)
-            except ConnectError as error:
-                self.record_unreachable(upstream.instance, time.monotonic())
-                if error.refused:
-                    self._ended.add(upstream.incarnation)
-                return error.refused
-            await sock.close()
-        return False
+        return await self._connections.has_ended(upstream, checks)
 
     def record_result(self, instance: str, failed: bool, seconds: float, now: float) -> None:
         """Record the duration of a request at an upstream and whether it failed."""
@@ -243,13 +256,9 @@
         """Close pooled connections to removed upstreams and drop their statistics."""
         known = set(self._directory.instances)
         incarnations = self._directory.incarnations
-        for incarnation in [
-            incarnation for incarnation in self._clients if incarnation not in incarnations
-        ]:
-            await self._clients.pop(incarnation).close()
+        await self._connections.retain(incarnations)
         self._backoff.retain(incarnations)
         self._permits.retain(incarnations)
-        self._ended &= incarnations
         departed = [name for name, item in self._stats.items() if name not in known]
         for instance in departed:
             if self._stats[instance].running == 0:
@@ -258,10 +267,13 @@
 
     async def close(self) -> None:
         """Close all pooled connections."""
-        for client in self._clients.values():
-            await client.close()
+        await self._connections.close()
 
     def _accepting(self, service: str, now: float) -> list[Upstream]:
+        """Return the upstreams of a service that accept requests, without unavailable groups."""
+        return self._groups.open_only(service, self._all_accepting(service, now), now)
+
+    def _all_accepting(self, service: str, now: float) -> list[Upstream]:
         """Return the usable upstreams of a service that have not asked for a backoff."""
         usable = self._directory.usable(service, now)
         return [item for item in usable if not self._backoff.remaining_s(item.incarnation, now)]
@@ -271,22 +283,31 @@
         backoff_s = self._backoff.remaining_s(upstream.incarnation, now)
         return max(backoff_s, self._permits.wait_s(upstream, now))
 
-    def _usable_slots(self, upstream: Upstream, typical_s: float) -> float:
-        """Return how many slots of an upstream its rate limit fills."""
+    def _usable_slots(self, upstream: Upstream, typical_s: float, now: float) -> float:
+        """Return how many slots of an upstream its rate limit fills and its passes allow."""
+        slots: float = upstream.slots
+        if self._groups.has_several(upstream.service):
+            slots *= self._groups.fraction(upstream, now)
         rate = self._permits.rate(upstream)
         if rate is None or not typical_s:
-            return upstream.slots
-        return min(upstream.slots, rate * typical_s)
+            return slots
+        return min(slots, rate * typical_s)
 
     def _without_slow(
-        self, upstreams: Collection[Upstream], group_size: int, now: float
+        self, service: str, upstreams: Collection[Upstream], size: int, now: float
     ) -> list[Upstream]:
-        """Return the upstreams without the ranks that delay their group, if those are few."""
+        """Return the upstreams without the ranks that delay their group, if those are few.
+
+        ``size`` is that of the group if the service has only one.
+        """
         slow = self._slow_now(now)
         if not slow:
             return list(upstreams)
-        reported = {item.instance: slow.get(item.instance, 1.0) for item in upstreams}
-        drained = ranks_to_drain(reported, group_size)
+        if self._groups.has_several(service):
+            drained = self._groups.ranks_to_drain(upstreams, slow)
+        else:
+            reported = {item.instance: slow.get(item.instance, 1.0) for item in upstreams}
+            drained = ranks_to_drain(reported, size)
         return [item for item in upstreams if item.instance not in drained]
 
     def _averages(self, upstreams: Collection[Upstream]) -> tuple[float, float]:
