Keep requests from evacuated failure domains

The store's key op/evacuate/ZONE asks that no request be sent to upstreams of a failure domain.

Copies of older builds carry no evacuations and therefore change none; the new last field of a copy tells. The upstream directory leaves the upstreams out, so queues, retries and resumed streams choose others. A request that waited for a permit or a connection is checked again before its first byte, and chooses again without a retry being charged. If a service has only evacuated upstreams, new and queued requests are refused with 503 at once.

--- a/bluebellrun/deployment/_host.py
+++ b/bluebellrun/deployment/_host.py
@@ -28,7 +28,7 @@
     """Times that users hold the system to, in seconds, and the bounds of retries.
 
     ``calm_s`` after trouble has ended all bounds hold again; ``apply_s`` is the longest that a
-    change of the configuration may take to be in force.
+    change of the configuration may take to be in force, ``evacuation_s`` that of an evacuation.
     Within ``retry_window_s`` a service gets at most ``retry_ratio`` times its requests, plus
     ``retry_slack``, as further sends, over all entries together.
     """
@@ -41,6 +41,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 90.0
     fenced_orders: bool = True
+    evacuation_s: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellrun/gateway/__init__.py
+++ b/bluebellrun/gateway/__init__.py
@@ -38,6 +38,8 @@
     from bluebellrun.gateway._relay import Relay
     from bluebellrun.gateway._store_changes import (
         ConfigurationWritten,
+        DomainEvacuated,
+        EvacuationWithdrawn,
         RecordWritten,
         StoreChange,
         StoreReader,
@@ -54,6 +56,8 @@
     "BrokenOff": "_models",
     "CallerRequest": "_models",
     "ConfigurationWritten": "_store_changes",
+    "DomainEvacuated": "_store_changes",
+    "EvacuationWithdrawn": "_store_changes",
     "EventSplitter": "_events",
     "Fleet": "_fleet",
     "Gateway": "_gateway",
@@ -91,6 +95,8 @@
     "CallerRequest",
     "CompleteEvents",
     "ConfigurationWritten",
+    "DomainEvacuated",
+    "EvacuationWithdrawn",
     "EventSplitter",
     "Fleet",
     "Gateway",
--- a/bluebellrun/gateway/_admission_control.py
+++ b/bluebellrun/gateway/_admission_control.py
@@ -43,6 +43,8 @@
 RETRY_ESCALATION_S = 0.7
 # A new request that has waited for this fraction of its objective is late.
 MAX_TIMELY_WAIT_FRACTION = 0.5
+# Retry-After where a service is evacuated: no entry knows when the operator ends that.
+EVACUATED_RETRY_S = 1.0
 # Upper factor of the random spread of retry times when all upstreams have asked for a backoff.
 MAX_RETRY_SPREAD = 1.5
 
@@ -115,6 +117,8 @@
 
         One that was ``attempted`` waits for the end of the outage that refused it.
         """
+        if self._is_evacuated():
+            return self._evacuation_refusal()
         if attempted:
             refused: Refused | None = self._outage_refusal()
         else:
@@ -177,6 +181,9 @@
         try:
             while self._may_wait(terms, ticket):
                 await curio.sleep(QUEUE_INTERVAL_S)
+                if self._is_evacuated():
+                    refused = self._evacuation_refusal()
+                    break
                 is_late = _is_late(terms, started)
                 if is_late and self._queue.ahead_of(ticket):
                     continue
@@ -267,6 +274,15 @@
         """Return the refusal of a request in an outage, without a time to retry after."""
         return Refused(UNAVAILABLE, f"service {self._service!r} is out of order")
 
+    def _is_evacuated(self) -> bool:
+        """Return whether all upstreams of the service are in evacuated failure domains."""
+        return self._fleet.directory.is_evacuated(self._service)
+
+    def _evacuation_refusal(self) -> Refused:
+        """Return the refusal of a request while the service is evacuated."""
+        reason = f"all upstreams of service {self._service!r} are evacuated"
+        return Refused(UNAVAILABLE, reason, EVACUATED_RETRY_S)
+
     def _admission_fraction(self, route: Route, urgency: int) -> float:
         """Return the fraction of slots that may be occupied when a request is admitted."""
         part = self._reserve.slot_fraction(urgency)
--- a/bluebellrun/gateway/_catch_up.py
+++ b/bluebellrun/gateway/_catch_up.py
@@ -49,12 +49,13 @@
 class _StoreCopy(msgspec.Struct, frozen=True, array_like=True):
     """The keys that one entry read, and the store's revision and era up to which it read them.
 
-    Older builds name no era.
+    Older builds name no era, and no evacuations among the keys.
     """
 
     revision: int
     keys: list[_Key]
     era: int = 0
+    has_evacuations: bool = False
 
 
 _decoder = msgspec.msgpack.Decoder(_StoreCopy)
@@ -141,11 +142,13 @@
             raise ValueError(f"{address} answered {status} to a request for its store copy")
         copy = decode(_decoder, data)
         items = tuple(KeyValue(item.key, item.value, item.revision) for item in copy.keys)
-        self._view.apply_peer_snapshot(Snapshot(items, copy.revision, copy.era), outage_age_s)
+        snapshot = Snapshot(items, copy.revision, copy.era)
+        self._view.apply_peer_snapshot(snapshot, outage_age_s, copy.has_evacuations)
 
     async def _serve_copy(self, exchange: HttpExchange) -> None:
         """Answer with what this entry read."""
         keys = [_Key(item.key, item.value, item.mod_revision) for item in self._view.shared]
         position = self._view.position
-        body = msgspec.msgpack.encode(_StoreCopy(position.revision, keys, position.era))
+        copy = _StoreCopy(position.revision, keys, position.era, self._view.knows_evacuations)
+        body = msgspec.msgpack.encode(copy)
         await exchange.answer(OK, [("content-type", "application/msgpack")], body)
--- a/bluebellrun/gateway/_directory.py
+++ b/bluebellrun/gateway/_directory.py
@@ -2,13 +2,14 @@
 
 Pure; times in seconds. A registration that lapsed during a store outage may be written again, so
 its upstream stays in use for a short time after the outage. One removed while the store is healthy
-is dropped immediately.
+is dropped immediately. Upstreams of evacuated failure domains stay registered and get no work.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import replace
 
 from bluebellrun.core import Address
+from bluebellrun.gateway._evacuations import Evacuations
 from bluebellrun.gateway._models import Upstream, UpstreamIncarnation
 
 # Registrations that lapsed in a store outage are written again within two seconds of its end.
@@ -32,7 +33,9 @@
         self._departed: dict[UpstreamIncarnation, None] = {}
         # Registrations of an older copy of the store, and when they apply.
         self._revived: dict[str, tuple[Upstream, float]] = {}
+        self._evacuations = Evacuations()
         self._by_service: dict[str, list[Upstream]] = {}
+        self._evacuated_services: set[str] = set()
 
     @property
     def instances(self) -> Iterable[str]:
@@ -58,6 +61,53 @@
             self.expire(now)
         return self._by_service.get(service, [])
 
+    def in_domain(self, domain: str) -> list[Upstream]:
+        """Return all upstreams of a failure domain."""
+        return [item for item in self._upstreams.values() if item.failure_domain == domain]
+
+    @property
+    def evacuated_domains(self) -> Collection[str]:
+        """Return the failure domains whose upstreams get no requests."""
+        return self._evacuations.domains
+
+    def may_send(self, upstream: Upstream) -> bool:
+        """Return whether a chosen upstream may still be sent a request.
+
+        A domain may be evacuated while a request waits for a permit or a connection.
+        """
+        return upstream.failure_domain not in self._evacuations.domains
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether only evacuations keep a service without upstreams."""
+        return service in self._evacuated_services
+
+    def evacuate(self, domain: str, revision: int) -> bool:
+        """Leave out the upstreams of a failure domain; return whether they were in use."""
+        is_new = self._evacuations.put(domain, revision)
+        self._index()
+        return is_new
+
+    def withdraw_evacuation(self, domain: str) -> bool:
+        """Use the upstreams of a failure domain again; return whether it was evacuated."""
+        was_evacuated = self._evacuations.withdraw(domain)
+        self._index()
+        return was_evacuated
+
+    def replace_evacuations(
+        self, revisions: Mapping[str, int], now: float, restored: bool = False
+    ) -> tuple[list[str], list[str]]:
+        """Replace all evacuations; return the domains where they begin and where they end."""
+        changes = self._evacuations.replace_all(revisions, now, restored)
+        self._index()
+        return changes
+
+    def expire_evacuations(self, now: float) -> list[str]:
+        """Withdraw evacuations that a restored store lacks for long; return their domains."""
+        expired = self._evacuations.expire(now)
+        if expired:
+            self._index()
+        return expired
+
     def replace_all(
         self,
         records: Mapping[str, Upstream],
@@ -182,7 +232,13 @@
             endpoint = (upstream.service, upstream.address)
             latest[endpoint] = max(upstream.started_ms, latest.get(endpoint, 0))
         self._by_service = {}
+        evacuated: set[str] = set()
         for upstream in self._upstreams.values():
             is_latest = upstream.started_ms >= latest[upstream.service, upstream.address]
-            if is_latest and not upstream.leaving:
+            if not is_latest or upstream.leaving:
+                continue
+            if upstream.failure_domain in self._evacuations.domains:
+                evacuated.add(upstream.service)
+            else:
                 self._by_service.setdefault(upstream.service, []).append(upstream)
+        self._evacuated_services = evacuated - self._by_service.keys()
--- a/bluebellrun/gateway/_outcomes.py
+++ b/bluebellrun/gateway/_outcomes.py
@@ -14,6 +14,13 @@
     had_slots: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """The request was not sent: after the choice of the upstream, it may get no requests."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Lost:
     """The request may have run; its answer is unknown or incomplete.
@@ -47,4 +54,4 @@
     status: int
 
 
-Outcome = Declined | Lost | Failed | Moved | Done
+Outcome = Declined | NotSent | Lost | Failed | Moved | Done
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -345,6 +345,7 @@
             if others is not None:
                 self._gateway.set_entries(1 + others)
                 self._fleet.set_other_entries(others, status_age_s(others))
+            self._view.expire_evacuations()
             await self._fleet.forget_departed()
 
 
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -34,7 +34,7 @@
     UpstreamAnswer,
     UpstreamIncarnation,
 )
-from bluebellrun.gateway._outcomes import Declined, Done, Failed, Lost, Moved, Outcome
+from bluebellrun.gateway._outcomes import Declined, Done, Failed, Lost, Moved, NotSent, Outcome
 from bluebellrun.gateway._passing import StreamProgress, forward_answer, forward_stream
 from bluebellrun.gateway._ports import Wire
 from bluebellrun.gateway._prompt_guard import LossCause, PromptGuard
@@ -43,6 +43,7 @@
     ConnectionLostError,
     HttpExchange,
     HttpResponse,
+    NotSentError,
     TransportError,
 )
 from bluebellrun.quarantine import Allowed, Decision, Pending, Probe, Quarantined
@@ -206,7 +207,9 @@
                 return withheld
             upstream = await self._choose_upstream()
             now = time.monotonic()
-            if upstream is None or not (isinstance(outcome, Moved) or self._may_attempt(now)):
+            # An attempt that was not sent has not used its retry.
+            is_granted = isinstance(outcome, Moved | NotSent)
+            if upstream is None or not (is_granted or self._may_attempt(now)):
                 self._end_probe()
                 if isinstance(outcome, Declined) and self._fleet.is_at_limits(self._service, now):
                     outcome = Declined("the upstreams of the service are at their rate limits")
@@ -223,7 +226,7 @@
                     if not self._may_run_again():
                         return await self._give_up(outcome)
             self._excluded.add(upstream.instance)
-            resumes = self._exchange.started and not isinstance(outcome, Moved)
+            resumes = self._exchange.started and not isinstance(outcome, Moved | NotSent)
             if resumes and not await self._await_resumption():
                 return await self._give_up(outcome)
 
@@ -400,7 +403,7 @@
             case Failed(answer, body):
                 await self._exchange.answer(answer.status, answer.headers, body)
                 return Answered(answer.status, "", self._attempts)
-            case Declined(reason) | Lost(reason) | Moved(reason):
+            case Declined(reason) | NotSent(reason) | Lost(reason) | Moved(reason):
                 pass
             case Done(status):
                 return Answered(status, "", self._attempts)
@@ -461,7 +464,7 @@
             case Failed(answer, _):
                 reason = f"upstream answered {answer.status}"
                 self._fleet.record_result(upstream.instance, True, now - started, now)
-            case Moved(reason):
+            case Moved(reason) | NotSent(reason):
                 pass
             case Done():
                 self._fleet.record_result(upstream.instance, False, now - started, now)
@@ -514,7 +517,12 @@
                 accept=self._wire.answers_to(request),
                 max_idle_s=max_idle_s,
                 new_connection=sent_before,
+                may_send=partial(self._fleet.directory.may_send, upstream),
             )
+        except NotSentError:
+            self._runs -= 1
+            domain = upstream.failure_domain
+            return NotSent(f"failure domain {domain!r} was evacuated before the request was sent")
         except ConnectError as error:
             self._runs -= 1
             return Declined(str(error), unreachable=True)
--- a/bluebellrun/gateway/_store_changes.py
+++ b/bluebellrun/gateway/_store_changes.py
@@ -29,6 +29,22 @@
     instance: str
 
 
+@dataclass(frozen=True, slots=True)
+class DomainEvacuated:
+    """The operator evacuated a failure domain: its upstreams get no requests."""
+
+    domain: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationWithdrawn:
+    """The operator withdrew the evacuation of a failure domain."""
+
+    domain: str
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class RecordWritten:
     """A record of the project's own was written, or deleted when the value is none.
@@ -57,7 +73,15 @@
     instance: str | None = None
 
 
-StoreChange = ConfigurationWritten | UpstreamWritten | UpstreamRemoved | RecordWritten | Unreadable
+StoreChange = (
+    ConfigurationWritten
+    | UpstreamWritten
+    | UpstreamRemoved
+    | DomainEvacuated
+    | EvacuationWithdrawn
+    | RecordWritten
+    | Unreadable
+)
 
 
 class StoreReader(Protocol):
--- a/bluebellrun/gateway/_store_view.py
+++ b/bluebellrun/gateway/_store_view.py
@@ -7,9 +7,12 @@
 from bluebellrun.core import Clock
 from bluebellrun.deployment import Bounds, Deployment
 from bluebellrun.gateway._directory import LAPSE_GRACE_S, UpstreamDirectory
+from bluebellrun.gateway._evacuation_follower import EvacuationFollower
 from bluebellrun.gateway._models import Upstream
 from bluebellrun.gateway._store_changes import (
     ConfigurationWritten,
+    DomainEvacuated,
+    EvacuationWithdrawn,
     RecordWritten,
     StoreChange,
     StoreReader,
@@ -60,10 +63,10 @@
     """Return how to watch the store, so that changes are in force in time.
 
     ``apply_s`` counts from the change, not from when it is read. If the answer that tells of it is
-    lost, or its connection has gone silent, the change has to be in force ``calm_s`` later: by then
-    the call was given up and the change was read again.
+    lost, or its connection has gone silent, the change has to be in force ``calm_s`` later, and an
+    evacuation ``evacuation_s`` later: by then the call was given up and the change was read again.
     """
-    wait_s = bounds.calm_s - ANSWER_S - READ_AGAIN_S
+    wait_s = min(bounds.calm_s, bounds.evacuation_s) - ANSWER_S - READ_AGAIN_S
     return WatchTiming(
         max(MIN_WATCH_WAIT_S, wait_s), BATCH_FRACTION * bounds.apply_s, answer_s=ANSWER_S
     )
@@ -90,6 +93,7 @@
         self._shared: dict[str, KeyValue] = {}
         self._era = 0
         self._copied = StorePosition()
+        self._evacuations = EvacuationFollower(directory)
         self._was_restored = False
         self._follower = PrefixFollower(
             store,
@@ -120,6 +124,15 @@
         """Return the keys that other entries may copy, as they were last read."""
         return list(self._shared.values())
 
+    @property
+    def knows_evacuations(self) -> bool:
+        """Return whether this entry knows the evacuations at its position."""
+        return self._evacuations.is_complete(self._follower.position)
+
+    def expire_evacuations(self) -> None:
+        """Withdraw evacuations that a restored store lacks for long."""
+        self._evacuations.expire(self._clock.now(), self.revision)
+
     def silence_s(self) -> float:
         """Return the seconds since the last store contact; infinite before the first."""
         confirmed_at = self._follower.confirmed_at
@@ -150,13 +163,16 @@
         """Return the revision of ``position``."""
         return self.position.revision
 
-    def apply_peer_snapshot(self, copy: Snapshot, outage_age_s: float = 0.0) -> bool:
+    def apply_peer_snapshot(
+        self, copy: Snapshot, outage_age_s: float = 0.0, has_evacuations: bool = True
+    ) -> bool:
         """Apply another entry's copy of the store while this one does not hear from the store.
 
         A copy older than this entry's own is ignored: it would restore upstreams that have left
         and keys that were withdrawn. Upstreams that are not in it have left, unless the store's
         last outage for the other entry ended only ``outage_age_s`` ago: their registrations may
-        have lapsed. Return whether the copy was applied.
+        have lapsed. Copies of older builds have no evacuations; those known then stay in force.
+        Return whether the copy was applied.
         """
         now = self._clock.now()
         known = self.position
@@ -166,7 +182,9 @@
             self._copied = position
             restored = self._enter_era(known.era, position.era)
             ended_at = now - outage_age_s if outage_age_s < LAPSE_GRACE_S else None
-            self._replace_all(copy.items, now, now if restored else ended_at, restored)
+            self._evacuations.record_copy(position, has_evacuations)
+            ended_at = now if restored else ended_at
+            self._replace_all(copy.items, now, ended_at, restored, has_evacuations)
         _log.info(
             "store copy of another entry applied" if applied else "older store copy ignored",
             keys=len(copy.items),
@@ -221,21 +239,37 @@
         now: float,
         outage_ended_at: float | None,
         restored: bool = False,
+        has_evacuations: bool = True,
     ) -> int:
         """Replace all keys; return how many upstreams are registered."""
         upstreams: dict[str, Upstream] = {}
+        evacuations: dict[str, int] = {}
+        kept = {} if has_evacuations else self._shared_evacuations()
         self._shared.clear()
+        self._shared.update(kept)
         for pair in items:
             item = self._read(pair.key, pair.value, pair.mod_revision)
             if self._reader.is_shared(pair.key):
                 self._shared[pair.key] = pair
             if isinstance(item, UpstreamWritten):
                 upstreams[item.upstream.instance] = item.upstream
+            elif isinstance(item, DomainEvacuated):
+                evacuations[item.domain] = item.revision
             elif item is not None:
                 self._apply(item, now)
         self._directory.replace_all(upstreams, now, outage_ended_at, restored)
+        if has_evacuations:
+            self._evacuations.replace_all(evacuations, now, restored, self.revision)
         return len(upstreams)
 
+    def _shared_evacuations(self) -> dict[str, KeyValue]:
+        """Return the shared keys of the evacuations in force."""
+        return {
+            key: pair
+            for key, pair in self._shared.items()
+            if isinstance(self._read(key, pair.value, pair.mod_revision), DomainEvacuated)
+        }
+
     async def _apply_events(self, events: list[WatchEvent]) -> None:
         """Apply changes in order."""
         now = self._clock.now()
@@ -278,6 +312,8 @@
                 ended_at = self._outage_ended_at(now)
                 self._directory.remove(instance, ended_at)
                 _log.info("upstream removed", upstream=instance, may_be_lapsed=ended_at is not None)
+            case DomainEvacuated() | EvacuationWithdrawn():
+                self._evacuations.apply(change, self._era, now)
             case RecordWritten(key, value):
                 if value is None:
                     self._records.pop(key, None)
--- a/bluebellrun/http/__init__.py
+++ b/bluebellrun/http/__init__.py
@@ -12,6 +12,7 @@
     BadResponseError,
     ConnectError,
     ConnectionLostError,
+    NotSentError,
     PeerTimeoutError,
     TransportError,
 )
@@ -61,6 +62,7 @@
     "HttpServer",
     "LinkSecurity",
     "Listener",
+    "NotSentError",
     "PeerNotAllowedError",
     "PeerTimeoutError",
     "Tls",
--- a/bluebellrun/http/_client.py
+++ b/bluebellrun/http/_client.py
@@ -14,6 +14,7 @@
     BadResponseError,
     ConnectError,
     ConnectionLostError,
+    NotSentError,
     PeerTimeoutError,
 )
 from bluebellrun.http._listener import is_readable
@@ -183,17 +184,21 @@
         accept: AcceptResponse | None = None,
         max_idle_s: float | None = None,
         new_connection: bool = False,
+        may_send: Callable[[], bool] | None = None,
     ) -> HttpResponse:
         """Send a request and return its response once the head has arrived.
 
         A response that ``accept`` turns down answers another request and is skipped. A kept
         connection is used only if it has been idle for at most ``max_idle_s`` seconds, and none
-        with ``new_connection``.
+        with ``new_connection``. ``may_send`` is asked again once there is a connection.
 
-        Raises ``ConnectError`` when no byte was sent, ``PeerTimeoutError``,
+        Raises ``ConnectError`` or ``NotSentError`` when no byte was sent, ``PeerTimeoutError``,
         ``ConnectionLostError`` or ``BadResponseError`` when the request may have been received.
         """
         connection = await (self._connect() if new_connection else self._take(max_idle_s))
+        if may_send is not None and not may_send():
+            await self._keep(connection)
+            raise NotSentError(f"the request to {self._address} was withdrawn before it was sent")
         try:
             await connection.send_request(self._address, method, target, headers, body)
             response = HttpResponse(connection, self)
@@ -242,7 +247,14 @@
 
     async def release(self, connection: "_ClientConnection") -> None:
         """Keep a connection whose response has ended, if it can serve another."""
-        if connection.start_next_cycle() and len(self._idle) < self._max_idle:
+        if connection.start_next_cycle():
+            await self._keep(connection)
+            return
+        await connection.close()
+
+    async def _keep(self, connection: "_ClientConnection") -> None:
+        """Keep an idle connection if there is room for it."""
+        if len(self._idle) < self._max_idle:
             self._idle.append(connection)
             return
         await connection.close()
--- a/bluebellrun/http/_exceptions.py
+++ b/bluebellrun/http/_exceptions.py
@@ -16,6 +16,10 @@
         self.refused = refused
 
 
+class NotSentError(TransportError):
+    """The caller withdrew the request while it waited for a connection; no byte of it was sent."""
+
+
 class ConnectionLostError(TransportError):
     """The connection ended after some of the message may have left this process.
 
--- a/bluebellrun/platform/_catalogue.py
+++ b/bluebellrun/platform/_catalogue.py
@@ -2,6 +2,8 @@
 
 from bluebellrun.gateway import (
     ConfigurationWritten,
+    DomainEvacuated,
+    EvacuationWithdrawn,
     RecordWritten,
     StoreChange,
     Unreadable,
@@ -9,7 +11,12 @@
     UpstreamWritten,
 )
 from bluebellrun.platform._configuration import ConfigurationError, read_configuration
-from bluebellrun.platform._names import CONFIGURATION_KEY, OWN_PREFIX, UPSTREAM_KEY_PREFIX
+from bluebellrun.platform._names import (
+    CONFIGURATION_KEY,
+    EVACUATION_KEY_PREFIX,
+    OWN_PREFIX,
+    UPSTREAM_KEY_PREFIX,
+)
 from bluebellrun.platform._registrations import RegistrationError, read_registration
 
 
@@ -23,7 +30,8 @@
 
     def is_shared(self, key: str) -> bool:
         """Return whether a key is the same for all entries, so that entries may share its value."""
-        return key == CONFIGURATION_KEY or key.startswith(UPSTREAM_KEY_PREFIX)
+        prefixes = (UPSTREAM_KEY_PREFIX, EVACUATION_KEY_PREFIX)
+        return key == CONFIGURATION_KEY or key.startswith(prefixes)
 
     def read(self, key: str, value: bytes | None, revision: int) -> StoreChange | None:
         """Decode a written key, or its deletion if ``value`` is ``None``."""
@@ -31,6 +39,8 @@
             return self._configuration(key, value, revision)
         if key.startswith(UPSTREAM_KEY_PREFIX):
             return self._upstream(key, value)
+        if key.startswith(EVACUATION_KEY_PREFIX):
+            return self._evacuation(key, value, revision)
         if key.startswith(OWN_PREFIX):
             return RecordWritten(key, value, revision)
         return None
@@ -44,6 +54,15 @@
         except ConfigurationError as error:
             return Unreadable(key, str(error))
 
+    def _evacuation(self, key: str, value: bytes | None, revision: int) -> StoreChange:
+        """Decode an evacuation or its withdrawal; its value has no meaning."""
+        domain = key.removeprefix(EVACUATION_KEY_PREFIX)
+        if not domain:
+            return Unreadable(key, "it names no failure domain")
+        if value is None:
+            return EvacuationWithdrawn(domain, revision)
+        return DomainEvacuated(domain, revision)
+
     def _upstream(self, key: str, value: bytes | None) -> StoreChange:
         """Decode a change of an upstream's registration."""
         instance = key.removeprefix(UPSTREAM_KEY_PREFIX)
--- a/bluebellrun/platform/_names.py
+++ b/bluebellrun/platform/_names.py
@@ -31,6 +31,7 @@
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_KEY_PREFIX = "servers/"
+EVACUATION_KEY_PREFIX = "op/evacuate/"
 # Prefix of the keys that bluebellrun itself writes.
 OWN_PREFIX = "bluebellrun/"
 SETTINGS_FILE_VARIABLE = "BLUEBELLRUN_NODE_FILE"
--- a/bluebellrun/platform/_settings.py
+++ b/bluebellrun/platform/_settings.py
@@ -36,6 +36,7 @@
     retry_window_s: float = 10
     retry_slack: float = 90
     need_fence: bool = True
+    evac_ms: float = 5000
 
 
 class _Store(msgspec.Struct):
@@ -107,6 +108,7 @@
         retry_window_s=file.bounds.retry_window_s,
         retry_slack=file.bounds.retry_slack,
         fenced_orders=file.bounds.need_fence,
+        evacuation_s=file.bounds.evac_ms * MILLISECOND_S,
     )
     return HostSettings(
         host=file.node,
