Bound the requests to cold upstreams over all gateways

An upstream that has just started bears few requests, and all gateways together sent it their full load.

A gateway knows that an upstream is cold from its registration, its answers, a new incarnation that registers while there is traffic, the end of an evacuation, and lost contact. Permits for it come from the entry that owns it, as for rate limits, by a bucket that begins empty. Each side of a divided system uses its part of half of the bound, as the parts add up to less than two once registrations have lapsed; a part too small for one request gets none. An entry grants nothing before it has counted the register and read its own registration back for 1.5 s. A permit is used within 0.25 s. A new request that finds no permit goes elsewhere at once, and waits for at most half of its objective if there is no other upstream.

The messages about permits and the gauges move to modules of their own, as theirs had grown too long.

--- a/bluebellrun/deployment/_host.py
+++ b/bluebellrun/deployment/_host.py
@@ -30,7 +30,8 @@
     ``calm_s`` after trouble has ended all bounds hold again; ``apply_s`` is the longest that a
     change of the configuration may take to be in force, ``evacuation_s`` that of an evacuation.
     Within ``retry_window_s`` a service gets at most ``retry_ratio`` times its requests, plus
-    ``retry_slack``, as further sends, over all entries together.
+    ``retry_slack``, as further sends, over all entries together. A cold upstream gets from them in
+    any second at most ``cold_excess`` times the rate of its service, plus ``cold_slack``.
     """
 
     drain_s: float = 2.0
@@ -42,6 +43,8 @@
     retry_slack: float = 90.0
     fenced_orders: bool = True
     evacuation_s: float = 5.0
+    cold_excess: float = 1.5
+    cold_slack: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellrun/deployment/_models.py
+++ b/bluebellrun/deployment/_models.py
@@ -104,13 +104,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceTerms:
-    """A service: how its upstreams are checked, how many connections each takes, its engine."""
+    """A service: how its upstreams are checked, how many connections each takes, its engine.
+
+    Its upstreams are cold for ``cold_s`` seconds after their start; while cold, each takes
+    ``cold_per_s`` requests a second from all entries together, without a bound if that is 0.
+    """
 
     name: str
     health_path: str
     most_connections: int
     engine: EngineTerms | None = None
     delays: tuple[DomainDelay, ...] = ()
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellrun/gateway/_directory.py
+++ b/bluebellrun/gateway/_directory.py
@@ -42,6 +42,11 @@
         """Return the instances that are registered or have lapsed recently."""
         return self._upstreams.keys()
 
+    @property
+    def upstreams(self) -> Collection[Upstream]:
+        """Return the upstreams that are registered or have lapsed recently."""
+        return self._upstreams.values()
+
     @property
     def incarnations(self) -> frozenset[UpstreamIncarnation]:
         """Return the incarnations that are registered or have lapsed recently."""
--- a/bluebellrun/gateway/_evacuation_follower.py
+++ b/bluebellrun/gateway/_evacuation_follower.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from bluebellrun.gateway._cold_upstreams import ColdUpstreams
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._store_changes import DomainEvacuated, EvacuationWithdrawn
 from bluebellrun.store import StorePosition
@@ -17,8 +18,9 @@
     copy are old news then. Copies of older builds have no evacuations.
     """
 
-    def __init__(self, directory: UpstreamDirectory) -> None:
+    def __init__(self, directory: UpstreamDirectory, cold: ColdUpstreams | None = None) -> None:
         self._directory = directory
+        self._cold = cold or ColdUpstreams()
         self._copied = StorePosition()
         self._copied_without = StorePosition()
 
@@ -64,7 +66,8 @@
             self._end(domain, revision, now)
 
     def _end(self, domain: str, revision: int, now: float) -> None:
-        """Record that an evacuation has ended."""
+        """Record that an evacuation has ended: the domain's upstreams may have restarted."""
+        self._cold.record_evacuation_end(self._directory.in_domain(domain), now)
         self._log("evacuation withdrawn", domain, revision)
 
     def _log(self, event: str, domain: str, revision: int) -> None:
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -9,6 +9,7 @@
 import curio
 
 from bluebellrun.admission import SlotUsage
+from bluebellrun.gateway._cold_upstreams import ColdUpstreams
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._limit_permits import LimitPermits
 from bluebellrun.gateway._models import Upstream, UpstreamIncarnation
@@ -83,6 +84,16 @@
         """Return the permits to send to upstreams that limit their rate."""
         return self._permits
 
+    @property
+    def cold(self) -> ColdUpstreams:
+        """Return the cold upstreams."""
+        return self._permits.cold
+
+    def may_send(self, upstream: Upstream, had_permit: bool, chosen_at: float) -> bool:
+        """Return whether a request that chose an upstream earlier may be sent to it now."""
+        is_usable = self._directory.may_send(upstream)
+        return is_usable and self._permits.may_still_send(upstream, had_permit, chosen_at)
+
     def set_other_entries(self, entries: int, status_age_s: float) -> None:
         """Set the number of other entries that send requests, and the age of their status."""
         self._others = entries
@@ -129,7 +140,10 @@
         unreported = self._unreported.setdefault(service, UnreportedRequests())
         unreported.record(now)
         chosen = self._routing.choose(works, unreported.expected(self._others, self._status_age_s))
-        return None if chosen is None else self._directory.find(chosen.name)
+        if chosen is None:
+            return None
+        self.cold.record_traffic()
+        return self._directory.find(chosen.name)
 
     def is_drained(self, upstream: Upstream, now: float) -> bool:
         """Return whether an upstream is drained because it delays its group."""
@@ -196,6 +210,9 @@
     def record_unreachable(self, instance: str, now: float) -> None:
         """Record that a connection failed or went silent."""
         self._ejection.record_unreachable(instance, now)
+        upstream = self._directory.find(instance)
+        if upstream is not None:
+            self.cold.record_unreachable(upstream, now)
 
     def is_known_ended(self, upstream: Upstream) -> bool:
         """Return whether an upstream's process was found to have ended."""
--- a/bluebellrun/gateway/_gossip.py
+++ b/bluebellrun/gateway/_gossip.py
@@ -10,11 +10,6 @@
 from bluebellrun.core import Address, parse_address
 from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._fleet import Fleet
-from bluebellrun.gateway._limit_permits import (
-    PermitReply,
-    PermitRequest,
-    decode_permit_message,
-)
 from bluebellrun.gateway._peers import (
     SILENT_S,
     EntryStatus,
@@ -22,6 +17,11 @@
     decode_status,
     encode_status,
 )
+from bluebellrun.gateway._permit_messages import (
+    PermitReply,
+    PermitRequest,
+    decode_permit_message,
+)
 from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView
 from bluebellrun.runtime import spawn_background
@@ -119,7 +119,10 @@
         while True:
             has_crash = await self._crashes.own_crash_within(SEND_INTERVAL_S)
             peers = self.peers
-            self._table.expire(time.monotonic(), silent_after_s(len(peers)))
+            now = time.monotonic()
+            self._table.expire(now, silent_after_s(len(peers)))
+            if self._view.record(self._key) is not None:
+                self._fleet.permits.record_registered(now)
             await self._send(sock, peers if has_crash else self._next_peers(peers))
 
     async def keep_registered(self) -> None:
@@ -217,6 +220,12 @@
         for incarnation in status.leaving:
             self._fleet.mark_leaving(incarnation, now, reported_by=status.entry)
         self._fleet.permits.apply_reports(status.limits or [], status.entry, now)
+        if status.running:
+            self._fleet.cold.record_traffic()
+        for report in status.cold:
+            upstream = self._fleet.directory.find(report.instance)
+            if upstream is not None and upstream.incarnation == report.incarnation:
+                self._fleet.cold.apply_report(upstream, report.left_s, now)
 
     async def _answer_permit_request(
         self, sock: object, request: PermitRequest, sender: Address
--- a/bluebellrun/gateway/_limit_permits.py
+++ b/bluebellrun/gateway/_limit_permits.py
@@ -5,11 +5,12 @@
 they send. An owner that does not answer grants nothing, so a lost datagram or a dead entry costs
 the use of the upstream for a moment and never exceeds its limit. Entries that hear only a part of
 the registered ones use that part of the rate, as the others may do the same with theirs.
+
+Cold upstreams have a limit too, which their owner counts apart (``ColdPermits``).
 """
 
 import itertools
 from collections.abc import Awaitable, Callable, Collection
-from enum import Enum
 
 import curio
 import msgspec
@@ -17,12 +18,12 @@
 from bluebellrun.core import (
     Address,
     Clock,
-    DecodingError,
     MonotonicClock,
     TokenBucket,
-    decode,
     parse_address,
 )
+from bluebellrun.gateway._cold_permits import ColdPermits
+from bluebellrun.gateway._cold_upstreams import ColdUpstreams
 from bluebellrun.gateway._models import (
     LimitNotice,
     NamedLimit,
@@ -32,6 +33,7 @@
     UpstreamIncarnation,
 )
 from bluebellrun.gateway._peers import LimitReport, PeerTable
+from bluebellrun.gateway._permit_messages import PermitOutcome, PermitReply, PermitRequest
 from bluebellrun.membership import rank_by_weight
 from bluebellrun.routing import RequestedLimits
 from bluebellrun.telemetry import get_logger
@@ -49,48 +51,16 @@
 REPLY_TIMEOUT_S = 0.1
 # An owner that did not answer is asked again after this, or as soon as it is replaced.
 UNANSWERED_PAUSE_S = 0.5
+# A request with a permit for a cold upstream is sent within this time, or needs another one.
+PERMIT_VALID_S = 0.25
 # An entry that is asked and does not own the upstream: the entries disagree for a moment.
 NOT_OWNER_PAUSE_S = 0.1
 
 _log = get_logger("limits")
 
 
-class PermitOutcome(Enum):
-    """The outcome of a request for a permit."""
-
-    GRANTED = "granted"
-    DENIED = "denied"
-    UNANSWERED = "unanswered"
-
-
-class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag="permit-request"):
-    """An entry asks for a permit to send one request, and reports the limit that it knows."""
-
-    number: int
-    entry: str
-    limit: LimitReport
-
-
-class PermitReply(msgspec.Struct, frozen=True, array_like=True, tag="permit-reply"):
-    """The owner's reply; ``wait_s`` is the time until a permit may be available."""
-
-    number: int
-    granted: bool
-    wait_s: float
-
-
-PermitMessage = PermitRequest | PermitReply
 # Sends a datagram to another entry.
 SendDatagram = Callable[[bytes, Address], Awaitable[None]]
-_decoder = msgspec.msgpack.Decoder(PermitMessage)
-
-
-def decode_permit_message(data: bytes) -> PermitMessage | None:
-    """Read a datagram; none if it is no valid message about a permit."""
-    try:
-        return decode(_decoder, data)
-    except DecodingError:
-        return None
 
 
 class LimitPermits:
@@ -104,6 +74,7 @@
         peers: PeerTable,
         count: Callable[[PermitOutcome], None] = lambda outcome: None,
         clock: Clock | None = None,
+        cold: ColdUpstreams | None = None,
     ) -> None:
         self._peers = peers
         self._clock = clock or MonotonicClock()
@@ -113,6 +84,9 @@
         self._blocked_until: dict[UpstreamIncarnation, float] = {}
         self._owners: dict[UpstreamIncarnation, str] = {}
         self._owners_membership = -1
+        self._cold = cold or ColdUpstreams()
+        self._cold_permits = ColdPermits(self._cold, self._part_of_entries)
+        self._cold_denials = 0
         self._registered = 1
         self._next_report = 0
         self._send: SendDatagram | None = None
@@ -125,9 +99,24 @@
         """Return the rate limits that upstreams have named."""
         return self._limits
 
+    @property
+    def cold(self) -> ColdUpstreams:
+        """Return the cold upstreams."""
+        return self._cold
+
+    @property
+    def cold_denials(self) -> int:
+        """Return how many permits were denied because an upstream is cold."""
+        return self._cold_denials
+
     def set_registered(self, entries: int) -> None:
         """Set the number of registered entries, including this one."""
         self._registered = entries
+        self._cold_permits.record_counted()
+
+    def record_registered(self, now: float) -> None:
+        """Record that this entry's own registration has been read back from the store."""
+        self._cold_permits.record_registered(now)
 
     def connect(self, send: SendDatagram) -> None:
         """Send the requests to other entries from now on."""
@@ -136,7 +125,16 @@
     def rate(self, upstream: Upstream) -> float | None:
         """Return how many requests a second all entries may send to an upstream, or none."""
         per_s = self._limits.limit(upstream.incarnation)
-        return None if per_s is None else max(MIN_RATE_PER_S, per_s)
+        bound = self._cold.bound(upstream, self._clock.now())
+        if per_s is not None:
+            per_s = max(MIN_RATE_PER_S, per_s)
+        if bound is None:
+            return per_s
+        return bound.per_s if per_s is None else min(bound.per_s, per_s)
+
+    def is_cold(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is bounded because it is cold."""
+        return self._cold.bound(upstream, self._clock.now()) is not None
 
     def wait_s(self, upstream: Upstream, now: float) -> float:
         """Return the known time until a permit may be available, 0 if it may be now."""
@@ -144,7 +142,7 @@
             return 0.0
         key = upstream.incarnation
         if self._owner(key) == self._peers.entry:
-            return self._bucket(key, now).wait_s(now)
+            return self._wait_s(upstream, now)
         return max(0.0, self._blocked_until.get(key, now) - now)
 
     def record(self, upstream: Upstream, notice: LimitNotice, sent_at: float, now: float) -> None:
@@ -161,6 +159,15 @@
             case UnreadableLimit(text):
                 _log.warning("upstream limit ignored", upstream=upstream.instance, value=text)
 
+    def may_still_send(self, upstream: Upstream, had_permit: bool, chosen_at: float) -> bool:
+        """Return whether a request may be sent now to an upstream that it chose before.
+
+        ``had_permit`` tells that the upstream was known to be cold then.
+        """
+        if not self.is_cold(upstream):
+            return True
+        return had_permit and self._clock.now() - chosen_at <= PERMIT_VALID_S
+
     async def acquire(self, upstream: Upstream) -> bool:
         """Return whether one request may be sent to an upstream now."""
         now = self._clock.now()
@@ -168,13 +175,15 @@
             return True
         key = upstream.incarnation
         owner = self._owner(key)
+        is_cold = self.is_cold(upstream)
         if owner == self._peers.entry:
-            granted = self._bucket(key, now).try_acquire(now)
+            granted = self._try_acquire(upstream, now)
             outcome = PermitOutcome.GRANTED if granted else PermitOutcome.DENIED
         else:
-            self._buckets.pop(key, None)
+            self._forget_bucket(key)
             outcome = await self._request(upstream, owner)
         self._count(outcome)
+        self._cold_denials += is_cold and outcome is not PermitOutcome.GRANTED
         return outcome is PermitOutcome.GRANTED
 
     def answer(self, request: PermitRequest, find: Callable[[str], Upstream | None]) -> PermitReply:
@@ -186,13 +195,16 @@
         if upstream is None or upstream.incarnation != key:
             return PermitReply(request.number, False, NOT_OWNER_PAUSE_S)
         if self._owner(key) != self._peers.entry:
-            self._buckets.pop(key, None)
+            self._forget_bucket(key)
             return PermitReply(request.number, False, NOT_OWNER_PAUSE_S)
+        if request.cold_left_s > 0:
+            if not self._cold_permits.is_certain(now):
+                return PermitReply(request.number, False, NOT_OWNER_PAUSE_S)
+            self._cold.apply_report(upstream, request.cold_left_s, now)
         if self.rate(upstream) is None:
             return PermitReply(request.number, True, 0.0)
-        bucket = self._bucket(key, now)
-        granted = bucket.try_acquire(now)
-        return PermitReply(request.number, granted, bucket.wait_s(now))
+        granted = self._try_acquire(upstream, now)
+        return PermitReply(request.number, granted, self._wait_s(upstream, now))
 
     async def receive(self, reply: PermitReply) -> None:
         """Pass on a reply to the request that waits for it, if it still does."""
@@ -229,20 +241,22 @@
                     self._begin_counting(report.incarnation, now)
 
     def retain(self, upstreams: Collection[UpstreamIncarnation]) -> None:
-        """Forget all other upstreams, and the permits of those that have no limit."""
+        """Forget all other upstreams, and the permits of those that name no limit."""
         self._limits.retain(upstreams)
         limited = set(self._limits.limited())
         self._buckets = {key: item for key, item in self._buckets.items() if key in limited}
         self._blocked_until = {
-            key: until for key, until in self._blocked_until.items() if key in limited
+            key: until for key, until in self._blocked_until.items() if key in upstreams
         }
+        self._cold_permits.retain(upstreams)
 
     async def _request(self, upstream: Upstream, owner: str) -> PermitOutcome:
         """Ask the owner of an upstream for a permit."""
         number, key = next(self._numbers), upstream.incarnation
         now = self._clock.now()
         report = LimitReport(*key, self._limits.limit(key), self._limits.age_s(key, now))
-        message = PermitRequest(number, self._peers.entry, report)
+        cold_left_s = self._cold.reported_s(upstream, now) if self.is_cold(upstream) else 0.0
+        message = PermitRequest(number, self._peers.entry, report, cold_left_s)
         replied = self._pending[number] = curio.Event()
         try:
             if self._send is not None:
@@ -262,6 +276,28 @@
         self._blocked_until[key] = now + min(MAX_WAIT_S, max(0.0, reply.wait_s))
         return PermitOutcome.GRANTED if reply.granted else PermitOutcome.DENIED
 
+    def _try_acquire(self, upstream: Upstream, now: float) -> bool:
+        """Take a permit of an upstream that this entry owns, if there is one."""
+        key = upstream.incarnation
+        if not self._cold_permits.try_acquire(upstream, now):
+            return False
+        if self._limits.limit(key) is None or self._bucket(key, now).try_acquire(now):
+            return True
+        self._cold_permits.refund(upstream)
+        return False
+
+    def _wait_s(self, upstream: Upstream, now: float) -> float:
+        """Return the time until a permit of an upstream that this entry owns may be available."""
+        key, cold_s = upstream.incarnation, self._cold_permits.wait_s(upstream, now)
+        if self._limits.limit(key) is None:
+            return cold_s
+        return max(cold_s, self._bucket(key, now).wait_s(now))
+
+    def _forget_bucket(self, key: UpstreamIncarnation) -> None:
+        """Drop the permits of an upstream that another entry owns."""
+        self._buckets.pop(key, None)
+        self._cold_permits.forget(key)
+
     def _bucket(self, key: UpstreamIncarnation, now: float) -> TokenBucket:
         """Return the bucket of an upstream that this entry owns, at the rate it may use."""
         rate = max(MIN_RATE_PER_S, self._limits.limit(key) or 0.0) * self._part_of_entries()
@@ -286,6 +322,9 @@
         """Return the entry that counts an upstream's permits."""
         if self._owners_membership != self._peers.membership:
             self._owners.clear()
+            if self._owners_membership >= 0:
+                # An entry that owned an upstream until now may have used its burst.
+                self._cold_permits.clear(self._clock.now())
             self._owners_membership = self._peers.membership
         owner = self._owners.get(upstream)
         if owner is None:
--- a/bluebellrun/gateway/_models.py
+++ b/bluebellrun/gateway/_models.py
@@ -59,7 +59,7 @@
     """One incarnation of a back end. ``instance`` names it and is never given to another one.
 
     A back end may restart under the same instance; ``started_ms`` is its start in Unix
-    milliseconds.
+    milliseconds. Its registration says that it stays cold for ``cold_left_s``.
     """
 
     instance: str
@@ -69,6 +69,7 @@
     slots: int
     leaving: bool = False
     started_ms: int = 0
+    cold_left_s: float = 0.0
 
     @property
     def incarnation(self) -> UpstreamIncarnation:
@@ -117,7 +118,8 @@
     that another upstream now has its address, and ``leaving`` that it is about to stop.
     ``retry_after_s`` is the backoff that it asks of this process, none if it did not say, and
     ``limit`` the rate that it accepts from all entries together. ``names_request`` means that it
-    echoes the request's id, and ``is_stream`` that its body is a series of events.
+    echoes the request's id, and ``is_stream`` that its body is a series of events. ``cold_s`` is
+    how much longer the upstream is cold, none if it does not say.
     """
 
     status: int
@@ -129,6 +131,7 @@
     limit: LimitNotice = field(default_factory=NoLimit)
     names_request: bool = True
     is_stream: bool = True
+    cold_s: float | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -39,6 +39,24 @@
         return all(math.isfinite(value) and value >= 0 for value in values)
 
 
+class ColdReport(msgspec.Struct, frozen=True, array_like=True):
+    """A cold upstream and for how many more seconds it stays so."""
+
+    instance: str
+    started_ms: int
+    left_s: float
+
+    @property
+    def incarnation(self) -> UpstreamIncarnation:
+        """Return the key of the upstream's incarnation."""
+        return self.instance, self.started_ms
+
+    @property
+    def is_valid(self) -> bool:
+        """Return whether the number can be a time."""
+        return math.isfinite(self.left_s) and self.left_s >= 0
+
+
 class EntryStatus(msgspec.Struct, frozen=True, array_like=True):
     """One entry's status: its requests at each upstream and its contact with the store.
 
@@ -51,7 +69,7 @@
     are the rate limits that upstreams have named, none from builds that do not share permits.
     ``outage_age_s`` are the seconds since the store's last outage for the entry, 0 while that
     lasts. ``era`` and ``revision`` are the point in the store's history that the entry knows, 0
-    from builds that do not tell it.
+    from builds that do not tell it. ``cold`` are the cold upstreams that the entry knows.
 
     New fields go at the end and have defaults, so that older and newer builds read each other.
     """
@@ -70,6 +88,7 @@
     outage_age_s: float = 0.0
     era: int = 0
     revision: int = 0
+    cold: list[ColdReport] = msgspec.field(default_factory=list)
 
     @property
     def position(self) -> StorePosition:
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -10,13 +10,20 @@
 import curio
 
 from bluebellrun.core import Address, BootClock, MonotonicClock, new_incarnation
-from bluebellrun.deployment import Deployment, HostSettings
+from bluebellrun.deployment import Deployment, HostSettings, ServiceTerms
 from bluebellrun.gateway._catch_up import NEVER_REACHED_S, CatchUp
+from bluebellrun.gateway._cold_upstreams import ColdUpstreams
 from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._expert_maps import ExpertMaps
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._gateway import Gateway
+from bluebellrun.gateway._gauges import (
+    register_evacuation_gauges,
+    register_gauges,
+    register_quarantine_gauges,
+    register_store_gauges,
+)
 from bluebellrun.gateway._gossip import Gossip, status_age_s
 from bluebellrun.gateway._lifecycle import Lifecycle
 from bluebellrun.gateway._limit_permits import LimitPermits
@@ -94,58 +101,6 @@
     return handle
 
 
-def _register_gauges(
-    metrics: ServingMetrics,
-    gateway: Gateway,
-    view: StoreView,
-    role: PlacementRole,
-    fleet: Fleet,
-) -> None:
-    """Register the gauges of the process's state."""
-
-    def version() -> float:
-        return 0 if gateway.deployment is None else gateway.deployment.version
-
-    metrics.gauge("bluebellrun_in_progress", "Requests in progress", lambda: gateway.in_progress)
-    metrics.gauge("bluebellrun_configuration_version", "Configuration in force", version)
-    metrics.gauge(
-        "bluebellrun_store_silence_seconds", "Seconds since the store spoke", view.silence_s
-    )
-    metrics.gauge(
-        "bluebellrun_limited_upstreams",
-        "Upstreams that name a rate limit",
-        lambda: len(fleet.permits.limits.limited()),
-    )
-    metrics.gauge(
-        "bluebellrun_keeps_maps",
-        "1 if this process keeps the expert maps",
-        lambda: float(role.lease() is not None),
-    )
-
-
-def _register_store_gauges(metrics: ServingMetrics, store: PlatformStore) -> None:
-    """Register the gauges of the store."""
-    metrics.gauge(
-        "bluebellrun_store_era", "How often the store was restored from a copy", lambda: store.era
-    )
-
-
-def _register_quarantine_gauges(
-    metrics: ServingMetrics, quarantine: PromptQuarantine, guard: PromptGuard
-) -> None:
-    """Register the gauges of the quarantine of prompt parts."""
-    metrics.gauge(
-        "bluebellrun_suspected_prompt_parts",
-        "Parts of prompts under which upstreams crashed",
-        quarantine.suspect_count,
-    )
-    metrics.gauge(
-        "bluebellrun_quarantined_requests",
-        "Requests not sent because of their prompts, since the start",
-        lambda: guard.refusals,
-    )
-
-
 class _Process:
     """The components of a gateway, connected."""
 
@@ -160,13 +115,18 @@
         self._peers = PeerTable(settings.host)
         self._metrics = ServingMetrics()
         self._slow = SlowUpstreams()
+        self._cold = ColdUpstreams(self._service_terms, settings.bounds)
         self._fleet = Fleet(
             self._directory,
             settings.failure_domain,
             self._random,
             self._peers.running,
             self._slow.current,
-            LimitPermits(self._peers, lambda outcome: self._metrics.record_permit(outcome.value)),
+            LimitPermits(
+                self._peers,
+                lambda outcome: self._metrics.record_permit(outcome.value),
+                cold=self._cold,
+            ),
         )
         quarantine_settings = QuarantineSettings()
         crash_recorded = curio.Event()
@@ -203,6 +163,7 @@
             MonotonicClock(),
             self._random,
             watch_check_s(self._watching),
+            self._cold,
         )
         self._crashes = CrashExchange(
             self._quarantine,
@@ -227,9 +188,10 @@
         self._readiness = HttpServer(
             settings.readiness, _readiness(lambda: self._lifecycle.ready), HttpLimits()
         )
-        _register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
-        _register_store_gauges(self._metrics, self._store)
-        _register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
+        register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
+        register_store_gauges(self._metrics, self._store)
+        register_evacuation_gauges(self._metrics, self._fleet)
+        register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
         self._collectors = HttpServer(address, _metrics_handler(self._metrics), HttpLimits())
 
@@ -286,6 +248,11 @@
             lambda host: self._gossip.is_silent(host),
         )
 
+    def _service_terms(self, service: str) -> ServiceTerms | None:
+        """Return the terms of a service, none before the first configuration."""
+        deployment = self._gateway.deployment
+        return None if deployment is None else deployment.services.get(service)
+
     def _load(self, service: str) -> float:
         """Return the fraction of a service's slots that all entries occupy."""
         return self._fleet.slot_usage(service, time.monotonic()).load
@@ -328,6 +295,7 @@
             min(self._view.outage_age_s(), NEVER_REACHED_S),
             self._view.position.era,
             self._view.position.revision,
+            self._cold.reports(now),
         )
 
     def _put_in_force(self, deployment: Deployment) -> bool:
@@ -346,6 +314,8 @@
                 self._gateway.set_entries(1 + others)
                 self._fleet.set_other_entries(others, status_age_s(others))
             self._view.expire_evacuations()
+            store_answers = self._view.silence_s() < self._watching.call_s
+            self._cold.expire(self._directory.upstreams, store_answers, time.monotonic())
             await self._fleet.forget_departed()
 
 
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -82,6 +82,9 @@
 RETRIES_RESERVED_FOR_FAILURES = 3
 # Permits of limited upstreams that are asked for before only unlimited ones are considered.
 MAX_DENIED_PERMITS = 8
+# A new request waits for a permit of a cold upstream for this fraction of its objective; its answer
+# needs the rest.
+MAX_PERMIT_WAIT_FRACTION = 0.5
 # Parts of a prompt that a log line names.
 MAX_LOGGED_PARTS = 8
 # Remaining time below which an attempt could not be answered.
@@ -150,6 +153,8 @@
         self._has_head = False
         self._events = 0
         self._sent_at = 0.0
+        # When the upstream was chosen, and whether it was bounded as a cold one then.
+        self._chosen_at, self._had_cold_permit = 0.0, False
 
     @property
     def attempts(self) -> int:
@@ -233,7 +238,8 @@
     async def _choose_upstream(self) -> Upstream | None:
         """Return an upstream that accepts the request now, or none.
 
-        Where all are at their rate limits, a stream that has begun waits for the next permit.
+        Where all are at their rate limits, a stream that has begun waits for the next permit, and
+        so does a new request for a short time if upstreams are cold.
         """
         denied = 0
         while True:
@@ -244,17 +250,29 @@
                 if not await self._await_permit():
                     return None
                 denied = 0
-            elif await self._fleet.permits.acquire(upstream):
+                continue
+            self._chosen_at, self._had_cold_permit = now, self._fleet.permits.is_cold(upstream)
+            if await self._fleet.permits.acquire(upstream):
                 return upstream
-            else:
-                denied += 1
-                self._log_denied_permit(upstream)
+            denied += 1
+            self._log_denied_permit(upstream)
 
     async def _await_permit(self) -> bool:
-        """Wait until a resumed stream may get a permit; return false if it does not wait."""
-        wait_s = self._fleet.available_in_s(self._service, time.monotonic())
-        if not self._exchange.started or not wait_s or self._has_caller_given_up(wait_s):
+        """Wait until the request may get a permit; return false if it does not wait.
+
+        A new request waits only for cold upstreams, and only while it can still be on time.
+        """
+        now = time.monotonic()
+        wait_s = self._fleet.available_in_s(self._service, now)
+        if not wait_s:
             return False
+        if self._exchange.started:
+            if self._has_caller_given_up(wait_s):
+                return False
+        else:
+            timely = self._request.received + MAX_PERMIT_WAIT_FRACTION * self._route.objective_s
+            if not self._fleet.cold.count(now) or now + wait_s > timely:
+                return False
         await curio.sleep(wait_s)
         return True
 
@@ -268,6 +286,7 @@
             per_s=self._fleet.permits.limits.limit(upstream.incarnation),
             limit_age_s=round(self._fleet.permits.limits.age_s(upstream.incarnation, now), 3),
             wait_s=round(self._fleet.permits.wait_s(upstream, now), 3),
+            is_cold=self._had_cold_permit,
         )
 
     async def _check_prompt(self) -> Result | None:
@@ -459,7 +478,9 @@
                     self._fleet.record_unreachable(upstream.instance, now)
                 if had_slots:
                     self._admission_control.gate.record_refusal(now)
-            case Lost(reason):
+            case Lost(reason, ended_by_peer):
+                if ended_by_peer:
+                    self._fleet.cold.record_unreachable(upstream, now)
                 self._fleet.record_result(upstream.instance, True, now - started, now)
             case Failed(answer, _):
                 reason = f"upstream answered {answer.status}"
@@ -517,12 +538,13 @@
                 accept=self._wire.answers_to(request),
                 max_idle_s=max_idle_s,
                 new_connection=sent_before,
-                may_send=partial(self._fleet.directory.may_send, upstream),
+                may_send=partial(self._may_send, upstream),
             )
         except NotSentError:
             self._runs -= 1
-            domain = upstream.failure_domain
-            return NotSent(f"failure domain {domain!r} was evacuated before the request was sent")
+            return NotSent(
+                "the upstream was evacuated, or became cold, before the request was sent"
+            )
         except ConnectError as error:
             self._runs -= 1
             return Declined(str(error), unreachable=True)
@@ -579,6 +601,11 @@
         if answer.retry_after_s is not None:
             self._fleet.record_backoff(upstream, answer.retry_after_s, now)
         self._fleet.permits.record(upstream, answer.limit, self._sent_at, now)
+        self._fleet.cold.record_answer(upstream, answer.cold_s, now)
+
+    def _may_send(self, upstream: Upstream) -> bool:
+        """Return whether the request may still be sent to the upstream that it chose."""
+        return self._fleet.may_send(upstream, self._had_cold_permit, self._chosen_at)
 
     def _record_answer(self) -> None:
         """Record that an upstream has begun to answer the prompt."""
--- a/bluebellrun/gateway/_store_changes.py
+++ b/bluebellrun/gateway/_store_changes.py
@@ -20,6 +20,7 @@
     """An upstream registered, or changed its registration."""
 
     upstream: Upstream
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellrun/gateway/_store_view.py
+++ b/bluebellrun/gateway/_store_view.py
@@ -6,6 +6,7 @@
 
 from bluebellrun.core import Clock
 from bluebellrun.deployment import Bounds, Deployment
+from bluebellrun.gateway._cold_upstreams import ColdUpstreams
 from bluebellrun.gateway._directory import LAPSE_GRACE_S, UpstreamDirectory
 from bluebellrun.gateway._evacuation_follower import EvacuationFollower
 from bluebellrun.gateway._models import Upstream
@@ -84,6 +85,7 @@
         clock: Clock,
         random: Random,
         check_interval_s: float = CHECK_INTERVAL_S,
+        cold: ColdUpstreams | None = None,
     ) -> None:
         self._reader = reader
         self._directory = directory
@@ -93,7 +95,9 @@
         self._shared: dict[str, KeyValue] = {}
         self._era = 0
         self._copied = StorePosition()
-        self._evacuations = EvacuationFollower(directory)
+        self._cold = cold or ColdUpstreams()
+        self._evacuations = EvacuationFollower(directory, self._cold)
+        self._has_upstreams = False
         self._was_restored = False
         self._follower = PrefixFollower(
             store,
@@ -243,6 +247,7 @@
     ) -> int:
         """Replace all keys; return how many upstreams are registered."""
         upstreams: dict[str, Upstream] = {}
+        revisions: dict[str, int] = {}
         evacuations: dict[str, int] = {}
         kept = {} if has_evacuations else self._shared_evacuations()
         self._shared.clear()
@@ -253,11 +258,16 @@
                 self._shared[pair.key] = pair
             if isinstance(item, UpstreamWritten):
                 upstreams[item.upstream.instance] = item.upstream
+                revisions[item.upstream.instance] = item.revision
             elif isinstance(item, DomainEvacuated):
                 evacuations[item.domain] = item.revision
             elif item is not None:
                 self._apply(item, now)
         self._directory.replace_all(upstreams, now, outage_ended_at, restored)
+        for name, upstream in upstreams.items():
+            is_first = not self._has_upstreams
+            self._cold.record_registration(upstream, revisions[name], now, is_first)
+        self._has_upstreams = True
         if has_evacuations:
             self._evacuations.replace_all(evacuations, now, restored, self.revision)
         return len(upstreams)
@@ -300,8 +310,9 @@
             case ConfigurationWritten(deployment):
                 in_force = self._put_in_force(deployment)
                 _log.info("configuration read", version=deployment.version, in_force=in_force)
-            case UpstreamWritten(upstream):
+            case UpstreamWritten(upstream, revision):
                 self._directory.put(upstream)
+                self._cold.record_registration(upstream, revision, now)
                 _log.info(
                     "upstream registered",
                     upstream=upstream.instance,
--- a/bluebellrun/platform/_catalogue.py
+++ b/bluebellrun/platform/_catalogue.py
@@ -38,7 +38,7 @@
         if key == CONFIGURATION_KEY:
             return self._configuration(key, value, revision)
         if key.startswith(UPSTREAM_KEY_PREFIX):
-            return self._upstream(key, value)
+            return self._upstream(key, value, revision)
         if key.startswith(EVACUATION_KEY_PREFIX):
             return self._evacuation(key, value, revision)
         if key.startswith(OWN_PREFIX):
@@ -63,12 +63,12 @@
             return EvacuationWithdrawn(domain, revision)
         return DomainEvacuated(domain, revision)
 
-    def _upstream(self, key: str, value: bytes | None) -> StoreChange:
+    def _upstream(self, key: str, value: bytes | None, revision: int) -> StoreChange:
         """Decode a change of an upstream's registration."""
         instance = key.removeprefix(UPSTREAM_KEY_PREFIX)
         if value is None:
             return UpstreamRemoved(instance)
         try:
-            return UpstreamWritten(read_registration(key, value))
+            return UpstreamWritten(read_registration(key, value), revision)
         except RegistrationError as error:
             return Unreadable(key, str(error), instance)
--- a/bluebellrun/platform/_configuration.py
+++ b/bluebellrun/platform/_configuration.py
@@ -87,6 +87,8 @@
     health_path: str = ""
     max_conns: int = 0
     engine: _Engine | None = None
+    cold_s: float = 0
+    cold_per_s: float = 0
 
 
 class _Limits(msgspec.Struct):
@@ -162,14 +164,18 @@
 def _service(service: _Service) -> ServiceTerms:
     """Convert a service to the internal type."""
     engine = service.engine
-    if engine is None:
-        return ServiceTerms(service.name, service.health_path, service.max_conns)
     delays = tuple(
         DomainDelay(delay.first, delay.target_ver, delay.delay_ms * MILLISECOND_S)
-        for delay in engine.delays
+        for delay in (engine.delays if engine is not None else ())
     )
     return ServiceTerms(
-        service.name, service.health_path, service.max_conns, _engine(engine), delays
+        service.name,
+        service.health_path,
+        service.max_conns,
+        None if engine is None else _engine(engine),
+        delays,
+        max(0.0, service.cold_s),
+        max(0.0, service.cold_per_s),
     )
 
 
--- a/bluebellrun/platform/_messages.py
+++ b/bluebellrun/platform/_messages.py
@@ -23,6 +23,7 @@
     read_retry_after_s,
 )
 from bluebellrun.platform._names import (
+    COLD_MS,
     DEADLINE_MS,
     EXPECT_INSTANCE,
     EXPECT_VERSION,
@@ -131,6 +132,7 @@
             leaving=header_value(headers, SERVER_LEAVING) == LEAVING_VALUE,
             retry_after_s=read_retry_after_s(headers) if status == UNAVAILABLE else None,
             limit=_limit(headers),
+            cold_s=_cold_s(headers),
             names_request=header_value(headers, REQUEST_ID) is not None,
             is_stream=status == OK and _is_event_stream(headers),
         )
@@ -161,6 +163,12 @@
     return NamedLimit(float(text))
 
 
+def _cold_s(headers: Headers) -> float | None:
+    """Return how much longer an upstream is cold, none if its answer does not say."""
+    text = header_value(headers, COLD_MS)
+    return None if text is None or LIMIT.fullmatch(text) is None else float(text) / 1000
+
+
 def _number(headers: dict[str, str], name: str) -> int | None:
     """Return a header's integer value, or ``None`` if it is absent."""
     text = headers.get(name)
--- a/bluebellrun/platform/_names.py
+++ b/bluebellrun/platform/_names.py
@@ -15,6 +15,7 @@
 RETRY_AFTER = "retry-after"
 SERVER_LEAVING = "server-leaving"
 SERVER_LIMIT = "server-limit"
+COLD_MS = "x-bluebellrun-cold-ms"
 STORE_ERA = "store-era"
 
 READY_PATH = "/api/ready"
--- a/bluebellrun/platform/_registrations.py
+++ b/bluebellrun/platform/_registrations.py
@@ -18,6 +18,7 @@
     state: str
     slots: int
     born: int = 0
+    cold_left_ms: float = 0
 
 
 _decoder = msgspec.json.Decoder(_Registration)
@@ -28,6 +29,7 @@
 # Starts are exchanged as 64-bit numbers.
 MAX_START_MS = (1 << 63) - 1
 MAX_REASON = 200
+MILLISECOND_S = 0.001
 
 
 class RegistrationError(Exception):
@@ -66,4 +68,5 @@
         slots=record.slots,
         leaving=record.state == "draining",
         started_ms=record.born,
+        cold_left_s=max(0.0, record.cold_left_ms) * MILLISECOND_S,
     )
--- a/bluebellrun/platform/_settings.py
+++ b/bluebellrun/platform/_settings.py
@@ -37,6 +37,8 @@
     retry_slack: float = 90
     need_fence: bool = True
     evac_ms: float = 5000
+    cold_excess: float = 1.5
+    cold_slack: float = 5
 
 
 class _Store(msgspec.Struct):
@@ -109,6 +111,8 @@
         retry_slack=file.bounds.retry_slack,
         fenced_orders=file.bounds.need_fence,
         evacuation_s=file.bounds.evac_ms * MILLISECOND_S,
+        cold_excess=file.bounds.cold_excess,
+        cold_slack=file.bounds.cold_slack,
     )
     return HostSettings(
         host=file.node,
--- a/bluebellrun/routing/__init__.py
+++ b/bluebellrun/routing/__init__.py
@@ -3,6 +3,7 @@
 from bluebellrun.routing._attempt_budget import AttemptBudget, AttemptBudgetSettings
 from bluebellrun.routing._backoff import MAX_BACKOFF_S, RequestedBackoff
 from bluebellrun.routing._baselines import LeastRequestsRouting, RoundRobinRouting
+from bluebellrun.routing._cold_starts import ColdBound, ColdSource, ColdStarts
 from bluebellrun.routing._ejection import OutlierEjection
 from bluebellrun.routing._expected_finish import ExpectedFinishRouting
 from bluebellrun.routing._least_work import LeastWorkRouting, UnreportedRequests, UpstreamWork
@@ -18,6 +19,9 @@
     "AttemptBudget",
     "AttemptBudgetSettings",
     "Candidate",
+    "ColdBound",
+    "ColdSource",
+    "ColdStarts",
     "ExpectedFinishRouting",
     "LeastRequestsRouting",
     "LeastWorkRouting",
--- a/tests/gateway/entries_with_permits.py
+++ b/tests/gateway/entries_with_permits.py
@@ -7,13 +7,14 @@
 
 from bluebellrun.core import Address
 from bluebellrun.gateway import Upstream
-from bluebellrun.gateway._limit_permits import (
-    LimitPermits,
+from bluebellrun.gateway._cold_upstreams import ColdUpstreams
+from bluebellrun.gateway._limit_permits import LimitPermits
+from bluebellrun.gateway._peers import EntryStatus, PeerTable, decode_status, encode_status
+from bluebellrun.gateway._permit_messages import (
     PermitReply,
     PermitRequest,
     decode_permit_message,
 )
-from bluebellrun.gateway._peers import EntryStatus, PeerTable, decode_status, encode_status
 
 ROUND_S = 0.1
 STEP_S = 0.02
@@ -81,7 +82,9 @@
         """Start an entry's process anew: it knows nothing."""
         self.dead.discard(name)
         self.tables[name] = PeerTable(name)
-        permits = self.permits[name] = LimitPermits(self.tables[name], clock=self.clock)
+        permits = self.permits[name] = LimitPermits(
+            self.tables[name], clock=self.clock, cold=self.cold_of(name)
+        )
         permits.set_registered(len(self.names))
 
         async def send(data: bytes, peer: Address) -> None:
@@ -91,6 +94,10 @@
         for upstream in self.upstreams:
             upstream.told_at.pop(name, None)
 
+    def cold_of(self, name: str) -> ColdUpstreams:
+        """Return what a new process of an entry knows of cold upstreams."""
+        return ColdUpstreams()
+
     def reaches(self, one: str, other: str) -> bool:
         return one == other or not {one, other} & (self.cut | self.dead)
 
--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -39,8 +39,11 @@
     raise RuntimeError("no loopback addresses with free ports were found")
 
 
-def configuration(version: int, service: str = SERVICE) -> bytes:
-    """Return a configuration whose only route, a public one, leads to a service."""
+def configuration(version: int, service: str = SERVICE, **more: Any) -> bytes:
+    """Return a configuration whose only route, a public one, leads to a service.
+
+    The services have ``more`` fields.
+    """
     route = {
         "name": "order",
         "host": HOST,
@@ -52,7 +55,8 @@
         "attempts": 2,
         "public": True,
     }
-    services = [{"name": name, "health_path": "/health"} for name in (SERVICE, OTHER_SERVICE)]
+    names = (SERVICE, OTHER_SERVICE)
+    services = [{"name": name, "health_path": "/health", **more} for name in names]
     return json.dumps({"version": version, "routes": [route], "services": services}).encode()
 
 
@@ -63,8 +67,9 @@
         self._network = network
         # When requests arrived, by upstream, on the monotonic clock in seconds.
         self.arrivals: dict[str, list[float]] = {}
+        self._registrations: dict[str, dict[str, Any]] = {}
 
-    async def start(self, store: FakeStore, name: str, service: str) -> None:
+    async def start(self, store: FakeStore, name: str, service: str, zone: str = "a") -> None:
         """Start an upstream and register it."""
         self.arrivals[name] = []
         address = Address(f"{self._network}.{100 + len(self.arrivals)}", UPSTREAM_PORT)
@@ -78,8 +83,13 @@
             await exchange.answer(200, headers, name.encode())
 
         await curio.spawn(HttpServer(address, handle, HttpLimits()).run, daemon=True)
-        registration = {"service": service, "addr": str(address), "zone": "a", "slots": 6}
-        value = json.dumps({**registration, "state": "ready", "born": 1, "seq": 0}).encode()
+        registration = {"service": service, "addr": str(address), "zone": zone, "slots": 6}
+        self._registrations[name] = {**registration, "state": "ready", "born": 1, "seq": 0}
+        self.register(store, name)
+
+    def register(self, store: FakeStore, name: str, **more: Any) -> None:
+        """Register a started upstream, with more fields or other values."""
+        value = json.dumps({**self._registrations[name], **more}).encode()
         store.put(f"servers/{name}", value)
 
 
--- a/tests/gateway/test_limit_permits.py
+++ b/tests/gateway/test_limit_permits.py
@@ -9,8 +9,9 @@
 from hypothesis import strategies as st
 
 from bluebellrun.gateway import _limit_permits as module
-from bluebellrun.gateway._limit_permits import MIN_RATE_PER_S, decode_permit_message
+from bluebellrun.gateway._limit_permits import MIN_RATE_PER_S
 from bluebellrun.gateway._peers import EntryStatus, LimitReport, decode_status, encode_status
+from bluebellrun.gateway._permit_messages import decode_permit_message
 from tests.gateway.entries_with_permits import Entries, bound
 
 
--- a/tests/platform/test_odd_registrations.py
+++ b/tests/platform/test_odd_registrations.py
@@ -9,8 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bluebellrun.gateway._limit_permits import decode_permit_message
 from bluebellrun.gateway._peers import decode_status
+from bluebellrun.gateway._permit_messages import decode_permit_message
 from bluebellrun.leases import LeaseError, decode_record
 from bluebellrun.platform._configuration import ConfigurationError, read_configuration
 from bluebellrun.platform._registrations import RegistrationError, read_registration
--- a/tests/platform/test_view.py
+++ b/tests/platform/test_view.py
@@ -9,6 +9,7 @@
 from bluebellrun.core import Address, MonotonicClock
 from bluebellrun.gateway import StoreView, UpstreamDirectory
 from bluebellrun.gateway._catch_up import CatchUp
+from bluebellrun.gateway._cold_upstreams import ColdUpstreams
 from bluebellrun.gateway._peers import EntryStatus, PeerTable
 from bluebellrun.platform import PlatformCatalogue, PlatformStore
 from bluebellrun.store import Snapshot, StoreTimeouts
@@ -36,11 +37,11 @@
         self.versions: list[int] = []
         self.view: StoreView | None = None
 
-    async def start(self) -> None:
+    async def start(self, cold: ColdUpstreams | None = None) -> None:
         store = PlatformStore(await self.fake.start(), StoreTimeouts(0.5))
         clock = MonotonicClock()
         self.view = StoreView(
-            store, PlatformCatalogue(), self.directory, self.apply, clock, Random(1)
+            store, PlatformCatalogue(), self.directory, self.apply, clock, Random(1), cold=cold
         )
         await curio.spawn(self.view.run, daemon=True)
 
