Give upstreams that warm up less work

A cold upstream is slow, and all ranks of its group wait for it. Routing now counts a request there as twice the work at the start, falling to once at the end of the cold time. It applies only where the service has a cold time or the registration says that the upstream is cold. The factor is chosen, not measured.

--- a/bluebellrun/gateway/_cold_upstreams.py
+++ b/bluebellrun/gateway/_cold_upstreams.py
@@ -14,6 +14,9 @@
 MAX_SEEN = 8_192
 # Cold upstreams that one status names; the others follow in the next ones.
 MAX_REPORTS_PER_MESSAGE = 32
+# Work of a request at an upstream that has just started, over that of a warm one. It keeps the
+# ranks of a group, which wait for the slowest, from a full share of work on a cold one.
+COLD_SLOWNESS = 2.0
 # An upstream's word is ignored beyond this: no start takes longer.
 MAX_COLD_S = 600.0
 
@@ -56,6 +59,14 @@
             return None
         return ColdBound(terms.cold_per_s, self._bounds.cold_excess, self._bounds.cold_slack)
 
+    def slowness(self, upstream: Upstream, now: float) -> float:
+        """Return how much more work a request is at an upstream because it is cold, from 1 on."""
+        left_s = self.left_s(upstream, now)
+        if not left_s:
+            return 1.0
+        whole_s = self._cold_s(upstream) or left_s
+        return 1.0 + (COLD_SLOWNESS - 1.0) * min(1.0, left_s / whole_s)
+
     def count(self, now: float) -> int:
         """Return the number of cold upstreams."""
         return len(self._starts.cold(now))
--- a/tests/gateway/test_cold_upstreams.py
+++ b/tests/gateway/test_cold_upstreams.py
@@ -1,13 +1,14 @@
 """Guards: entries, also divided ones, together keep the bound on cold upstreams (FAILBACK)."""
 
 from dataclasses import replace
+from random import Random
 
 import curio
 import pytest
 
 from bluebellrun.core import Address
 from bluebellrun.deployment import ServiceTerms
-from bluebellrun.gateway import Upstream
+from bluebellrun.gateway import Fleet, Upstream, UpstreamDirectory
 from bluebellrun.gateway import _limit_permits as module
 from bluebellrun.gateway._cold_permits import REGISTRATION_READ_S
 from bluebellrun.gateway._cold_upstreams import ColdUpstreams
@@ -230,12 +231,15 @@
     assert cold.bound(UPSTREAM, 150.0) is not None
     cold.record_answer(UPSTREAM, None, 150.0)
     assert cold.left_s(UPSTREAM, 150.0) == COLD_S
+    assert cold.slowness(UPSTREAM, 150.0) == 2.0
+    assert cold.slowness(UPSTREAM, 154.0) == 1.5
 
 
 def test_a_service_without_a_cold_rate_has_no_bound_and_none_without_a_cold_time_nothing():
     unbounded = cold_upstreams(0.0)
     unbounded.record_answer(UPSTREAM, 5.0, 100.0)
     assert unbounded.bound(UPSTREAM, 100.0) is None
+    assert unbounded.slowness(UPSTREAM, 100.0) > 1.0
     plain = ColdUpstreams(lambda service: ServiceTerms("s", "", 5))
     plain.record_traffic()
     plain.record_registration(UPSTREAM, 1, 100.0)
@@ -258,6 +262,18 @@
     assert not permits.may_still_send(UPSTREAM, True, now - 2 * PERMIT_VALID_S)
 
 
+def test_a_cold_upstream_gets_fewer_of_the_requests():
+    directory, cold = UpstreamDirectory(), cold_upstreams(0.0)
+    for name in ("u0", "u1"):
+        directory.put(replace(UPSTREAM, instance=name, address=Address("10.0.0.1", ord(name[1]))))
+    fleet = Fleet(directory, "b", Random(1), permits=LimitPermits(PeerTable("e"), cold=cold))
+    cold.record_answer(UPSTREAM, 5.0, 100.0)
+    for name in ("u0", "u1"):
+        fleet.stats(name).running = 1
+    chosen = [fleet.choose("s", (), 100.0) for _ in range(20)]
+    assert {item.instance for item in chosen if item is not None} == {"u1"}
+
+
 def test_a_status_without_cold_upstreams_is_read_as_before():
     status = EntryStatus("e", "i", 1, "10.0.0.1:1", 0.0, {}, limits=[])
     assert decode_status(encode_status(status)) == status
