Tell entries that start later which upstreams are cold

Each entry now tells once a second all cold upstreams that it found itself. A service with a cold rate but no cold time heeds its upstreams' answers too.

--- a/bluebellrun/gateway/_cold_upstreams.py
+++ b/bluebellrun/gateway/_cold_upstreams.py
@@ -17,6 +17,8 @@
 # Work of a request at an upstream that has just started, over that of a warm one. It keeps the
 # ranks of a group, which wait for the slowest, from a full share of work on a cold one.
 COLD_SLOWNESS = 2.0
+# An entry that has just started learns of all cold upstreams within about this time.
+WHOLE_REPORT_INTERVAL_S = 1.0
 # An upstream's word is ignored beyond this: no start takes longer.
 MAX_COLD_S = 600.0
 
@@ -41,6 +43,7 @@
         self._seen: dict[UpstreamIncarnation, int] = {}
         self._has_traffic = False
         self._next_report = 0
+        self._whole_report_at = 0.0
 
     def left_s(self, upstream: Upstream, now: float) -> float:
         """Return how much longer an upstream is cold; infinite until it is reached again."""
@@ -102,14 +105,14 @@
 
     def record_unreachable(self, upstream: Upstream, now: float) -> None:
         """Record that an upstream refused or ended connections: it may restart."""
-        if self._cold_s(upstream) > 0:
+        if self._has_cold_starts(upstream):
             self._starts.record_unreachable(upstream.incarnation, now)
 
     def record_answer(self, upstream: Upstream, cold_s: float | None, now: float) -> None:
         """Record an answer of an upstream, which may say how much longer it is cold."""
         if not self._starts.is_empty and self._starts.record_reached(upstream.incarnation):
             self._record(upstream, self._cold_s(upstream), ColdSource.UNREACHABLE, now)
-        if cold_s is not None and self._cold_s(upstream) > 0:
+        if cold_s is not None and self._has_cold_starts(upstream):
             self._record(upstream, cold_s, ColdSource.ANSWER, now)
 
     def apply_report(self, upstream: Upstream, seconds: float, now: float) -> None:
@@ -123,7 +126,12 @@
 
     def reports(self, now: float) -> list[ColdReport]:
         """Return as many cold upstreams as one message has room for, in turn."""
-        known = self._starts.reports(now)
+        if self._starts.is_empty:
+            return []
+        is_whole = now - self._whole_report_at >= WHOLE_REPORT_INTERVAL_S
+        if is_whole:
+            self._whole_report_at = now
+        known = self._starts.reports(now, is_whole)
         start = self._next_report % len(known) if known else 0
         chosen = (known[start:] + known[:start])[:MAX_REPORTS_PER_MESSAGE]
         self._next_report = start + len(chosen)
@@ -143,6 +151,11 @@
         terms = self._terms(upstream.service)
         return 0.0 if terms is None else terms.cold_s
 
+    def _has_cold_starts(self, upstream: Upstream) -> bool:
+        """Return whether the upstreams of a service start cold."""
+        terms = self._terms(upstream.service)
+        return terms is not None and (terms.cold_s > 0 or terms.cold_per_s > 0)
+
     def _record(self, upstream: Upstream, seconds: float, source: ColdSource, now: float) -> None:
         """Record and log that an upstream is cold."""
         if math.isnan(seconds):
--- a/bluebellrun/routing/_cold_starts.py
+++ b/bluebellrun/routing/_cold_starts.py
@@ -71,6 +71,10 @@
     source: ColdSource
     at: float
 
+    def is_notice(self, now: float) -> bool:
+        """Return whether the upstream itself said so a moment ago."""
+        return self.source is ColdSource.ANSWER and now - self.at < NOTICE_S
+
 
 class ColdStarts(Generic[Key]):
     """The cold upstreams by the key of their incarnation."""
@@ -138,15 +142,17 @@
         """
         self._unreachable = {k: at for k, at in self._unreachable.items() if k in upstreams}
 
-    def reports(self, now: float) -> list[tuple[Key, float]]:
-        """Return the upstreams that have just said that they are cold, and for how long.
+    def reports(self, now: float, whole: bool = False) -> list[tuple[Key, float]]:
+        """Return the upstreams that are cold, and for how long, to tell other entries.
 
-        Entries read all else themselves, in the store or in copies of it.
+        These are those that have just said so, as other entries cannot know it, and with ``whole``
+        all that this entry found itself, for entries that started later.
         """
         return [
             (key, item.until - now)
             for key, item in self._starts.items()
-            if item.source is ColdSource.ANSWER and now - item.at < NOTICE_S and item.until > now
+            if item.until > now and (item.is_notice(now) or whole)
+            if item.source is not ColdSource.OTHER_ENTRY
         ]
 
     def cold(self, now: float) -> list[Key]:
--- a/tests/gateway/test_cold_upstreams.py
+++ b/tests/gateway/test_cold_upstreams.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import curio
+import msgspec
 import pytest
 
 from bluebellrun.core import Address
@@ -13,7 +14,14 @@
 from bluebellrun.gateway._cold_permits import REGISTRATION_READ_S
 from bluebellrun.gateway._cold_upstreams import ColdUpstreams
 from bluebellrun.gateway._limit_permits import PERMIT_VALID_S, LimitPermits
-from bluebellrun.gateway._peers import EntryStatus, PeerTable, decode_status, encode_status
+from bluebellrun.gateway._peers import (
+    EntryStatus,
+    LimitReport,
+    PeerTable,
+    decode_status,
+    encode_status,
+)
+from bluebellrun.gateway._permit_messages import PermitRequest, decode_permit_message
 from tests.gateway.entries_with_permits import Entries
 
 COLD_S = 8.0
@@ -274,7 +282,29 @@
     assert {item.instance for item in chosen if item is not None} == {"u1"}
 
 
-def test_a_status_without_cold_upstreams_is_read_as_before():
-    status = EntryStatus("e", "i", 1, "10.0.0.1:1", 0.0, {}, limits=[])
-    assert decode_status(encode_status(status)) == status
-    assert status.cold == []
+def test_all_that_an_entry_found_itself_is_told_once_a_second():
+    cold = cold_upstreams()
+    assert cold.reports(100.0) == []
+    cold.record_evacuation_end([UPSTREAM], 100.0)
+    told = [cold.reports(100.0 + step / 10) for step in range(30)]
+    assert sum(map(len, told)) == 3
+    other = cold_upstreams()
+    other.apply_report(UPSTREAM, told[0][0].left_s, 50.0)
+    assert other.left_s(UPSTREAM, 50.0) == COLD_S
+    assert other.reports(60.0) == []
+
+
+def test_older_and_newer_builds_read_each_others_messages():
+    class OlderRequest(msgspec.Struct, array_like=True, tag="permit-request"):
+        number: int
+        entry: str
+        limit: LimitReport
+
+    limit = LimitReport("u0", 7, 1.0, 0.5)
+    older = msgspec.msgpack.encode(OlderRequest(1, "e", limit))
+    assert decode_permit_message(older) == PermitRequest(1, "e", limit, 0.0)
+    newer = msgspec.msgpack.encode(PermitRequest(1, "e", limit, 4.0))
+    assert msgspec.msgpack.decode(newer, type=OlderRequest).limit == limit
+    status = EntryStatus("e", "i", 1, "10.0.0.1:1", 0.0, {}, limits=[], era=1, revision=2)
+    fields = msgspec.msgpack.decode(encode_status(status))
+    assert decode_status(msgspec.msgpack.encode(fields[:-1])) == status
--- a/tests/routing/test_cold_starts.py
+++ b/tests/routing/test_cold_starts.py
@@ -63,7 +63,16 @@
     assert starts.left_s("u", 100.0) == pytest.approx(8.0)
     # What another entry told is not told again by this one.
     starts.record("v", 8.0, ColdSource.OTHER_ENTRY, 100.0)
-    assert [key for key, _ in starts.reports(100.1)] == ["u"]
+    assert [key for key, _ in starts.reports(100.1, whole=True)] == ["u"]
+
+
+# Guards: an entry that started after an evacuation's end took the domain for warm.
+def test_entries_that_start_later_are_told_of_all_cold_upstreams():
+    starts: ColdStarts[str] = ColdStarts()
+    starts.record("u", 8.0, ColdSource.EVACUATION_ENDED, 100.0)
+    assert starts.reports(100.1) == []
+    assert starts.reports(105.0, whole=True) == [("u", 3.0)]
+    assert starts.reports(108.0, whole=True) == []
 
 
 def test_an_unreachable_upstream_is_cold_until_it_is_reached():
