Spend nothing on cold upstreams while there are none

Each choice asked the clock and the table of cold upstreams for each upstream. The table is now asked once whether it is empty.

--- a/bluebellrun/gateway/_cold_upstreams.py
+++ b/bluebellrun/gateway/_cold_upstreams.py
@@ -45,6 +45,11 @@
         self._next_report = 0
         self._whole_report_at = 0.0
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no upstream is cold; asked for each upstream at each choice."""
+        return self._starts.is_empty
+
     def left_s(self, upstream: Upstream, now: float) -> float:
         """Return how much longer an upstream is cold; infinite until it is reached again."""
         return 0.0 if self._starts.is_empty else self._starts.left_s(upstream.incarnation, now)
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -3,7 +3,7 @@
 import math
 import time
 from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import curio
@@ -136,7 +136,12 @@
         healthy = [item for item in candidates if item.instance not in ejected] or candidates
         healthy = self._without_slow(healthy, len(usable), now)
         typical_s, failure_rate = self._averages(healthy)
-        works = [self._work(item, typical_s, failure_rate, now) for item in healthy]
+        works = [self._work(item, typical_s, failure_rate) for item in healthy]
+        if not self.cold.is_empty:
+            works = [
+                replace(work, slowness=work.slowness * self.cold.slowness(item, now))
+                for work, item in zip(works, healthy, strict=True)
+            ]
         unreported = self._unreported.setdefault(service, UnreportedRequests())
         unreported.record(now)
         chosen = self._routing.choose(works, unreported.expected(self._others, self._status_age_s))
@@ -305,13 +310,10 @@
         typical_s = sum(item.typical_s for item in served) / len(served)
         return typical_s, sum(item.failure_rate for item in served) / len(served)
 
-    def _work(
-        self, upstream: Upstream, typical_s: float, failure_rate: float, now: float
-    ) -> UpstreamWork:
+    def _work(self, upstream: Upstream, typical_s: float, failure_rate: float) -> UpstreamWork:
         """Return the work of an upstream as routing's input."""
         stats = self.stats(upstream.instance)
         slowness = stats.typical_s / typical_s if typical_s and stats.typical_s else 1.0
-        slowness *= self.cold.slowness(upstream, now)
         return UpstreamWork(
             name=upstream.instance,
             failure_domain=upstream.failure_domain,
--- a/bluebellrun/gateway/_limit_permits.py
+++ b/bluebellrun/gateway/_limit_permits.py
@@ -125,9 +125,11 @@
     def rate(self, upstream: Upstream) -> float | None:
         """Return how many requests a second all entries may send to an upstream, or none."""
         per_s = self._limits.limit(upstream.incarnation)
-        bound = self._cold.bound(upstream, self._clock.now())
         if per_s is not None:
             per_s = max(MIN_RATE_PER_S, per_s)
+        if self._cold.is_empty:
+            return per_s
+        bound = self._cold.bound(upstream, self._clock.now())
         if bound is None:
             return per_s
         return bound.per_s if per_s is None else min(bound.per_s, per_s)
