--- a/bluebellrun/gateway/__init__.py
+++ b/bluebellrun/gateway/__init__.py
@@ -31,6 +31,8 @@
     from bluebellrun.gateway._relay import Relay
     from bluebellrun.gateway._store_changes import (
         ConfigurationWritten,
+        DomainEvacuated,
+        EvacuationWithdrawn,
         RecordWritten,
         StoreChange,
         StoreReader,
@@ -47,6 +49,8 @@
     "BrokenOff": "_models",
     "CallerRequest": "_models",
     "ConfigurationWritten": "_store_changes",
+    "DomainEvacuated": "_store_changes",
+    "EvacuationWithdrawn": "_store_changes",
     "EventSplitter": "_events",
     "Fleet": "_fleet",
     "Gateway": "_gateway",
@@ -80,6 +84,8 @@
     "CallerRequest",
     "CompleteEvents",
     "ConfigurationWritten",
+    "DomainEvacuated",
+    "EvacuationWithdrawn",
     "EventSplitter",
     "Fleet",
     "Gateway",
--- a/bluebellrun/gateway/_attempts.py
+++ b/bluebellrun/gateway/_attempts.py
@@ -13,7 +13,7 @@
     UpstreamAnswer,
     UpstreamIncarnation,
 )
-from bluebellrun.gateway._outcomes import Declined, Done, Failed, Lost, Moved, Outcome
+from bluebellrun.gateway._outcomes import Declined, Done, Failed, Lost, Moved, NotSent, Outcome
 from bluebellrun.gateway._passing import StreamProgress, forward_answer, forward_stream
 from bluebellrun.gateway._ports import Wire
 from bluebellrun.gateway._prompt_check import PromptCheck
@@ -24,6 +24,7 @@
     ConnectionLostError,
     HttpExchange,
     HttpResponse,
+    NotSentError,
     TransportError,
 )
 from bluebellrun.telemetry import get_logger
@@ -111,8 +112,11 @@
         """Count refusals from 0 again: the request was queued again."""
         self._refusals = 0
 
-    async def make(self, upstream: Upstream) -> Outcome:
-        """Make one attempt at an upstream and forward its answer."""
+    async def make(self, upstream: Upstream, may_send: Callable[[], bool]) -> Outcome:
+        """Make one attempt at an upstream and forward its answer.
+
+        ``may_send`` is called once more before the request is sent, as a connection may take time.
+        """
         stats = self._fleet.stats(upstream.instance)
         self._upstream = upstream.instance
         stats.running += 1
@@ -123,7 +127,7 @@
         cause: LossCause | None = None
         self._prompt_check.record_probe()
         try:
-            outcome = await self._send_to(upstream)
+            outcome = await self._send_to(upstream, may_send)
             if isinstance(outcome, Lost):
                 cause = await self._record_loss(upstream, outcome)
         finally:
@@ -157,12 +161,14 @@
                 if had_slots:
                     self._admission_control.gate.record_refusal(now, upstream.instance)
                     self._fleet.groups.log_changes(self._service, now)
-            case Lost(reason):
+            case Lost(reason, ended_by_peer):
+                if ended_by_peer:
+                    self._fleet.cold.record_unreachable(upstream, now)
                 self._fleet.record_result(upstream.instance, True, now - started, now)
             case Failed(answer, _):
                 reason = f"upstream answered {answer.status}"
                 self._fleet.record_result(upstream.instance, True, now - started, now)
-            case Moved(reason):
+            case Moved(reason) | NotSent(reason):
                 pass
             case Done():
                 self._fleet.record_result(upstream.instance, False, now - started, now)
@@ -190,7 +196,7 @@
         self._fleet.stats(upstream.instance).unread_tokens -= self._unread
         self._unread = 0
 
-    async def _send_to(self, upstream: Upstream) -> Outcome:
+    async def _send_to(self, upstream: Upstream, may_send: Callable[[], bool]) -> Outcome:
         """Send to one upstream; return the outcome."""
         request = self._request
         attempt = Attempt(
@@ -216,6 +222,12 @@
                 accept=self._wire.answers_to(request),
                 max_idle_s=max_idle_s,
                 new_connection=sent_before,
+                may_send=may_send,
+            )
+        except NotSentError:
+            self._runs -= 1
+            return NotSent(
+                "the upstream was evacuated, or became cold, before the request was sent"
             )
         except ConnectError as error:
             self._runs -= 1
@@ -287,6 +299,7 @@
         if answer.retry_after_s is not None:
             self._fleet.record_backoff(upstream, answer.retry_after_s, now)
         self._fleet.permits.record(upstream, answer.limit, self._sent_at, now)
+        self._fleet.cold.record_answer(upstream, answer.cold_s, now)
 
     def _record_answer(self) -> None:
         """Record that an upstream has begun to answer the prompt."""
--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -3,10 +3,11 @@
 import math
 import time
 from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from bluebellrun.admission import SlotUsage
+from bluebellrun.gateway._cold_upstreams import ColdUpstreams
 from bluebellrun.gateway._connections import UpstreamConnections
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._fleet_groups import FleetGroups
@@ -85,6 +86,16 @@
         """Return the groups of the services."""
         return self._groups
 
+    @property
+    def cold(self) -> ColdUpstreams:
+        """Return the cold upstreams."""
+        return self._permits.cold
+
+    def may_send(self, upstream: Upstream, had_permit: bool, chosen_at: float) -> bool:
+        """Return whether a request that chose an upstream earlier may be sent to it now."""
+        is_usable = self._directory.may_send(upstream)
+        return is_usable and self._permits.may_still_send(upstream, had_permit, chosen_at)
+
     def set_other_entries(self, entries: int, status_age_s: float) -> None:
         """Set the number of other entries that send requests, and the age of their status."""
         self._others = entries
@@ -144,13 +155,21 @@
         healthy = self._without_slow(service, healthy, len(usable), now)
         typical_s, failure_rate = self._averages(healthy)
         works = [self._work(item, typical_s, failure_rate) for item in healthy]
+        if not self.cold.is_empty:
+            works = [
+                replace(work, slowness=work.slowness * self.cold.slowness(item, now))
+                for work, item in zip(works, healthy, strict=True)
+            ]
         unreported = self._unreported.setdefault(service, UnreportedRequests())
         unreported.record(now)
         expected = unreported.expected(self._others, self._status_age_s)
         if self._groups.has_several(service):
             works, expected = self._groups.choose(service, works, expected, now)
         chosen = self._routing.choose(works, expected)
-        return None if chosen is None else self._directory.find(chosen.name)
+        if chosen is None:
+            return None
+        self.cold.record_traffic()
+        return self._directory.find(chosen.name)
 
     def is_drained(self, upstream: Upstream, now: float) -> bool:
         """Return whether an upstream is drained because it delays its group."""
@@ -231,6 +250,9 @@
     def record_unreachable(self, instance: str, now: float) -> None:
         """Record that a connection failed or went silent."""
         self._ejection.record_unreachable(instance, now)
+        upstream = self._directory.find(instance)
+        if upstream is not None:
+            self.cold.record_unreachable(upstream, now)
 
     def is_known_ended(self, upstream: Upstream) -> bool:
         """Return whether an upstream's process was found to have ended."""
--- a/bluebellrun/gateway/_gauges.py
+++ b/bluebellrun/gateway/_gauges.py
@@ -51,6 +51,25 @@
     metrics.gauge("bluebellrun_store_era", "How often the store was restored from a copy", era)
 
 
+def register_evacuation_gauges(metrics: ServingMetrics, fleet: Fleet) -> None:
+    """Register the gauges of evacuations and cold upstreams."""
+    metrics.gauge(
+        "bluebellrun_evacuated_domains",
+        "Failure domains whose upstreams get no requests",
+        lambda: len(fleet.directory.evacuated_domains),
+    )
+    metrics.gauge(
+        "bluebellrun_cold_upstreams",
+        "Upstreams that are cold, or may be as they were unreachable",
+        lambda: fleet.cold.count(time.monotonic()),
+    )
+    metrics.gauge(
+        "bluebellrun_cold_denials",
+        "Permits denied because an upstream is cold, since the start",
+        lambda: fleet.permits.cold_denials,
+    )
+
+
 def register_quarantine_gauges(
     metrics: ServingMetrics, quarantine: PromptQuarantine, guard: PromptGuard
 ) -> None:
--- a/bluebellrun/gateway/_peers.py
+++ b/bluebellrun/gateway/_peers.py
@@ -39,6 +39,24 @@
         return all(math.isfinite(value) and value >= 0 for value in values)
 
 
+class ColdReport(msgspec.Struct, frozen=True, array_like=True):
+    """A cold upstream and for how many more seconds it stays so."""
+
+    instance: str
+    started_ms: int
+    left_s: float
+
+    @property
+    def incarnation(self) -> UpstreamIncarnation:
+        """Return the key of the upstream's incarnation."""
+        return self.instance, self.started_ms
+
+    @property
+    def is_valid(self) -> bool:
+        """Return whether the number can be a time."""
+        return math.isfinite(self.left_s) and self.left_s >= 0
+
+
 class EntryStatus(msgspec.Struct, frozen=True, array_like=True):
     """One entry's status: its requests at each upstream and its contact with the store.
 
@@ -53,7 +71,7 @@
     lasts. ``era`` and ``revision`` are the point in the store's history that the entry knows, 0
     from builds that do not tell it. ``group_slow`` are the slow ranks of the groups that the entry
     manages, none if it manages none; receivers that know it ignore ``slow``, which repeats what all
-    managers reported for older builds.
+    managers reported for older builds. ``cold`` are the cold upstreams that the entry knows.
 
     New fields go at the end and have defaults, so that older and newer builds read each other.
     """
@@ -73,6 +91,7 @@
     era: int = 0
     revision: int = 0
     group_slow: dict[str, float] | None = None
+    cold: list[ColdReport] = msgspec.field(default_factory=list)
 
     @property
     def position(self) -> StorePosition:
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -10,14 +10,16 @@
 import curio
 
 from bluebellrun.core import Address, MonotonicClock, new_incarnation
-from bluebellrun.deployment import Deployment, HostSettings
+from bluebellrun.deployment import Deployment, HostSettings, ServiceTerms
 from bluebellrun.expert_maps import SlowUpstreams
 from bluebellrun.gateway._catch_up import NEVER_REACHED_S, CatchUp
+from bluebellrun.gateway._cold_upstreams import ColdUpstreams
 from bluebellrun.gateway._crash_exchange import CrashExchange
 from bluebellrun.gateway._directory import UpstreamDirectory
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._gateway import Gateway
 from bluebellrun.gateway._gauges import (
+    register_evacuation_gauges,
     register_gauges,
     register_quarantine_gauges,
     register_store_gauges,
@@ -111,13 +113,18 @@
         self._metrics = ServingMetrics()
         self._slow = SlowUpstreams()
         self._groups = GroupTable()
+        self._cold = ColdUpstreams(self._service_terms, settings.bounds)
         self._fleet = Fleet(
             self._directory,
             settings.failure_domain,
             self._random,
             self._peers.running,
             self._slow.current,
-            LimitPermits(self._peers, lambda outcome: self._metrics.record_permit(outcome.value)),
+            LimitPermits(
+                self._peers,
+                lambda outcome: self._metrics.record_permit(outcome.value),
+                cold=self._cold,
+            ),
             groups=self._groups,
         )
         quarantine_settings = QuarantineSettings()
@@ -156,6 +163,7 @@
             MonotonicClock(),
             self._random,
             watch_check_s(self._watching),
+            self._cold,
         )
         self._crashes = CrashExchange(
             self._quarantine,
@@ -187,6 +195,7 @@
         register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
         register_store_gauges(self._metrics, lambda: self._store.era)
         register_map_gauges(self._metrics, self._maps)
+        register_evacuation_gauges(self._metrics, self._fleet)
         register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
         self._collectors = HttpServer(address, _metrics_handler(self._metrics), HttpLimits())
@@ -226,6 +235,11 @@
         """Return whether an entry has been silent while others kept sending."""
         return self._gossip.is_silent(entry)
 
+    def _service_terms(self, service: str) -> ServiceTerms | None:
+        """Return the terms of a service, none before the first configuration."""
+        deployment = self._gateway.deployment
+        return None if deployment is None else deployment.services.get(service)
+
     def _load(self, service: str, ranks: Collection[str]) -> float:
         """Return the fraction of a group's slots that all entries occupy."""
         if self._groups.groups(service):
@@ -272,6 +286,7 @@
             self._view.position.era,
             self._view.position.revision,
             self._slow.outgoing(now) if surveys or self._maps.managed else None,
+            self._cold.reports(now),
         )
 
     def _put_in_force(self, deployment: Deployment) -> bool:
@@ -289,6 +304,9 @@
             if others is not None:
                 self._gateway.set_entries(1 + others)
                 self._fleet.set_other_entries(others, status_age_s(others))
+            self._view.expire_evacuations()
+            store_answers = self._view.silence_s() < self._watching.call_s
+            self._cold.expire(self._directory.upstreams, store_answers, time.monotonic())
             await self._fleet.forget_departed()
 
 
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -9,6 +9,7 @@
 import math
 import time
 from collections.abc import Callable
+from functools import partial
 
 import curio
 
@@ -28,7 +29,7 @@
     Unresolved,
     Upstream,
 )
-from bluebellrun.gateway._outcomes import Declined, Done, Failed, Lost, Moved, Outcome
+from bluebellrun.gateway._outcomes import Declined, Done, Failed, Lost, Moved, NotSent, Outcome
 from bluebellrun.gateway._ports import Wire
 from bluebellrun.gateway._prompt_check import PromptCheck
 from bluebellrun.gateway._prompt_guard import PromptGuard
@@ -53,6 +54,9 @@
 RETRIES_RESERVED_FOR_FAILURES = 3
 # Permits of limited upstreams that are asked for before only unlimited ones are considered.
 MAX_DENIED_PERMITS = 8
+# A new request waits for a permit of a cold upstream for this fraction of its objective; its answer
+# needs the rest.
+MAX_PERMIT_WAIT_FRACTION = 0.5
 # Remaining time below which an attempt could not be answered.
 MIN_REMAINING_S = 0.02
 
@@ -89,6 +93,8 @@
         self._budget = budget
         self._prompt_check = PromptCheck(request, terms.service, guard)
         self._excluded: set[str] = set()
+        # When the upstream was chosen, and whether it was bounded as a cold one then.
+        self._chosen_at, self._had_cold_permit = 0.0, False
         self._attempts = UpstreamAttempts(
             exchange,
             request,
@@ -152,12 +158,14 @@
                 return withheld
             upstream = await self._choose_upstream()
             now = time.monotonic()
-            if upstream is None or not (isinstance(outcome, Moved) or self._may_attempt(now)):
+            # An attempt that was not sent has not used its retry.
+            is_granted = isinstance(outcome, Moved | NotSent)
+            if upstream is None or not (is_granted or self._may_attempt(now)):
                 self._prompt_check.end_probe()
                 if isinstance(outcome, Declined) and self._fleet.is_at_limits(self._service, now):
                     outcome = Declined("the upstreams of the service are at their rate limits")
                 return await self._give_up(outcome)
-            outcome = await self._attempts.make(upstream)
+            outcome = await self._attempts.make(upstream, partial(self._may_send, upstream))
             match outcome:
                 case Done(status):
                     return Answered(status, upstream.instance, self._attempts.count)
@@ -169,14 +177,15 @@
                     if not self._may_run_again():
                         return await self._give_up(outcome)
             self._exclude(upstream, outcome)
-            resumes = self._exchange.started and not isinstance(outcome, Moved)
+            resumes = self._exchange.started and not isinstance(outcome, Moved | NotSent)
             if resumes and not await self._await_resumption(upstream):
                 return await self._give_up(outcome)
 
     async def _choose_upstream(self) -> Upstream | None:
         """Return an upstream that accepts the request now, or none.
 
-        Where all are at their rate limits, a stream that has begun waits for the next permit.
+        Where all are at their rate limits, a stream that has begun waits for the next permit, and
+        so does a new request for a short time if upstreams are cold.
         """
         denied = 0
         while True:
@@ -187,17 +196,29 @@
                 if not await self._await_permit():
                     return None
                 denied = 0
-            elif await self._fleet.permits.acquire(upstream):
+                continue
+            self._chosen_at, self._had_cold_permit = now, self._fleet.permits.is_cold(upstream)
+            if await self._fleet.permits.acquire(upstream):
                 return upstream
-            else:
-                denied += 1
-                self._log_denied_permit(upstream)
+            denied += 1
+            self._log_denied_permit(upstream)
 
     async def _await_permit(self) -> bool:
-        """Wait until a resumed stream may get a permit; return false if it does not wait."""
-        wait_s = self._fleet.available_in_s(self._service, time.monotonic())
-        if not self._exchange.started or not wait_s or self._has_caller_given_up(wait_s):
+        """Wait until the request may get a permit; return false if it does not wait.
+
+        A new request waits only for cold upstreams, and only while it can still be on time.
+        """
+        now = time.monotonic()
+        wait_s = self._fleet.available_in_s(self._service, now)
+        if not wait_s:
             return False
+        if self._exchange.started:
+            if self._has_caller_given_up(wait_s):
+                return False
+        else:
+            timely = self._request.received + MAX_PERMIT_WAIT_FRACTION * self._route.objective_s
+            if not self._fleet.cold.count(now) or now + wait_s > timely:
+                return False
         await curio.sleep(wait_s)
         return True
 
@@ -211,8 +232,13 @@
             per_s=self._fleet.permits.limits.limit(upstream.incarnation),
             limit_age_s=round(self._fleet.permits.limits.age_s(upstream.incarnation, now), 3),
             wait_s=round(self._fleet.permits.wait_s(upstream, now), 3),
+            is_cold=self._had_cold_permit,
         )
 
+    def _may_send(self, upstream: Upstream) -> bool:
+        """Return whether the request may still be sent to the upstream that it chose."""
+        return self._fleet.may_send(upstream, self._had_cold_permit, self._chosen_at)
+
     async def _check_prompt(self) -> Result | None:
         """Return none if the request may be sent as far as its prompt is known, else its result."""
         if self._exchange.started:
@@ -319,7 +345,7 @@
             case Failed(answer, body):
                 await self._exchange.answer(answer.status, answer.headers, body)
                 return Answered(answer.status, "", self._attempts.count)
-            case Declined(reason) | Lost(reason) | Moved(reason):
+            case Declined(reason) | NotSent(reason) | Lost(reason) | Moved(reason):
                 pass
             case Done(status):
                 return Answered(status, "", self._attempts.count)
--- a/bluebellrun/gateway/_store_changes.py
+++ b/bluebellrun/gateway/_store_changes.py
@@ -20,6 +20,7 @@
     """An upstream registered, or changed its registration."""
 
     upstream: Upstream
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +30,22 @@
     instance: str
 
 
+@dataclass(frozen=True, slots=True)
+class DomainEvacuated:
+    """The operator evacuated a failure domain: its upstreams get no requests."""
+
+    domain: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationWithdrawn:
+    """The operator withdrew the evacuation of a failure domain."""
+
+    domain: str
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class RecordWritten:
     """A record of the project's own was written, or deleted when the value is none.
@@ -57,7 +74,15 @@
     instance: str | None = None
 
 
-StoreChange = ConfigurationWritten | UpstreamWritten | UpstreamRemoved | RecordWritten | Unreadable
+StoreChange = (
+    ConfigurationWritten
+    | UpstreamWritten
+    | UpstreamRemoved
+    | DomainEvacuated
+    | EvacuationWithdrawn
+    | RecordWritten
+    | Unreadable
+)
 
 
 class StoreReader(Protocol):
--- a/bluebellrun/platform/_names.py
+++ b/bluebellrun/platform/_names.py
@@ -15,6 +15,7 @@
 RETRY_AFTER = "retry-after"
 SERVER_LEAVING = "server-leaving"
 SERVER_LIMIT = "server-limit"
+COLD_MS = "x-bluebellrun-cold-ms"
 STORE_ERA = "store-era"
 
 READY_PATH = "/api/ready"
@@ -31,6 +32,7 @@
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_KEY_PREFIX = "servers/"
+EVACUATION_KEY_PREFIX = "op/evacuate/"
 # Prefix of the keys that bluebellrun itself writes.
 OWN_PREFIX = "bluebellrun/"
 SETTINGS_FILE_VARIABLE = "BLUEBELLRUN_NODE_FILE"
--- a/bluebellrun/routing/__init__.py
+++ b/bluebellrun/routing/__init__.py
@@ -3,6 +3,7 @@
 from bluebellrun.routing._attempt_budget import AttemptBudget, AttemptBudgetSettings
 from bluebellrun.routing._backoff import MAX_BACKOFF_S, RequestedBackoff
 from bluebellrun.routing._baselines import LeastRequestsRouting, RoundRobinRouting
+from bluebellrun.routing._cold_starts import ColdBound, ColdSource, ColdStarts
 from bluebellrun.routing._ejection import OutlierEjection
 from bluebellrun.routing._expected_finish import ExpectedFinishRouting
 from bluebellrun.routing._group_choice import GroupChoice, GroupWork, PassTerms, choose_group
@@ -21,6 +22,9 @@
     "AttemptBudget",
     "AttemptBudgetSettings",
     "Candidate",
+    "ColdBound",
+    "ColdSource",
+    "ColdStarts",
     "ExpectedFinishRouting",
     "GroupChoice",
     "GroupKey",
--- a/tests/expert_maps/test_slow_upstreams.py
+++ b/tests/expert_maps/test_slow_upstreams.py
@@ -97,6 +97,7 @@
 def test_a_status_of_an_older_build_is_read_without_the_new_field():
     status = EntryStatus("a", "i", 1, "10.0.0.1:7000", 0.0, {}, {"u1": 2.0}, group_slow={"u1": 3.0})
     assert decode_status(encode_status(status)).group_slow == {"u1": 3.0}
-    older = msgspec.msgpack.encode(msgspec.to_builtins(status)[:-1])
+    fields_before = EntryStatus.__struct_fields__.index("group_slow")
+    older = msgspec.msgpack.encode(msgspec.to_builtins(status)[:fields_before])
     assert decode_status(older).group_slow is None
     assert decode_status(older).slow == {"u1": 2.0}
