--- a/tests/gateway/test_evacuation_processes.py
+++ b/tests/gateway/test_evacuation_processes.py
@@ -7,8 +7,15 @@
 import curio
 import pytest
 
-from bluebellrun.http import HttpClient
-from tests.gateway.processes import SERVICE, Gateways, configuration, run_with_gateways
+from bluebellrun.core import Address
+from bluebellrun.http import ClientTimeouts, HttpClient
+from tests.gateway.processes import (
+    METRICS_PORT,
+    SERVICE,
+    Gateways,
+    configuration,
+    run_with_gateways,
+)
 from tests.gateway.test_lost_answers import CALM_S, lose_answer_to
 
 # An evacuation is in force this long after it was stored, where no answer is lost.
@@ -50,6 +57,16 @@
     run_with_gateways(folder, check_with_callers, count)
 
 
+async def metric(ip: str, name: str) -> float:
+    """Return the value of a gateway's metric."""
+    client = HttpClient(Address(ip, METRICS_PORT), ClientTimeouts(1.0, 1.0, 1.0))
+    _, text = await client.fetch("GET", "/metrics", [])
+    await client.close()
+    return next(
+        float(line.split()[1]) for line in text.decode().splitlines() if line.startswith(f"{name} ")
+    )
+
+
 def most_in_a_second(times: list[float], since: float) -> int:
     times = [at for at in times if at >= since]
     return max((sum(0 <= at - start < 1.0 for at in times) for start in times), default=0)
@@ -72,11 +89,15 @@
         allowed_s = CALM_S if losing else PROMPT_S
         await curio.sleep(allowed_s + 1.0)
         assert arrivals[-1] < began + allowed_s
+        for program in gateways.programs:
+            assert await metric(program.callers.ip, "bluebellrun_evacuated_domains") == 1.0
         withdrawn = time.monotonic()
         store.delete("op/evacuate/a")
         await gateways.until(lambda: arrivals[-1] > withdrawn, 3.0)
         await curio.sleep(COLD_S - 1.0)
         assert most_in_a_second(arrivals, withdrawn) <= BOUND
+        for program in gateways.programs:
+            assert await metric(program.callers.ip, "bluebellrun_cold_upstreams") == 1.0
         await gateways.until(lambda: most_in_a_second(arrivals, withdrawn) > BOUND, 5.0)
 
     run_with_callers(tmp_path, check)
