Count the wait for a slot in the choice of a group

A group that makes short passes was filled to its last slot while one with longer passes had free slots. Requests then met full ranks and their first events were late. The wait is that for a slot of one rank, grows from 0.85 of the usable slots on, as news of other entries is old, and counts six times.

--- a/bluebellrun/gateway/_fleet_groups.py
+++ b/bluebellrun/gateway/_fleet_groups.py
@@ -208,6 +208,7 @@
             slots=slots,
             usable=slots * self._fraction(service, key, now),
             running=sum(item.running for item in ranks),
+            ranks=len(ranks),
             unread_tokens=max(item.unread_tokens for item in ranks),
             growth_s=None if pauses is None else pauses.growth_s(key, now),
             local_fraction=local / len(ranks),
--- a/bluebellrun/routing/_group_choice.py
+++ b/bluebellrun/routing/_group_choice.py
@@ -2,7 +2,9 @@
 
 All ranks of a group make their passes together, so an answer takes as long in all of them: its
 passes, each of a fixed part and one that grows with the group's load, after the prompts that are
-still to be read. Requests beyond the slots that the group may use wait for one.
+still to be read. A request beyond the slots that the group may use waits for one of a single rank,
+as ranks do not share their queues. That is a good part of an answer's time, and it becomes likely
+before the last slot is taken.
 
 The entries' news of each other's requests is some tenths of a second old. If all chose the group
 that finishes first, they would overload it. So the requests that are expected to be sent meanwhile
@@ -23,6 +25,12 @@
 # Halvings by which the common finish time is found, to a millisecond or better.
 HALVINGS = 12
 MIN_GROWTH_S = 1e-6
+# Fraction of the usable slots from which on requests are more and more likely to meet a full rank,
+# as the news of the others' requests is old.
+CALM_FRACTION = 0.85
+# A wait for a slot counts this many times: it delays the first event, for which callers have a part
+# of an answer's time, while longer passes within the group's bound make no event late.
+WAIT_WEIGHT = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,15 +52,16 @@
     """The work of one group, as far as this entry knows.
 
     Of its ``slots``, ``usable`` may be taken for its passes to be in time. ``running`` counts
-    requests of all entries, and ``unread_tokens`` the prompt tokens at the rank that has most of
-    them, as the others wait for it. ``growth_s`` is none until passes have been seen, and
-    ``local_fraction`` the part of its ranks in the entry's own failure domain.
+    requests of all entries at its ``ranks``, and ``unread_tokens`` the prompt tokens at the rank
+    that has most of them, as the others wait for it. ``growth_s`` is none until passes have been
+    seen, and ``local_fraction`` the part of its ranks in the entry's own failure domain.
     """
 
     key: GroupKey
     slots: float
     usable: float
     running: float
+    ranks: int = 1
     unread_tokens: int = 0
     growth_s: float | None = None
     local_fraction: float = 0.0
@@ -76,19 +85,29 @@
         self._usable = max(work.usable, 1.0)
         self._idle_s = terms.passes * terms.fixed_s + (work.unread_tokens / rate if rate else 0.0)
         self._per_request_s = terms.passes * max(MIN_GROWTH_S, growth_s) / max(work.slots, 1.0)
-        self._full_s = self._idle_s + self._per_request_s * self._usable
-        self._per_waiting_s = self._full_s / self._usable
+        self._calm = CALM_FRACTION * self._usable
+        self._calm_s = self._idle_s + self._per_request_s * self._calm
+        answer_s = self._idle_s + self._per_request_s * self._usable
+        # Of a rank's requests, one ends after an answer's time over its slots on average.
+        first_wait_s = WAIT_WEIGHT * answer_s * work.ranks / max(work.slots, 1.0)
+        self._per_collision_s = self._per_request_s + first_wait_s / (self._usable - self._calm)
+        self._full_s = answer_s + first_wait_s
+        self._per_waiting_s = answer_s / self._usable
 
     def at(self, requests: float) -> float:
         """Return when the last of so many requests would finish."""
-        waiting = max(0.0, requests - self._usable)
-        running = requests - waiting
-        return self._idle_s + self._per_request_s * running + self._per_waiting_s * waiting
+        if requests <= self._calm:
+            return self._idle_s + self._per_request_s * requests
+        if requests <= self._usable:
+            return self._calm_s + self._per_collision_s * (requests - self._calm)
+        return self._full_s + self._per_waiting_s * (requests - self._usable)
 
     def room(self, finish_s: float) -> float:
         """Return how many requests more would finish by a time."""
-        if finish_s <= self._full_s:
+        if finish_s <= self._calm_s:
             requests = (finish_s - self._idle_s) / self._per_request_s
+        elif finish_s <= self._full_s:
+            requests = self._calm + (finish_s - self._calm_s) / self._per_collision_s
         else:
             requests = self._usable + (finish_s - self._full_s) / self._per_waiting_s
         return max(0.0, requests - self.work.running)
