Offer a stream to any group once none is known to be open

In an outage of all groups a stream excluded one group after the other and then tried the ranks of the last one, every 0.25 s, also when another group had formed first. Once no other group is open, only the upstreams that it was sent to stay excluded. With one group nothing changes.

--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -88,7 +88,9 @@
         self._admission_control = admission_control
         self._budget = budget
         self._prompt_check = PromptCheck(request, terms.service, guard)
+        # The upstreams that are not tried, and those of them that failed themselves.
         self._excluded: set[str] = set()
+        self._failed: set[str] = set()
         self._attempts = UpstreamAttempts(
             exchange,
             request,
@@ -139,6 +141,7 @@
             if not self._may_queue_again(terms):
                 return self._admission_control.refusal(result.reason, terms.is_retry)
             self._excluded.clear()
+            self._failed.clear()
             self._attempts.forget_refusals()
             await curio.sleep(QUEUE_INTERVAL_S)
 
@@ -287,6 +290,7 @@
         A lost answer and a refusal despite free slots show that the group has broken.
         """
         self._excluded.add(upstream.instance)
+        self._failed.add(upstream.instance)
         match outcome:
             case Lost() | Declined(had_slots=True) | Declined(unreachable=True):
                 if self._fleet.has_other_group(upstream, self._excluded, time.monotonic()):
@@ -295,16 +299,19 @@
     async def _await_resumption(self, upstream: Upstream) -> bool:
         """Pause before a stream is resumed; return false if its caller has given up.
 
-        It is resumed at once where another group than that of its last upstream accepts it. All
-        upstreams are tried again once each has refused.
+        It is resumed at once where another group than that of its last upstream accepts it. If none
+        does, any may form first: only the upstreams that it was sent to stay excluded. All are
+        tried again once each has refused.
         """
         if self._has_caller_given_up():
             return False
         if self._fleet.has_other_group(upstream, self._excluded, time.monotonic()):
             return True
         available = self._fleet.available(self._service, time.monotonic())
+        self._excluded &= self._failed
         if all(upstream.instance in self._excluded for upstream in available):
             self._excluded.clear()
+            self._failed.clear()
         await curio.sleep(RESUME_PAUSE_S)
         return True
 
--- a/tests/platform/test_groups.py
+++ b/tests/platform/test_groups.py
@@ -98,3 +98,22 @@
         "b0": sends(NOT_RUN),
     }
     run_check(check, scripts, busy=("a1",))
+
+
+# Guards: in an outage of all groups a stream tried each rank of one group before it came back to
+# another, which had formed first.
+def test_a_stream_that_all_groups_refused_is_offered_to_any_of_them(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr(_relay, "RESUME_PAUSE_S", 0.01)
+
+    async def check(bench: GatewayBench) -> None:
+        bench.fleet.stats("a1").running = 1
+        answer = await bench.send_request("/talk/a", deadline="8000")
+        assert (answer.body, answer.is_complete) == (events(1, 2, 3), True)
+
+    breaks, forms = sends_and_closes(stream(1, 2, complete=False)), sends(stream(3))
+    refusing = {f"b{rank}": sends(NOT_RUN) for rank in range(4)}
+    bench = run_check(check, {"a0": breaks, "a1": forms} | refusing, busy=("b",))
+    names = bench.names()
+    assert (names[0], names[1][0], names[2:]) == ("a0", "b", ["a1"])
