Test that requests are distributed whole over any groups

Guards against an error or a lost request where a group has no slots, no growth or more requests than slots.

--- a/tests/routing/test_group_choice.py
+++ b/tests/routing/test_group_choice.py
@@ -4,7 +4,11 @@
 from dataclasses import replace
 from random import Random
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from bluebellrun.routing import GroupWork, PassTerms, choose_group
+from bluebellrun.routing._group_choice import _distribute, _Finish
 
 SLOTS, FIXED_S, GROWTH_S, PASSES = 120, 0.034, 0.030, 23
 TERMS = PassTerms(FIXED_S, GROWTH_S, PASSES, 74_800)
@@ -100,3 +104,26 @@
     for item in worse:
         other = replace(item, key=("b", ""))
         assert set(chosen(other, base)) == {"a"}
+
+
+WORKS = st.builds(
+    GroupWork,
+    key=st.just(("a", "")),
+    slots=st.floats(0, 400),
+    usable=st.floats(0, 400),
+    running=st.floats(0, 800),
+    ranks=st.integers(1, 64),
+    unread_tokens=st.integers(0, 50_000),
+    growth_s=st.none() | st.floats(0, 1),
+)
+
+
+# Guards: a group without slots or growth, or a share of no requests, ended a request with an error.
+@given(st.lists(WORKS, min_size=2, max_size=8), st.floats(1, 500))
+def test_requests_are_distributed_whole_and_groups_finish_together(works, requests):
+    groups = [_Finish(item, TERMS) for item in works]
+    parts = _distribute(groups, requests)
+    assert min(parts) >= 0
+    assert sum(parts) >= requests * 0.999
+    ends = [g.at(g.work.running + part) for g, part in zip(groups, parts, strict=True) if part]
+    assert max(ends) <= min(ends) * 1.001
