Learn the mixtures of demand that return, and recognise them from few counts

A decayed sum of counts follows a shift of demand in about a second, as long as a change of the map takes, and a mixture that returns is estimated anew each time. MixtureLibrary learns the shares of up to 12 mixtures while a group runs and recognises them from the counts of one reading.

Not used by a manager yet.

--- a/bluebellrun/placement/__init__.py
+++ b/bluebellrun/placement/__init__.py
@@ -27,6 +27,7 @@
     rank_loads,
     skew,
 )
+from bluebellrun.placement._mixtures import MixtureLibrary, MixtureSettings
 from bluebellrun.placement._planner import PlacementPlan, PlanSettings, plan_placement
 from bluebellrun.placement._step_times import StepTimes, StepTimesSettings
 from bluebellrun.placement._worth import RequiredGainSettings, required_gain
@@ -39,6 +40,8 @@
     "DemandSettings",
     "HoldPass",
     "MarginSettings",
+    "MixtureLibrary",
+    "MixtureSettings",
     "Placement",
     "PlacementChange",
     "PlacementPlan",
--- a/bluebellrun/placement/_demand.py
+++ b/bluebellrun/placement/_demand.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from math import log
+from operator import add, sub
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +61,7 @@
         self._previous_at: dict[int, float] = {}
         self._sums = [0.0] * (layers * experts)
         self._latest = [0.0] * (layers * experts)
+        self._window = [0.0] * (layers * experts)
         self._decayed_at: float | None = None
 
     @property
@@ -104,14 +106,20 @@
             return False
         if before is None or (before.epoch, before.born) != (read.epoch, read.born):
             return False
-        gained = [new - old for new, old in zip(read.counts, before.counts, strict=True)]
+        gained = list(map(sub, read.counts, before.counts))
         if min(gained) < 0:
             return False
+        self._window = list(map(add, self._window, gained))
         latest = _weight(now - before_at, self._settings.short_half_life_s)
-        self._sums = [have + new for have, new in zip(self._sums, gained, strict=True)]
+        self._sums = list(map(add, self._sums, gained))
         self._latest = [have + latest * new for have, new in zip(self._latest, gained, strict=True)]
         return True
 
+    def take_window(self) -> list[float]:
+        """Return the choices that were recorded since the last call, without decay."""
+        window, self._window = self._window, [0.0] * len(self._window)
+        return window
+
     def demand(self) -> list[list[float]]:
         """Return the decayed choices as ``[layer][expert]``."""
         size = self._experts
