Plan by recognised mixtures, and for the demand from before when a group forms again

A group that forms again is on its first map, with passes three times as long, and its manager waited for new counts while the old ones had faded. The manager now keeps what it learned of the demand across epochs and roles, and plans at once for the average over all mixtures until new counts are there.

--- a/bluebellrun/expert_maps/_expert_maps.py
+++ b/bluebellrun/expert_maps/_expert_maps.py
@@ -13,6 +13,7 @@
 import curio
 
 from bluebellrun.deployment import Deployment, ExpertTerms
+from bluebellrun.expert_maps._group_demand import GroupDemand
 from bluebellrun.expert_maps._group_manager import FencedError, GroupManager
 from bluebellrun.expert_maps._group_roles import GroupKey, GroupRoles
 from bluebellrun.expert_maps._map_versions import MapVersions
@@ -32,6 +33,8 @@
 UNRECORDED_S = 3.0
 # A change that is in progress when the group gets another role is driven on for this long.
 HAND_OVER_S = 2.0
+# Groups whose demand is kept; some megabytes for a large model.
+MAX_DEMANDS = 32
 
 # The load of a service, or of the upstreams of one of its groups.
 Load = Callable[[str, Collection[str]], float]
@@ -65,6 +68,7 @@
         # Groups by service and name, as long as a task manages them.
         self._services: dict[str, ServiceRanks] = {}
         self._groups: dict[GroupKey, GroupManager] = {}
+        self._demands: dict[GroupKey, GroupDemand] = {}
         self._several_since: dict[str, float] = {}
 
     @property
@@ -136,7 +140,14 @@
         if terms is None or upstreams is None:
             return
         manager = GroupManager(
-            service, name, terms, self._calls, upstreams, role, self._versions, self._load
+            service,
+            name,
+            self._demand(group, terms),
+            self._calls,
+            upstreams,
+            role,
+            self._versions,
+            self._load,
         )
         self._groups[group] = manager
         await spawn_background(self._run_group, group, manager, upstreams, role)
@@ -166,6 +177,16 @@
         finally:
             del self._groups[key]
 
+    def _demand(self, group: GroupKey, terms: ExpertTerms) -> GroupDemand:
+        """Return what is known of a group's demand, also from an earlier time as its manager."""
+        demand = self._demands.pop(group, None)
+        if demand is None or demand.experts != terms:
+            demand = GroupDemand(*group, terms, self._calls)
+        self._demands[group] = demand
+        while len(self._demands) > MAX_DEMANDS:
+            del self._demands[next(iter(self._demands))]
+        return demand
+
     def _role_of(self, group: GroupKey) -> PlacementRole | None:
         """Return the role under which a group is managed; none if it is not recorded yet."""
         if self._recorded.groups(group[0]):
--- a/bluebellrun/expert_maps/_group_demand.py
+++ b/bluebellrun/expert_maps/_group_demand.py
@@ -1,7 +1,7 @@
 """Read how often the requests of a group choose each expert, from the counts of its ranks."""
 
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from bluebellrun.deployment import ExpertTerms
@@ -11,6 +11,8 @@
 from bluebellrun.placement import (
     DemandEstimator,
     DemandSettings,
+    MixtureLibrary,
+    MixtureSettings,
     StepTimes,
     StepTimesSettings,
     demand_settings,
@@ -21,6 +23,8 @@
 # in rotation, as a call costs both hosts about a millisecond.
 RANKS_READ_ALWAYS = 4
 RANKS_READ_IN_ROTATION = 20
+# For so long after a group formed again, a map may be planned for the demand from before.
+PRIOR_S = 5.0
 # Choices observed before the first plan: a few dozen for each expert of a group.
 MIN_CHOICES_PER_EXPERT = 20
 
@@ -48,21 +52,42 @@
         self._min_choices = MIN_CHOICES_PER_EXPERT * experts.layers * experts.experts
         self._estimator = DemandEstimator(experts.layers, experts.experts, DemandSettings())
         self._step_times = StepTimes(StepTimesSettings())
+        self._mixtures = MixtureLibrary(experts.layers, experts.experts, MixtureSettings())
+        self._experts = experts
         self._next_read = 0
+        self._prior_until = 0.0
 
     @property
-    def is_known(self) -> bool:
-        """Return whether enough choices were observed to plan for."""
+    def experts(self) -> ExpertTerms:
+        """Return the sizes of the expert layers."""
+        return self._experts
+
+    @property
+    def is_observed(self) -> bool:
+        """Return whether enough choices were observed recently to plan for."""
         return self._estimator.total >= self._min_choices
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether there is a demand to plan for, observed recently or before."""
+        return self.is_observed or self._prior() is not None
+
     @property
     def step_s(self) -> float | None:
         """Return the mean duration of a step, none if unknown."""
         return self._step_times.step_s
 
     def by_layer(self) -> list[list[float]]:
-        """Return the choices as ``[layer][expert]``; the past fades."""
-        return self._estimator.demand()
+        """Return the choices, or shares of them, as ``[layer][expert]``."""
+        known = self._mixtures.current if self.is_observed else self._prior()
+        if known is None:
+            return self._estimator.demand()
+        size = self._experts.experts
+        return [list(known[start : start + size]) for start in range(0, len(known), size)]
+
+    def expect_prior(self) -> None:
+        """Let the first map be replaced by one for the demand from before, if any is known."""
+        self._prior_until = time.monotonic() + PRIOR_S
 
     def set_size(self, ranks: int) -> None:
         """Adapt to the group's size."""
@@ -98,4 +123,11 @@
         shifted = self._estimator.reset_on_shift()
         if shifted:
             _log.info("demand shifted", **self._names, distance=round(distance, 3))
+        if self._mixtures.observe(self._estimator.take_window()):
+            shifted = True
+            _log.info("mixture of demand recognised", **self._names, known=self._mixtures.known)
         return CountsRead(bool(epochs - {epoch}), slowed, shifted)
+
+    def _prior(self) -> Sequence[float] | None:
+        """Return the average demand from before, while a group that has formed again needs it."""
+        return self._mixtures.average if time.monotonic() < self._prior_until else None
--- a/bluebellrun/expert_maps/_group_manager.py
+++ b/bluebellrun/expert_maps/_group_manager.py
@@ -3,7 +3,6 @@
 import time
 from collections.abc import Callable, Collection
 
-from bluebellrun.deployment import ExpertTerms
 from bluebellrun.expert_maps._group_demand import GroupDemand
 from bluebellrun.expert_maps._group_planning import plan_map
 from bluebellrun.expert_maps._map_versions import MapVersions
@@ -53,7 +52,7 @@
         self,
         service: str,
         name: str,
-        experts: ExpertTerms,
+        demand: GroupDemand,
         calls: RankCalls,
         upstreams: ServiceRanks,
         role: PlacementRole,
@@ -63,7 +62,7 @@
         self._service = service
         self._name = name
         self._names = {"service": service, "group": name}
-        self._experts = experts
+        self._experts = demand.experts
         self._calls = calls
         self._upstreams = upstreams
         self._role = role
@@ -80,7 +79,7 @@
         self._claimed: set[int] = set()
         self._current: Placement | None = None
         self._change: PlacementChange | None = None
-        self._demand = GroupDemand(service, name, experts, calls)
+        self._demand = demand
 
     @property
     def slowness(self) -> dict[str, float]:
@@ -174,6 +173,7 @@
         self._claimed.clear()
         self._current = None
         self._change = None
+        self._planned_at = 0.0
 
     async def _forget(self, upstream: Upstream) -> None:
         """Drop an upstream whose incarnation has ended."""
@@ -200,6 +200,7 @@
             return False
         if versions == {0}:
             sizes = self._experts
+            self._demand.expect_prior()
             self._current = default_placement(sizes.layers, len(self._ranks), sizes.experts)
         else:
             self._current = await self._read_placement()
@@ -292,7 +293,10 @@
             return
         self._planned_at = time.monotonic()
         slowness = [self._states[rank].slowness for rank in sorted(self._states)]
-        load = self._load(self._service, [item.instance for item in self._ranks.values()])
+        # A group that has just formed will be loaded: its passes take long until it has a map.
+        load = 1.0
+        if self._demand.is_observed:
+            load = self._load(self._service, [item.instance for item in self._ranks.values()])
         demand = self._demand.by_layer()
         placement = await plan_map(
             self._names, self._experts, self._current, demand, slowness, load
