Shed load at the gateways where the settings ask for it

Change: HostSettings.load_shedding (true where the settings list the contract "pressure") lets AdmissionControl ask LoadShedding for services whose upstreams work in step. Outages themselves are still found by the gate. With it off nothing changes. AdmissionTerms moved to a module of its own, as both need it.

--- a/bluebellrun/deployment/_host.py
+++ b/bluebellrun/deployment/_host.py
@@ -48,7 +48,8 @@
     """What a process is told at its start.
 
     ``link_bits_s`` is 0 where it is not told. ``callers`` is none where it serves no callers,
-    ``upstream`` where no upstream runs beside it.
+    ``upstream`` where no upstream runs beside it. With ``load_shedding``, gateways delay or refuse
+    what costs callers least when a model group's slots do not suffice.
     """
 
     host: str
@@ -63,3 +64,4 @@
     memory_bytes: int = 0
     link_bits_s: float = 0.0
     bounds: Bounds = field(default_factory=Bounds)
+    load_shedding: bool = False
--- a/bluebellrun/gateway/_admission_control.py
+++ b/bluebellrun/gateway/_admission_control.py
@@ -7,11 +7,12 @@
 whose upstreams work in step are short, so requests that arrive during one are queued for as long as
 their callers wait. For some seconds after it, late requests take only the slots that new requests
 leave, except retries that would soon fail for good.
+
+With load shedding, ``LoadShedding`` decides all this but the outages themselves.
 """
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 
 import curio
@@ -21,26 +22,26 @@
     RecoveryLimit,
     RecoverySettings,
     ReserveSettings,
+    Send,
     ServiceGate,
+    Shed,
     SlotAdmission,
     SlotUsage,
     Ticket,
     UrgentReserve,
+    Wait,
     WaitingQueue,
 )
 from bluebellrun.deployment import Route
+from bluebellrun.gateway._admission_terms import AdmissionTerms
 from bluebellrun.gateway._fleet import Fleet
+from bluebellrun.gateway._load_shedding import LoadShedding
 from bluebellrun.gateway._models import Refused
 from bluebellrun.telemetry import get_logger
 
 UNAVAILABLE = 503
 # Interval at which queued requests check for a slot; one becomes free every few milliseconds.
 QUEUE_INTERVAL_S = 0.04
-# Steps of urgency by which a retry ranks behind new requests at first, and ahead of them during the
-# last RETRY_ESCALATION_S before its deadline.
-RETRY_STEPS_BEHIND = 1
-RETRY_STEPS_AHEAD = 1
-RETRY_ESCALATION_S = 0.7
 # A new request that has waited for this fraction of its objective is late.
 MAX_TIMELY_WAIT_FRACTION = 0.5
 # Upper factor of the random spread of retry times when all upstreams have asked for a backoff.
@@ -49,39 +50,12 @@
 _log = get_logger("admission")
 
 
-@dataclass(frozen=True, slots=True)
-class AdmissionTerms:
-    """Inputs to the admission decision for one request.
-
-    ``send_deadline``, in seconds of the monotonic clock, is the last time at which sending it can
-    still produce an answer in time. ``is_retry`` means that its caller was refused or cut off
-    before.
-    """
-
-    request_id: str
-    route: Route
-    urgency: int
-    send_deadline: float
-    is_retry: bool = False
-
-    def urgency_at(self, now: float) -> int:
-        """Return the request's urgency relative to new requests."""
-        if not self.is_retry:
-            return self.urgency
-        if self.is_last_chance_at(now):
-            return self.urgency - RETRY_STEPS_AHEAD
-        return self.urgency + RETRY_STEPS_BEHIND
-
-    def is_last_chance_at(self, now: float) -> bool:
-        """Return whether the request soon fails for good unless it is sent."""
-        return self.is_retry and now >= self.send_deadline - RETRY_ESCALATION_S
-
-
 class AdmissionControl:
     """Admission control of one service; times in seconds of the monotonic clock.
 
     ``pauses`` is none for a service whose upstreams don't work in step. ``entries`` returns how
-    many entries compete for the slots that become free.
+    many entries compete for the slots that become free. ``shedding`` is none where load shedding is
+    off.
     """
 
     def __init__(
@@ -93,7 +67,9 @@
         pauses: PauseLimit | None,
         entries: Callable[[], int],
         random: Random,
+        shedding: LoadShedding | None = None,
     ) -> None:
+        self._shedding = shedding
         self._service = service
         self._fleet = fleet
         self._gate = gate
@@ -115,6 +91,8 @@
 
         One that was ``attempted`` waits for the end of the outage that refused it.
         """
+        if self._shedding is not None:
+            return await self._admit_or_shed(self._shedding, terms, attempted)
         if attempted:
             refused: Refused | None = self._outage_refusal()
         else:
@@ -136,6 +114,8 @@
     def finish(self, terms: AdmissionTerms) -> None:
         """Record that an admitted request has ended."""
         self._recovery.finish(terms.request_id)
+        if self._shedding is not None:
+            self._shedding.shedder.finish(terms.request_id)
 
     def refusal(self, reason: str, is_retry: bool = False) -> Refused:
         """Return a refusal with a time to retry after.
@@ -154,10 +134,24 @@
             retry_after_s = self._recovery.retry_after_s(retry_after_s, share, usage.typical_s, now)
         return Refused(UNAVAILABLE, reason, retry_after_s)
 
-    def record_pause(self, pause_s: float, max_pause_s: float | None, now: float) -> None:
+    def refusal_of(self, terms: AdmissionTerms, reason: str) -> Refused:
+        """Return the refusal of a request with the time to retry after that suits it."""
+        if self._shedding is None:
+            return self.refusal(reason, terms.is_retry)
+        now = time.monotonic()
+        wait_s = self._fleet.available_in_s(self._service, now)
+        earliest_s = max(wait_s, self._gate.retry_after_s(now))
+        return Refused(UNAVAILABLE, reason, self._shedding.retry_after_s(terms, earliest_s, now))
+
+    def record_pause(
+        self, pause_s: float, max_pause_s: float | None, now: float, instance: str = ""
+    ) -> None:
         """Record the pause between two events of one upstream's stream."""
         if self._pauses is None or not max_pause_s:
             return
+        if self._shedding is not None:
+            self._shedding.record_pause(pause_s, max_pause_s, now, instance)
+            return
         part = self._pauses.observe(pause_s, max_pause_s, self._load, now)
         if part is not None:
             _log.info(
@@ -168,6 +162,43 @@
                 load=round(self._load(), 2),
             )
 
+    async def _admit_or_shed(
+        self, shedding: LoadShedding, terms: AdmissionTerms, attempted: bool
+    ) -> Refused | None:
+        """Wait until a request may be sent and return none, or return its refusal."""
+        started = time.monotonic()
+        if not attempted:
+            shedding.record_arrival(terms, started)
+        waits = attempted or terms.is_retry
+        try:
+            while True:
+                decision = self._shed_decision(shedding, terms, attempted, waits)
+                if isinstance(decision, Send):
+                    if waits:
+                        self._log_wait(terms, started, "sent")
+                    return None
+                if isinstance(decision, Shed):
+                    if time.monotonic() - started > QUEUE_INTERVAL_S:
+                        self._log_wait(terms, started, "refused")
+                    return self.refusal_of(terms, decision.reason)
+                waits = True
+                await curio.sleep(QUEUE_INTERVAL_S)
+        finally:
+            shedding.shedder.leave(terms.request_id)
+
+    def _shed_decision(
+        self, shedding: LoadShedding, terms: AdmissionTerms, attempted: bool, waits: bool
+    ) -> Send | Wait | Shed:
+        """Decide for a request: in an outage it is a probe, or waits as long as its caller."""
+        now = time.monotonic()
+        if (attempted and self._gate.is_unavailable(now)) or not self._gate.admits(now, waits):
+            if now + QUEUE_INTERVAL_S < terms.send_deadline:
+                return shedding.wait(terms, now)
+            return Shed(self._outage_refusal().reason)
+        if self._gate.is_unavailable(now):
+            return shedding.probe(terms, now)
+        return shedding.decide(terms, now)
+
     async def _wait(
         self, terms: AdmissionTerms, refused: Refused, attempted: bool
     ) -> Refused | None:
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from bluebellrun.deployment import Deployment, EngineTerms, HostSettings, Route
 from bluebellrun.gateway._admission_control import AdmissionControl
 from bluebellrun.gateway._fleet import Fleet
+from bluebellrun.gateway._load_shedding import LoadShedding
 from bluebellrun.gateway._models import (
     Answered,
     BrokenOff,
@@ -352,9 +353,16 @@
                 _pause_limit(engine),
                 lambda: self._entries,
                 self._random,
+                self._load_shedding(service, engine),
             )
         return control
 
+    def _load_shedding(self, service: str, engine: EngineTerms | None) -> LoadShedding | None:
+        """Return a service's load shedding, none where it is off or there are no passes."""
+        if engine is None or not self._settings.load_shedding:
+            return None
+        return LoadShedding(service, self._fleet, engine, lambda: self._entries)
+
     def _group_terms(self, service: str) -> EngineTerms | None:
         """Return the terms of a service whose upstreams work in step, none of any other."""
         terms = None if self._deployment is None else self._deployment.services.get(service)
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -16,11 +16,8 @@
 import curio
 
 from bluebellrun.deployment import Deployment, Route
-from bluebellrun.gateway._admission_control import (
-    QUEUE_INTERVAL_S,
-    AdmissionControl,
-    AdmissionTerms,
-)
+from bluebellrun.gateway._admission_control import QUEUE_INTERVAL_S, AdmissionControl
+from bluebellrun.gateway._admission_terms import AdmissionTerms
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._models import (
     Answered,
@@ -191,7 +188,7 @@
             if self._is_withheld or not isinstance(result, Refused):
                 return result
             if not self._may_queue_again(terms):
-                return self._admission_control.refusal(result.reason, terms.is_retry)
+                return self._admission_control.refusal_of(terms, result.reason)
             self._excluded.clear()
             self._refusals = 0
             await curio.sleep(QUEUE_INTERVAL_S)
@@ -315,8 +312,17 @@
         caller_deadline = self._request.received + self._stream_timeout_s() - SERVING_TIME_S
         deadline = min(terms.deadline, self._stop_deadline())
         send_deadline = min(caller_deadline, deadline - self._answer_s())
+        request = self._request
         return AdmissionTerms(
-            self._request.id, terms.route, terms.urgency, send_deadline, terms.is_retry
+            request.id,
+            terms.route,
+            terms.urgency,
+            send_deadline,
+            terms.is_retry,
+            request.received,
+            deadline,
+            request.prompt_tokens,
+            request.expected_tokens,
         )
 
     def _answer_s(self) -> float:
@@ -594,7 +600,9 @@
         self._record_prompt_read(upstream)
         if pause_s is not None:
             max_pause_s = self._route.longest_pause_s
-            self._admission_control.record_pause(pause_s, max_pause_s, time.monotonic())
+            self._admission_control.record_pause(
+                pause_s, max_pause_s, time.monotonic(), upstream.instance
+            )
 
 
 def _lost(error: TransportError) -> Lost:
--- a/bluebellrun/platform/_settings.py
+++ b/bluebellrun/platform/_settings.py
@@ -12,6 +12,8 @@
 MILLISECOND_S = 0.001
 MEGABYTE = 1_000_000
 MEGABIT = 1_000_000
+# Name in ``contracts`` that asks for load shedding.
+LOAD_SHEDDING_CONTRACT = "pressure"
 
 
 class SettingsError(Exception):
@@ -68,6 +70,8 @@
     listen: _Listen = msgspec.field(default_factory=_Listen)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # Optional rules that the installation asks for; unknown ones are ignored.
+    contracts: tuple[str, ...] = ()
 
 
 def read_settings(path: Path) -> HostSettings:
@@ -121,6 +125,7 @@
         link_bits_s=file.limits.link_mbps * MEGABIT,
         memory_bytes=int(file.limits.ram_mb * MEGABYTE),
         bounds=bounds,
+        load_shedding=LOAD_SHEDDING_CONTRACT in file.contracts,
     )
 
 
--- a/tests/gateway/test_admission_control.py
+++ b/tests/gateway/test_admission_control.py
@@ -18,12 +18,8 @@
 from bluebellrun.core import Address
 from bluebellrun.deployment import Repeat, Route, Share
 from bluebellrun.gateway import Fleet, Refused, Upstream, UpstreamDirectory
-from bluebellrun.gateway._admission_control import (
-    MAX_RETRY_SPREAD,
-    RETRY_ESCALATION_S,
-    AdmissionControl,
-    AdmissionTerms,
-)
+from bluebellrun.gateway._admission_control import MAX_RETRY_SPREAD, AdmissionControl
+from bluebellrun.gateway._admission_terms import RETRY_ESCALATION_S, AdmissionTerms
 
 SLOTS = 4
 TYPICAL_S = 1.0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -44,6 +44,12 @@
     assert settings.memory_bytes == 300_000_000
 
 
+def test_load_shedding_is_on_only_where_the_settings_ask_for_it(tmp_path):
+    assert not read_settings(write_settings(tmp_path, SETTINGS)).load_shedding
+    asked = 'contracts = ["other", "pressure"]\n' + SETTINGS
+    assert read_settings(write_settings(tmp_path, asked)).load_shedding
+
+
 @pytest.mark.parametrize(
     ("wrong", "message"),
     [
