Let returning callers wait to the end, spread them evenly, leave room for shifts

Cause: a retry was refused for good when its wait was estimated with the slowest passes assumed right after an outage, and with its rank of the moment instead of that of its last chance. Once more callers were refused than can be served, all were told the latest time and came back together. Passes exceeded the longest pause at the onset of a slow phase.

Change: a retry is refused early only on arrival and if the wait is four times its time; the rank at its last chance counts; times to retry start again from the earliest; passes aim at 0.9 of the longest pause; late requests always have 0.15 of the slots instead of 0.2.

--- a/bluebellrun/admission/_pass_times.py
+++ b/bluebellrun/admission/_pass_times.py
@@ -43,7 +43,7 @@
     drop_factor: float = 1.3
     recurrence_s: float = 7.0
     start_s: float = 1.0
-    target_fraction: float = 0.93
+    target_fraction: float = 0.9
     outage_factor: float = 2.0
     max_factor: float = 8.0
     min_fraction: float = 0.1
--- a/bluebellrun/admission/_shedding.py
+++ b/bluebellrun/admission/_shedding.py
@@ -37,13 +37,13 @@
     Slots that become free are known only after some tenths of a second. If passes bound nothing,
     new requests may therefore exceed the slots by as many as become free within ``overfill_s``.
     What other entries have sent is known after ``report_age_s``. A late request that has no retry
-    left waits while the expected wait is below ``hopeless_factor`` times the time that it has, as
-    estimates are rough; one with a retry left only if that takes less than ``max_late_wait_s``,
-    since a refusal should come at once. Waiting requests are ranked again after
-    ``ranking_s``.
+    left is refused at once if the expected wait is over ``hopeless_factor`` times the time that it
+    has, as estimates are rough, else it waits for that time; one with a retry left waits only if a
+    slot is expected within ``max_late_wait_s``, since a refusal should come at once. Waiting
+    requests are ranked again after ``ranking_s``.
     """
 
-    min_late_fraction: float = 0.2
+    min_late_fraction: float = 0.15
     last_chance_s: float = 0.7
     max_spread_s: float = 2.0
     max_retry_fraction: float = 0.3
@@ -51,7 +51,7 @@
     min_rate_age_s: float = 0.3
     overfill_s: float = 0.06
     report_age_s: float = 0.12
-    hopeless_factor: float = 2.0
+    hopeless_factor: float = 4.0
     max_late_wait_s: float = 0.4
     ranking_s: float = 0.02
 
@@ -179,16 +179,14 @@
             return self.send(request, now)
         is_timely = request.is_timely_at(now)
         rank = self._rank(request, capacity, now)
-        ahead = self._ahead(rank, capacity, now) * max(1, capacity.entries)
-        limit = self._limit(request, is_timely, capacity)
-        missing = capacity.taken + self._unreported(capacity, now) + ahead + 1 - limit
+        missing = self._missing(request, rank, capacity, now)
         may_be_late = is_timely or self.late < self._late_slots(rank, capacity, now)
         if may_be_late and missing <= 0:
             return self.send(request, now)
         wait_s = max(1.0, missing) / self._freed_for(request.urgency, capacity, now)
         if is_timely and now + wait_s <= request.timely_until:
             return self.wait(request)
-        return self._decide_late(request, wait_s, capacity, now)
+        return self._decide_late(request, capacity, now)
 
     def retry_after_s(
         self, request: SheddingRequest, earliest_s: float, capacity: Capacity, now: float
@@ -205,20 +203,18 @@
         if request.is_retry:
             return earliest - now
         start = max(earliest, self._promised_until)
-        start = min(start, earliest + settings.max_spread_s, latest)
+        if start > min(latest, earliest + settings.max_spread_s):
+            # More callers than slots: they come back evenly spread, not all at the latest time.
+            start = earliest
         late_slots = self._late_slots((LEFTOVER, LATE, 0.0, 0.0), capacity, now)
         held_s = capacity.hold_s * self._costs.size_factor(request.size)
         self._promised_until = start + held_s / late_slots
         return start - now
 
     def _decide_late(
-        self,
-        request: SheddingRequest,
-        wait_s: float,
-        capacity: Capacity,
-        now: float,
+        self, request: SheddingRequest, capacity: Capacity, now: float
     ) -> ShedDecision:
-        """Decide for a request that is late if it waits for a slot, which takes ``wait_s``.
+        """Decide for a request that is late if it waits for a slot.
 
         What counts is its last rank: a late request is sent at its last chance, if not before.
         """
@@ -226,10 +222,13 @@
         rank = self._last_chance_rank(request)
         late_slots = self._late_slots(rank, capacity, now)
         late_before = self._late_ahead(rank) + (self.late >= late_slots)
+        missing = max(1.0, self._missing(request, rank, capacity, now))
+        wait_s = missing / self._freed_for(request.urgency, capacity, now)
         wait_s = max(wait_s, late_before * capacity.hold_s / late_slots)
         left_s = request.send_deadline - now
         if request.is_retry:
-            may_wait = wait_s <= settings.hopeless_factor * left_s
+            is_hopeless = wait_s > settings.hopeless_factor * left_s
+            may_wait = request.id in self._waiting or not is_hopeless
         else:
             may_wait = wait_s <= min(left_s, settings.max_late_wait_s)
         if left_s > 0 and may_wait:
@@ -241,6 +240,14 @@
             f"{left_s:.2f} s left"
         )
 
+    def _missing(
+        self, request: SheddingRequest, rank: Rank, capacity: Capacity, now: float
+    ) -> float:
+        """Return how many slots have to become free first, 0 or less if the request has one."""
+        ahead = self._ahead(rank, capacity, now) * max(1, capacity.entries)
+        limit = self._limit(request, rank[1] == NEW, capacity)
+        return capacity.taken + self._unreported(capacity, now) + ahead + 1 - limit
+
     def _rank(self, request: SheddingRequest, capacity: Capacity, now: float) -> Rank:
         """Return a request's rank among those that wait.
 
--- a/bluebellrun/gateway/_load_shedding.py
+++ b/bluebellrun/gateway/_load_shedding.py
@@ -1,5 +1,6 @@
 """Load shedding of one service: the state of its slots and passes as the decisions need it."""
 
+import math
 from collections.abc import Callable
 
 from bluebellrun.admission import (
@@ -109,7 +110,7 @@
         engine, objective_s = self._engine, terms.route.objective_s
         timely_until = terms.send_deadline
         if objective_s > 0:
-            first_s = first_event_s(terms.prompt_tokens, engine, self._passes.pass_s(now))
+            first_s = first_event_s(terms.prompt_tokens, engine, self._pass_s(terms, now))
             wait_s = min(MAX_WAIT_FRACTION * objective_s, objective_s - first_s)
             timely_until = terms.received + max(MIN_WAIT_FRACTION * objective_s, wait_s)
         return SheddingRequest(
@@ -122,6 +123,10 @@
             relative_size(terms.prompt_tokens, terms.answer_tokens, engine),
         )
 
+    def _pass_s(self, terms: AdmissionTerms, now: float) -> float:
+        """Return how long passes take; longer ones than streams allow are soon shortened."""
+        return min(self._passes.pass_s(now), terms.route.longest_pause_s or math.inf)
+
     def _current(self, terms: AdmissionTerms, now: float) -> Capacity:
         """Return the state of the slots, at most some milliseconds old."""
         max_pause_s = terms.route.longest_pause_s
@@ -131,7 +136,7 @@
                 return capacity
         usage = self._fleet.slot_usage(self._service, now)
         fraction = self._passes.slot_fraction(max_pause_s, now) if max_pause_s else 1.0
-        held_s = hold_s(self._engine, self._passes.pass_s(now))
+        held_s = hold_s(self._engine, self._pass_s(terms, now))
         capacity = Capacity(usage.total, usage.taken, held_s, fraction, self._entries())
         self._capacity = (now, max_pause_s, capacity)
         return capacity
--- a/tests/gateway/test_admission_control.py
+++ b/tests/gateway/test_admission_control.py
@@ -20,6 +20,8 @@
 from bluebellrun.gateway import Fleet, Refused, Upstream, UpstreamDirectory
 from bluebellrun.gateway._admission_control import MAX_RETRY_SPREAD, AdmissionControl
 from bluebellrun.gateway._admission_terms import RETRY_ESCALATION_S, AdmissionTerms
+from bluebellrun.gateway._load_shedding import LoadShedding
+from tests.gateway.shedding_world import ENGINE
 
 SLOTS = 4
 TYPICAL_S = 1.0
@@ -30,12 +32,13 @@
 class Service:
     """One upstream with a settable number of occupied slots, and its admission control."""
 
-    def __init__(self, taken: int = 0) -> None:
+    def __init__(self, taken: int = 0, sheds: bool = False) -> None:
         directory = UpstreamDirectory()
         self.upstream = Upstream("u", "s", Address("127.0.0.1", 1), "a", SLOTS)
         directory.put(self.upstream)
         self.fleet = Fleet(directory, "a", Random(1))
         self.gate = ServiceGate(GateSettings())
+        self.shedding = LoadShedding("s", self.fleet, ENGINE, lambda: 1) if sheds else None
         self.admission_control = AdmissionControl(
             "s",
             self.fleet,
@@ -44,6 +47,7 @@
             None,
             lambda: 1,
             Random(1),
+            self.shedding,
         )
         self.fleet.stats("u").typical_s = TYPICAL_S
         self.set_taken(taken)
@@ -60,7 +64,9 @@
     ) -> tuple[Refused | None, float]:
         """Return the refusal, if any, and how long the request waited for the decision."""
         started = time.monotonic()
-        terms = AdmissionTerms("r1", ROUTE, urgency, started + wait_s, is_retry)
+        terms = AdmissionTerms(
+            "r1", ROUTE, urgency, started + wait_s, is_retry, started, started + ROUTE.timeout_s
+        )
         refused = await self.admission_control.admit(terms)
         return refused, time.monotonic() - started
 
@@ -184,3 +190,28 @@
     assert times[-1] - times[0] <= RecoverySettings().max_spread_s + 0.1
     final = service.admission_control.refusal("none", is_retry=True).retry_after_s or 0.0
     assert final <= times[0]
+
+
+# Guards: with load shedding on, a refusal or the end of an outage did not reach the caller.
+def test_with_load_shedding_new_callers_are_refused_at_once_and_outages_are_waited_for():
+    async def main() -> None:
+        service = Service(taken=40, sheds=True)
+        refused, took_s = await service.request(is_retry=False)
+        assert refused is not None and refused.retry_after_s
+        assert "40 requests for" in refused.reason
+        assert took_s < 0.05
+        assert service.shedding is not None and service.shedding.shedder.waiting == 0
+        service.set_taken(0)
+        service.out_of_order()
+        service.gate.admits(time.monotonic())
+        waiting = await curio.spawn(service.request, False)
+        await curio.sleep(0.1)
+        service.gate.record_accepted(time.monotonic())
+        refused, took_s = await waiting.join()
+        assert refused is None
+        assert 0.1 <= took_s < 0.3
+        assert service.shedding.shedder.late == 1
+        service.admission_control.finish(AdmissionTerms("r1", ROUTE, 0, 0.0))
+        assert service.shedding.shedder.late == 0
+
+    curio.run(main)
