--- a/bluebellrun/admission/_pass_times.py
+++ b/bluebellrun/admission/_pass_times.py
@@ -116,17 +116,15 @@
 
     def slot_fraction(self, max_pause_s: float, now: float) -> float:
         """Return the fraction of the slots that may be taken, over all groups; 1 is no bound."""
-        fractions = [
-            self._group_fraction(state, max_pause_s, now) for state in self._groups.values()
-        ]
-        if not fractions:
+        active = self._active(now)
+        if not active:
             return self._allowed(self._start, max_pause_s)
+        fractions = [self._group_fraction(state, max_pause_s, now) for state in active]
         return sum(fractions) / len(fractions)
 
     def pass_s(self, now: float) -> float:
         """Return the time that passes lately took, or are assumed to take."""
-        latest = [self._recent(state, now)[-1] for state in self._groups.values()]
-        latest = latest or [self._start]
+        latest = [state.passes[-1] for state in self._active(now)] or [self._start]
         return sum(item.pass_s for item in latest) / len(latest)
 
     def retain(self, groups: set[str]) -> None:
@@ -150,17 +148,18 @@
         state.passes.append(_Pass(state.opened, pass_s, state.load))
         self._end_slow_phase(state, max_pause_s)
 
-    def _recent(self, state: _GroupPasses, now: float) -> list[_Pass]:
-        """Return the passes that are retained, or the assumed one if there are none."""
-        while state.passes and now - state.passes[0].at > self._settings.retention_s:
-            state.passes.popleft()
-        return list(state.passes) or [self._start]
+    def _active(self, now: float) -> list[_GroupPasses]:
+        """Return the groups with passes that still count; the slots of the others are not used."""
+        for state in self._groups.values():
+            while state.passes and now - state.passes[0].at > self._settings.retention_s:
+                state.passes.popleft()
+        return [state for state in self._groups.values() if state.passes]
 
     def _group_fraction(self, state: _GroupPasses, max_pause_s: float, now: float) -> float:
         """Return the fraction of a group's slots that may be taken."""
         while state.slow_phases and now - state.slow_phases[0].at > self._settings.recurrence_s:
             state.slow_phases.popleft()
-        allowed = min(self._allowed(item, max_pause_s) for item in self._recent(state, now))
+        allowed = min(self._allowed(item, max_pause_s) for item in state.passes)
         if len(state.slow_phases) < 2:
             return allowed
         return min(allowed, sorted(self._allowed(p, max_pause_s) for p in state.slow_phases)[1])
--- a/bluebellrun/gateway/_admission_control.py
+++ b/bluebellrun/gateway/_admission_control.py
@@ -81,6 +81,11 @@
         self._reserve = UrgentReserve(ReserveSettings())
         self._recovery = RecoveryLimit(RecoverySettings())
 
+    @property
+    def shedding(self) -> LoadShedding | None:
+        """Return the service's load shedding, none where it is off."""
+        return self._shedding
+
     @property
     def gate(self) -> ServiceGate:
         """Return the gate that tracks the service's outages."""
@@ -141,7 +146,7 @@
         now = time.monotonic()
         wait_s = self._fleet.available_in_s(self._service, now)
         earliest_s = max(wait_s, self._gate.retry_after_s(now))
-        return Refused(UNAVAILABLE, reason, self._shedding.retry_after_s(terms, earliest_s, now))
+        return Refused(UNAVAILABLE, reason, self._shedding.refuse(terms, earliest_s, now))
 
     def record_pause(
         self, pause_s: float, max_pause_s: float | None, now: float, instance: str = ""
@@ -174,8 +179,8 @@
             while True:
                 decision = self._shed_decision(shedding, terms, attempted, waits)
                 if isinstance(decision, Send):
-                    if waits:
-                        self._log_wait(terms, started, "sent")
+                    if waits or decision.late:
+                        self._log_wait(terms, started, "sent late" if decision.late else "sent")
                     return None
                 if isinstance(decision, Shed):
                     if time.monotonic() - started > QUEUE_INTERVAL_S:
--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -357,6 +357,12 @@
             )
         return control
 
+    @property
+    def load_shedding(self) -> list[LoadShedding]:
+        """Return the load shedding of all services that have any."""
+        found = (control.shedding for control in self._admissions.values())
+        return [shedding for shedding in found if shedding is not None]
+
     def _load_shedding(self, service: str, engine: EngineTerms | None) -> LoadShedding | None:
         """Return a service's load shedding, none where it is off or there are no passes."""
         if engine is None or not self._settings.load_shedding:
--- a/bluebellrun/gateway/_load_shedding.py
+++ b/bluebellrun/gateway/_load_shedding.py
@@ -58,6 +58,8 @@
         self._passes = PassTimeControl(PassTimeSettings(), engine)
         self._reserve = UrgentReserve(ReserveSettings())
         self._shedder = LoadShedder(SheddingSettings(), self._reserve.slot_fraction)
+        self._refused = self._refused_again = 0
+        self._usable_fraction = 1.0
         self._capacity: tuple[float, float | None, Capacity] | None = None
 
     @property
@@ -65,6 +67,21 @@
         """Return the decisions and the requests that wait for them."""
         return self._shedder
 
+    @property
+    def refused(self) -> int:
+        """Return how many new requests were refused."""
+        return self._refused
+
+    @property
+    def refused_again(self) -> int:
+        """Return how many requests were refused whose callers had come back."""
+        return self._refused_again
+
+    @property
+    def usable_fraction(self) -> float:
+        """Return the fraction of the slots that the last decision allowed to be used."""
+        return self._usable_fraction
+
     def record_arrival(self, terms: AdmissionTerms, now: float) -> None:
         """Record a request that this entry has received."""
         self._reserve.record(terms.urgency, now)
@@ -86,8 +103,10 @@
         """Send a request without a decision, to find out whether an outage has ended."""
         return self._shedder.send(self._request(terms, now), now)
 
-    def retry_after_s(self, terms: AdmissionTerms, earliest_s: float, now: float) -> float:
-        """Return when the caller of a refused request should come back, not too early."""
+    def refuse(self, terms: AdmissionTerms, earliest_s: float, now: float) -> float:
+        """Record a refusal; return when its caller should come back, not too early."""
+        self._refused += not terms.is_retry
+        self._refused_again += terms.is_retry
         capacity = self._current(terms, now)
         return self._shedder.retry_after_s(self._request(terms, now), earliest_s, capacity, now)
 
@@ -136,6 +155,7 @@
                 return capacity
         usage = self._fleet.slot_usage(self._service, now)
         fraction = self._passes.slot_fraction(max_pause_s, now) if max_pause_s else 1.0
+        self._usable_fraction = fraction
         held_s = hold_s(self._engine, self._pass_s(terms, now))
         capacity = Capacity(usage.total, usage.taken, held_s, fraction, self._entries())
         self._capacity = (now, max_pause_s, capacity)
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -23,6 +23,7 @@
 from bluebellrun.gateway._peers import EntryStatus, PeerTable
 from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._role import LEASE_S, PlacementRole, take_over_pause_s
+from bluebellrun.gateway._shedding_gauges import register_shedding_gauges
 from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
 from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
@@ -228,6 +229,7 @@
             settings.readiness, _readiness(lambda: self._lifecycle.ready), HttpLimits()
         )
         _register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
+        register_shedding_gauges(self._metrics, self._gateway)
         _register_store_gauges(self._metrics, self._store)
         _register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
--- a/tests/gateway/shedding_world.py
+++ b/tests/gateway/shedding_world.py
@@ -126,7 +126,7 @@
             case Shed():
                 self.shedding.shedder.leave(caller.id)
                 earliest_s = self.gate.retry_after_s(now)
-                after_s = self.shedding.retry_after_s(terms, earliest_s, now)
+                after_s = self.shedding.refuse(terms, earliest_s, now)
                 self.world.refuse(caller, now, after_s)
             case _:
                 self.waiting[caller] = (terms, True)
