--- a/bluebellrun/gateway/_gateway.py
+++ b/bluebellrun/gateway/_gateway.py
@@ -13,6 +13,7 @@
 from bluebellrun.admission import RetryDetector, RetryDetectorSettings
 from bluebellrun.deployment import Deployment, HostSettings, Route
 from bluebellrun.gateway._fleet import Fleet
+from bluebellrun.gateway._load_shedding import LoadShedding
 from bluebellrun.gateway._models import (
     Answered,
     BrokenOff,
@@ -93,7 +94,7 @@
         self._deployment: Deployment | None = None
         self._retry_detector = RetryDetector(RetryDetectorSettings())
         self._controls = ServiceControls(
-            settings.bounds,
+            settings,
             fleet,
             fleet.groups.table if groups is None else groups,
             lambda: self._deployment,
@@ -113,6 +114,11 @@
         """Return how many requests are being answered."""
         return self._in_progress
 
+    @property
+    def load_shedding(self) -> list[LoadShedding]:
+        """Return the load shedding of all services that have any."""
+        return self._controls.load_shedding
+
     def apply_deployment(self, deployment: Deployment) -> bool:
         """Apply a configuration if it is newer than the one in force; return whether it was."""
         if not deployment.is_newer_than(self._deployment):
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -30,6 +30,7 @@
 from bluebellrun.gateway._maps_setup import MapsSetup, register_map_gauges
 from bluebellrun.gateway._peers import EntryStatus, PeerTable
 from bluebellrun.gateway._prompt_guard import PromptGuard
+from bluebellrun.gateway._shedding_gauges import register_shedding_gauges
 from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
 from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
 from bluebellrun.platform import (
@@ -196,6 +197,7 @@
         register_store_gauges(self._metrics, lambda: self._store.era)
         register_map_gauges(self._metrics, self._maps)
         register_evacuation_gauges(self._metrics, self._fleet)
+        register_shedding_gauges(self._metrics, self._gateway)
         register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
         self._collectors = HttpServer(address, _metrics_handler(self._metrics), HttpLimits())
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -13,11 +13,8 @@
 
 import curio
 
-from bluebellrun.gateway._admission_control import (
-    QUEUE_INTERVAL_S,
-    AdmissionControl,
-    AdmissionTerms,
-)
+from bluebellrun.gateway._admission_control import QUEUE_INTERVAL_S, AdmissionControl
+from bluebellrun.gateway._admission_terms import AdmissionTerms
 from bluebellrun.gateway._attempts import UpstreamAttempts
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._models import (
@@ -145,7 +142,7 @@
             if self._prompt_check.is_withheld or not isinstance(result, Refused):
                 return result
             if not self._may_queue_again(terms):
-                return self._admission_control.refusal(result.reason, terms.is_retry)
+                return self._admission_control.refusal_of(terms, result.reason)
             self._excluded.clear()
             self._failed.clear()
             self._attempts.forget_refusals()
@@ -255,8 +252,17 @@
         caller_deadline = self._request.received + terms.stream_timeout_s - SERVING_TIME_S
         deadline = min(terms.deadline, self._stop_deadline())
         send_deadline = min(caller_deadline, deadline - self._answer_s())
+        request = self._request
         return AdmissionTerms(
-            self._request.id, terms.route, terms.urgency, send_deadline, terms.is_retry
+            request.id,
+            terms.route,
+            terms.urgency,
+            send_deadline,
+            terms.is_retry,
+            request.received,
+            deadline,
+            request.prompt_tokens,
+            request.expected_tokens,
         )
 
     def _answer_s(self) -> float:
--- a/bluebellrun/gateway/_service_controls.py
+++ b/bluebellrun/gateway/_service_controls.py
@@ -12,9 +12,10 @@
     SlotAdmission,
     SlotAdmissionSettings,
 )
-from bluebellrun.deployment import Bounds, Deployment, EngineTerms
+from bluebellrun.deployment import Deployment, EngineTerms, HostSettings
 from bluebellrun.gateway._admission_control import AdmissionControl
 from bluebellrun.gateway._fleet import Fleet
+from bluebellrun.gateway._load_shedding import LoadShedding
 from bluebellrun.routing import AttemptBudget, AttemptBudgetSettings, GroupTable, PassTerms
 
 # Number of entries assumed to share the retry budget until the registrations have been read.
@@ -29,13 +30,13 @@
 
     def __init__(
         self,
-        bounds: Bounds,
+        settings: HostSettings,
         fleet: Fleet,
         groups: GroupTable,
         deployment: Callable[[], Deployment | None],
         random: Random,
     ) -> None:
-        self._bounds = bounds
+        self._settings = settings
         self._fleet = fleet
         self._groups = groups
         self._deployment = deployment
@@ -78,9 +79,26 @@
                 pauses,
                 lambda: self._entries,
                 self._random,
+                self._make_shedding(service, engine),
             )
         return control
 
+    @property
+    def load_shedding(self) -> list[LoadShedding]:
+        """Return the load shedding of all services that have any."""
+        found = (control.shedding for control in self._admissions.values())
+        return [shedding for shedding in found if shedding is not None]
+
+    def _make_shedding(self, service: str, engine: EngineTerms | None) -> LoadShedding | None:
+        """Return a service's load shedding, none where it is off or there are no passes."""
+        if engine is None or not self._settings.load_shedding:
+            return None
+        return LoadShedding(service, self._fleet, engine, lambda: self._entries, self._group_of)
+
+    def _group_of(self, instance: str) -> str:
+        """Return the group of an upstream, empty if its service has one group."""
+        return self._groups.group_of(instance) or ""
+
     def _make_gates(self, service: str, fails_together: bool) -> GroupGates:
         """Return the gates of a service's groups."""
         directory = self._fleet.directory
@@ -115,7 +133,7 @@
 
     def _budget_settings(self) -> AttemptBudgetSettings:
         """Return the settings of the retry budget, shared by all entries."""
-        bounds = self._bounds
+        bounds = self._settings.bounds
         return AttemptBudgetSettings(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, self._entries
         )
