--- a/bluebellrun/gateway/_gauges.py
+++ b/bluebellrun/gateway/_gauges.py
@@ -1,13 +1,13 @@
 """The gauges of a gateway's state."""
 
 import time
+from collections.abc import Callable
 
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._gateway import Gateway
 from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._role import PlacementRole
 from bluebellrun.gateway._store_view import StoreView
-from bluebellrun.platform import PlatformStore
 from bluebellrun.quarantine import PromptQuarantine
 from bluebellrun.telemetry import ServingMetrics
 
@@ -41,11 +41,9 @@
     )
 
 
-def register_store_gauges(metrics: ServingMetrics, store: PlatformStore) -> None:
+def register_store_gauges(metrics: ServingMetrics, era: Callable[[], float]) -> None:
     """Register the gauges of the store."""
-    metrics.gauge(
-        "bluebellrun_store_era", "How often the store was restored from a copy", lambda: store.era
-    )
+    metrics.gauge("bluebellrun_store_era", "How often the store was restored from a copy", era)
 
 
 def register_evacuation_gauges(metrics: ServingMetrics, fleet: Fleet) -> None:
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -189,7 +189,7 @@
             settings.readiness, _readiness(lambda: self._lifecycle.ready), HttpLimits()
         )
         register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
-        register_store_gauges(self._metrics, self._store)
+        register_store_gauges(self._metrics, lambda: self._store.era)
         register_evacuation_gauges(self._metrics, self._fleet)
         register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
