--- a/tests/expert_maps/fake_ranks.py
+++ b/tests/expert_maps/fake_ranks.py
@@ -50,7 +50,10 @@
 
 @dataclass
 class FakeRanks:
-    """Ranks by instance; ``broken`` are groups that are not formed, ``silent`` never answer."""
+    """Ranks by instance; ``broken`` are groups that are not formed, ``silent`` never answer.
+
+    Other experts become the busiest each ``shift_s``.
+    """
 
     directory: UpstreamDirectory = field(default_factory=UpstreamDirectory)
     groups: dict[str, FakeGroup] = field(default_factory=dict)
@@ -61,6 +64,8 @@
     orders: list[tuple[str, RankOrder, int]] = field(default_factory=list)
     asked: list[str] = field(default_factory=list)
     born: dict[str, int] = field(default_factory=dict)
+    shift_s: float = 0.0
+    chosen: dict[str, tuple[float, list[int]]] = field(default_factory=dict)
     began: float = field(default_factory=time.monotonic)
     store: DirectStore = field(default_factory=lambda: DirectStore(MonotonicClock()))
     table: GroupTable = field(default_factory=GroupTable)
@@ -103,9 +108,18 @@
 
     async def counts(self, upstream: Upstream, rank: int) -> RankCounts:
         group, own = await self._find(upstream)
-        # The first two experts of each layer get most of the choices.
-        choices = int((time.monotonic() - self.began) * CHOICES_PER_S)
-        counts = ([choices, choices // 2] + [choices // 16] * (TERMS.experts - 2)) * TERMS.layers
+        # Two experts of each layer get most of the choices.
+        now = time.monotonic()
+        read_at, before = self.chosen.get(upstream.instance, (self.began, [0] * TERMS.experts))
+        choices = int((now - read_at) * CHOICES_PER_S)
+        busiest = int((now - self.began) / self.shift_s) if self.shift_s else 0
+        gained = [choices, choices // 2] + [choices // 16] * (TERMS.experts - 2)
+        layer = [
+            count + gained[(expert - busiest) % TERMS.experts]
+            for expert, count in enumerate(before)
+        ]
+        self.chosen[upstream.instance] = (now, layer)
+        counts = layer * TERMS.layers
         state = self.groups[group].states[own]
         return RankCounts(rank, state.epoch, state.born, tuple(counts), state.step)
 
