Test processes with crowds of callers outside the limits

Nothing bounds the sum of what a process holds for its callers, and a body in tiny chunks takes the processor from all others.

--- a/bench/platform_soak/_programs.py
+++ b/bench/platform_soak/_programs.py
@@ -20,6 +20,8 @@
 zone = "{zone}"
 port_range = [{first}, {last}]
 {app}
+[limits]
+{limits}
 [listen]
 {listen}
 [platform]
@@ -43,6 +45,8 @@
     app: Address | None = None
     # A checkout of an older build; every other start runs that build.
     older: Path | None = None
+    # What the host grants to the process, by the name of the setting.
+    limits: dict[str, float] = field(default_factory=dict)
     process: "subprocess.Popen[bytes] | None" = None
     frozen: bool = False
     stopping: bool = False
@@ -79,6 +83,7 @@
                 first=FIRST_PORT,
                 last=LAST_PORT,
                 app="" if self.app is None else f'app = "{self.app}"',
+                limits="\n".join(f"{name} = {value}" for name, value in self.limits.items()),
                 listen=listen if self.role == "gateway" else "",
                 store=self.store,
                 grace=STOP_GRACE_S,
--- /dev/null
+++ b/tests/crowd/checks.py
@@ -0,0 +1,99 @@
+"""What must hold of a process while a crowd of callers stays open."""
+
+import subprocess
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from bluebellrun.core import Address
+from tests.crowd.callers import (
+    MEGABYTE,
+    Body,
+    endless,
+    in_chunks,
+    open_descriptors,
+    peak_memory,
+    resident_memory,
+    start_crowd,
+    stay_open,
+    whole,
+)
+
+# How long a crowd sends before the ordinary request; the largest takes under two seconds.
+CROWD_S = 6.0
+CROWD = 60
+SAMPLES, SAMPLE_S = 15, 0.1
+BIG_CHUNK, TINY_CHUNK = 65_536, 4
+
+
+def crowds(size: int) -> dict[str, Callable[[], Body]]:
+    """Return the kinds of callers by name, for a server that takes bodies of ``size`` bytes."""
+    return {
+        "whole": lambda: whole(size),
+        "large chunks": lambda: in_chunks(size, BIG_CHUNK),
+        "tiny chunks": lambda: in_chunks(size, TINY_CHUNK),
+        "announced over the limit": lambda: endless(1_000 * size),
+        "sent over the limit": lambda: endless(None),
+    }
+
+
+async def check_crowd(
+    process: "subprocess.Popen[bytes]",
+    address: Address,
+    path: str,
+    body: Callable[[], Body],
+    memory_bytes: int,
+    ordinary: Callable[[], Awaitable[bool]],
+) -> None:
+    """Check memory and an ordinary request while a crowd of callers stays open."""
+    group = await start_crowd(address, path, [body() for _ in range(CROWD)])
+    try:
+        await curio.sleep(CROWD_S)
+        answered = await ordinary()
+        _check_process(process, memory_bytes)
+        assert answered, "the ordinary request was not answered"
+    finally:
+        await group.cancel_remaining()
+        await group.join()
+
+
+async def check_descriptors(
+    process: "subprocess.Popen[bytes]",
+    address: Address,
+    data: bytes,
+    connections: int,
+    max_fds: int,
+    ordinary: Callable[[], Awaitable[bool]],
+) -> None:
+    """Check the open descriptors while more connections stay open than the process may have."""
+    group = curio.TaskGroup()
+    for _ in range(connections):
+        await group.spawn(stay_open, address, iter([data]))
+    try:
+        before = await _most_descriptors(process.pid)
+        answered = await ordinary()
+        held = max(before, await _most_descriptors(process.pid))
+        print(f"descriptors {held} of {max_fds}")
+        assert process.poll() is None, "the process has ended"
+        assert held <= max_fds
+        assert answered, "the ordinary request was not answered"
+    finally:
+        await group.cancel_remaining()
+        await group.join()
+
+
+async def _most_descriptors(pid: int) -> int:
+    """Return the most descriptors that a process has open within some time."""
+    most = 0
+    for _ in range(SAMPLES):
+        most = max(most, open_descriptors(pid))
+        await curio.sleep(SAMPLE_S)
+    return most
+
+
+def _check_process(process: "subprocess.Popen[bytes]", memory_bytes: int) -> None:
+    assert process.poll() is None, "the process has ended"
+    peak = peak_memory(process.pid)
+    resident = resident_memory(process.pid)
+    print(f"peak {peak / MEGABYTE:.0f} MB, resident {resident / MEGABYTE:.0f} MB")
+    assert max(peak, resident) <= memory_bytes
--- /dev/null
+++ b/tests/crowd/test_gateway.py
@@ -0,0 +1,85 @@
+"""Crowds of callers outside the limits at a gateway with little memory and few descriptors."""
+
+from pathlib import Path
+
+import curio
+import pytest
+
+from bluebellrun.http import ClientTimeouts, HttpClient, TransportError
+from tests.crowd.callers import MEGABYTE
+from tests.crowd.checks import check_crowd, check_descriptors, crowds
+from tests.gateway.processes import HOST, ROUTE_TIMEOUT_S, SERVICE, Gateways
+
+MEMORY_MB = 128
+# The configuration's default.
+MAX_BODY_BYTES = 4_194_304
+MAX_DESCRIPTORS = 600
+CONNECTIONS = 800
+KINDS = crowds(MAX_BODY_BYTES)
+
+
+def run_gateway(folder: Path, check, **limits: float) -> None:
+    gateways = Gateways(folder)
+    program = gateways.programs[0]
+    program.limits.update(limits)
+
+    async def ordinary() -> bool:
+        client = HttpClient(program.callers, ClientTimeouts(ROUTE_TIMEOUT_S, ROUTE_TIMEOUT_S))
+        try:
+            return (await gateways.request(client, 0.0))[0] == 200
+        except TransportError:
+            return False
+        finally:
+            await client.close()
+
+    async def main() -> None:
+        await gateways.start()
+        await gateways.upstreams.start(gateways.store, "desk1", SERVICE)
+        async with curio.timeout_after(10.0):
+            while not await ordinary():
+                await curio.sleep(0.05)
+        await check(program, ordinary)
+
+    try:
+        curio.run(main)
+    finally:
+        gateways.end()
+
+
+# Guards: a gateway read every body whole with no bound on their sum, and one event for each chunk
+# kept it from all other callers.
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_crowd_leaves_memory_and_room_for_an_ordinary_request(tmp_path: Path, kind: str) -> None:
+    async def check(program, ordinary) -> None:
+        await check_crowd(
+            program.process,
+            program.callers,
+            "/order/0",
+            KINDS[kind],
+            MEMORY_MB * MEGABYTE,
+            ordinary,
+        )
+
+    run_gateway(tmp_path, check, ram_mb=MEMORY_MB)
+
+
+# Guards: the gateway accepted 4,096 connections however few descriptors its host granted.
+@pytest.mark.parametrize("data", [b"", b"POST /order/0 HTTP/1.1\r\nHost: h"], ids=["idle", "head"])
+def test_connections_stay_below_the_granted_descriptors(tmp_path: Path, data: bytes) -> None:
+    async def check(program, ordinary) -> None:
+        await check_descriptors(
+            program.process, program.callers, data, CONNECTIONS, MAX_DESCRIPTORS, ordinary
+        )
+
+    run_gateway(tmp_path, check, ram_mb=MEMORY_MB, max_fds=MAX_DESCRIPTORS)
+
+
+# Guards: a bound so low that a single request of the largest legal size is refused on a small host.
+def test_a_request_of_the_largest_legal_size_is_served(tmp_path: Path) -> None:
+    async def check(program, _) -> None:
+        client = HttpClient(program.callers, ClientTimeouts(5.0, ROUTE_TIMEOUT_S))
+        headers = [("host", HOST), ("x-bluebellrun-request-id", "largest")]
+        status, _ = await client.fetch("POST", "/order/0", headers, b"x" * MAX_BODY_BYTES)
+        assert status == 200
+
+    run_gateway(tmp_path, check, ram_mb=152)
--- /dev/null
+++ b/tests/crowd/test_sidecar.py
@@ -0,0 +1,81 @@
+"""Crowds of callers outside the limits at a sidecar with little memory."""
+
+from pathlib import Path
+
+import curio
+import pytest
+
+from bench.platform_soak._programs import FIRST_PORT, Program
+from bluebellrun.core import Address
+from bluebellrun.http import (
+    ClientTimeouts,
+    HttpClient,
+    HttpExchange,
+    HttpLimits,
+    HttpServer,
+    TransportError,
+)
+from tests.crowd.callers import MEGABYTE
+from tests.crowd.checks import check_crowd, check_descriptors, crowds
+from tests.gateway.processes import ROUTE_TIMEOUT_S, UPSTREAM_PORT, free_network
+
+MEMORY_MB = 72
+MAX_BODY_BYTES = 1_048_576
+MAX_DESCRIPTORS = 240
+CONNECTIONS = 300
+KINDS = crowds(MAX_BODY_BYTES)
+
+
+def run_sidecar(folder: Path, check, **limits: float) -> None:
+    network = free_network()
+    engine = Address(f"{network}.2", UPSTREAM_PORT)
+    store = Address(f"{network}.3", 1)
+    program = Program("sidecar1", "sidecar", f"{network}.1", "a", store, folder, engine)
+    program.limits.update(limits)
+    address = Address(program.ip, FIRST_PORT)
+
+    async def handle(exchange: HttpExchange) -> None:
+        await exchange.answer_json(200, {"prepared": 0})
+
+    async def ordinary() -> bool:
+        client = HttpClient(address, ClientTimeouts(ROUTE_TIMEOUT_S, ROUTE_TIMEOUT_S))
+        try:
+            return (await client.fetch("GET", "/api/report", []))[0] == 200
+        except TransportError:
+            return False
+        finally:
+            await client.close()
+
+    async def main() -> None:
+        await curio.spawn(HttpServer(engine, handle, HttpLimits()).run, daemon=True)
+        program.start()
+        async with curio.timeout_after(10.0):
+            while not await ordinary():
+                await curio.sleep(0.05)
+        await check(program, address, ordinary)
+
+    try:
+        curio.run(main)
+    finally:
+        program.end(0.0)
+
+
+# Guards: a sidecar held 64 bodies at once whatever memory its host had, and a crowd kept its 64
+# connections from the coordinator.
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_crowd_leaves_memory_and_room_for_an_ordinary_call(tmp_path: Path, kind: str) -> None:
+    async def check(program, address, ordinary) -> None:
+        memory = MEMORY_MB * MEGABYTE
+        await check_crowd(program.process, address, "/api/order", KINDS[kind], memory, ordinary)
+
+    run_sidecar(tmp_path, check, ram_mb=MEMORY_MB)
+
+
+# Guards: connections that stay idle took all that the sidecar accepts.
+def test_idle_connections_leave_room_for_an_ordinary_call(tmp_path: Path) -> None:
+    async def check(program, address, ordinary) -> None:
+        await check_descriptors(
+            program.process, address, b"", CONNECTIONS, MAX_DESCRIPTORS, ordinary
+        )
+
+    run_sidecar(tmp_path, check, ram_mb=MEMORY_MB, max_fds=MAX_DESCRIPTORS)
