--- a/bluebellrun/http/__init__.py
+++ b/bluebellrun/http/__init__.py
@@ -1,12 +1,14 @@
 """HTTP/1.1 towards callers and upstreams: h11 for the protocol, curio for the sockets."""
 
-from bluebellrun.http._client import AcceptResponse, HttpClient, HttpResponse, connect
+from bluebellrun.http._client import HttpClient, HttpResponse
+from bluebellrun.http._client_connection import AcceptResponse
 from bluebellrun.http._compression import (
     COMPRESSED,
     COMPRESSED_FROM_BYTES,
     compress_body,
     decompress_body,
 )
+from bluebellrun.http._connect import connect
 from bluebellrun.http._exceptions import (
     AnswerTooLongError,
     BadResponseError,
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -15,7 +15,7 @@
     HttpServer,
     PeerTimeoutError,
 )
-from bluebellrun.http._client import _ClientConnection
+from bluebellrun.http._client_connection import ClientConnection
 
 
 async def answer(exchange: HttpExchange) -> None:
@@ -69,7 +69,7 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, 2_048), hard))
     near, far = socket.socketpair()
     high = socket.socket(fileno=fcntl.fcntl(near.fileno(), fcntl.F_DUPFD, 1_100))
-    connection = _ClientConnection(high)
+    connection = ClientConnection(high)
     assert high.fileno() >= 1_100
     assert connection.fresh()
     far.send(b"unasked")
--- a/tests/http/test_tls.py
+++ b/tests/http/test_tls.py
@@ -20,7 +20,7 @@
     TlsFiles,
     link_security,
 )
-from bluebellrun.http._client import connect
+from bluebellrun.http._connect import connect
 from bluebellrun.transport import (
     Call,
     Link,
