Bound the memory, work and connections that callers may take

Each body was read whole on up to 4,096 connections with nothing bounding the sum, h11 made an event of each chunk, and connections were accepted whatever the host granted. Callers that never ended their requests used up memory, the processor or the descriptors.

MemoryBudget (pure) counts the bytes held for all connections of a process, from ram_mb of the settings (--memory-mb for the entry); no memory means no bound. When it is used up, stalled connections are closed, the largest first; otherwise large bodies wait unread and then get 503 with Retry-After. A quarter is kept for small holdings and for answers. An announced body over the limit is refused unread. Bodies in many small pieces share a quarter of the processor, 64 pieces a turn. max_fds of the settings bounds the connections; the one that has been idle longest is closed for a new one, then one whose request has stalled.

--- a/bluebellrun/conf/_models.py
+++ b/bluebellrun/conf/_models.py
@@ -67,6 +67,9 @@
         default=8_388_608, gt=0, description="Most bytes of a request's body."
     )
     max_connections: int = Field(default=4_096, gt=0, description="Most open connections.")
+    memory_mb: float = Field(
+        default=0.0, ge=0, description="Megabytes that the process may use; 0: no bound."
+    )
     header_timeout_s: float = Field(
         default=10.0, gt=0, description="Deadline for a request's headers, in s."
     )
--- a/bluebellrun/deployment/_host.py
+++ b/bluebellrun/deployment/_host.py
@@ -47,8 +47,8 @@
 class HostSettings:
     """What a process is told at its start.
 
-    ``link_bits_s`` is 0 where it is not told. ``callers`` is none where it serves no callers,
-    ``upstream`` where no upstream runs beside it.
+    ``link_bits_s``, ``memory_bytes`` and ``max_descriptors`` are 0 where they are not told.
+    ``callers`` is none where it serves no callers, ``upstream`` where no upstream runs beside it.
     """
 
     host: str
@@ -63,3 +63,4 @@
     memory_bytes: int = 0
     link_bits_s: float = 0.0
     bounds: Bounds = field(default_factory=Bounds)
+    max_descriptors: int = 0
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -18,7 +18,9 @@
     HttpLimits,
     HttpServer,
     Listener,
+    MemoryGate,
     TlsError,
+    memory_settings,
 )
 from bluebellrun.routing import make_routing
 from bluebellrun.runtime import (
@@ -35,6 +37,7 @@
 
 EXIT_REQUESTS_ABORTED = 3
 STOP_POLL_S = 0.02
+MEGABYTE = 1_000_000
 
 _log = get_logger("entry")
 
@@ -77,7 +80,13 @@
     dispatcher = Dispatcher(settings, fleet, routing, clock, metrics)
     levels = ServiceLevels(settings.name, incarnation, fleet, UnixClock())
     entry = Entry(settings, node.follower, dispatcher, clock, metrics, levels)
-    server = HttpServer(settings.listen, entry.handle, _limits(settings), make_caller_tls(settings))
+    server = HttpServer(
+        settings.listen,
+        entry.handle,
+        _limits(settings),
+        make_caller_tls(settings),
+        memory=MemoryGate(memory_settings(int(settings.memory_mb * MEGABYTE))),
+    )
     await spawn_background(server.run)
     await spawn_background(listener.run)
     await node.run()
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -17,6 +17,12 @@
 from bluebellrun.gateway._expert_maps import ExpertMaps
 from bluebellrun.gateway._fleet import Fleet
 from bluebellrun.gateway._gateway import Gateway
+from bluebellrun.gateway._gauges import (
+    register_gauges,
+    register_memory_gauges,
+    register_quarantine_gauges,
+    register_store_gauges,
+)
 from bluebellrun.gateway._gossip import Gossip, status_age_s
 from bluebellrun.gateway._lifecycle import Lifecycle
 from bluebellrun.gateway._limit_permits import LimitPermits
@@ -25,7 +31,15 @@
 from bluebellrun.gateway._role import LEASE_S, PlacementRole, take_over_pause_s
 from bluebellrun.gateway._slow_upstreams import SlowUpstreams
 from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
-from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
+from bluebellrun.http import (
+    HttpExchange,
+    HttpHandler,
+    HttpLimits,
+    HttpServer,
+    MemoryGate,
+    caller_connections,
+    memory_settings,
+)
 from bluebellrun.leases import RoleHolder
 from bluebellrun.platform import (
     OWN_PREFIX,
@@ -55,6 +69,8 @@
 PLACEMENT_ROLE = "placement"
 # Interval of dropping removed upstreams.
 CLEANUP_INTERVAL_S = 1.0
+# Readiness and metrics are read by a few probes, which send no body.
+PROBE_LIMITS = HttpLimits(max_header_bytes=16_384, max_body_bytes=16_384, max_connections=32)
 
 _log = get_logger("gateway")
 
@@ -94,58 +110,6 @@
     return handle
 
 
-def _register_gauges(
-    metrics: ServingMetrics,
-    gateway: Gateway,
-    view: StoreView,
-    role: PlacementRole,
-    fleet: Fleet,
-) -> None:
-    """Register the gauges of the process's state."""
-
-    def version() -> float:
-        return 0 if gateway.deployment is None else gateway.deployment.version
-
-    metrics.gauge("bluebellrun_in_progress", "Requests in progress", lambda: gateway.in_progress)
-    metrics.gauge("bluebellrun_configuration_version", "Configuration in force", version)
-    metrics.gauge(
-        "bluebellrun_store_silence_seconds", "Seconds since the store spoke", view.silence_s
-    )
-    metrics.gauge(
-        "bluebellrun_limited_upstreams",
-        "Upstreams that name a rate limit",
-        lambda: len(fleet.permits.limits.limited()),
-    )
-    metrics.gauge(
-        "bluebellrun_keeps_maps",
-        "1 if this process keeps the expert maps",
-        lambda: float(role.lease() is not None),
-    )
-
-
-def _register_store_gauges(metrics: ServingMetrics, store: PlatformStore) -> None:
-    """Register the gauges of the store."""
-    metrics.gauge(
-        "bluebellrun_store_era", "How often the store was restored from a copy", lambda: store.era
-    )
-
-
-def _register_quarantine_gauges(
-    metrics: ServingMetrics, quarantine: PromptQuarantine, guard: PromptGuard
-) -> None:
-    """Register the gauges of the quarantine of prompt parts."""
-    metrics.gauge(
-        "bluebellrun_suspected_prompt_parts",
-        "Parts of prompts under which upstreams crashed",
-        quarantine.suspect_count,
-    )
-    metrics.gauge(
-        "bluebellrun_quarantined_requests",
-        "Requests not sent because of their prompts, since the start",
-        lambda: guard.refusals,
-    )
-
-
 class _Process:
     """The components of a gateway, connected."""
 
@@ -188,8 +152,14 @@
             self._metrics.record_request,
             self._guard,
         )
+        self._memory = MemoryGate(memory_settings(settings.memory_bytes))
+        most = HttpLimits().max_connections
         self._server = HttpServer(
-            settings.callers, self._gateway.handle, HttpLimits(), listening=listening
+            settings.callers,
+            self._gateway.handle,
+            HttpLimits(max_connections=caller_connections(settings.max_descriptors, most)),
+            listening=listening,
+            memory=self._memory,
         )
         self._watching = watch_timing(settings.bounds)
         self._store = PlatformStore(
@@ -225,13 +195,19 @@
         self._connect_entries()
         self._lifecycle = Lifecycle(self._gateway, self._server, settings.bounds)
         self._readiness = HttpServer(
-            settings.readiness, _readiness(lambda: self._lifecycle.ready), HttpLimits()
+            settings.readiness,
+            _readiness(lambda: self._lifecycle.ready),
+            PROBE_LIMITS,
+            memory=self._memory,
         )
-        _register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
-        _register_store_gauges(self._metrics, self._store)
-        _register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
+        register_memory_gauges(self._metrics, self._memory, self._server)
+        register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
+        register_store_gauges(self._metrics, lambda: self._store.era)
+        register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
-        self._collectors = HttpServer(address, _metrics_handler(self._metrics), HttpLimits())
+        self._collectors = HttpServer(
+            address, _metrics_handler(self._metrics), PROBE_LIMITS, memory=self._memory
+        )
 
     async def run(self) -> None:
         """Serve until told to stop, then stop gracefully."""
--- a/bluebellrun/http/__init__.py
+++ b/bluebellrun/http/__init__.py
@@ -9,6 +9,7 @@
     decompress_body,
 )
 from bluebellrun.http._connect import connect
+from bluebellrun.http._descriptors import caller_connections
 from bluebellrun.http._exceptions import (
     AnswerTooLongError,
     BadResponseError,
@@ -17,7 +18,10 @@
     PeerTimeoutError,
     TransportError,
 )
+from bluebellrun.http._exchange import CallerGoneError, HttpExchange, HttpHandler
 from bluebellrun.http._listener import Listener
+from bluebellrun.http._memory import MemoryBudget, MemorySettings, memory_settings
+from bluebellrun.http._memory_gate import MemoryGate
 from bluebellrun.http._models import (
     ClientTimeouts,
     Headers,
@@ -28,12 +32,7 @@
     header_value,
 )
 from bluebellrun.http._retry_after import read_retry_after_s
-from bluebellrun.http._server import (
-    CallerGoneError,
-    HttpExchange,
-    HttpHandler,
-    HttpServer,
-)
+from bluebellrun.http._server import HttpServer
 from bluebellrun.http._tls import (
     LinkSecurity,
     PeerNotAllowedError,
@@ -63,12 +62,16 @@
     "HttpServer",
     "LinkSecurity",
     "Listener",
+    "MemoryBudget",
+    "MemoryGate",
+    "MemorySettings",
     "PeerNotAllowedError",
     "PeerTimeoutError",
     "Tls",
     "TlsError",
     "TlsFiles",
     "TransportError",
+    "caller_connections",
     "compress_body",
     "connect",
     "decompress_body",
@@ -76,5 +79,6 @@
     "header_text",
     "header_value",
     "link_security",
+    "memory_settings",
     "read_retry_after_s",
 ]
--- /dev/null
+++ b/bluebellrun/http/_connection.py
@@ -0,0 +1,201 @@
+"""One connection from a caller: reads its requests and writes their answers.
+
+What is held for it is charged to the process's memory budget, and what a turn of the loop spends
+on it is bounded.
+"""
+
+import json
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+import curio
+import h11
+from curio.io import WantRead, WantWrite
+
+from bluebellrun.core import new_request_id
+from bluebellrun.http._caller_wait import CallerWait, ClosedForOthersError
+from bluebellrun.http._exchange import CallerGoneError
+from bluebellrun.http._listener import is_readable
+from bluebellrun.http._memory_gate import MemoryGate, NoMemoryError
+from bluebellrun.http._models import HttpLimits, HttpRequest, encode_headers
+from bluebellrun.http._request_reader import READ_SIZE, RequestReader
+from bluebellrun.http._work import WorkLimit
+
+LINGER_S = 0.5
+# What is read of a refused request so that its caller reads the refusal: a socket's usual buffer.
+LINGER_BYTES = 262_144
+# Waits between reads of bytes that arrive early and have no room.
+EARLY_BYTES_POLL_S = 0.1
+
+
+class Connection:
+    """The state of one connection from a caller."""
+
+    def __init__(
+        self,
+        sock: Any,
+        limits: HttpLimits,
+        closing: Callable[[], bool],
+        memory: MemoryGate,
+        work: WorkLimit,
+    ) -> None:
+        self._socket = sock
+        self._limits = limits
+        self._closing = closing
+        self._wait = CallerWait(memory)
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+        self._served = 0
+        self._reader = RequestReader(sock, self._protocol, limits, self._wait, work, self.send)
+
+    @property
+    def limits(self) -> HttpLimits:
+        """Return the limits on the next request."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: HttpLimits) -> None:
+        self._limits = self._reader.limits = limits
+
+    @property
+    def waits_since(self) -> float | None:
+        """Return since when a request is being read, if its next bytes are awaited."""
+        return self._reader.began_at if self._wait.is_on else None
+
+    def closes_after_answer(self) -> bool:
+        """Return whether the server ends this connection after the answer."""
+        return self._closing()
+
+    def release(self) -> None:
+        """Give up what is held."""
+        self._wait.close()
+
+    async def end_idle(self) -> bool:
+        """End a connection that waits for a request of which no byte has arrived."""
+        if is_readable(self._socket):
+            return False
+        task = self._reader.idle_task
+        if task is None:
+            return False
+        await task.cancel(blocking=False)
+        return True
+
+    async def close_stalled(self, reason: str) -> None:
+        """Close the connection while it waits for its caller."""
+        await self._wait.close_stalled(reason)
+
+    async def read_request(self, on_bytes: Callable[[], None]) -> HttpRequest:
+        """Read one request with its body; ``on_bytes`` is called as its first bytes arrive."""
+        return await self._reader.read(on_bytes, is_first=not self._served)
+
+    async def send(self, event: Any) -> None:
+        """Send one h11 event; raise ``CallerGoneError`` if the caller takes no bytes."""
+        data = self._protocol.send(event)
+        if not data:
+            return
+        try:
+            sent = self._socket._socket.send(data)
+        except (*WantWrite, *WantRead):
+            sent = 0
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+        if sent < len(data):
+            await self._send_rest(memoryview(data)[sent:])
+
+    async def refuse(
+        self,
+        status: int,
+        detail: str,
+        retry_after_s: int | None = None,
+        outcome: str = "not_run",
+    ) -> None:
+        """Answer a request that was not accepted, then close gently."""
+        request_id = new_request_id()
+        problem = {
+            "type": "about:blank",
+            "title": HTTPStatus(status).phrase,
+            "status": status,
+            "detail": detail,
+            "outcome": outcome,
+            "request_id": request_id,
+        }
+        body = json.dumps(problem).encode()
+        headers = [
+            ("content-type", "application/problem+json"),
+            ("content-length", str(len(body))),
+            ("connection", "close"),
+            ("request-id", request_id),
+        ]
+        if retry_after_s is not None:
+            headers.append(("retry-after", str(retry_after_s)))
+        self._wait.release()
+        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        try:
+            await self.send(h11.Response(status_code=status, headers=encode_headers(headers)))
+            await self.send(h11.Data(data=body))
+            await self.send(h11.EndOfMessage())
+            await self._linger()
+        except (CallerGoneError, h11.LocalProtocolError):
+            return
+
+    async def wait_until_gone(self) -> None:
+        """Return when the caller closes its side while an answer is being made."""
+        wait = self._wait
+        early = 0
+        while True:
+            try:
+                data = await self._socket.recv(READ_SIZE)
+            except OSError:
+                return
+            if not data:
+                return
+            early += len(data)
+            if early > self._limits.max_header_bytes + self._limits.max_body_bytes:
+                return
+            self._protocol.receive_data(data)
+            while not wait.resize(wait.size + len(data), time.monotonic()):
+                await curio.sleep(EARLY_BYTES_POLL_S)
+
+    def start_next_cycle(self) -> bool:
+        """Prepare for another request; return whether the connection allows one."""
+        if self._protocol.our_state is not h11.DONE or self._protocol.their_state is not h11.DONE:
+            return False
+        self._protocol.start_next_cycle()
+        self._served += 1
+        if self._wait.size:
+            self._wait.resize(len(self._protocol.trailing_data[0]), time.monotonic())
+        return True
+
+    async def _send_rest(self, rest: memoryview) -> None:
+        """Send what the caller did not take at once; its connection may be closed meanwhile."""
+        wait = self._wait
+        size = wait.size
+        try:
+            await wait.acquire_held(size + len(rest))
+            wait.begin(await curio.current_task())
+            async with curio.timeout_after(self._limits.write_timeout_s):
+                while rest:
+                    sent = await self._socket.send(rest)
+                    rest = rest[sent:]
+                    wait.record_progress(sent, time.monotonic())
+        except curio.TaskTimeout:
+            raise CallerGoneError("the caller takes no bytes") from None
+        except (ClosedForOthersError, NoMemoryError):
+            raise CallerGoneError("the caller takes no bytes while memory is short") from None
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+        finally:
+            wait.end()
+            wait.resize(min(size, wait.size), time.monotonic())
+
+    async def _linger(self) -> None:
+        """Discard what the caller still sends, so that it can read the refusal."""
+        left = LINGER_BYTES
+        async with curio.ignore_after(LINGER_S):
+            while left > 0 and (data := await self._socket.recv(READ_SIZE)):
+                left -= len(data)
+                await curio.sleep(0)
--- a/bluebellrun/http/_listener.py
+++ b/bluebellrun/http/_listener.py
@@ -16,6 +16,8 @@
 ACCEPT_RETRY_S = 0.05
 
 ConnectionHandler = Callable[[Any], Awaitable[None]]
+# Closes a connection for the sake of a new one; returns whether there was any.
+MakeRoom = Callable[[], Awaitable[bool]]
 
 
 def is_readable(sock: Any) -> bool:
@@ -39,6 +41,7 @@
         tls: Tls | None = None,
         turn_away: ConnectionHandler | None = None,
         listening: Any = None,
+        make_room: MakeRoom | None = None,
     ) -> None:
         if listening is None:
             self._socket = network.tcp_server_socket(
@@ -50,6 +53,7 @@
         self._max_connections = max_connections
         self._tls = tls
         self._turn_away = turn_away
+        self._make_room = make_room
         self._open = 0
         self._closed = False
         self._accepting: Any = None
@@ -81,7 +85,7 @@
     async def _admit(self, client: Any) -> None:
         """Serve a connection, or turn it away when as many as allowed are open."""
         handler: ConnectionHandler | None = self._handler
-        if self._open >= self._max_connections:
+        if self._open >= self._max_connections and not await self._has_made_room():
             handler = self._turn_away
         if handler is None or self._open >= self._max_connections + MAX_TURNED_AWAY:
             await client.close()
@@ -89,6 +93,14 @@
         self._open += 1
         await curio.spawn(self._serve, client, handler, daemon=True)
 
+    async def _has_made_room(self) -> bool:
+        """Return whether another connection is about to end instead of a new one."""
+        if self._make_room is None or self._open >= self._max_connections + MAX_TURNED_AWAY:
+            return False
+        # The connections that were accepted before this one may not have had a turn yet.
+        await curio.sleep(0)
+        return self._open < self._max_connections or await self._make_room()
+
     async def close(self) -> None:
         """Stop accepting; connections already open, or waiting to be accepted, go on.
 
--- a/bluebellrun/platform/_settings.py
+++ b/bluebellrun/platform/_settings.py
@@ -22,6 +22,7 @@
     """Resources that the host grants to one process."""
 
     ram_mb: float = 0
+    max_fds: int = 0
     link_mbps: float = 0
 
 
@@ -121,6 +122,7 @@
         link_bits_s=file.limits.link_mbps * MEGABIT,
         memory_bytes=int(file.limits.ram_mb * MEGABYTE),
         bounds=bounds,
+        max_descriptors=file.limits.max_fds,
     )
 
 
--- a/bluebellrun/sidecar/main.py
+++ b/bluebellrun/sidecar/main.py
@@ -2,12 +2,13 @@
 
 import signal
 import sys
+from dataclasses import replace
 
 import curio
 
 from bluebellrun.core import Address
 from bluebellrun.deployment import HostSettings
-from bluebellrun.http import HttpLimits, HttpServer
+from bluebellrun.http import HttpLimits, HttpServer, MemoryGate, caller_connections, memory_settings
 from bluebellrun.platform import EngineRelay, SettingsError, read_settings, settings_path
 from bluebellrun.runtime import StopSignals, run_program, spawn_background
 from bluebellrun.telemetry import configure_serving_logs, get_logger
@@ -29,7 +30,13 @@
     if settings.upstream is None:
         raise SettingsError("no upstream runs beside this process; run the role where one does")
     address = Address(settings.ip, settings.ports.first)
-    server = HttpServer(address, EngineRelay(settings.upstream).handle, LIMITS)
+    limits = replace(
+        LIMITS,
+        max_connections=caller_connections(settings.max_descriptors, LIMITS.max_connections),
+    )
+    memory = MemoryGate(memory_settings(settings.memory_bytes))
+    relay = EngineRelay(settings.upstream)
+    server = HttpServer(address, relay.handle, limits, memory=memory)
     await spawn_background(server.run)
     _log.info("started", listen=str(address), engine=str(settings.upstream))
     while (received := await signals.next()).number == signal.SIGHUP:
--- /dev/null
+++ b/tests/http/test_memory_pressure.py
@@ -0,0 +1,161 @@
+"""A server whose memory budget is used up: who waits, who is refused and who is served."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import pytest
+
+from bluebellrun.core import Address
+from bluebellrun.http import (
+    ClientTimeouts,
+    HttpClient,
+    HttpExchange,
+    HttpLimits,
+    HttpServer,
+    MemoryGate,
+    MemorySettings,
+)
+from bluebellrun.http import _memory_gate as gate_module
+
+BODY = 100_000
+SMALL = b"x" * 1_000
+SETTINGS = MemorySettings(
+    total_bytes=300_000, reserved_bytes=60_000, small_bytes=16_384, stalled_s=0.2
+)
+UNFINISHED = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" + b"x" * (BODY - 1)
+
+
+def run(
+    check: Callable[[HttpServer, MemoryGate], Awaitable[None]], handler: Any = None, **limits: float
+) -> None:
+    async def echo(exchange: HttpExchange) -> None:
+        await exchange.answer_json(200, {"length": len(exchange.request.body)})
+
+    async def main() -> None:
+        memory = MemoryGate(SETTINGS)
+        bounds = HttpLimits(**limits)  # type: ignore[arg-type]
+        server = HttpServer(Address("127.0.0.1", 0), handler or echo, bounds, memory=memory)
+        await curio.spawn(server.run, daemon=True)
+        async with curio.timeout_after(20.0):
+            await check(server, memory)
+
+    curio.run(main)
+
+
+async def connect(server: HttpServer, data: bytes) -> Any:
+    sock = await curio.open_connection(server.address.ip, server.address.port)
+    await sock.sendall(data)
+    return sock
+
+
+async def status(server: HttpServer, body: bytes) -> int:
+    client = HttpClient(server.address, ClientTimeouts(5.0, 10.0, 10.0))
+    code, _ = await client.fetch("POST", "/", [], body)
+    await client.close()
+    return code
+
+
+async def read(sock: Any) -> bytes:
+    data = b""
+    while piece := await sock.recv(65_536):
+        data += piece
+    return data
+
+
+# Guards: stalled bodies kept their memory for the whole body timeout while others were refused.
+def test_stalled_bodies_are_closed_as_not_run_when_another_needs_their_room() -> None:
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        stalled = [await connect(server, UNFINISHED) for _ in range(2)]
+        await curio.sleep(0.5)
+        assert memory.budget.held == 2 * BODY
+        assert await status(server, b"x" * BODY) == 200
+        answer = await read(stalled[0])
+        assert answer.startswith(b"HTTP/1.1 408")
+        assert b'"outcome": "not_run"' in answer
+        assert memory.closed == 1
+        for sock in stalled:
+            await sock.close()
+        await curio.sleep(0.2)
+        assert memory.budget.held == 0
+
+    run(check)
+
+
+# Guards: with all memory in use by requests that run, a new body took memory without a bound, or
+# an ordinary caller's small request was refused with the large ones.
+def test_a_large_body_waits_then_gets_503_while_a_small_one_is_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(gate_module, "WAIT_S", 0.3)
+    goes_on = curio.Event()
+
+    async def slow(exchange: HttpExchange) -> None:
+        if len(exchange.request.body) == BODY:
+            await goes_on.wait()
+        await exchange.answer_json(200, {})
+
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        running = [await curio.spawn(status, server, b"x" * BODY) for _ in range(2)]
+        await curio.sleep(0.5)
+        sock = await connect(server, UNFINISHED + b"x")
+        answer = await read(sock)
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"retry-after: 1" in answer.lower()
+        assert b'"outcome": "not_run"' in answer
+        assert await status(server, SMALL) == 200
+        waiting = await curio.spawn(status, server, b"x" * BODY)
+        await curio.sleep(0.1)
+        assert memory.waiting == 1
+        await goes_on.set()
+        assert [await task.join() for task in (*running, waiting)] == [200, 200, 200]
+        await curio.sleep(0.1)
+        assert (memory.refused, memory.budget.held) == (1, 0)
+
+    run(check, slow)
+
+
+# Guards: answers that callers do not read were held without a bound.
+def test_answers_that_are_not_read_are_given_up_the_stalled_first() -> None:
+    async def large(exchange: HttpExchange) -> None:
+        size = 8_000_000 if exchange.request.path == "/large" else 10
+        await exchange.answer(200, [], b"x" * size)
+
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        request = b"GET /large HTTP/1.1\r\nHost: a\r\n\r\n"
+        readers = [await connect(server, request)]
+        await curio.sleep(0.5)
+        assert memory.budget.held > SETTINGS.total_bytes
+        readers.append(await connect(server, request))
+        await curio.sleep(0.5)
+        assert memory.closed == 1
+        assert server.open_connections == 1
+        assert await status(server, SMALL) == 200
+
+    run(check, large)
+
+
+# Guards: a body over the limit was read up to the limit before it was refused.
+def test_a_body_that_is_announced_over_the_limit_is_refused_unread() -> None:
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        head = (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200001\r\nExpect: 100-continue\r\n\r\n"
+        )
+        answer = await read(await connect(server, head))
+        assert answer.startswith(b"HTTP/1.1 413")
+
+    run(check, max_body_bytes=200_000)
+
+
+# Guards: idle connections kept new callers out.
+def test_the_longest_idle_connection_is_closed_for_a_new_one() -> None:
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        idle = [await connect(server, b"")]
+        await curio.sleep(0.1)
+        idle.append(await connect(server, b""))
+        await curio.sleep(1.2)
+        assert await status(server, SMALL) == 200
+        assert await read(idle[0]) == b""
+        assert server.closed_idle == 1
+
+    run(check, max_connections=2, header_timeout_s=30.0)
