Keep a bounded part of answers for slow callers and read upstreams on

A caller that paused stopped the reading of its upstream's answer, which upstreams cut off after some seconds; answers that waited for callers and answers being collected for a retry were in no account. An answer for which there is no memory to collect it is passed on at once.

--- a/bluebellrun/gateway/_passing.py
+++ b/bluebellrun/gateway/_passing.py
@@ -40,11 +40,11 @@
     response: HttpResponse,
     remaining_s: RemainingSeconds,
 ) -> Outcome:
-    """Forward an answer: complete if it is small, else in chunks."""
+    """Forward an answer: complete if it is small and there is memory for it, else in chunks."""
     body = bytearray()
     while chunk := await response.read(remaining_s()):
         body += chunk
-        if len(body) > MAX_BUFFERED_BYTES:
+        if len(body) > MAX_BUFFERED_BYTES or not exchange.collect(len(body)):
             return await _forward_large(exchange, answer, response, remaining_s, bytes(body))
     if answer.failed:
         return Failed(answer, bytes(body))
--- a/bluebellrun/http/_caller_wait.py
+++ b/bluebellrun/http/_caller_wait.py
@@ -49,9 +49,9 @@
         """Note that the wait is over."""
         self._holding.is_closable = False
 
-    def resize(self, size: int, now: float) -> bool:
+    def resize(self, size: int, now: float, is_answer: bool = False) -> bool:
         """Hold as many bytes if there is room at once; return whether there was."""
-        return self._memory.budget.resize(self._holding, size, now)
+        return self._memory.budget.resize(self._holding, size, now, is_answer)
 
     def record_progress(self, moved: int, now: float) -> None:
         """Record that bytes were read from, or written to, the connection."""
@@ -61,9 +61,9 @@
         """Hold as many bytes once there is room; raise ``NoMemoryError`` if there is none."""
         await self._memory.acquire(self._holding, size)
 
-    async def acquire_held(self, size: int) -> None:
-        """Hold bytes that are in memory; raise ``NoMemoryError`` if they have to be given up."""
-        await self._memory.acquire_held(self._holding, size)
+    async def acquire_held(self, more: int) -> None:
+        """Hold more bytes, already in memory; raise ``NoMemoryError`` if they have to go."""
+        await self._memory.acquire_held(self._holding, more)
 
     def release(self) -> None:
         """Hold nothing any more."""
--- a/bluebellrun/http/_connection.py
+++ b/bluebellrun/http/_connection.py
@@ -12,14 +12,14 @@
 
 import curio
 import h11
-from curio.io import WantRead, WantWrite
 
 from bluebellrun.core import new_request_id
-from bluebellrun.http._caller_wait import CallerWait, ClosedForOthersError
+from bluebellrun.http._caller_wait import CallerWait
 from bluebellrun.http._exchange import CallerGoneError
 from bluebellrun.http._listener import is_readable
-from bluebellrun.http._memory_gate import MemoryGate, NoMemoryError
+from bluebellrun.http._memory_gate import MemoryGate
 from bluebellrun.http._models import HttpLimits, HttpRequest, encode_headers
+from bluebellrun.http._outgoing import Outgoing
 from bluebellrun.http._request_reader import READ_SIZE, RequestReader
 from bluebellrun.http._work import WorkLimit
 
@@ -45,10 +45,13 @@
         self._limits = limits
         self._closing = closing
         self._wait = CallerWait(memory)
+        self._outgoing = Outgoing(sock, self._wait)
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
         self._served = 0
+        # Bytes of an answer that are collected before the first of them is sent.
+        self._collected = 0
         self._reader = RequestReader(sock, self._protocol, limits, self._wait, work, self.send)
 
     @property
@@ -69,9 +72,20 @@
         """Return whether the server ends this connection after the answer."""
         return self._closing()
 
-    def release(self) -> None:
-        """Give up what is held."""
-        self._wait.close()
+    async def finish_writing(self) -> None:
+        """Let a slow caller take what is kept of an answer that was broken off."""
+        async with curio.ignore_after(LINGER_S):
+            try:
+                await self._outgoing.flush()
+            except CallerGoneError:
+                return
+
+    async def close(self) -> None:
+        """Give up what is held, before the socket is closed."""
+        try:
+            await self._outgoing.close()
+        finally:
+            self._wait.close()
 
     async def end_idle(self) -> bool:
         """End a connection that waits for a request of which no byte has arrived."""
@@ -92,18 +106,26 @@
         return await self._reader.read(on_bytes, is_first=not self._served)
 
     async def send(self, event: Any) -> None:
-        """Send one h11 event; raise ``CallerGoneError`` if the caller takes no bytes."""
+        """Send one h11 event; raise ``CallerGoneError`` if the caller takes no bytes.
+
+        A bounded part is kept for a caller that is slow to take it, see ``flush``.
+        """
         data = self._protocol.send(event)
         if not data:
             return
-        try:
-            sent = self._socket._socket.send(data)
-        except (*WantWrite, *WantRead):
-            sent = 0
-        except OSError as error:
-            raise CallerGoneError(str(error)) from error
-        if sent < len(data):
-            await self._send_rest(memoryview(data)[sent:])
+        await self._outgoing.write(data, self._limits.write_timeout_s)
+
+    def collect(self, size: int) -> bool:
+        """Hold the first ``size`` bytes of an answer; return false if there is no room."""
+        held = self._wait.size - self._collected
+        if not self._wait.resize(held + size, time.monotonic(), is_answer=True):
+            return False
+        self._collected = size
+        return True
+
+    async def flush(self) -> None:
+        """Wait until the caller has taken all that was sent; raise ``CallerGoneError`` if not."""
+        await self._outgoing.flush()
 
     async def refuse(
         self,
@@ -138,6 +160,7 @@
             await self.send(h11.Response(status_code=status, headers=encode_headers(headers)))
             await self.send(h11.Data(data=body))
             await self.send(h11.EndOfMessage())
+            await self._outgoing.flush()
             await self._linger()
         except (CallerGoneError, h11.LocalProtocolError):
             return
@@ -165,33 +188,12 @@
         if self._protocol.our_state is not h11.DONE or self._protocol.their_state is not h11.DONE:
             return False
         self._protocol.start_next_cycle()
+        self._collected = 0
         self._served += 1
         if self._wait.size:
             self._wait.resize(len(self._protocol.trailing_data[0]), time.monotonic())
         return True
 
-    async def _send_rest(self, rest: memoryview) -> None:
-        """Send what the caller did not take at once; its connection may be closed meanwhile."""
-        wait = self._wait
-        size = wait.size
-        try:
-            await wait.acquire_held(size + len(rest))
-            wait.begin(await curio.current_task())
-            async with curio.timeout_after(self._limits.write_timeout_s):
-                while rest:
-                    sent = await self._socket.send(rest)
-                    rest = rest[sent:]
-                    wait.record_progress(sent, time.monotonic())
-        except curio.TaskTimeout:
-            raise CallerGoneError("the caller takes no bytes") from None
-        except (ClosedForOthersError, NoMemoryError):
-            raise CallerGoneError("the caller takes no bytes while memory is short") from None
-        except OSError as error:
-            raise CallerGoneError(str(error)) from error
-        finally:
-            wait.end()
-            wait.resize(min(size, wait.size), time.monotonic())
-
     async def _linger(self) -> None:
         """Discard what the caller still sends, so that it can read the refusal."""
         left = LINGER_BYTES
--- a/bluebellrun/http/_exchange.py
+++ b/bluebellrun/http/_exchange.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from bluebellrun.http._memory import SMALL_BYTES
 from bluebellrun.http._models import Headers, HttpRequest, encode_headers
 
 if TYPE_CHECKING:
@@ -67,6 +68,10 @@
         """Return when the first byte of the body was sent, by the monotonic clock in seconds."""
         return self._first_body_at
 
+    def collect(self, size: int) -> bool:
+        """Return whether ``size`` bytes of the answer may be held before they are sent."""
+        return size <= SMALL_BYTES or self._connection.collect(size)
+
     async def send_head(self, status: int, headers: Headers) -> None:
         """Send the status and headers; without a length, the body is chunked."""
         if self._connection.closes_after_answer():
@@ -84,8 +89,9 @@
                 self._first_body_at = time.monotonic()
 
     async def finish(self) -> None:
-        """End the answer."""
+        """End the answer, once the caller has taken all of it."""
         await self._connection.send(h11.EndOfMessage())
+        await self._connection.flush()
         self._finished = True
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
--- a/bluebellrun/http/_memory_gate.py
+++ b/bluebellrun/http/_memory_gate.py
@@ -88,18 +88,18 @@
         finally:
             self._waiting -= 1
 
-    async def acquire_held(self, holding: Holding, size: int) -> None:
-        """Hold ``size`` bytes that are in memory already, at the cost of stalled connections.
+    async def acquire_held(self, holding: Holding, more: int) -> None:
+        """Hold more bytes that are in memory already, at the cost of stalled connections.
 
         Raises ``NoMemoryError`` if these bytes have to be given up.
         """
-        if self._budget.resize(holding, size, time.monotonic(), is_answer=True):
+        if self._budget.resize(holding, holding.size + more, time.monotonic(), is_answer=True):
             return
-        if not await self._close_stalled(holding, size, is_answer=True):
+        if not await self._close_stalled(holding, holding.size + more, is_answer=True):
             self._refuse("no memory for bytes that a caller does not take")
         # The stalled connections end in their own turns.
         await curio.sleep(0)
-        if not self._budget.resize(holding, size, time.monotonic(), is_answer=True):
+        if not self._budget.resize(holding, holding.size + more, time.monotonic(), is_answer=True):
             self._refuse("no memory for bytes that a caller does not take")
 
     async def _wait(self, holding: Holding, size: int) -> None:
--- a/bluebellrun/http/_server.py
+++ b/bluebellrun/http/_server.py
@@ -129,8 +129,9 @@
         try:
             while await self._serve_one(connection):
                 connection.limits = self._limits
+            await connection.finish_writing()
         finally:
-            connection.release()
+            await connection.close()
 
     async def _turn_away(self, sock: Any) -> None:
         """Refuse a connection beyond the limit."""
@@ -144,7 +145,7 @@
                 retry_after_s=1,
             )
         finally:
-            connection.release()
+            await connection.close()
 
     def _report_connections(self) -> None:
         """Log how many connections were closed and refused since the last line."""
--- a/tests/http/test_memory_pressure.py
+++ b/tests/http/test_memory_pressure.py
@@ -115,6 +115,30 @@
     run(check, slow)
 
 
+# Guards: bytes that came while a handler ran were held without a bound, or taken for a hang-up.
+def test_early_bytes_wait_in_the_socket_when_memory_is_short() -> None:
+    goes_on = curio.Event()
+
+    async def slow(exchange: HttpExchange) -> None:
+        await goes_on.wait()
+        await exchange.answer_json(200, {})
+
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        whole = UNFINISHED + b"x"
+        running = [await connect(server, whole) for _ in range(2)]
+        await curio.sleep(0.3)
+        sending = await curio.spawn(running[0].sendall, whole * 20)
+        await curio.sleep(0.3)
+        assert memory.budget.held <= SETTINGS.total_bytes
+        await goes_on.set()
+        answers = 0
+        while answers < 21:
+            answers += (await running[0].recv(65_536)).count(b"HTTP/1.1 200")
+        await sending.join()
+
+    run(check, slow)
+
+
 # Guards: answers that callers do not read were held without a bound.
 def test_answers_that_are_not_read_are_given_up_the_stalled_first() -> None:
     async def large(exchange: HttpExchange) -> None:
