--- a/bluebellrun/deployment/_host.py
+++ b/bluebellrun/deployment/_host.py
@@ -51,9 +51,10 @@
 class HostSettings:
     """What a process is told at its start.
 
-    ``link_bits_s`` is 0 where it is not told. ``callers`` is none where it serves no callers,
-    ``upstream`` where no upstream runs beside it. With ``load_shedding``, gateways delay or refuse
-    what costs callers least when a model group's slots do not suffice.
+    ``link_bits_s``, ``memory_bytes`` and ``max_descriptors`` are 0 where they are not told.
+    ``callers`` is none where it serves no callers, ``upstream`` where no upstream runs beside it.
+    With ``load_shedding``, gateways delay or refuse what costs callers least when a model group's
+    slots do not suffice.
     """
 
     host: str
@@ -69,3 +70,4 @@
     link_bits_s: float = 0.0
     bounds: Bounds = field(default_factory=Bounds)
     load_shedding: bool = False
+    max_descriptors: int = 0
--- a/bluebellrun/gateway/_gauges.py
+++ b/bluebellrun/gateway/_gauges.py
@@ -8,6 +8,7 @@
 from bluebellrun.gateway._gateway import Gateway
 from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._store_view import StoreView
+from bluebellrun.http import HttpServer, MemoryGate
 from bluebellrun.quarantine import PromptQuarantine
 from bluebellrun.telemetry import ServingMetrics
 
@@ -70,6 +71,39 @@
     )
 
 
+def register_memory_gauges(metrics: ServingMetrics, memory: MemoryGate, server: HttpServer) -> None:
+    """Register the gauges of what is held for callers."""
+    metrics.gauge("bluebellrun_held_bytes", "Bytes held for callers", lambda: memory.budget.held)
+    metrics.gauge(
+        "bluebellrun_held_bytes_bound",
+        "Most bytes held for callers, 0 without a bound",
+        lambda: memory.budget.settings.total_bytes,
+    )
+    metrics.gauge(
+        "bluebellrun_waiting_for_memory", "Requests that wait for memory", lambda: memory.waiting
+    )
+    metrics.gauge(
+        "bluebellrun_closed_for_memory",
+        "Stalled connections closed as memory was short, since the start",
+        lambda: memory.closed,
+    )
+    metrics.gauge(
+        "bluebellrun_refused_for_memory",
+        "Requests refused as memory was short, since the start",
+        lambda: memory.refused,
+    )
+    metrics.gauge(
+        "bluebellrun_caller_connections",
+        "Open connections of callers",
+        lambda: server.open_connections,
+    )
+    metrics.gauge(
+        "bluebellrun_closed_for_connections",
+        "Idle or stalled connections closed for new ones, since the start",
+        lambda: server.closed_idle,
+    )
+
+
 def register_quarantine_gauges(
     metrics: ServingMetrics, quarantine: PromptQuarantine, guard: PromptGuard
 ) -> None:
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -21,6 +21,7 @@
 from bluebellrun.gateway._gauges import (
     register_evacuation_gauges,
     register_gauges,
+    register_memory_gauges,
     register_quarantine_gauges,
     register_store_gauges,
 )
@@ -32,7 +33,15 @@
 from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._shedding_gauges import register_shedding_gauges
 from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
-from bluebellrun.http import HttpExchange, HttpHandler, HttpLimits, HttpServer
+from bluebellrun.http import (
+    HttpExchange,
+    HttpHandler,
+    HttpLimits,
+    HttpServer,
+    MemoryGate,
+    caller_connections,
+    memory_settings,
+)
 from bluebellrun.platform import (
     OWN_PREFIX,
     READY_PATH,
@@ -60,6 +69,8 @@
 METRICS_PATH = "/metrics"
 # Interval of dropping removed upstreams.
 CLEANUP_INTERVAL_S = 1.0
+# Readiness and metrics are read by a few probes, which send no body.
+PROBE_LIMITS = HttpLimits(max_header_bytes=16_384, max_body_bytes=16_384, max_connections=32)
 
 _log = get_logger("gateway")
 
@@ -149,8 +160,14 @@
             self._guard,
             groups=self._groups,
         )
+        self._memory = MemoryGate(memory_settings(settings.memory_bytes))
+        most = HttpLimits().max_connections
         self._server = HttpServer(
-            settings.callers, self._gateway.handle, HttpLimits(), listening=listening
+            settings.callers,
+            self._gateway.handle,
+            HttpLimits(max_connections=caller_connections(settings.max_descriptors, most)),
+            listening=listening,
+            memory=self._memory,
         )
         self._watching = watch_timing(settings.bounds)
         self._store = PlatformStore(
@@ -191,16 +208,22 @@
         self._connect_entries()
         self._lifecycle = Lifecycle(self._gateway, self._server, settings.bounds)
         self._readiness = HttpServer(
-            settings.readiness, _readiness(lambda: self._lifecycle.ready), HttpLimits()
+            settings.readiness,
+            _readiness(lambda: self._lifecycle.ready),
+            PROBE_LIMITS,
+            memory=self._memory,
         )
         register_gauges(self._metrics, self._gateway, self._view, self._role, self._fleet)
         register_store_gauges(self._metrics, lambda: self._store.era)
         register_map_gauges(self._metrics, self._maps)
         register_evacuation_gauges(self._metrics, self._fleet)
         register_shedding_gauges(self._metrics, self._gateway)
+        register_memory_gauges(self._metrics, self._memory, self._server)
         register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
-        self._collectors = HttpServer(address, _metrics_handler(self._metrics), HttpLimits())
+        self._collectors = HttpServer(
+            address, _metrics_handler(self._metrics), PROBE_LIMITS, memory=self._memory
+        )
 
     async def run(self) -> None:
         """Serve until told to stop, then stop gracefully."""
--- a/bluebellrun/http/__init__.py
+++ b/bluebellrun/http/__init__.py
@@ -1,12 +1,15 @@
 """HTTP/1.1 towards callers and upstreams: h11 for the protocol, curio for the sockets."""
 
-from bluebellrun.http._client import AcceptResponse, HttpClient, HttpResponse, connect
+from bluebellrun.http._client import HttpClient, HttpResponse
+from bluebellrun.http._client_connection import AcceptResponse
 from bluebellrun.http._compression import (
     COMPRESSED,
     COMPRESSED_FROM_BYTES,
     compress_body,
     decompress_body,
 )
+from bluebellrun.http._connect import connect
+from bluebellrun.http._descriptors import caller_connections
 from bluebellrun.http._exceptions import (
     AnswerTooLongError,
     BadResponseError,
@@ -16,7 +19,10 @@
     PeerTimeoutError,
     TransportError,
 )
+from bluebellrun.http._exchange import CallerGoneError, HttpExchange, HttpHandler
 from bluebellrun.http._listener import Listener
+from bluebellrun.http._memory import MemoryBudget, MemorySettings, memory_settings
+from bluebellrun.http._memory_gate import MemoryGate
 from bluebellrun.http._models import (
     ClientTimeouts,
     Headers,
@@ -27,12 +33,7 @@
     header_value,
 )
 from bluebellrun.http._retry_after import read_retry_after_s
-from bluebellrun.http._server import (
-    CallerGoneError,
-    HttpExchange,
-    HttpHandler,
-    HttpServer,
-)
+from bluebellrun.http._server import HttpServer
 from bluebellrun.http._tls import (
     LinkSecurity,
     PeerNotAllowedError,
@@ -62,6 +63,9 @@
     "HttpServer",
     "LinkSecurity",
     "Listener",
+    "MemoryBudget",
+    "MemoryGate",
+    "MemorySettings",
     "NotSentError",
     "PeerNotAllowedError",
     "PeerTimeoutError",
@@ -69,6 +73,7 @@
     "TlsError",
     "TlsFiles",
     "TransportError",
+    "caller_connections",
     "compress_body",
     "connect",
     "decompress_body",
@@ -76,5 +81,6 @@
     "header_text",
     "header_value",
     "link_security",
+    "memory_settings",
     "read_retry_after_s",
 ]
--- a/bluebellrun/platform/_settings.py
+++ b/bluebellrun/platform/_settings.py
@@ -24,6 +24,7 @@
     """Resources that the host grants to one process."""
 
     ram_mb: float = 0
+    max_fds: int = 0
     link_mbps: float = 0
 
 
@@ -132,6 +133,7 @@
         memory_bytes=int(file.limits.ram_mb * MEGABYTE),
         bounds=bounds,
         load_shedding=LOAD_SHEDDING_CONTRACT in file.contracts,
+        max_descriptors=file.limits.max_fds,
     )
 
 
