--- a/bluebellrun/gateway/_maps_setup.py
+++ b/bluebellrun/gateway/_maps_setup.py
@@ -65,7 +65,7 @@
         holder = RoleHolder(
             self._store,
             self._own_prefix.rstrip("/"),
-            PLACEMENT_ROLE,
+            key or PLACEMENT_ROLE,
             settings.host,
             LEASE_S,
             clock,
