Plan maps that suit the present demand and are less bad after the next shift

Demand shifts about as often as a map can be changed, so that about half of the time a map meets demand that it was not planned for. Each step of a plan is now judged by the usual demand too, the average over all mixtures that were seen, with a weight of 0.3 beside the present demand. A step that is worse for the present demand is not taken; without a known average nothing changes.

--- a/bluebellrun/expert_maps/_group_demand.py
+++ b/bluebellrun/expert_maps/_group_demand.py
@@ -80,10 +80,17 @@
     def by_layer(self) -> list[list[float]]:
         """Return the choices, or shares of them, as ``[layer][expert]``."""
         known = self._mixtures.current if self.is_observed else self._prior()
-        if known is None:
-            return self._estimator.demand()
+        return self._estimator.demand() if known is None else self._layers(known)
+
+    def usual_by_layer(self) -> list[list[float]] | None:
+        """Return the shares averaged over all mixtures as ``[layer][expert]``, if known."""
+        average = self._mixtures.average
+        return None if average is None else self._layers(average)
+
+    def _layers(self, shares: Sequence[float]) -> list[list[float]]:
+        """Return shares as ``[layer][expert]``."""
         size = self._experts.experts
-        return [list(known[start : start + size]) for start in range(0, len(known), size)]
+        return [list(shares[start : start + size]) for start in range(0, len(shares), size)]
 
     def expect_prior(self) -> None:
         """Let the first map be replaced by one for the demand from before, if any is known."""
--- a/bluebellrun/expert_maps/_group_manager.py
+++ b/bluebellrun/expert_maps/_group_manager.py
@@ -297,10 +297,7 @@
         load = 1.0
         if self._demand.is_observed:
             load = self._load(self._service, [item.instance for item in self._ranks.values()])
-        demand = self._demand.by_layer()
-        placement = await plan_map(
-            self._names, self._experts, self._current, demand, slowness, load
-        )
+        placement = await plan_map(self._names, self._demand, self._current, slowness, load)
         if placement is None or self._role.lease() is None:
             return
         version = self._versions.next(fencing)
--- a/bluebellrun/expert_maps/_group_planning.py
+++ b/bluebellrun/expert_maps/_group_planning.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from bluebellrun.deployment import ExpertTerms
+from bluebellrun.expert_maps._group_demand import GroupDemand
 from bluebellrun.placement import (
     Placement,
     PlanSettings,
@@ -20,9 +20,8 @@
 
 async def plan_map(
     names: dict[str, str],
-    experts: ExpertTerms,
+    demand: GroupDemand,
     current: Placement,
-    demand: list[list[float]],
     slowness: Sequence[float],
     load: float,
 ) -> Placement | None:
@@ -31,8 +30,9 @@
     ``load`` is the used fraction of the group's slots, and ``names`` are those to log.
     """
     began = time.monotonic()
+    experts = demand.experts
     bounds = PlanSettings(slots=experts.slots, max_new_experts=experts.most_new)
-    steps = plan_placement(current, demand, slowness, bounds)
+    steps = plan_placement(current, demand.by_layer(), slowness, bounds, demand.usual_by_layer())
     while True:
         try:
             next(steps)
--- a/bluebellrun/placement/_planner.py
+++ b/bluebellrun/placement/_planner.py
@@ -3,6 +3,9 @@
 Each step adds a replica of a busy expert to a less loaded rank, moves an expert there, or swaps
 two. The goal is a low maximum rank time; the objective sums a high power of the rank times, so
 that a step that relieves one of several equally busy ranks counts too.
+
+Demand shifts about as often as a map can be changed. Where the usual demand is known, the average
+over all mixtures, a step is judged by this too, so that the map is less bad after the next shift.
 """
 
 from collections.abc import Generator, Sequence
@@ -23,7 +26,8 @@
     A rank holds up to ``slots`` experts of a layer, of which one change may replace
     ``max_new_experts``. A layer whose skew is below ``target_skew`` is not changed. A step has to
     reduce the objective by at least ``min_step_gain`` times the mean contribution of a rank, so
-    that relieving one rank counts as much in a large group as in a small one.
+    that relieving one rank counts as much in a large group as in a small one. ``usual_weight`` is
+    the weight of the objective under the usual demand, beside that under the present demand.
     """
 
     slots: int
@@ -31,6 +35,7 @@
     target_skew: float = 1.1
     min_step_gain: float = 0.72
     max_steps: int = 40
+    usual_weight: float = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,11 +53,17 @@
     demand: Sequence[Demand],
     slowness: Sequence[float],
     settings: PlanSettings,
+    usual: Sequence[Demand] | None = None,
 ) -> Generator[None, None, PlacementPlan]:
-    """Plan in short steps and yield between them, so that the event loop can do other work."""
+    """Plan in short steps and yield between them, so that the event loop can do other work.
+
+    ``usual`` is the demand averaged over a long time, none if unknown.
+    """
     layers: list[Layer] = []
-    for layer, layer_demand in zip(current.layers, demand, strict=True):
+    for number, (layer, layer_demand) in enumerate(zip(current.layers, demand, strict=True)):
         search = _LayerSearch(layer, layer_demand, slowness, settings)
+        if usual is not None:
+            search.add_usual(_LayerSearch(layer, usual[number], slowness, settings))
         while search.step():
             yield
         layers.append(search.layer)
@@ -103,6 +114,12 @@
         ]
         self._mean = sum(demand) / len(layer) or 1.0
         self._steps = 0
+        # The same placement under the usual demand, which follows each step.
+        self._usual: _LayerSearch | None = None
+
+    def add_usual(self, usual: "_LayerSearch") -> None:
+        """Judge the steps by the usual demand too."""
+        self._usual = usual
 
     @property
     def layer(self) -> Layer:
@@ -167,7 +184,12 @@
         spare = [expert for expert in self._held[rank] if self._replicas[expert] > 1]
         if not spare:
             return None
-        return min(spare, key=lambda e: self._demand[e] / self._replicas[e])
+        return min(spare, key=self._worth_of_replica)
+
+    def _worth_of_replica(self, expert: int) -> float:
+        """Return the demand for one replica relative to a rank's, with the usual demand added."""
+        share = self._share(expert) / self._mean
+        return share if self._usual is None else share + self._usual._worth_of_replica(expert)
 
     def _can_hold(self, rank: int, expert: int) -> bool:
         """Return whether a rank may hold an expert within the bound on new experts."""
@@ -210,15 +232,23 @@
         return loads
 
     def _gain(self, step: _Step) -> float:
-        """Return by how much a step reduces the objective."""
+        """Return by how much a step reduces the objective.
+
+        One that is worse under the present demand is never taken for the usual demand's sake.
+        """
         mean = self._mean
-        return sum(
+        gain = sum(
             (self._loads[rank] / mean) ** POWER - (load / mean) ** POWER
             for rank, load in self._new_loads(step).items()
         )
+        if self._usual is None or gain <= 0:
+            return gain
+        return gain + self._settings.usual_weight * self._usual._gain(step)
 
     def _apply(self, step: _Step) -> None:
         """Apply a step."""
+        if self._usual is not None:
+            self._usual._apply(step)
         for rank, load in self._new_loads(step).items():
             self._loads[rank] = load
         if step.moves:
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -26,8 +26,8 @@
     return demand
 
 
-def plan(current, demand, slowness=None, settings=SETTINGS):
-    steps = plan_placement(current, demand, slowness or [1.0] * current.ranks, settings)
+def plan(current, demand, slowness=None, settings=SETTINGS, usual=None):
+    steps = plan_placement(current, demand, slowness or [1.0] * current.ranks, settings, usual)
     while True:
         try:
             next(steps)
@@ -105,3 +105,46 @@
 def test_zero_demand_causes_no_copies():
     current = default_placement(LAYERS, RANKS, EXPERTS)
     assert plan(current, [[0.0] * EXPERTS] * LAYERS).copies == 0
+
+
+# Guards: a step that helps only the usual demand broke a bound, or made the present skew worse than
+# it was before.
+@given(st.integers(0, 10_000))
+def test_a_plan_that_knows_the_usual_demand_keeps_the_bounds_of_a_change(seed):
+    random = Random(seed)
+    current = default_placement(LAYERS, RANKS, EXPERTS)
+    usual = skewed_demand(random)
+    for _ in range(3):
+        demand = skewed_demand(random)
+        result = plan(current, demand, usual=usual)
+        for before, after in zip(current.layers, result.placement.layers, strict=True):
+            assert set().union(*after) == set(range(EXPERTS))
+            assert all(len(held) <= SLOTS for held in after)
+            assert all(len(new - old) <= MAX_NEW for old, new in zip(before, after, strict=True))
+        assert result.skew_after <= result.skew_before + 1e-9
+        current = result.placement
+
+
+# Guards: demand that shifts among some mixtures found a map that suits only the one before.
+def test_a_map_planned_with_the_usual_demand_is_less_bad_after_the_next_shift():
+    random = Random(11)
+    layers, experts, ranks = 4, 96, 24
+    settings = PlanSettings(slots=5, max_new_experts=2)
+    mixtures = [
+        [[random.lognormvariate(0, 0.8) for _ in range(experts)] for _ in range(layers)]
+        for _ in range(5)
+    ]
+    usual = [
+        [sum(shares) / 5 for shares in zip(*rows, strict=True)]
+        for rows in zip(*mixtures, strict=True)
+    ]
+    skews = {"alone": [0.0, 0.0], "usual": [0.0, 0.0]}
+    for name, known in (("alone", None), ("usual", usual)):
+        current = default_placement(layers, ranks, experts)
+        for turn in range(20):
+            mixture = mixtures[turn % 5]
+            skews[name][0] += skew(current, mixture, [1.0] * ranks)
+            current = plan(current, mixture, settings=settings, usual=known).placement
+            skews[name][1] += skew(current, mixture, [1.0] * ranks)
+    assert skews["usual"][0] < 0.96 * skews["alone"][0]
+    assert skews["usual"][1] < 1.05 * skews["alone"][1]
