Let another gateway have the role of a group whose ranks its holder does not reach

A gateway whose link to a group's ranks is broken, and that the other gateways hear, kept the role, and the group its map. A holder that has lacked ranks for 10 s now releases the role, at most once a minute, and waits 4 s longer for it than the others. If the group itself is broken, the role goes round each minute, for some three store calls.

--- a/bluebellrun/expert_maps/_expert_maps.py
+++ b/bluebellrun/expert_maps/_expert_maps.py
@@ -8,7 +8,9 @@
 """
 
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass
+from functools import partial
 
 import curio
 
@@ -40,6 +42,24 @@
 Load = Callable[[str, Collection[str]], float]
 
 
+@dataclass(frozen=True, slots=True)
+class _Managed:
+    """A group as its role sees it."""
+
+    groups: Mapping[GroupKey, GroupManager]
+    key: GroupKey
+
+    def is_changing(self) -> bool:
+        """Return whether this process is changing the map of the group."""
+        manager = self.groups.get(self.key)
+        return manager is not None and manager.is_changing
+
+    def incomplete_s(self, now: float) -> float:
+        """Return for how many seconds ranks of the group have been missing, 0 if none is."""
+        manager = self.groups.get(self.key)
+        return 0.0 if manager is None else manager.incomplete_s(now)
+
+
 class ExpertMaps:
     """Manage the maps of all services whose engines share experts."""
 
@@ -79,7 +99,8 @@
     @property
     def incomplete(self) -> int:
         """Return the number of managed groups of which not all ranks are there and formed."""
-        return sum(not group.is_complete for group in self._groups.values())
+        now = time.monotonic()
+        return sum(group.incomplete_s(now) > 0 for group in self._groups.values())
 
     async def run(self) -> None:
         """Manage the maps until cancelled."""
@@ -89,7 +110,7 @@
             recorded = [
                 (service, name) for service in services for name in self._recorded.groups(service)
             ]
-            await self._roles.follow(recorded, self._is_changing)
+            await self._roles.follow(recorded, partial(_Managed, self._groups))
             for service in services:
                 if service not in self._services:
                     upstreams = ServiceRanks(service, self._calls, self._directory, self._recorded)
@@ -194,11 +215,6 @@
         upstreams = self._services.get(group[0])
         return self._role if upstreams is not None and group[1] in upstreams.names else None
 
-    def _is_changing(self, group: GroupKey) -> bool:
-        """Return whether this process is changing the map of a group."""
-        manager = self._groups.get(group)
-        return manager is not None and manager.is_changing
-
     def _experts(self) -> dict[str, ExpertTerms]:
         """Return the services whose engines share experts."""
         deployment = self._deployment()
--- a/bluebellrun/expert_maps/_group_manager.py
+++ b/bluebellrun/expert_maps/_group_manager.py
@@ -70,7 +70,7 @@
         self._load = load
         self._states: dict[int, RankState] = {}
         self._ranks: dict[int, Upstream] = {}
-        self._is_complete = False
+        self._incomplete_since: float | None = time.monotonic()
         self._read_at = 0.0
         self._planned_at = 0.0
         self._arm_s: float | None = None
@@ -91,10 +91,9 @@
             if rank in states
         }
 
-    @property
-    def is_complete(self) -> bool:
-        """Return whether all ranks answered, and the group is formed."""
-        return self._is_complete
+    def incomplete_s(self, now: float) -> float:
+        """Return for how many seconds ranks have been missing, 0 if none is."""
+        return 0.0 if self._incomplete_since is None else now - self._incomplete_since
 
     @property
     def is_changing(self) -> bool:
@@ -146,11 +145,12 @@
         await self._upstreams.update(now)
         asked = self._upstreams.of_group(self._name, with_unknown=not self._read_at)
         found = split_groups(await self._upstreams.read(asked)).get(self._name)
-        self._is_complete = found is not None and found.is_complete
         if found is None or not found.is_complete:
+            self._incomplete_since = self._incomplete_since or now
             self._read_at = 0.0
             return False
         self._read_at = now
+        self._incomplete_since = None
         self._states = {rank: state for rank, (_, state) in found.ranks.items()}
         self._ranks = {rank: upstream for rank, (upstream, _) in found.ranks.items()}
         if self._epoch != found.epoch:
--- a/bluebellrun/expert_maps/_group_roles.py
+++ b/bluebellrun/expert_maps/_group_roles.py
@@ -6,8 +6,8 @@
 
 import time
 from collections.abc import Callable, Collection, Iterable, Iterator
-from functools import partial
 from random import Random
+from typing import Protocol
 from urllib.parse import quote
 
 from bluebellrun.expert_maps._role import PlacementRole, RoleOrder
@@ -24,11 +24,27 @@
 RETURN_AFTER_S = 10.0
 RETURN_INTERVAL_S = 300.0
 RANK_INTERVAL_S = 2.0
+# A holder that has not had all ranks of its group for so long lets another gateway try, which may
+# have a link to them; if the group itself is broken, the role goes round at this interval.
+INCOMPLETE_S = 10.0
+INCOMPLETE_INTERVAL_S = 60.0
+# How much longer it then waits, so that all others come first.
+SET_BACK_S = 4.0
 
 MakeRole = Callable[[str, RoleOrder], PlacementRole]
 GroupKey = tuple[str, str]
 
 
+class ManagedGroup(Protocol):
+    """What this process's manager of a group knows, if there is one."""
+
+    def is_changing(self) -> bool:
+        """Return whether it is changing the map."""
+
+    def incomplete_s(self, now: float) -> float:
+        """Return for how many seconds ranks have been missing, 0 if none is."""
+
+
 class GatewayRanking:
     """Ranks the registered gateways for a group, without those that have fallen silent."""
 
@@ -59,35 +75,42 @@
         key: str,
         ranking: GatewayRanking,
         random: Random,
-        is_changing: Callable[[], bool],
+        group: "ManagedGroup",
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._key = key
         self._ranking = ranking
         self._random = random
-        self._is_changing = is_changing
+        self._group = group
         self._clock = clock
         self._ranked_at = 0.0
         self._first: str | None = None
         self._first_since = 0.0
         self._returned_at: float | None = None
+        self._set_back_until = 0.0
 
     def pause_s(self) -> float:
         """Return how much longer this process waits than the first in the ranking."""
         position = sum(1 for _ in self._ranking.before_this(self._key))
+        pause_s = SET_BACK_S if self._clock() < self._set_back_until else 0.0
         if position <= MAX_POSITION:
-            return POSITION_PAUSE_S * position
-        return POSITION_PAUSE_S * MAX_POSITION + SPREAD_S * self._random.random()
+            return pause_s + POSITION_PAUSE_S * position
+        return pause_s + POSITION_PAUSE_S * MAX_POSITION + SPREAD_S * self._random.random()
 
     def returns(self) -> bool:
-        """Return whether the holder gives the role back to the first in the ranking now."""
+        """Return whether the holder lets another gateway have the role now."""
         now = self._clock()
+        if self._group.incomplete_s(now) >= INCOMPLETE_S and now >= self._set_back_until:
+            self._set_back_until = now + INCOMPLETE_INTERVAL_S
+            return True
         if now - self._ranked_at >= RANK_INTERVAL_S:
             self._ranked_at = now
             first = next(self._ranking.before_this(self._key), None)
             if first != self._first:
                 self._first, self._first_since = first, now
-        if self._first is None or now - self._first_since < RETURN_AFTER_S or self._is_changing():
+        if self._first is None or now - self._first_since < RETURN_AFTER_S:
+            return False
+        if self._group.is_changing():
             return False
         if self._returned_at is not None and now - self._returned_at < RETURN_INTERVAL_S:
             return False
@@ -116,7 +139,7 @@
         return f"{self._prefix}{service}/{name}"
 
     async def follow(
-        self, groups: Collection[GroupKey], is_changing: Callable[[GroupKey], bool]
+        self, groups: Collection[GroupKey], managed: Callable[[GroupKey], ManagedGroup]
     ) -> None:
         """Have a role for each recorded group and for no other."""
         if self._resigned:
@@ -126,8 +149,7 @@
         for group in groups:
             if group not in self._roles:
                 key = self.key(group)
-                changing = partial(is_changing, group)
-                order = GroupRoleOrder(key, self._ranking, self._random, changing)
+                order = GroupRoleOrder(key, self._ranking, self._random, managed(group))
                 role = self._roles[group] = self._make_role(key, order)
                 await spawn_background(role.run)
 
--- a/bluebellrun/expert_maps/_role.py
+++ b/bluebellrun/expert_maps/_role.py
@@ -31,7 +31,7 @@
         """Return how much longer this process waits than the first before it acquires the role."""
 
     def returns(self) -> bool:
-        """Return whether the holder gives the role back to the first now."""
+        """Return whether the holder lets another process have the role now."""
 
 
 class NoOrder:
@@ -122,7 +122,7 @@
         if self._last_lease is not None and self._is_superseded(self._last_lease):
             await self.release()
         if self.lease() is not None and self._order.returns():
-            _log.info("role returned to the first in the ranking", key=self._holder.key)
+            _log.info("role left to another process", key=self._holder.key)
             await self.release()
             self._log_change()
             return
--- a/tests/expert_maps/test_group_roles.py
+++ b/tests/expert_maps/test_group_roles.py
@@ -7,10 +7,13 @@
 from bluebellrun.core import MonotonicClock
 from bluebellrun.expert_maps import GatewayRanking, GroupRoles, PlacementRole, RoleOrder
 from bluebellrun.expert_maps._group_roles import (
+    INCOMPLETE_INTERVAL_S,
+    INCOMPLETE_S,
     MAX_POSITION,
     POSITION_PAUSE_S,
     RETURN_AFTER_S,
     RETURN_INTERVAL_S,
+    SET_BACK_S,
     GroupRoleOrder,
 )
 from bluebellrun.expert_maps._role import LEASE_S
@@ -24,6 +27,20 @@
 GROUPS = [("chat", f"group-{number}") for number in range(6)]
 
 
+class Managed:
+    """What a gateway's manager knows of a group."""
+
+    def __init__(self, changing: bool = False) -> None:
+        self.changing = changing
+        self.missing_since: float | None = None
+
+    def is_changing(self) -> bool:
+        return self.changing
+
+    def incomplete_s(self, now: float) -> float:
+        return 0.0 if self.missing_since is None else now - self.missing_since
+
+
 class Gateways:
     """Gateways that share a store; those in ``silent`` are gone."""
 
@@ -63,7 +80,7 @@
     async def main() -> None:
         gateways = Gateways()
         for name in NAMES:
-            await gateways.start(name).follow(GROUPS, lambda group: False)
+            await gateways.start(name).follow(GROUPS, lambda group: Managed())
         await check(gateways)
 
     curio.run(main)
@@ -107,7 +124,7 @@
     async def check(gateways: Gateways) -> None:
         await wait_until(lambda: all(gateways.holders(group) for group in GROUPS))
         for roles in gateways.roles.values():
-            await roles.follow(GROUPS[1:], lambda group: False)
+            await roles.follow(GROUPS[1:], lambda group: Managed())
         view = MemoryView(gateways.store)
         await wait_until(lambda: view.record(f"{PREFIX}{GROUPS[0][0]}/{GROUPS[0][1]}") is None)
         stopping = first(GROUPS[1])
@@ -124,11 +141,9 @@
     def __init__(self, names: list[str], silent: set[str], changing: bool = False) -> None:
         self.now = 100.0
         self.silent = silent
-        self.changing = changing
+        self.group = Managed(changing)
         ranking = GatewayRanking("me", lambda: names, lambda name: name in self.silent)
-        self.order = GroupRoleOrder(
-            "key", ranking, Random(1), lambda: self.changing, lambda: self.now
-        )
+        self.order = GroupRoleOrder("key", ranking, Random(1), self.group, lambda: self.now)
 
     def returns_after(self, seconds: float) -> bool:
         self.now += seconds
@@ -170,3 +185,18 @@
     silent = Order(names, set(names))
     assert not silent.returns_after(0.0)
     assert not silent.returns_after(2 * RETURN_AFTER_S)
+
+
+# Guards: a gateway whose link to a group's ranks is broken kept the role, and the group its map.
+def test_a_holder_that_lacks_ranks_lets_the_others_try_once_a_minute():
+    subject = Order([], set(), changing=True)
+    subject.group.missing_since = subject.now
+    assert not subject.returns_after(INCOMPLETE_S - 1)
+    assert subject.order.pause_s() == 0.0
+    assert subject.returns_after(1.0)
+    assert subject.order.pause_s() == SET_BACK_S
+    assert not subject.returns_after(INCOMPLETE_INTERVAL_S - 1)
+    assert subject.returns_after(1.0)
+    subject.group.missing_since = None
+    assert not subject.returns_after(INCOMPLETE_INTERVAL_S)
+    assert subject.order.pause_s() == 0.0
