Reserve more slots for the urgent where passes bound them; drop two rules that earned nothing

Cause: when the bound by passes fell, all slots under it were held by less urgent requests and the most urgent were refused for some tenths of a second.

Change: under a bound by passes the reserve for more urgent requests counts twice, and passes aim at 0.92 of the longest pause. A new request that can no longer be on time is refused at once instead of waiting 0.4 s more. No rule for slow phases that recur.

--- a/bluebellrun/admission/_pass_times.py
+++ b/bluebellrun/admission/_pass_times.py
@@ -21,11 +21,9 @@
     Pauses are collected for ``window_s``, at least ``min_pauses``, at most ``max_window_s``; their
     ``quantile`` counts. The slowest pass of the last ``retention_s``, about the life of a stream,
     sets the bound, unless the latest ``drop_windows`` all allow ``drop_factor`` times as many
-    slots: then the expert map or the demand has changed, and older ones no longer count. If slow
-    phases recur within ``recurrence_s``, as where demand shifts every few seconds, the bound stays
-    at what the second slowest of them allows, as most streams meet the next one. The first
-    ``start_s`` of a group do not count as such: all prompts are read at once. Passes should take
-    ``target_fraction`` of the longest pause, since load reports are some tenths of a second old.
+    slots: then the expert map or the demand has changed, and older ones no longer count. Passes
+    should take ``target_fraction`` of the longest pause, since load reports are some tenths of a
+    second old.
 
     Pauses over ``outage_factor`` times the longest count as load only if they recur, and those over
     ``max_factor`` times never do: they come from an outage. At least ``min_fraction`` is used.
@@ -41,9 +39,7 @@
     retention_s: float = 2.0
     drop_windows: int = 4
     drop_factor: float = 1.3
-    recurrence_s: float = 7.0
-    start_s: float = 1.0
-    target_fraction: float = 0.9
+    target_fraction: float = 0.92
     outage_factor: float = 2.0
     max_factor: float = 8.0
     min_fraction: float = 0.1
@@ -69,9 +65,7 @@
     opened: float = 0.0
     load: float = 0.0
     long_since: float | None = None
-    began: float = 0.0
     passes: deque[_Pass] = field(default_factory=deque)
-    slow_phases: deque[_Pass] = field(default_factory=deque)
 
 
 class PassTimeControl:
@@ -119,7 +113,7 @@
         active = self._active(now)
         if not active:
             return self._allowed(self._start, max_pause_s)
-        fractions = [self._group_fraction(state, max_pause_s, now) for state in active]
+        fractions = [self._group_fraction(state, max_pause_s) for state in active]
         return sum(fractions) / len(fractions)
 
     def pass_s(self, now: float) -> float:
@@ -143,8 +137,6 @@
             # All streams resume at once after an outage: this may be the end of one.
             state.long_since = state.opened
             return
-        if not state.passes or state.opened - state.passes[-1].at > self._settings.retention_s:
-            state.began = state.opened
         state.passes.append(_Pass(state.opened, pass_s, state.load))
         self._end_slow_phase(state, max_pause_s)
 
@@ -155,29 +147,19 @@
                 state.passes.popleft()
         return [state for state in self._groups.values() if state.passes]
 
-    def _group_fraction(self, state: _GroupPasses, max_pause_s: float, now: float) -> float:
+    def _group_fraction(self, state: _GroupPasses, max_pause_s: float) -> float:
         """Return the fraction of a group's slots that may be taken."""
-        while state.slow_phases and now - state.slow_phases[0].at > self._settings.recurrence_s:
-            state.slow_phases.popleft()
-        allowed = min(self._allowed(item, max_pause_s) for item in state.passes)
-        if len(state.slow_phases) < 2:
-            return allowed
-        return min(allowed, sorted(self._allowed(p, max_pause_s) for p in state.slow_phases)[1])
+        return min(self._allowed(item, max_pause_s) for item in state.passes)
 
     def _end_slow_phase(self, state: _GroupPasses, max_pause_s: float) -> None:
         """Forget the passes of a slow phase once the latest ones are clearly faster."""
-        settings = self._settings
-        if len(state.passes) <= settings.drop_windows:
+        windows = self._settings.drop_windows
+        if len(state.passes) <= windows:
             return
         allowed = [self._allowed(item, max_pause_s) for item in state.passes]
-        slowest = allowed.index(min(allowed))
-        latest = min(allowed[-settings.drop_windows :])
-        if latest < settings.drop_factor * allowed[slowest]:
-            return
-        if state.passes[slowest].at - state.began > settings.start_s:
-            state.slow_phases.append(state.passes[slowest])
-        while len(state.passes) > settings.drop_windows:
-            state.passes.popleft()
+        if min(allowed[-windows:]) >= self._settings.drop_factor * min(allowed):
+            while len(state.passes) > windows:
+                state.passes.popleft()
 
     def _allowed(self, item: _Pass, max_pause_s: float) -> float:
         """Return the fraction of slots at which passes would just be short enough.
--- a/bluebellrun/admission/_shedding.py
+++ b/bluebellrun/admission/_shedding.py
@@ -36,11 +36,12 @@
 
     Slots that become free are known only after some tenths of a second. If passes bound nothing,
     new requests may therefore exceed the slots by as many as become free within ``overfill_s``.
+    Where passes bound the slots, that bound may fall at any moment and leave none free; less urgent
+    requests then take their part of the slots to the power of ``limited_reserve_exponent``.
     What other entries have sent is known after ``report_age_s``. A late request that has no retry
     left is refused at once if the expected wait is over ``hopeless_factor`` times the time that it
-    has, as estimates are rough, else it waits for that time; one with a retry left waits only if a
-    slot is expected within ``max_late_wait_s``, since a refusal should come at once. Waiting
-    requests are ranked again after ``ranking_s``.
+    has, as estimates are rough, else it waits for that time; one with a retry left is refused at
+    once. Waiting requests are ranked again after ``ranking_s``.
     """
 
     min_late_fraction: float = 0.15
@@ -52,7 +53,7 @@
     overfill_s: float = 0.06
     report_age_s: float = 0.12
     hopeless_factor: float = 4.0
-    max_late_wait_s: float = 0.4
+    limited_reserve_exponent: float = 2.0
     ranking_s: float = 0.02
 
 
@@ -218,7 +219,6 @@
 
         What counts is its last rank: a late request is sent at its last chance, if not before.
         """
-        settings = self._settings
         rank = self._last_chance_rank(request)
         late_slots = self._late_slots(rank, capacity, now)
         late_before = self._late_ahead(rank) + (self.late >= late_slots)
@@ -226,12 +226,8 @@
         wait_s = missing / self._freed_for(request.urgency, capacity, now)
         wait_s = max(wait_s, late_before * capacity.hold_s / late_slots)
         left_s = request.send_deadline - now
-        if request.is_retry:
-            is_hopeless = wait_s > settings.hopeless_factor * left_s
-            may_wait = request.id in self._waiting or not is_hopeless
-        else:
-            may_wait = wait_s <= min(left_s, settings.max_late_wait_s)
-        if left_s > 0 and may_wait:
+        is_hopeless = wait_s > self._settings.hopeless_factor * left_s
+        if request.is_retry and left_s > 0 and (request.id in self._waiting or not is_hopeless):
             return self.wait(request)
         self.leave(request.id)
         return Shed(
@@ -300,8 +296,11 @@
 
     def _limit(self, request: SheddingRequest, is_timely: bool, capacity: Capacity) -> float:
         """Return how many slots may be taken after a request is sent."""
-        limit = capacity.usable * self._slot_fraction(request.urgency)
-        if is_timely and capacity.fraction >= 1.0:
+        part = self._slot_fraction(request.urgency)
+        if capacity.fraction < 1.0:
+            return max(1.0, capacity.usable * part**self._settings.limited_reserve_exponent)
+        limit = capacity.usable * part
+        if is_timely:
             limit += self._settings.overfill_s * capacity.freed_per_s
         return max(1.0, limit)
 
