Let a gateway that has seen no passes send three requests

Cause: a gateway that starts beside others in a full group assumed an unfit expert map, refused everything and so never saw a pass.

Change: an entry without observations may always have three streams.

--- a/bluebellrun/admission/_pass_times.py
+++ b/bluebellrun/admission/_pass_times.py
@@ -108,6 +108,10 @@
         state.pauses.append(pause_s)
         return self._if_changed(self.slot_fraction(max_pause_s, now)) if is_full else None
 
+    def is_observed(self, now: float) -> bool:
+        """Return whether passes were seen lately."""
+        return bool(self._active(now))
+
     def slot_fraction(self, max_pause_s: float, now: float) -> float:
         """Return the fraction of the slots that may be taken, over all groups; 1 is no bound."""
         active = self._active(now)
--- a/bluebellrun/admission/_shedding.py
+++ b/bluebellrun/admission/_shedding.py
@@ -122,6 +122,7 @@
         self._arrivals: dict[int, ArrivalRate] = {}
         self._waiting: dict[str, SheddingRequest] = {}
         self._late: set[str] = set()
+        self._running = 0
         self._sent: deque[float] = deque()
         self._ranks: list[Rank] = []
         # Up to each rank, how many of the waiting ones are within the share of late requests, and
@@ -136,6 +137,11 @@
         """Return the number of requests that wait."""
         return len(self._waiting)
 
+    @property
+    def running(self) -> int:
+        """Return the number of requests that were sent and have not ended."""
+        return self._running
+
     @property
     def late(self) -> int:
         """Return the number of late requests that hold slots."""
@@ -153,6 +159,7 @@
 
     def finish(self, request_id: str) -> None:
         """Record that a request that was sent has ended."""
+        self._running -= 1
         self._late.discard(request_id)
 
     def leave(self, request_id: str) -> None:
@@ -168,6 +175,7 @@
     def send(self, request: SheddingRequest, now: float) -> Send:
         """Record that a request is sent, for whatever reason."""
         self._sent.append(now)
+        self._running += 1
         late = not request.is_timely_at(now)
         if late:
             self._late.add(request.id)
--- a/bluebellrun/gateway/_load_shedding.py
+++ b/bluebellrun/gateway/_load_shedding.py
@@ -32,6 +32,10 @@
 # waiting request would take too much of a core.
 CAPACITY_AGE_S = 0.01
 
+# Streams that an entry may always have while it has seen no passes: others may hold all the slots
+# that its cautious assumption allows, and without streams of its own it would learn nothing.
+MIN_OBSERVED_STREAMS = 3
+
 _log = get_logger("admission")
 
 
@@ -89,6 +93,8 @@
 
     def decide(self, terms: AdmissionTerms, now: float) -> Send | Wait | Shed:
         """Decide whether a request is sent now, waits or is refused."""
+        if self._shedder.running < MIN_OBSERVED_STREAMS and not self._passes.is_observed(now):
+            return self.probe(terms, now)
         capacity = self._current(terms, now)
         decision = self._shedder.decide(self._request(terms, now), capacity, now)
         if isinstance(decision, Send):
@@ -100,7 +106,8 @@
         return self._shedder.wait(self._request(terms, now))
 
     def probe(self, terms: AdmissionTerms, now: float) -> Send:
-        """Send a request without a decision, to find out whether an outage has ended."""
+        """Send a request without a decision, to learn the state of the service by it."""
+        self._capacity = None
         return self._shedder.send(self._request(terms, now), now)
 
     def refuse(self, terms: AdmissionTerms, earliest_s: float, now: float) -> float:
--- a/tests/gateway/shedding_world.py
+++ b/tests/gateway/shedding_world.py
@@ -136,8 +136,9 @@
             self.decide(caller, terms, True, now)
 
     def end(self, caller: Caller) -> None:
-        self.running.discard(caller)
-        self.shedding.shedder.finish(caller.id)
+        if caller in self.running:
+            self.running.remove(caller)
+            self.shedding.shedder.finish(caller.id)
 
 
 class World:
--- a/tests/gateway/test_admission_control.py
+++ b/tests/gateway/test_admission_control.py
@@ -20,7 +20,7 @@
 from bluebellrun.gateway import Fleet, Refused, Upstream, UpstreamDirectory
 from bluebellrun.gateway._admission_control import MAX_RETRY_SPREAD, AdmissionControl
 from bluebellrun.gateway._admission_terms import RETRY_ESCALATION_S, AdmissionTerms
-from bluebellrun.gateway._load_shedding import LoadShedding
+from bluebellrun.gateway._load_shedding import MIN_OBSERVED_STREAMS, LoadShedding
 from tests.gateway.shedding_world import ENGINE
 
 SLOTS = 4
@@ -196,6 +196,8 @@
 def test_with_load_shedding_new_callers_are_refused_at_once_and_outages_are_waited_for():
     async def main() -> None:
         service = Service(taken=40, sheds=True)
+        for _ in range(MIN_OBSERVED_STREAMS):
+            assert (await service.request(is_retry=False))[0] is None
         refused, took_s = await service.request(is_retry=False)
         assert refused is not None and refused.retry_after_s
         assert "40 requests for" in refused.reason
--- a/tests/gateway/test_load_shedding.py
+++ b/tests/gateway/test_load_shedding.py
@@ -7,7 +7,9 @@
 from tests.gateway.shedding_world import (
     DEADLINE_S,
     OBJECTIVES_S,
+    STEP_S,
     Caller,
+    Entry,
     World,
     part,
     poisson,
@@ -99,6 +101,22 @@
     assert part(urgent, lambda caller: caller.served) >= 0.8
 
 
+# Guards: a gateway that starts beside others assumed an unfit expert map, refused everything and
+# so never saw a pass.
+def test_a_gateway_that_starts_in_a_full_group_takes_its_share():
+    world = World()
+
+    def arrivals(now: float, random: Random) -> list[Caller]:
+        if abs(now - 4.0) < STEP_S / 2:
+            world.entries[1].running |= world.entries[0].running
+            world.entries[0] = Entry(world)
+        return poisson({0: 18.0, 1: 18.0, 2: 24.0})(now, random)
+
+    world.run(5.0, arrivals)
+    started = world.entries[0].shedding
+    assert started.shedder.running >= 5
+
+
 # Guards: large prompts were refused first, as reading them leaves less time to wait.
 def test_large_prompts_are_served_at_least_half_as_often_as_others():
     world = World()
