Shed load also where the engine's terms leave sizes and speeds open

Cause: a configuration without a reading speed ended in a division by zero, and one without usual sizes let the urgent exceed the slots without a bound.

Change: what the terms do not say counts as no time; a request then holds its slot for the typical time as observed; at most a tenth more than the slots is sent.

Measured: the new test failed with ZeroDivisionError before.

--- a/bluebellrun/admission/_pass_times.py
+++ b/bluebellrun/admission/_pass_times.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from bluebellrun.admission._request_costs import reading_s
 from bluebellrun.deployment import EngineTerms
 
 
@@ -74,7 +75,7 @@
     def __init__(self, settings: PassTimeSettings, engine: EngineTerms) -> None:
         self._settings = settings
         self._fixed_s = engine.stride * engine.step_s
-        self._prompt_s = engine.usual_prompt_tokens / engine.read_tokens_per_s
+        self._prompt_s = reading_s(engine.usual_prompt_tokens, engine)
         self._start = self._start_pass(engine)
         self._groups: dict[str, _GroupPasses] = {}
         self._reported = 1.0
--- a/bluebellrun/admission/_request_costs.py
+++ b/bluebellrun/admission/_request_costs.py
@@ -105,16 +105,22 @@
     its prompt.
     """
     prompt = prompt_tokens or engine.usual_prompt_tokens
-    return 2.0 * pass_s + prompt / engine.read_tokens_per_s
+    return 2.0 * pass_s + reading_s(prompt, engine)
 
 
 def hold_s(engine: EngineTerms, pass_s: float) -> float:
     """Return how long a usual request holds a slot at this duration of passes."""
     passes = engine.usual_answer_tokens / engine.stride
-    return max(1.0, passes) * pass_s + engine.usual_prompt_tokens / engine.read_tokens_per_s
+    return max(1.0, passes) * pass_s + reading_s(engine.usual_prompt_tokens, engine)
+
+
+def reading_s(prompt_tokens: float, engine: EngineTerms) -> float:
+    """Return how long an engine reads a prompt, 0 where its terms do not say."""
+    rate = engine.read_tokens_per_s
+    return prompt_tokens / rate if rate > 0 else 0.0
 
 
 def _work_s(prompt_tokens: float, answer_tokens: float, engine: EngineTerms) -> float:
     """Return how long an upstream that has nothing else to do works on a request."""
     step_s = engine.step_s / max(1, engine.slots) + engine.writer_s
-    return prompt_tokens / engine.read_tokens_per_s + answer_tokens * step_s
+    return reading_s(prompt_tokens, engine) + answer_tokens * step_s
--- a/bluebellrun/admission/_shedding.py
+++ b/bluebellrun/admission/_shedding.py
@@ -35,7 +35,8 @@
     The rate of new requests is averaged over ``rate_window_s``.
 
     Slots that become free are known only after some tenths of a second. If passes bound nothing,
-    new requests may therefore exceed the slots by as many as become free within ``overfill_s``.
+    new requests may therefore exceed the slots by as many as become free within ``overfill_s``,
+    ``max_overfill_fraction`` at most.
     Where passes bound the slots, that bound may fall at any moment and leave none free; less urgent
     requests then take their part of the slots to the power of ``limited_reserve_exponent``.
     What other entries have sent is known after ``report_age_s``. A late request that has no retry
@@ -51,6 +52,7 @@
     rate_window_s: float = 2.0
     min_rate_age_s: float = 0.3
     overfill_s: float = 0.06
+    max_overfill_fraction: float = 0.1
     report_age_s: float = 0.12
     hopeless_factor: float = 4.0
     limited_reserve_exponent: float = 2.0
@@ -309,7 +311,8 @@
             return max(1.0, capacity.usable * part**self._settings.limited_reserve_exponent)
         limit = capacity.usable * part
         if is_timely:
-            limit += self._settings.overfill_s * capacity.freed_per_s
+            overfill = self._settings.overfill_s * capacity.freed_per_s
+            limit += min(overfill, self._settings.max_overfill_fraction * capacity.usable)
         return max(1.0, limit)
 
     def _late_slots(self, rank: Rank, capacity: Capacity, now: float) -> float:
--- a/bluebellrun/gateway/_load_shedding.py
+++ b/bluebellrun/gateway/_load_shedding.py
@@ -163,7 +163,10 @@
         usage = self._fleet.slot_usage(self._service, now)
         fraction = self._passes.slot_fraction(max_pause_s, now) if max_pause_s else 1.0
         self._usable_fraction = fraction
-        held_s = hold_s(self._engine, self._pass_s(terms, now))
+        held_s = usage.typical_s
+        if self._engine.usual_answer_tokens > 0:
+            # Known at once, while the typical time of requests follows a change of passes slowly.
+            held_s = hold_s(self._engine, self._pass_s(terms, now))
         capacity = Capacity(usage.total, usage.taken, held_s, fraction, self._entries())
         self._capacity = (now, max_pause_s, capacity)
         return capacity
--- a/tests/gateway/test_load_shedding.py
+++ b/tests/gateway/test_load_shedding.py
@@ -1,9 +1,15 @@
 """Load shedding under the loads that it is for, in a simulation with a clock of its own."""
 
 from random import Random
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
+from bluebellrun.admission import Send, SlotUsage
+from bluebellrun.deployment import EngineTerms
+from bluebellrun.gateway._admission_terms import AdmissionTerms
+from bluebellrun.gateway._load_shedding import LoadShedding
 from tests.gateway.shedding_world import (
     DEADLINE_S,
     OBJECTIVES_S,
@@ -13,6 +19,7 @@
     World,
     part,
     poisson,
+    route,
 )
 
 # The group answers about 62 requests a second with a fit expert map.
@@ -117,6 +124,17 @@
     assert started.shedder.running >= 5
 
 
+# Guards: terms without a reading speed or usual sizes ended every request in an error.
+def test_engine_terms_that_say_nothing_are_no_error():
+    bare = EngineTerms(5, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0)
+    fleet: Any = SimpleNamespace(slot_usage=lambda service, now: SlotUsage(10, 10, 0.0))
+    shedding = LoadShedding("s", fleet, bare, lambda: 2)
+    terms = [AdmissionTerms(f"r{n}", route(0), 0, 1.7, False, 0.0, 8.0, 900) for n in range(5)]
+    decisions = [shedding.decide(item, 0.0) for item in terms]
+    assert isinstance(decisions[0], Send) and not isinstance(decisions[-1], Send)
+    assert 0.6 <= shedding.refuse(terms[-1], 0.6, 0.0) <= 8.0
+
+
 # Guards: large prompts were refused first, as reading them leaves less time to wait.
 def test_large_prompts_are_served_at_least_half_as_often_as_others():
     world = World()
