--- a/tests/gateway/test_load_shedding.py
+++ b/tests/gateway/test_load_shedding.py
@@ -1,16 +1,25 @@
 """Load shedding under the loads that it is for, in a simulation with a clock of its own."""
 
 from random import Random
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
+from bluebellrun.admission import Send, SlotUsage
+from bluebellrun.deployment import EngineTerms
+from bluebellrun.gateway._admission_terms import AdmissionTerms
+from bluebellrun.gateway._load_shedding import LoadShedding
 from tests.gateway.shedding_world import (
     DEADLINE_S,
     OBJECTIVES_S,
+    STEP_S,
     Caller,
+    Entry,
     World,
     part,
     poisson,
+    route,
 )
 
 # The group answers about 62 requests a second with a fit expert map.
@@ -99,6 +108,33 @@
     assert part(urgent, lambda caller: caller.served) >= 0.8
 
 
+# Guards: a gateway that starts beside others assumed an unfit expert map, refused everything and
+# so never saw a pass.
+def test_a_gateway_that_starts_in_a_full_group_takes_its_share():
+    world = World()
+
+    def arrivals(now: float, random: Random) -> list[Caller]:
+        if abs(now - 4.0) < STEP_S / 2:
+            world.entries[1].running |= world.entries[0].running
+            world.entries[0] = Entry(world)
+        return poisson({0: 18.0, 1: 18.0, 2: 24.0})(now, random)
+
+    world.run(5.0, arrivals)
+    started = world.entries[0].shedding
+    assert started.shedder.running >= 5
+
+
+# Guards: terms without a reading speed or usual sizes ended every request in an error.
+def test_engine_terms_that_say_nothing_are_no_error():
+    bare = EngineTerms(5, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0)
+    fleet: Any = SimpleNamespace(slot_usage=lambda service, now: SlotUsage(10, 10, 0.0))
+    shedding = LoadShedding("s", fleet, bare, lambda: 2)
+    terms = [AdmissionTerms(f"r{n}", route(0), 0, 1.7, False, 0.0, 8.0, 900) for n in range(5)]
+    decisions = [shedding.decide(item, 0.0) for item in terms]
+    assert isinstance(decisions[0], Send) and not isinstance(decisions[-1], Send)
+    assert 0.6 <= shedding.refuse(terms[-1], 0.6, 0.0) <= 8.0
+
+
 # Guards: large prompts were refused first, as reading them leaves less time to wait.
 def test_large_prompts_are_served_at_least_half_as_often_as_others():
     world = World()
