--- a/tests/gateway/test_load_shedding.py
+++ b/tests/gateway/test_load_shedding.py
@@ -127,7 +127,11 @@
 # Guards: terms without a reading speed or usual sizes ended every request in an error.
 def test_engine_terms_that_say_nothing_are_no_error():
     bare = EngineTerms(5, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0)
-    fleet: Any = SimpleNamespace(slot_usage=lambda service, now: SlotUsage(10, 10, 0.0))
+    fleet: Any = SimpleNamespace(
+        slot_usage=lambda service, now: SlotUsage(10, 10, 0.0),
+        load=lambda service, instance, now: 1.0,
+        groups=SimpleNamespace(has_several=lambda service: False),
+    )
     shedding = LoadShedding("s", fleet, bare, lambda: 2)
     terms = [AdmissionTerms(f"r{n}", route(0), 0, 1.7, False, 0.0, 8.0, 900) for n in range(5)]
     decisions = [shedding.decide(item, 0.0) for item in terms]
