Look for metrics by service too in the check of the metrics page

The check did not see metrics that are registered by gauge_by_service, so a documented one counted as unknown. It now finds more than before.

--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -104,7 +104,7 @@
         assert f"| {word} |" in text
 
 
-METRIC = re.compile(r'etrics\.(?:count|gauge|timing)\(\s*f?"([^"]+)"')
+METRIC = re.compile(r'etrics\.(?:count|gauge|gauge_by_service|timing)\(\s*f?"([^"]+)"')
 SERVED_METRIC = re.compile(r'= (Counter|Histogram)\(\s*"([^"]+)"')
 
 
