Charge unpacked orders at the sidecar, and bound what peers may send

A body of some kilobytes unpacks to 4 MB at a sidecar, on 64 connections at once, and was in no account: 64 times 4 MB are more than the 168 MB of its host. The unpacked body is charged to the memory budget; without room the call gets 503 with Retry-After, and its sender makes it again. The server of store copies took bodies of 8 MiB that nobody sends; it takes 16 KiB.

--- a/bluebellrun/gateway/_catch_up.py
+++ b/bluebellrun/gateway/_catch_up.py
@@ -58,6 +58,8 @@
 
 
 _decoder = msgspec.msgpack.Decoder(_StoreCopy)
+# Other entries ask without a body, at most once a second each.
+LIMITS = HttpLimits(max_header_bytes=16_384, max_body_bytes=16_384, max_connections=64)
 
 
 class CatchUp:
@@ -75,7 +77,7 @@
         self._awaited_since = 0.0
         self._view = view
         self._table = table
-        self._server = HttpServer(address, self._serve_copy, HttpLimits(max_connections=64))
+        self._server = HttpServer(address, self._serve_copy, LIMITS)
 
     @property
     def address(self) -> Address:
--- a/bluebellrun/http/_exchange.py
+++ b/bluebellrun/http/_exchange.py
@@ -69,7 +69,7 @@
         return self._first_body_at
 
     def collect(self, size: int) -> bool:
-        """Return whether ``size`` bytes of the answer may be held before they are sent."""
+        """Return whether ``size`` bytes made for the answer may be held before it is sent."""
         return size <= SMALL_BYTES or self._connection.collect(size)
 
     async def send_head(self, status: int, headers: Headers) -> None:
@@ -102,10 +102,10 @@
             await self.send_body(body)
         await self.finish()
 
-    async def answer_json(self, status: int, value: object) -> None:
+    async def answer_json(self, status: int, value: object, headers: Headers | None = None) -> None:
         """Send a complete answer with a JSON body."""
         body = json.dumps(value).encode()
-        await self.answer(status, [("content-type", "application/json")], body)
+        await self.answer(status, [("content-type", "application/json"), *(headers or [])], body)
 
     def abort(self) -> None:
         """Break off the answer: the connection is closed without a proper end."""
--- a/bluebellrun/platform/_relay.py
+++ b/bluebellrun/platform/_relay.py
@@ -27,7 +27,10 @@
 ACCEPTED = 202
 BAD_REQUEST = 400
 NOT_FOUND = 404
+UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
+# What to do with a call for which there is no memory: its sender makes it again.
+RETRY: Headers = [("retry-after", "1")]
 CONNECT_TIMEOUT_S = 0.05
 # An engine answers its own host in a few milliseconds; after this time the call is made again, as
 # its group may be waiting.
@@ -76,7 +79,12 @@
                 case "GET", path if path == COUNTS_PATH:
                     answer = await self._answer_counts(headers)
                 case call if call in FORWARDED_CALLS:
-                    answer = await self._forward(request, headers)
+                    body = _unpacked(request)
+                    # An unpacked body is far larger than what came over the network.
+                    if not exchange.collect(len(body)):
+                        await exchange.answer_json(UNAVAILABLE, {"detail": "no memory"}, RETRY)
+                        return
+                    answer = await self._forward(request, headers, body)
                 case _:
                     detail = f"{request.method} {request.path} is not passed on"
                     await exchange.answer_json(NOT_FOUND, {"detail": detail})
@@ -91,12 +99,9 @@
             return
         await exchange.answer(*answer)
 
-    async def _forward(self, request: HttpRequest, headers: Headers) -> _Answer:
-        """Forward a call unchanged; delay the answer to a prepare order until it is done."""
-        body = request.body
-        if COMPRESSED in headers:
-            headers = [header for header in headers if header != COMPRESSED]
-            body = decompress_body(body)
+    async def _forward(self, request: HttpRequest, headers: Headers, body: bytes) -> _Answer:
+        """Forward a call unpacked; delay the answer to a prepare order until it is done."""
+        headers = [header for header in headers if header != COMPRESSED]
         answer = await self._call(request.method, request.target, headers, body)
         if answer[0] == ACCEPTED and await self._await_copy(body, headers):
             return OK, [], b""
@@ -141,6 +146,11 @@
         return response.status, answer_headers, data
 
 
+def _unpacked(request: HttpRequest) -> bytes:
+    """Return a request's body as it was before it was compressed."""
+    return decompress_body(request.body) if COMPRESSED in request.headers else request.body
+
+
 def _without_body(headers: Headers) -> Headers:
     """Return headers without those that describe the body."""
     return [(k, v) for k, v in headers if not k.startswith("content-")]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -19,6 +19,7 @@
 ready = "10.1.0.40:8220"
 [limits]
 ram_mb = 300
+max_fds = 1535
 [bounds]
 drain_ms = 1500
 retry_slack = 90
@@ -42,6 +43,7 @@
     assert settings.bounds.drain_s == 1.5
     assert settings.store.shortest_lease_s == 1.0
     assert settings.memory_bytes == 300_000_000
+    assert settings.max_descriptors == 1_535
 
 
 @pytest.mark.parametrize(
