Let small requests wait beside large ones when memory is short

As many large bodies as may wait kept a small request from being considered when stalled callers had used up the reserve. Stalled connections are looked for before a request is told that too many wait, small requests have places of their own, and waiting ones search four times a second instead of twenty.

--- a/bluebellrun/http/_memory_gate.py
+++ b/bluebellrun/http/_memory_gate.py
@@ -11,7 +11,9 @@
 # How long a body waits for room: a body of the largest size at 10 Mbit/s takes 3 s to read.
 WAIT_S = 2.0
 WAIT_POLL_S = 0.05
-# Waiting takes a poll of each: more than these are refused without a wait.
+# Looking for stalled connections takes some 100 microseconds with a thousand of them.
+POLLS_PER_SEARCH = 5
+# Waiting takes a poll of each: more large, or more small ones, than these are refused at once.
 MAX_WAITING = 64
 # At most one line in this time tells what was closed and refused since the last.
 REPORT_INTERVAL_S = 1.0
@@ -36,7 +38,8 @@
     def __init__(self, settings: MemorySettings | None = None) -> None:
         self._budget = MemoryBudget(settings)
         self._owners: dict[Holding, Closable] = {}
-        self._waiting = 0
+        # By whether they are small.
+        self._waiting = {False: 0, True: 0}
         self._closed = 0
         self._refused = 0
         self._reported = (0, 0)
@@ -49,8 +52,8 @@
 
     @property
     def waiting(self) -> int:
-        """Return how many bodies wait for room."""
-        return self._waiting
+        """Return how many requests wait for room."""
+        return sum(self._waiting.values())
 
     @property
     def closed(self) -> int:
@@ -80,13 +83,20 @@
         """
         if self._budget.resize(holding, size, time.monotonic()):
             return
-        if self._waiting >= MAX_WAITING:
+        if await self._close_stalled(holding, size):
+            # The stalled connections end in their own turns.
+            await curio.sleep(0)
+            if self._budget.resize(holding, size, time.monotonic()):
+                return
+        # Large ones that wait do not take the places of small ones.
+        is_small = size <= self._budget.settings.small_bytes
+        if self._waiting[is_small] >= MAX_WAITING:
             self._refuse(f"{MAX_WAITING} requests wait for memory already")
-        self._waiting += 1
+        self._waiting[is_small] += 1
         try:
             await self._wait(holding, size)
         finally:
-            self._waiting -= 1
+            self._waiting[is_small] -= 1
 
     async def acquire_held(self, holding: Holding, more: int) -> None:
         """Hold more bytes that are in memory already, at the cost of stalled connections.
@@ -105,9 +115,12 @@
     async def _wait(self, holding: Holding, size: int) -> None:
         """Wait for room; close stalled connections meanwhile."""
         deadline = time.monotonic() + WAIT_S
+        polls = 0
         while True:
-            await self._close_stalled(holding, size)
             await curio.sleep(WAIT_POLL_S)
+            polls += 1
+            if polls % POLLS_PER_SEARCH == 0:
+                await self._close_stalled(holding, size)
             now = time.monotonic()
             if self._budget.resize(holding, size, now):
                 return
@@ -142,7 +155,7 @@
             reason=reason,
             held=self._budget.held,
             bound=self._budget.settings.total_bytes,
-            waiting=self._waiting,
+            waiting=self.waiting,
             closed=self._closed - closed,
             refused=self._refused - refused,
         )
--- a/tests/http/test_memory_pressure.py
+++ b/tests/http/test_memory_pressure.py
@@ -115,6 +115,28 @@
     run(check, slow)
 
 
+# Guards: stalled callers with small holdings used up the reserve, and as many large bodies as may
+# wait kept an ordinary caller's small request from being considered at all.
+def test_stalled_small_requests_give_way_while_large_ones_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(gate_module, "MAX_WAITING", 1)
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        stalled = [await connect(server, head) for _ in range(18)]
+        await curio.sleep(0.5)
+        assert memory.budget.held > SETTINGS.total_bytes - 16_384
+        waiting = await curio.spawn(status, server, b"x" * 290_000)
+        assert await status(server, b"x" * 10_000) == 200
+        assert memory.closed >= 1
+        await waiting.join()
+        for sock in stalled:
+            await sock.close()
+
+    run(check)
+
+
 # Guards: bytes that came while a handler ran were held without a bound, or taken for a hang-up.
 def test_early_bytes_wait_in_the_socket_when_memory_is_short() -> None:
     goes_on = curio.Event()
