Count a caller's stall only from when it is waited for

The time without progress ran on while a request was handled and while a body's reading waited for memory. When memory was short, a stream whose caller had paused for a moment was broken off as stalled, and so was a body that had just got its room. The time now starts again when the first bytes are kept for a caller, and when memory was waited for.

--- a/bluebellrun/http/_caller_wait.py
+++ b/bluebellrun/http/_caller_wait.py
@@ -57,6 +57,10 @@
         """Record that bytes were read from, or written to, the connection."""
         self._memory.budget.record_progress(self._holding, moved, now)
 
+    def restart(self, now: float) -> None:
+        """Note that the connection did not wait for its caller until now."""
+        self._memory.budget.restart(self._holding, now)
+
     async def acquire(self, size: int) -> None:
         """Hold as many bytes once there is room; raise ``NoMemoryError`` if there is none."""
         await self._memory.acquire(self._holding, size)
--- a/bluebellrun/http/_memory.py
+++ b/bluebellrun/http/_memory.py
@@ -102,8 +102,7 @@
         if more > 0 and not self._has_room(holding, size, more, is_answer):
             return False
         if not holding._size:
-            holding._moved_at = now
-            holding._moved = 0
+            self.restart(holding, now)
             self._holdings.add(holding)
         holding._size = size
         self._held += more
@@ -123,6 +122,11 @@
             holding._moved = 0
             holding._moved_at = now
 
+    def restart(self, holding: Holding, now: float) -> None:
+        """Count the time without progress from now on: until now it was not the caller's."""
+        holding._moved = 0
+        holding._moved_at = now
+
     def select_closed(
         self, asking: Holding, size: int, now: float, is_answer: bool = False
     ) -> list[Holding]:
--- a/bluebellrun/http/_memory_gate.py
+++ b/bluebellrun/http/_memory_gate.py
@@ -110,6 +110,7 @@
             await curio.sleep(WAIT_POLL_S)
             now = time.monotonic()
             if self._budget.resize(holding, size, now):
+                self._budget.restart(holding, now)
                 return
             if now >= deadline:
                 self._refuse(f"no memory for {size} bytes within {WAIT_S} s")
--- a/bluebellrun/http/_outgoing.py
+++ b/bluebellrun/http/_outgoing.py
@@ -67,6 +67,8 @@
         self._ahead += len(rest)
         self._pieces.append(rest)
         if self._writer is None:
+            # The caller has taken all that was sent before.
+            self._wait.restart(time.monotonic())
             self._writer = await curio.spawn(self._write_all, timeout_s, daemon=True)
         await self._wait_for(MAX_AHEAD_BYTES)
 
--- a/tests/http/test_memory_pressure.py
+++ b/tests/http/test_memory_pressure.py
@@ -1,5 +1,6 @@
 """A server whose memory budget is used up: who waits, who is refused and who is served."""
 
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -183,3 +184,28 @@
         assert server.closed_idle == 1
 
     run(check, max_connections=2, header_timeout_s=30.0)
+
+
+# Guards: a body whose reading had waited for memory counted as stalled for that time, and was
+# closed for another one as soon as it had its room.
+def test_a_wait_for_memory_is_not_a_stall_of_the_caller() -> None:
+    class Owner:
+        async def close_stalled(self, reason: str) -> None:
+            raise AssertionError(reason)
+
+    async def main() -> None:
+        memory = MemoryGate(SETTINGS)
+        full, grows = memory.open(Owner()), memory.open(Owner())
+        await memory.acquire(full, 210_000)
+        await memory.acquire(grows, 20_000)
+        growing = await curio.spawn(memory.acquire, grows, BODY)
+        await curio.sleep(2 * SETTINGS.stalled_s)
+        memory.close(full)
+        await growing.join()
+        grows.is_closable = True
+        other = memory.open(Owner())
+        assert not memory.budget.select_closed(other, 200_000, time.monotonic())
+        later = time.monotonic() + SETTINGS.stalled_s
+        assert memory.budget.select_closed(other, 200_000, later) == [grows]
+
+    curio.run(main)
--- a/tests/http/test_outgoing.py
+++ b/tests/http/test_outgoing.py
@@ -119,3 +119,23 @@
         assert memory.budget.held == 0
 
     run(check, MemorySettings(total_bytes=15_000, stalled_s=0.1))
+
+
+# Guards: a caller that paused for a moment counted as stalled since its request was read, so that
+# its stream was broken off for another one.
+def test_a_caller_that_has_just_paused_is_not_stalled() -> None:
+    async def main() -> None:
+        memory, sock = MemoryGate(MemorySettings(total_bytes=22_000, stalled_s=0.1)), SlowSocket()
+        wait = CallerWait(memory)
+        await wait.acquire(5_000)
+        await curio.sleep(0.2)
+        outgoing, other = Outgoing(sock, wait), Outgoing(SlowSocket(), CallerWait(memory))
+        await outgoing.write(PIECE, 60.0)
+        await curio.sleep(0)
+        with pytest.raises(CallerGoneError, match="memory is short"):
+            await other.write(PIECE, 60.0)
+        await sock.take(len(PIECE))
+        await outgoing.flush()
+        assert memory.closed == 0
+
+    curio.run(main)
