--- a/bluebellrun/http/_memory_gate.py
+++ b/bluebellrun/http/_memory_gate.py
@@ -123,6 +123,7 @@
                 await self._close_stalled(holding, size)
             now = time.monotonic()
             if self._budget.resize(holding, size, now):
+                self._budget.restart(holding, now)
                 return
             if now >= deadline:
                 self._refuse(f"no memory for {size} bytes within {WAIT_S} s")
