--- a/bluebellrun/management/main.py
+++ b/bluebellrun/management/main.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from bluebellrun.management import _confirmation, _intents, _offline, _progress, _status
+from bluebellrun.management import _check, _confirmation, _intents, _offline, _progress, _status
 
 OFFLINE = "Without a fleet"
 PLANS = "Make a plan; nothing changes"
@@ -15,7 +15,7 @@
 )
 
 COMMANDS: dict[str, tuple[Callable[..., None], ...]] = {
-    OFFLINE: (_offline.schema, _offline.validate, _offline.fmt, _offline.new_key),
+    OFFLINE: (_offline.schema, _offline.validate, _offline.fmt, _offline.new_key, _check.check),
     PLANS: (
         _intents.plan,
         _intents.drain,
