--- a/bluebellrun/platform/_configuration_view.py
+++ b/bluebellrun/platform/_configuration_view.py
@@ -147,8 +147,8 @@
             # Whole numbers may be out of range, other values of the same type always fit.
             elif type(item) is not known[name].type or type(item) is int:
                 yield from _walk(item, known[name].type, before + name, repeated)
-        for name, field in known.items():
-            if field.required and name not in value:
+        for name in _required(inner):
+            if name not in value:
                 yield Finding(before + name, "the field is missing")
 
 
@@ -176,6 +176,12 @@
     return {field.encode_name: field for field in msgspec.structs.fields(struct)}
 
 
+@cache
+def _required(struct: Any) -> tuple[str, ...]:
+    """Return the names of the fields that a structure cannot do without."""
+    return tuple(name for name, field in _fields(struct).items() if field.required)
+
+
 def _terms(
     value: Any, left_out: frozenset[str] = frozenset(), place: str = ""
 ) -> Iterator[tuple[str, Any]]:
