Split modules that had grown over 350 lines

The choice of an upstream with its permits leaves the relay, the statistics of an upstream leave the fleet, the probe handlers leave the composition root, and the messages about ranks leave the engine client. No behaviour changes; the tests of the gateway, the platform, routing and HTTP pass as before.

--- a/bluebellrun/gateway/_fleet.py
+++ b/bluebellrun/gateway/_fleet.py
@@ -3,7 +3,7 @@
 import math
 import time
 from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 
 from bluebellrun.admission import SlotUsage
@@ -14,6 +14,7 @@
 from bluebellrun.gateway._limit_permits import LimitPermits
 from bluebellrun.gateway._models import Upstream, UpstreamIncarnation
 from bluebellrun.gateway._peers import PeerTable
+from bluebellrun.gateway._upstream_stats import UpstreamStats, average_stats
 from bluebellrun.http import HttpClient
 from bluebellrun.routing import (
     GroupTable,
@@ -28,19 +29,6 @@
 
 _log = get_logger("fleet")
 
-# Weight of the previous value in the moving averages of durations and failures.
-SMOOTHING = 0.9
-
-
-@dataclass(slots=True)
-class UpstreamStats:
-    """This process's work in flight at one upstream and its results; times in seconds."""
-
-    running: int = 0
-    unread_tokens: int = 0
-    typical_s: float = 0.0
-    failure_rate: float = 0.0
-
 
 class Fleet:
     """Choose upstreams and track the work that this process has at each."""
@@ -264,15 +252,11 @@
 
     def record_result(self, instance: str, failed: bool, seconds: float, now: float) -> None:
         """Record the duration of a request at an upstream and whether it failed."""
-        stats = self.stats(instance)
-        stats.failure_rate = SMOOTHING * stats.failure_rate + (1 - SMOOTHING) * failed
+        self.stats(instance).record_result(failed, seconds)
         if failed:
             self._ejection.record_failure(instance, now)
-            return
-        self._ejection.record_success(instance, now)
-        if stats.typical_s == 0.0:
-            stats.typical_s = seconds
-        stats.typical_s = SMOOTHING * stats.typical_s + (1 - SMOOTHING) * seconds
+        else:
+            self._ejection.record_success(instance, now)
 
     async def forget_departed(self) -> None:
         """Close pooled connections to removed upstreams and drop their statistics."""
@@ -334,11 +318,7 @@
 
     def _averages(self, upstreams: Collection[Upstream]) -> tuple[float, float]:
         """Return the mean duration and failure rate of the upstreams that have served."""
-        served = [s for u in upstreams if (s := self.stats(u.instance)).typical_s > 0]
-        if not served:
-            return 0.0, 0.0
-        typical_s = sum(item.typical_s for item in served) / len(served)
-        return typical_s, sum(item.failure_rate for item in served) / len(served)
+        return average_stats([self.stats(item.instance) for item in upstreams])
 
     def _work(self, upstream: Upstream, typical_s: float, failure_rate: float) -> UpstreamWork:
         """Return the work of an upstream as routing's input."""
--- a/bluebellrun/gateway/_process.py
+++ b/bluebellrun/gateway/_process.py
@@ -4,7 +4,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from random import Random
 
 import curio
@@ -30,12 +30,11 @@
 from bluebellrun.gateway._limit_permits import LimitPermits
 from bluebellrun.gateway._maps_setup import MapsSetup, register_map_gauges
 from bluebellrun.gateway._peers import EntryStatus, PeerTable
+from bluebellrun.gateway._probe_handlers import metrics_handler, readiness_handler
 from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._shedding_gauges import register_shedding_gauges
 from bluebellrun.gateway._store_view import StoreView, watch_check_s, watch_timing
 from bluebellrun.http import (
-    HttpExchange,
-    HttpHandler,
     HttpLimits,
     HttpServer,
     MemoryGate,
@@ -59,9 +58,6 @@
 from bluebellrun.store import StoreTimeouts
 from bluebellrun.telemetry import ServingMetrics, configure_serving_logs, get_logger
 
-OK = 200
-NOT_FOUND = 404
-UNAVAILABLE = 503
 # A slow store answers within a quarter of a second; callers wait for a few seconds.
 STORE_CALL_S = 1.5
 # The address of the metrics, as the deploy file names it.
@@ -86,30 +82,6 @@
     )
 
 
-def _readiness(ready: Callable[[], bool]) -> HttpHandler:
-    """Return a handler that reports whether this process accepts callers."""
-
-    async def handle(exchange: HttpExchange) -> None:
-        if exchange.request.path != READY_PATH:
-            await exchange.answer_json(NOT_FOUND, {"detail": f"only {READY_PATH} is here"})
-            return
-        await exchange.answer_json(OK if ready() else UNAVAILABLE, {"ready": ready()})
-
-    return handle
-
-
-def _metrics_handler(metrics: ServingMetrics) -> HttpHandler:
-    """Return a handler that serves the metrics as text."""
-
-    async def handle(exchange: HttpExchange) -> None:
-        if exchange.request.path != METRICS_PATH:
-            await exchange.answer_json(NOT_FOUND, {"detail": f"only {METRICS_PATH} is here"})
-            return
-        await exchange.answer(OK, [("content-type", "text/plain; version=0.0.4")], metrics.text())
-
-    return handle
-
-
 class _Process:
     """The components of a gateway, connected."""
 
@@ -209,7 +181,7 @@
         self._lifecycle = Lifecycle(self._gateway, self._server, settings.bounds)
         self._readiness = HttpServer(
             settings.readiness,
-            _readiness(lambda: self._lifecycle.ready),
+            readiness_handler(lambda: self._lifecycle.ready, READY_PATH),
             PROBE_LIMITS,
             memory=self._memory,
         )
@@ -222,7 +194,7 @@
         register_quarantine_gauges(self._metrics, self._quarantine, self._guard)
         address = Address(settings.ip, METRICS_PORT)
         self._collectors = HttpServer(
-            address, _metrics_handler(self._metrics), PROBE_LIMITS, memory=self._memory
+            address, metrics_handler(self._metrics, METRICS_PATH), PROBE_LIMITS, memory=self._memory
         )
 
     async def run(self) -> None:
--- a/bluebellrun/gateway/_relay.py
+++ b/bluebellrun/gateway/_relay.py
@@ -31,9 +31,9 @@
 from bluebellrun.gateway._prompt_check import PromptCheck
 from bluebellrun.gateway._prompt_guard import PromptGuard
 from bluebellrun.gateway._relay_terms import RelayTerms
+from bluebellrun.gateway._upstream_choice import UpstreamChoice
 from bluebellrun.http import HttpExchange
 from bluebellrun.routing import AttemptBudget
-from bluebellrun.telemetry import get_logger
 
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -49,16 +49,9 @@
 MAX_REFUSALS = 1
 # Retries that moving streams off slow ranks leaves for requests that would otherwise fail.
 RETRIES_RESERVED_FOR_FAILURES = 3
-# Permits of limited upstreams that are asked for before only unlimited ones are considered.
-MAX_DENIED_PERMITS = 8
-# A new request waits for a permit of a cold upstream for this fraction of its objective; its answer
-# needs the rest.
-MAX_PERMIT_WAIT_FRACTION = 0.5
 # Remaining time below which an attempt could not be answered.
 MIN_REMAINING_S = 0.02
 
-_log = get_logger("relay")
-
 
 class Relay:
     """The relaying of one request; created for each.
@@ -92,8 +85,7 @@
         # The upstreams that are not tried, and those of them that failed themselves.
         self._excluded: set[str] = set()
         self._failed: set[str] = set()
-        # When the upstream was chosen, and whether it was bounded as a cold one then.
-        self._chosen_at, self._had_cold_permit = 0.0, False
+        self._choice = UpstreamChoice(exchange, request, terms, fleet, self._has_caller_given_up)
         self._attempts = UpstreamAttempts(
             exchange,
             request,
@@ -156,7 +148,7 @@
             withheld = await self._check_prompt()
             if withheld is not None:
                 return withheld
-            upstream = await self._choose_upstream()
+            upstream = await self._choice.choose(self._excluded)
             now = time.monotonic()
             # An attempt that was not sent has not used its retry.
             is_granted = isinstance(outcome, Moved | NotSent)
@@ -165,7 +157,7 @@
                 if isinstance(outcome, Declined) and self._fleet.is_at_limits(self._service, now):
                     outcome = Declined("the upstreams of the service are at their rate limits")
                 return await self._give_up(outcome)
-            outcome = await self._attempts.make(upstream, partial(self._may_send, upstream))
+            outcome = await self._attempts.make(upstream, partial(self._choice.may_send, upstream))
             match outcome:
                 case Done(status):
                     return Answered(status, upstream.instance, self._attempts.count)
@@ -181,64 +173,6 @@
             if resumes and not await self._await_resumption(upstream):
                 return await self._give_up(outcome)
 
-    async def _choose_upstream(self) -> Upstream | None:
-        """Return an upstream that accepts the request now, or none.
-
-        Where all are at their rate limits, a stream that has begun waits for the next permit, and
-        so does a new request for a short time if upstreams are cold.
-        """
-        denied = 0
-        while True:
-            now = time.monotonic()
-            unlimited = denied >= MAX_DENIED_PERMITS
-            upstream = self._fleet.choose(self._service, self._excluded, now, unlimited)
-            if upstream is None:
-                if not await self._await_permit():
-                    return None
-                denied = 0
-                continue
-            self._chosen_at, self._had_cold_permit = now, self._fleet.permits.is_cold(upstream)
-            if await self._fleet.permits.acquire(upstream):
-                return upstream
-            denied += 1
-            self._log_denied_permit(upstream)
-
-    async def _await_permit(self) -> bool:
-        """Wait until the request may get a permit; return false if it does not wait.
-
-        A new request waits only for cold upstreams, and only while it can still be on time.
-        """
-        now = time.monotonic()
-        wait_s = self._fleet.available_in_s(self._service, now)
-        if not wait_s:
-            return False
-        if self._exchange.started:
-            if self._has_caller_given_up(wait_s):
-                return False
-        else:
-            timely = self._request.received + MAX_PERMIT_WAIT_FRACTION * self._route.objective_s
-            if not self._fleet.cold.count(now) or now + wait_s > timely:
-                return False
-        await curio.sleep(wait_s)
-        return True
-
-    def _log_denied_permit(self, upstream: Upstream) -> None:
-        """Log that an upstream takes no more requests now."""
-        now = time.monotonic()
-        _log.info(
-            "upstream at its limit",
-            request=self._request.id,
-            upstream=upstream.instance,
-            per_s=self._fleet.permits.limits.limit(upstream.incarnation),
-            limit_age_s=round(self._fleet.permits.limits.age_s(upstream.incarnation, now), 3),
-            wait_s=round(self._fleet.permits.wait_s(upstream, now), 3),
-            is_cold=self._had_cold_permit,
-        )
-
-    def _may_send(self, upstream: Upstream) -> bool:
-        """Return whether the request may still be sent to the upstream that it chose."""
-        return self._fleet.may_send(upstream, self._had_cold_permit, self._chosen_at)
-
     async def _check_prompt(self) -> Result | None:
         """Return none if the request may be sent as far as its prompt is known, else its result."""
         if self._exchange.started:
--- a/bluebellrun/platform/_engine.py
+++ b/bluebellrun/platform/_engine.py
@@ -35,6 +35,7 @@
 )
 from bluebellrun.platform._engine_messages import MAX_ANSWER_BYTES
 from bluebellrun.platform._names import EXPECT_INSTANCE, ORDER_PATH, PICKED_PATH, REPORT_PATH
+from bluebellrun.platform._rank_messages import Armed, RankMaps, Report
 from bluebellrun.sidecar import COUNTS_KNOWN, COUNTS_PATH, RankCountsReport, complete_counts
 from bluebellrun.telemetry import get_logger
 
@@ -82,55 +83,9 @@
     """The sidecar recently failed to forward a call and is being bypassed."""
 
 
-class _Group(msgspec.Struct):
-    """The group that a rank belongs to."""
-
-    name: str
-    epoch: int
-    rank: int
-    state: str
-
-
-class _Armed(msgspec.Struct):
-    """The map that a rank is armed with and the first pass to use it."""
-
-    version: int
-    step: int
-
-
-class _Report(msgspec.Struct):
-    """An engine's report; unused fields are ignored."""
-
-    group: _Group | None = None
-    size: int = 0
-    # The last pass that was started.
-    step: int = 0
-    # The version of the map in use.
-    map: int = 0
-    # The version whose copy is complete.
-    prepared: int | None = None
-    armed: _Armed | int | None = None
-    held: int | None = None
-    pace: float = 1.0
-    born: int = 0
-
-
-class _RankMap(msgspec.Struct):
-    """One rank's part of a map: its experts, layer by layer."""
-
-    version: int
-    experts: list[list[int]]
-
-
-class _RankMaps(msgspec.Struct):
-    """The maps that a rank holds."""
-
-    map: _RankMap
-
-
-_report = msgspec.json.Decoder(_Report)
+_report = msgspec.json.Decoder(Report)
 _counts_report = msgspec.msgpack.Decoder(RankCountsReport)
-_rank_maps = msgspec.json.Decoder(_RankMaps)
+_rank_maps = msgspec.json.Decoder(RankMaps)
 
 
 class EngineClient:
@@ -171,8 +126,8 @@
             step=report.step,
             active=report.map,
             prepared=report.prepared,
-            armed_version=armed.version if isinstance(armed, _Armed) else report.prepared,
-            armed_step=armed.step if isinstance(armed, _Armed) else armed,
+            armed_version=armed.version if isinstance(armed, Armed) else report.prepared,
+            armed_step=armed.step if isinstance(armed, Armed) else armed,
             held=report.held,
             slowness=report.pace,
         )
