Release a group's role for unreachable ranks only, not for a broken group

A holder released the role when its group had not been complete for 10 s, also when all ranks answered that the group was not formed. The role then went round, and with it was lost what the manager knew of the demand from before, which the first map after forming needs. Only upstreams that are registered and do not answer count now. Reading the map in use moves to ServiceRanks.

--- a/bluebellrun/expert_maps/_expert_maps.py
+++ b/bluebellrun/expert_maps/_expert_maps.py
@@ -54,10 +54,10 @@
         manager = self.groups.get(self.key)
         return manager is not None and manager.is_changing
 
-    def incomplete_s(self, now: float) -> float:
-        """Return for how many seconds ranks of the group have been missing, 0 if none is."""
+    def unreachable_s(self, now: float) -> float:
+        """Return for how long registered ranks of the group have not answered, 0 if all do."""
         manager = self.groups.get(self.key)
-        return 0.0 if manager is None else manager.incomplete_s(now)
+        return 0.0 if manager is None else manager.unreachable_s(now)
 
 
 class ExpertMaps:
@@ -99,8 +99,7 @@
     @property
     def incomplete(self) -> int:
         """Return the number of managed groups of which not all ranks are there and formed."""
-        now = time.monotonic()
-        return sum(group.incomplete_s(now) > 0 for group in self._groups.values())
+        return sum(not group.is_complete for group in self._groups.values())
 
     async def run(self) -> None:
         """Manage the maps until cancelled."""
--- a/bluebellrun/expert_maps/_group_manager.py
+++ b/bluebellrun/expert_maps/_group_manager.py
@@ -9,7 +9,7 @@
 from bluebellrun.expert_maps._ports import OrderReply, RankCallError, RankCalls, RankReplacedError
 from bluebellrun.expert_maps._role import PlacementRole
 from bluebellrun.expert_maps._service_ranks import ServiceRanks, run_all
-from bluebellrun.expert_maps._survey import split_groups
+from bluebellrun.expert_maps._survey import Reported, split_groups
 from bluebellrun.gateway._models import Upstream
 from bluebellrun.placement import (
     ArmMap,
@@ -72,7 +72,8 @@
         self._load = load
         self._states: dict[int, RankState] = {}
         self._ranks: dict[int, Upstream] = {}
-        self._incomplete_since: float | None = time.monotonic()
+        self._is_complete = False
+        self._unreachable_since: float | None = None
         self._read_at = 0.0
         self._plan_from = 0.0
         self._arm_s: float | None = None
@@ -93,9 +94,14 @@
             if rank in states
         }
 
-    def incomplete_s(self, now: float) -> float:
-        """Return for how many seconds ranks have been missing, 0 if none is."""
-        return 0.0 if self._incomplete_since is None else now - self._incomplete_since
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all ranks answered, and the group is formed."""
+        return self._is_complete
+
+    def unreachable_s(self, now: float) -> float:
+        """Return for how long ranks that are registered have not answered, 0 if all do."""
+        return 0.0 if self._unreachable_since is None else now - self._unreachable_since
 
     @property
     def is_changing(self) -> bool:
@@ -146,13 +152,14 @@
         now = time.monotonic()
         await self._upstreams.update(now)
         asked = self._upstreams.of_group(self._name, with_unknown=not self._read_at)
-        found = split_groups(await self._upstreams.read(asked)).get(self._name)
+        answers = await self._upstreams.read(asked)
+        self._note_unreachable(asked, answers, now)
+        found = split_groups(answers).get(self._name)
+        self._is_complete = found is not None and found.is_complete
         if found is None or not found.is_complete:
-            self._incomplete_since = self._incomplete_since or now
             self._read_at = 0.0
             return False
         self._read_at = now
-        self._incomplete_since = None
         self._states = {rank: state for rank, (_, state) in found.ranks.items()}
         self._ranks = {rank: upstream for rank, (upstream, _) in found.ranks.items()}
         if self._epoch != found.epoch:
@@ -160,6 +167,14 @@
         self._demand.set_size(found.size)
         return True
 
+    def _note_unreachable(self, asked: list[Upstream], answers: list[Reported], now: float) -> None:
+        """Note since when upstreams of the group that are registered do not answer."""
+        silent = {item.instance for item in asked} - {item.instance for item, _ in answers}
+        if not any(self._upstreams.is_registered(instance) for instance in silent):
+            self._unreachable_since = None
+        elif self._unreachable_since is None:
+            self._unreachable_since = now
+
     def _begin_role(self, fencing: int) -> None:
         """Reset under a new fencing number: another process may have acted meanwhile."""
         self._fencing = fencing
@@ -200,12 +215,12 @@
         versions = {state.active for state in self._states.values()}
         if len(versions) != 1:
             return False
+        sizes = self._experts
         if versions == {0}:
-            sizes = self._experts
             self._demand.expect_prior()
             self._current = default_placement(sizes.layers, len(self._ranks), sizes.experts)
         else:
-            self._current = await self._read_placement()
+            self._current = await self._upstreams.placement(self._ranks, sizes.layers)
         if self._current is None:
             return False
         self._resume_change()
@@ -223,24 +238,6 @@
         self._change = PlacementChange(version, None, ChangeSettings(), time.monotonic())
         self._change.resume_armed(step)
 
-    async def _read_placement(self) -> Placement | None:
-        """Read the map in use from the ranks that hold it."""
-        held: dict[int, list[frozenset[int]]] = {}
-
-        async def read(rank: int) -> None:
-            try:
-                held[rank] = await self._calls.placement_held(self._ranks[rank])
-            except RankCallError as error:
-                _log.info("map not read", rank=rank, reason=str(error))
-
-        await run_all([(read, (rank,)) for rank in self._ranks])
-        if len(held) < len(self._ranks):
-            return None
-        layers = range(self._experts.layers)
-        return Placement(
-            tuple(tuple(held[rank][layer] for rank in sorted(held)) for layer in layers)
-        )
-
     async def _drive(self, change: PlacementChange, fencing: int) -> None:
         """Send a change's orders as long as ranks accept them immediately."""
         orders = change.decide(self._states, time.monotonic())
--- a/bluebellrun/expert_maps/_group_roles.py
+++ b/bluebellrun/expert_maps/_group_roles.py
@@ -24,10 +24,10 @@
 RETURN_AFTER_S = 10.0
 RETURN_INTERVAL_S = 300.0
 RANK_INTERVAL_S = 2.0
-# A holder that has not had all ranks of its group for so long lets another gateway try, which may
-# have a link to them; if the group itself is broken, the role goes round at this interval.
-INCOMPLETE_S = 10.0
-INCOMPLETE_INTERVAL_S = 60.0
+# A holder that registered ranks of its group have not answered for so long lets another gateway
+# try, at most at this interval. Ranks whose hosts are gone lose their registrations sooner.
+UNREACHABLE_S = 10.0
+UNREACHABLE_INTERVAL_S = 60.0
 # How much longer it then waits, so that all others come first.
 SET_BACK_S = 4.0
 
@@ -41,8 +41,8 @@
     def is_changing(self) -> bool:
         """Return whether it is changing the map."""
 
-    def incomplete_s(self, now: float) -> float:
-        """Return for how many seconds ranks have been missing, 0 if none is."""
+    def unreachable_s(self, now: float) -> float:
+        """Return for how long registered ranks have not answered, 0 if all do."""
 
 
 class GatewayRanking:
@@ -100,8 +100,8 @@
     def returns(self) -> bool:
         """Return whether the holder lets another gateway have the role now."""
         now = self._clock()
-        if self._group.incomplete_s(now) >= INCOMPLETE_S and now >= self._set_back_until:
-            self._set_back_until = now + INCOMPLETE_INTERVAL_S
+        if self._group.unreachable_s(now) >= UNREACHABLE_S and now >= self._set_back_until:
+            self._set_back_until = now + UNREACHABLE_INTERVAL_S
             return True
         if now - self._ranked_at >= RANK_INTERVAL_S:
             self._ranked_at = now
--- a/bluebellrun/expert_maps/_service_ranks.py
+++ b/bluebellrun/expert_maps/_service_ranks.py
@@ -1,7 +1,7 @@
 """The upstreams of one service that may be ranks, and the group that each one last reported."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import curio
 
@@ -14,7 +14,7 @@
 from bluebellrun.expert_maps._recorded_groups import RecordedGroups
 from bluebellrun.expert_maps._survey import Reported
 from bluebellrun.gateway._models import Upstream
-from bluebellrun.placement import RankState
+from bluebellrun.placement import Placement, RankState
 from bluebellrun.routing import GroupMembers
 from bluebellrun.telemetry import get_logger
 
@@ -44,6 +44,7 @@
         self._recorded = recorded
         # The last state that each upstream reported, none if it is no rank of a group.
         self._reported: dict[str, RankState | None] = {}
+        self._updated_at = 0.0
         self._asked_at: dict[str, float] = {}
         # The upstreams by group, none if it has to be built again.
         self._index: dict[str | None, list[Upstream]] | None = None
@@ -51,6 +52,7 @@
 
     async def update(self, now: float) -> None:
         """Follow the registrations; removed upstreams are kept for RETENTION_S."""
+        self._updated_at = now
         for upstream in self._directory.of_service(self._service):
             instance = upstream.instance
             known = self._upstreams.get(instance)
@@ -81,6 +83,10 @@
         by_group = self._by_group()
         return by_group.get(name, []) + (by_group.get(None, []) if with_unknown else [])
 
+    def is_registered(self, instance: str) -> bool:
+        """Return whether an upstream is registered, as of the last update."""
+        return self._seen_at.get(instance, -1.0) == self._updated_at
+
     def members(self) -> list[GroupMembers]:
         """Return the groups as last reported; an upstream that does not answer stays a member."""
         recorded = {} if self._recorded is None else self._recorded.groups(self._service)
@@ -128,6 +134,23 @@
         await run_all([(read_one, (upstream,)) for upstream in upstreams])
         return found
 
+    async def placement(self, ranks: Mapping[int, Upstream], layers: int) -> Placement | None:
+        """Read the map that ranks use from themselves, none unless all answer."""
+        held: dict[int, list[frozenset[int]]] = {}
+
+        async def read_one(rank: int) -> None:
+            try:
+                held[rank] = await self._calls.placement_held(ranks[rank])
+            except RankCallError as error:
+                _log.info("map not read", rank=rank, reason=str(error))
+
+        await run_all([(read_one, (rank,)) for rank in ranks])
+        if len(held) < len(ranks):
+            return None
+        return Placement(
+            tuple(tuple(held[rank][layer] for rank in sorted(held)) for layer in range(layers))
+        )
+
     async def forget(self, upstream: Upstream) -> None:
         """Drop an upstream whose incarnation has ended."""
         instance = upstream.instance
--- a/tests/expert_maps/test_expert_maps.py
+++ b/tests/expert_maps/test_expert_maps.py
@@ -1,3 +1,4 @@
+import time
 from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 from typing import Any, cast
@@ -5,6 +6,10 @@
 import curio
 
 from bluebellrun.expert_maps import ExpertMaps, GroupsWriter, SlowUpstreams
+from bluebellrun.expert_maps._group_demand import GroupDemand
+from bluebellrun.expert_maps._group_manager import GroupManager
+from bluebellrun.expert_maps._map_versions import MapVersions
+from bluebellrun.expert_maps._service_ranks import ServiceRanks
 from bluebellrun.placement import PrepareMap
 from tests.expert_maps.fake_ranks import (
     NEXT_NUMBERS,
@@ -145,3 +150,36 @@
         await wait_until(lambda: any(order[2] >= NEXT_NUMBERS for order in ranks.orders))
 
     manage(ranks, check)
+
+
+# Guards: a group that is only broken made its manager give up the role, and with it the demand.
+def test_only_registered_ranks_that_do_not_answer_count_as_unreachable():
+    ranks = of_groups(("a", 4))
+    ranks.broken.add("a")
+    upstreams = ServiceRanks(SERVICE, ranks, ranks.directory)
+    manager = GroupManager(
+        SERVICE,
+        "a",
+        GroupDemand(SERVICE, "a", TERMS, ranks),
+        ranks,
+        upstreams,
+        cast(Any, FakeRole()),
+        MapVersions(),
+        lambda service, instances: 1.0,
+    )
+
+    async def main() -> None:
+        for silent, registered, unreachable in (
+            (False, True, False),
+            (True, True, True),
+            (False, True, False),
+            (True, False, False),
+        ):
+            ranks.silent = {"a1"} if silent else set()
+            if not registered:
+                ranks.directory.remove("a1")
+            await manager.turn(7)
+            assert (manager.unreachable_s(time.monotonic()) > 0) == unreachable
+            assert not manager.is_complete
+
+    curio.run(main)
--- a/tests/expert_maps/test_group_roles.py
+++ b/tests/expert_maps/test_group_roles.py
@@ -7,13 +7,13 @@
 from bluebellrun.core import MonotonicClock
 from bluebellrun.expert_maps import GatewayRanking, GroupRoles, PlacementRole, RoleOrder
 from bluebellrun.expert_maps._group_roles import (
-    INCOMPLETE_INTERVAL_S,
-    INCOMPLETE_S,
     MAX_POSITION,
     POSITION_PAUSE_S,
     RETURN_AFTER_S,
     RETURN_INTERVAL_S,
     SET_BACK_S,
+    UNREACHABLE_INTERVAL_S,
+    UNREACHABLE_S,
     GroupRoleOrder,
 )
 from bluebellrun.expert_maps._role import LEASE_S
@@ -32,13 +32,13 @@
 
     def __init__(self, changing: bool = False) -> None:
         self.changing = changing
-        self.missing_since: float | None = None
+        self.silent_since: float | None = None
 
     def is_changing(self) -> bool:
         return self.changing
 
-    def incomplete_s(self, now: float) -> float:
-        return 0.0 if self.missing_since is None else now - self.missing_since
+    def unreachable_s(self, now: float) -> float:
+        return 0.0 if self.silent_since is None else now - self.silent_since
 
 
 class Gateways:
@@ -188,15 +188,15 @@
 
 
 # Guards: a gateway whose link to a group's ranks is broken kept the role, and the group its map.
-def test_a_holder_that_lacks_ranks_lets_the_others_try_once_a_minute():
+def test_a_holder_that_ranks_do_not_answer_lets_the_others_try_once_a_minute():
     subject = Order([], set(), changing=True)
-    subject.group.missing_since = subject.now
-    assert not subject.returns_after(INCOMPLETE_S - 1)
+    subject.group.silent_since = subject.now
+    assert not subject.returns_after(UNREACHABLE_S - 1)
     assert subject.order.pause_s() == 0.0
     assert subject.returns_after(1.0)
     assert subject.order.pause_s() == SET_BACK_S
-    assert not subject.returns_after(INCOMPLETE_INTERVAL_S - 1)
+    assert not subject.returns_after(UNREACHABLE_INTERVAL_S - 1)
     assert subject.returns_after(1.0)
-    subject.group.missing_since = None
-    assert not subject.returns_after(INCOMPLETE_INTERVAL_S)
+    subject.group.silent_since = None
+    assert not subject.returns_after(UNREACHABLE_INTERVAL_S)
     assert subject.order.pause_s() == 0.0
