--- a/bluebellrun/expert_maps/_group_manager.py
+++ b/bluebellrun/expert_maps/_group_manager.py
@@ -9,7 +9,7 @@
 from bluebellrun.expert_maps._ports import OrderReply, RankCallError, RankCalls, RankReplacedError
 from bluebellrun.expert_maps._role import PlacementRole
 from bluebellrun.expert_maps._service_ranks import ServiceRanks, run_all
-from bluebellrun.expert_maps._survey import split_groups
+from bluebellrun.expert_maps._survey import Reported, split_groups
 from bluebellrun.gateway._models import Upstream
 from bluebellrun.placement import (
     ArmMap,
@@ -32,9 +32,11 @@
 CHANGE_INTERVAL_S = 0.02
 # States are re-read this often without a change, to detect ranks that left, joined or slowed.
 STATES_INTERVAL_S = 1.5
-# The epoch of a group before its ranks were read.
-NO_EPOCH = -1
+EPOCH_BEFORE_READING = -1
 PLAN_INTERVAL_S = 0.2
+# Without a shift of demand a plan is followed by a pause of so many times its duration at least, so
+# that planning takes about an eighth of the processor at the most.
+PLAN_PAUSE_FACTOR = 8.0
 
 ACCEPTED_REPLIES = frozenset({OrderReply.ACCEPTED, OrderReply.DONE})
 
@@ -70,11 +72,12 @@
         self._load = load
         self._states: dict[int, RankState] = {}
         self._ranks: dict[int, Upstream] = {}
-        self._incomplete_since: float | None = time.monotonic()
+        self._is_complete = False
+        self._unreachable_since: float | None = None
         self._read_at = 0.0
-        self._planned_at = 0.0
+        self._plan_from = 0.0
         self._arm_s: float | None = None
-        self._epoch = NO_EPOCH
+        self._epoch = EPOCH_BEFORE_READING
         self._fencing = 0
         self._claimed: set[int] = set()
         self._current: Placement | None = None
@@ -91,9 +94,14 @@
             if rank in states
         }
 
-    def incomplete_s(self, now: float) -> float:
-        """Return for how many seconds ranks have been missing, 0 if none is."""
-        return 0.0 if self._incomplete_since is None else now - self._incomplete_since
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all ranks answered, and the group is formed."""
+        return self._is_complete
+
+    def unreachable_s(self, now: float) -> float:
+        """Return for how long ranks that are registered have not answered, 0 if all do."""
+        return 0.0 if self._unreachable_since is None else now - self._unreachable_since
 
     @property
     def is_changing(self) -> bool:
@@ -113,7 +121,7 @@
             return CHANGE_INTERVAL_S
         await self._release_stray_holds(fencing)
         await self._read_counts(self._epoch)
-        if time.monotonic() - self._planned_at > PLAN_INTERVAL_S:
+        if time.monotonic() >= self._plan_from:
             await self._plan(fencing)
         return READ_INTERVAL_S if self._change is None else 0.0
 
@@ -144,13 +152,14 @@
         now = time.monotonic()
         await self._upstreams.update(now)
         asked = self._upstreams.of_group(self._name, with_unknown=not self._read_at)
-        found = split_groups(await self._upstreams.read(asked)).get(self._name)
+        answers = await self._upstreams.read(asked)
+        self._note_unreachable(asked, answers, now)
+        found = split_groups(answers).get(self._name)
+        self._is_complete = found is not None and found.is_complete
         if found is None or not found.is_complete:
-            self._incomplete_since = self._incomplete_since or now
             self._read_at = 0.0
             return False
         self._read_at = now
-        self._incomplete_since = None
         self._states = {rank: state for rank, (_, state) in found.ranks.items()}
         self._ranks = {rank: upstream for rank, (upstream, _) in found.ranks.items()}
         if self._epoch != found.epoch:
@@ -158,6 +167,14 @@
         self._demand.set_size(found.size)
         return True
 
+    def _note_unreachable(self, asked: list[Upstream], answers: list[Reported], now: float) -> None:
+        """Note since when upstreams of the group that are registered do not answer."""
+        silent = {item.instance for item in asked} - {item.instance for item, _ in answers}
+        if not any(self._upstreams.is_registered(instance) for instance in silent):
+            self._unreachable_since = None
+        elif self._unreachable_since is None:
+            self._unreachable_since = now
+
     def _begin_role(self, fencing: int) -> None:
         """Reset under a new fencing number: another process may have acted meanwhile."""
         self._fencing = fencing
@@ -173,7 +190,7 @@
         self._claimed.clear()
         self._current = None
         self._change = None
-        self._planned_at = 0.0
+        self._plan_from = 0.0
 
     async def _forget(self, upstream: Upstream) -> None:
         """Drop an upstream whose incarnation has ended."""
@@ -198,12 +215,12 @@
         versions = {state.active for state in self._states.values()}
         if len(versions) != 1:
             return False
+        sizes = self._experts
         if versions == {0}:
-            sizes = self._experts
             self._demand.expect_prior()
             self._current = default_placement(sizes.layers, len(self._ranks), sizes.experts)
         else:
-            self._current = await self._read_placement()
+            self._current = await self._upstreams.placement(self._ranks, sizes.layers)
         if self._current is None:
             return False
         self._resume_change()
@@ -221,24 +238,6 @@
         self._change = PlacementChange(version, None, ChangeSettings(), time.monotonic())
         self._change.resume_armed(step)
 
-    async def _read_placement(self) -> Placement | None:
-        """Read the map in use from the ranks that hold it."""
-        held: dict[int, list[frozenset[int]]] = {}
-
-        async def read(rank: int) -> None:
-            try:
-                held[rank] = await self._calls.placement_held(self._ranks[rank])
-            except RankCallError as error:
-                _log.info("map not read", rank=rank, reason=str(error))
-
-        await run_all([(read, (rank,)) for rank in self._ranks])
-        if len(held) < len(self._ranks):
-            return None
-        layers = range(self._experts.layers)
-        return Placement(
-            tuple(tuple(held[rank][layer] for rank in sorted(held)) for layer in layers)
-        )
-
     async def _drive(self, change: PlacementChange, fencing: int) -> None:
         """Send a change's orders as long as ranks accept them immediately."""
         orders = change.decide(self._states, time.monotonic())
@@ -285,19 +284,21 @@
         elif read.slowed:
             self._read_at = min(self._read_at, time.monotonic() - STATES_INTERVAL_S)
         if read.shifted:
-            self._planned_at = 0.0
+            self._plan_from = 0.0
 
     async def _plan(self, fencing: int) -> None:
         """Plan a better map and begin a change to it if it is worthwhile."""
         if self._current is None or not self._demand.is_known:
             return
-        self._planned_at = time.monotonic()
+        began = time.monotonic()
         slowness = [self._states[rank].slowness for rank in sorted(self._states)]
         # A group that has just formed will be loaded: its passes take long until it has a map.
         load = 1.0
         if self._demand.is_observed:
             load = self._load(self._service, [item.instance for item in self._ranks.values()])
         placement = await plan_map(self._names, self._demand, self._current, slowness, load)
+        pause_s = PLAN_PAUSE_FACTOR * (time.monotonic() - began)
+        self._plan_from = began + max(PLAN_INTERVAL_S, pause_s)
         if placement is None or self._role.lease() is None:
             return
         version = self._versions.next(fencing)
