Close only stalled requests for new connections

A request that was being read counted as stalled from when its connection became idle. At the limit of connections, the first pieces of a request on a connection that had been idle for a second were answered 408 for a new connection, and so was a body that had been arriving steadily for a second. The time now counts from the request's first bytes and starts again with the progress that the memory budget counts.

The second new test holds the other side, which worked before: a request of which nothing more arrives gives way.

Measured: both cases of the first new test failed before; 107 tests of http and crowd pass.

--- a/bluebellrun/http/_caller_wait.py
+++ b/bluebellrun/http/_caller_wait.py
@@ -40,6 +40,11 @@
         """Return whether the connection waits for its caller."""
         return self._holding.is_closable
 
+    @property
+    def moved_at(self) -> float:
+        """Return when the connection last made progress, by the monotonic clock."""
+        return self._holding.moved_at
+
     def begin(self, task: Any) -> None:
         """Note that a task waits for the caller from now on."""
         self._task = task
--- a/bluebellrun/http/_connection.py
+++ b/bluebellrun/http/_connection.py
@@ -65,8 +65,10 @@
 
     @property
     def waits_since(self) -> float | None:
-        """Return since when a request is being read, if its next bytes are awaited."""
-        return self._reader.began_at if self._wait.is_on else None
+        """Return since when a request has made no progress, if its next bytes are awaited."""
+        if not self._wait.is_on:
+            return None
+        return max(self._reader.began_at, self._wait.moved_at)
 
     def closes_after_answer(self) -> bool:
         """Return whether the server ends this connection after the answer."""
--- a/bluebellrun/http/_memory.py
+++ b/bluebellrun/http/_memory.py
@@ -57,6 +57,11 @@
         """Return how many bytes are held."""
         return self._size
 
+    @property
+    def moved_at(self) -> float:
+        """Return when enough bytes last moved, or when they were first held."""
+        return self._moved_at
+
     @property
     def is_closable(self) -> bool:
         """Return whether the connection waits for its caller, so that it may be closed."""
--- a/bluebellrun/http/_request_reader.py
+++ b/bluebellrun/http/_request_reader.py
@@ -94,7 +94,7 @@
 
     @property
     def began_at(self) -> float:
-        """Return when the wait for the current request began, by the monotonic clock."""
+        """Return when the first bytes of the current request arrived, by the monotonic clock."""
         return self._began_at
 
     async def read(self, on_bytes: Callable[[], None], is_first: bool) -> HttpRequest:
@@ -263,6 +263,7 @@
             # A caller that sends faster than this process reads lets other tasks run.
             await curio.sleep(0)
         if self._on_bytes is not None:
+            self._began_at = time.monotonic()
             self._on_bytes()
             self._on_bytes = None
         return data
--- a/tests/http/test_memory_pressure.py
+++ b/tests/http/test_memory_pressure.py
@@ -209,3 +209,37 @@
         assert memory.budget.select_closed(other, 200_000, later) == [grows]
 
     curio.run(main)
+
+
+# Guards: the time that a kept connection was idle counted as a stall of its next request, and a
+# body that arrived steadily counted as stalled: both were closed for a new connection.
+@pytest.mark.parametrize(("idle_s", "pieces"), [(1.2, 1), (0.0, 6)])
+def test_a_request_that_arrives_is_not_closed_for_a_new_connection(
+    idle_s: float, pieces: int
+) -> None:
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        sock = await connect(server, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        while not (await sock.recv(65_536)).endswith(b"}"):
+            pass
+        await curio.sleep(idle_s)
+        await sock.sendall(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 120000\r\n\r\n")
+        for _ in range(pieces):
+            await sock.sendall(b"x" * 18_000)
+            await curio.sleep(0.25)
+        other = await connect(server, b"")
+        assert (await read(other)).startswith(b"HTTP/1.1 503")
+        await sock.sendall(b"x" * (120_000 - 18_000 * pieces))
+        assert (await sock.recv(65_536)).startswith(b"HTTP/1.1 200")
+
+    run(check, max_connections=1)
+
+
+# Guards: a request of which nothing more arrived kept new callers out.
+def test_a_stalled_request_is_closed_for_a_new_connection() -> None:
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        stalled = await connect(server, UNFINISHED)
+        await curio.sleep(1.3)
+        assert await status(server, SMALL) == 200
+        assert (await read(stalled)).startswith(b"HTTP/1.1 408")
+
+    run(check, max_connections=1)
