Ask upstreams for their group at once while none is known

The survey asks an upstream every 3 s, as managers ask the ranks of known groups in between. Where none of a service's upstreams answered the first question, or none was in a group yet, no manager existed: the group formed and stayed on map 0 for up to 3 s. They are now asked at each turn of the survey, every 0.2 s, until one names a group.

--- a/bluebellrun/expert_maps/_expert_maps.py
+++ b/bluebellrun/expert_maps/_expert_maps.py
@@ -117,7 +117,9 @@
         """Ask the upstreams that were not asked recently, and record the groups."""
         now = time.monotonic()
         await upstreams.update(now)
-        await upstreams.read(upstreams.not_asked_since(now - SURVEY_INTERVAL_S))
+        # Without a known group no manager asks: a group that forms waits for its map.
+        interval_s = SURVEY_INTERVAL_S if upstreams.names else 0.0
+        await upstreams.read(upstreams.not_asked_since(now - interval_s))
         now = time.monotonic()
         await self._writer.write(self._recorded.key(service), upstreams.members(), now)
         if self._recorded.groups(service):
--- a/tests/expert_maps/test_expert_maps.py
+++ b/tests/expert_maps/test_expert_maps.py
@@ -102,6 +102,21 @@
     assert all(fencing == 7 for _, _, fencing in ranks.orders)
 
 
+# Guards: of a service whose upstreams did not answer the first question, none was asked again for
+# three seconds, in which its only group had formed without a manager.
+def test_upstreams_are_asked_again_soon_while_no_group_is_known():
+    ranks = of_groups(("a", 4))
+    ranks.silent.add("a")
+
+    async def check(role: FakeRole) -> None:
+        await curio.sleep(1.5)
+        assert min(ranks.asked.count(f"a{rank}") for rank in range(4)) >= 3
+        ranks.silent.clear()
+        await wait_until(lambda: have_maps(ranks, "a"))
+
+    manage(ranks, check)
+
+
 # Guards: after a group formed again, its manager went on with the state of the old epoch.
 def test_a_group_that_forms_again_gets_a_new_map():
     ranks = of_groups(("a", 4), ("b", 4))
