Wait for the memory of connections that are being closed

When memory was short, a stream's bytes got room by closing stalled connections, and were given up if these had not released enough one turn of the loop later. A closed connection releases its request's body only when its handler has noticed, so that the stream was broken off as well. Its bytes now wait up to 0.5 s for it.

The connection's own writer may give up during that wait. What followed was then kept and could be written after a gap; it is refused now. Without the longer wait this was possible only within one turn and was not reproduced.

Measured: the first new test failed before, the second with the wait alone; 110 tests of http and crowd pass.

--- a/bluebellrun/http/_memory_gate.py
+++ b/bluebellrun/http/_memory_gate.py
@@ -11,6 +11,9 @@
 # How long a body waits for room: a body of the largest size at 10 Mbit/s takes 3 s to read.
 WAIT_S = 2.0
 WAIT_POLL_S = 0.05
+# How long bytes in memory wait for what closed connections give up: their handlers notice it at
+# the next event of a stream, and only then is the request's body released.
+GIVE_UP_S = 0.5
 # Waiting takes a poll of each: more than these are refused without a wait.
 MAX_WAITING = 64
 # At most one line in this time tells what was closed and refused since the last.
@@ -98,9 +101,14 @@
         if not await self._close_stalled(holding, holding.size + more, is_answer=True):
             self._refuse("no memory for bytes that a caller does not take")
         # The stalled connections end in their own turns.
+        deadline = time.monotonic() + GIVE_UP_S
         await curio.sleep(0)
-        if not self._budget.resize(holding, holding.size + more, time.monotonic(), is_answer=True):
-            self._refuse("no memory for bytes that a caller does not take")
+        while not self._budget.resize(
+            holding, holding.size + more, time.monotonic(), is_answer=True
+        ):
+            if time.monotonic() >= deadline:
+                self._refuse("no memory for bytes that a caller does not take")
+            await curio.sleep(WAIT_POLL_S)
 
     async def _wait(self, holding: Holding, size: int) -> None:
         """Wait for room; close stalled connections meanwhile."""
--- a/bluebellrun/http/_outgoing.py
+++ b/bluebellrun/http/_outgoing.py
@@ -65,6 +65,10 @@
         except NoMemoryError:
             raise CallerGoneError("the caller takes no bytes while memory is short") from None
         self._ahead += len(rest)
+        if self._error is not None:
+            # The writer gave up meanwhile: nothing may follow what it did not write.
+            self._take(len(rest))
+            raise self._error
         self._pieces.append(rest)
         if self._writer is None:
             # The caller has taken all that was sent before.
--- a/tests/http/test_outgoing.py
+++ b/tests/http/test_outgoing.py
@@ -139,3 +139,60 @@
         assert memory.closed == 0
 
     curio.run(main)
+
+
+# Guards: a stream was broken off although a stalled connection had been closed for it: that one
+# gave up its request's body only when its handler had ended.
+def test_what_a_closed_connection_gives_up_late_makes_room() -> None:
+    async def main() -> None:
+        memory = MemoryGate(MemorySettings(total_bytes=22_000, stalled_s=0.1))
+        wait, sock = CallerWait(memory), SlowSocket()
+        await wait.acquire(9_000)
+        stalled, other = Outgoing(SlowSocket(), wait), Outgoing(sock, CallerWait(memory))
+        await stalled.write(b"x" * 4_000, 60.0)
+        await curio.sleep(0.2)
+
+        async def end_handler() -> None:
+            with pytest.raises(CallerGoneError):
+                await stalled.flush()
+            await curio.sleep(0.1)
+            wait.close()
+
+        ending = await curio.spawn(end_handler)
+        await other.write(b"x" * 20_000, 60.0)
+        await ending.join()
+        await sock.take(20_000)
+        await other.flush()
+        assert (memory.closed, memory.budget.held) == (1, 0)
+
+    curio.run(main)
+
+
+# Guards: the writer gave up while the next bytes waited for memory, and these were written after
+# the gap.
+def test_nothing_is_written_after_a_gap() -> None:
+    async def main() -> None:
+        memory = MemoryGate(MemorySettings(total_bytes=22_000, stalled_s=0.1))
+        wait, sock = CallerWait(memory), SlowSocket()
+        await wait.acquire(12_000)
+        stalled, other = Outgoing(SlowSocket(), wait), Outgoing(sock, CallerWait(memory))
+        await stalled.write(b"x" * 100, 60.0)
+        await curio.sleep(0.2)
+
+        async def end_handler() -> None:
+            with pytest.raises(CallerGoneError):
+                await stalled.flush()
+            await curio.sleep(0.2)
+            wait.close()
+
+        ending = await curio.spawn(end_handler)
+        await other.write(b"x" * 5_000, 0.05)
+        with pytest.raises(CallerGoneError, match="takes no bytes"):
+            await other.write(b"y" * 6_000, 0.05)
+        await sock.take(20_000)
+        await curio.sleep(0.05)
+        await ending.join()
+        assert sock.taken == b""
+        assert memory.budget.held == 0
+
+    curio.run(main)
