Let entries that have just started use cold upstreams within a small share

After an outage of all hosts all upstreams are cold and all entries have just started. No entry granted a permit until its registration had been read back for 1.5 s, so every request was refused for over two seconds.

An entry that is not counted yet now has a share of its own, one permit and then one in two seconds for each upstream, if 16 such entries, or as many as are registered, stay within the half of the bound that counted permits leave. Where that does not fit, all is as before.

--- a/bluebellrun/gateway/_limit_permits.py
+++ b/bluebellrun/gateway/_limit_permits.py
@@ -112,7 +112,7 @@
     def set_registered(self, entries: int) -> None:
         """Set the number of registered entries, including this one."""
         self._registered = entries
-        self._cold_permits.record_counted()
+        self._cold_permits.record_counted(entries)
 
     def record_registered(self, now: float) -> None:
         """Record that this entry's own registration has been read back from the store."""
@@ -143,7 +143,7 @@
         if self.rate(upstream) is None:
             return 0.0
         key = upstream.incarnation
-        if self._owner(key) == self._peers.entry:
+        if self._owner(key) == self._peers.entry or self._cold_permits.counts_alone(upstream, now):
             return self._wait_s(upstream, now)
         return max(0.0, self._blocked_until.get(key, now) - now)
 
@@ -178,7 +178,7 @@
         key = upstream.incarnation
         owner = self._owner(key)
         is_cold = self.is_cold(upstream)
-        if owner == self._peers.entry:
+        if owner == self._peers.entry or self._cold_permits.counts_alone(upstream, now):
             granted = self._try_acquire(upstream, now)
             outcome = PermitOutcome.GRANTED if granted else PermitOutcome.DENIED
         else:
--- a/bluebellrun/routing/_cold_starts.py
+++ b/bluebellrun/routing/_cold_starts.py
@@ -19,6 +19,10 @@
 USED_PART = 0.5
 # Least part of what is left for one second that may be taken at once.
 MIN_BURST_PART = 0.25
+# Permits a second of an entry that has just started and that the others may not count yet.
+STARTUP_RATE_PER_S = 0.5
+# As many entries are assumed to start with it at least: the register may be empty then.
+MIN_STARTUP_ENTRIES = 16
 # At a lower rate, a permit takes longer than upstreams are cold.
 MIN_RATE_PER_S = 0.05
 # Reports of the same start differ by delays of messages.
@@ -62,6 +66,17 @@
         rate = min(rate, (most - burst) / ARRIVAL_WINDOW_S)
         return (rate, burst) if rate >= MIN_RATE_PER_S else None
 
+    def startup_share(self, entries: int) -> tuple[float, float] | None:
+        """Return the rate and the burst of an entry that has just started.
+
+        None if ``entries`` such entries would together exceed the part of the bound that permits
+        of counted entries leave.
+        """
+        most = 1.0 + STARTUP_RATE_PER_S * ARRIVAL_WINDOW_S
+        left = (1.0 - USED_PART) * (self.per_s * self.excess + self.slack)
+        fits = max(entries, MIN_STARTUP_ENTRIES) * most <= left
+        return (STARTUP_RATE_PER_S, 1.0) if fits else None
+
 
 @dataclass(frozen=True, slots=True)
 class ColdStart:
--- a/tests/gateway/test_cold_upstreams.py
+++ b/tests/gateway/test_cold_upstreams.py
@@ -22,6 +22,7 @@
     encode_status,
 )
 from bluebellrun.gateway._permit_messages import PermitRequest, decode_permit_message
+from bluebellrun.routing import ColdBound
 from tests.gateway.entries_with_permits import Entries
 
 COLD_S = 8.0
@@ -158,6 +159,17 @@
     assert all(item.count(0.0) >= 5 for item in entries.upstreams)
 
 
+# Guards: after an outage of all hosts every request was refused until the entries were counted.
+def test_entries_that_start_together_share_a_bound_that_suffices_for_all():
+    bound = ColdBound(32.0, 1.5, 5.0)
+    assert bound.startup_share(1) == bound.startup_share(16) is not None
+    assert bound.startup_share(17) is None
+    rate, burst = bound.startup_share(16) or (0.0, 0.0)
+    counted = sum(bound.share(1.0) or ())
+    assert 16 * (rate + burst) + counted <= 32.0 * 1.5 + 5.0
+    assert ColdBound(PER_S, 1.5, 5.0).startup_share(1) is None
+
+
 # Guards: an owner that had not heard that an upstream is cold granted every request.
 def test_an_owner_that_does_not_know_that_an_upstream_is_cold_is_told_by_the_request():
     entries = ColdEntries(12, 3)
