Let one control bound the slots of groups where load shedding is on

Load shedding limits what is sent by the passes that streams show, and the pause limit of each group bounded the slots by the same passes down to a fifth of them.

Where load shedding is on, the pause limit of a group now has the settings of a service with one group.

--- a/bluebellrun/gateway/_service_controls.py
+++ b/bluebellrun/gateway/_service_controls.py
@@ -114,8 +114,13 @@
         """Return the limit based on stream pauses, none for a service without passes."""
         if engine is None:
             return None
+        settings = GroupPauseSettings()
+        if self._settings.load_shedding:
+            # Load shedding limits what is sent by the same passes; two strict bounds together left
+            # slots unused on a quiet day.
+            settings = GroupPauseSettings(each=settings.single)
         fixed_s = engine.stride * engine.step_s
-        return GroupPauses(GroupPauseSettings(), fixed_s, service, self._groups)
+        return GroupPauses(settings, fixed_s, service, self._groups)
 
     def group_terms(self, service: str) -> EngineTerms | None:
         """Return the terms of a service whose upstreams work in step, none of any other."""
