Test processes with crowds of clients outside the protocol

The crowds of tests/crowd send bodies only, to HTTP ports only. Each runs alone and all run together against one process with little memory; checked are, as before, that the process lives, its peak memory, and one ordinary request or call.

--- a/tests/crowd/callers.py
+++ b/tests/crowd/callers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import repeat
 from pathlib import Path
 
 import curio
@@ -49,12 +50,23 @@
     yield piece[: size % SENT_AT_ONCE]
 
 
-def request_head(path: str, body: Body) -> bytes:
-    """Return the head of a request with a body."""
+def request_head(path: str, body: Body, headers: str = "") -> bytes:
+    """Return the head of a request with a body; each of the headers ends with its line."""
     framing = "Transfer-Encoding: chunked"
     if body.length is not None:
         framing = f"Content-Length: {body.length}"
-    return f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{framing}\r\n\r\n".encode()
+    return f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{headers}{framing}\r\n\r\n".encode()
+
+
+def many_headers(max_header_bytes: int) -> str:
+    """Return as many headers as fit into most of the bytes that a head may have."""
+    count = max_header_bytes * 3 // 4 // len("a000:b\r\n")
+    return "".join(f"a{number:03}:b\r\n" for number in range(count))
+
+
+def repeated(request: bytes) -> Iterator[bytes]:
+    """Return one whole request after the other without an end."""
+    return repeat(request * (SENT_AT_ONCE // len(request)))
 
 
 async def stay_open(address: Address, data: Iterator[bytes]) -> None:
@@ -72,16 +84,17 @@
         await curio.sleep(3_600)
 
 
-def _request(path: str, body: Body) -> Iterator[bytes]:
-    yield request_head(path, body)
+def request_pieces(path: str, body: Body, headers: str = "") -> Iterator[bytes]:
+    """Return a request in pieces as they are sent."""
+    yield request_head(path, body, headers)
     yield from body.pieces
 
 
-async def start_crowd(address: Address, path: str, bodies: list[Body]) -> curio.TaskGroup:
-    """Start a caller for each body; the group's tasks go on until they are cancelled."""
+async def start_crowd(address: Address, callers: list[Iterator[bytes]]) -> curio.TaskGroup:
+    """Start callers that send pieces; the group's tasks go on until they are cancelled."""
     group = curio.TaskGroup()
-    for body in bodies:
-        await group.spawn(stay_open, address, _request(path, body))
+    for pieces in callers:
+        await group.spawn(stay_open, address, pieces)
     return group
 
 
--- a/tests/crowd/checks.py
+++ b/tests/crowd/checks.py
@@ -1,7 +1,9 @@
 """What must hold of a process while a crowd of callers stays open."""
 
 import subprocess
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from functools import partial
+from itertools import chain, cycle
 
 import curio
 
@@ -11,8 +13,12 @@
     Body,
     endless,
     in_chunks,
+    many_headers,
     open_descriptors,
     peak_memory,
+    repeated,
+    request_head,
+    request_pieces,
     resident_memory,
     start_crowd,
     stay_open,
@@ -22,6 +28,8 @@
 # How long a crowd sends before the ordinary request; the largest takes under two seconds.
 CROWD_S = 6.0
 CROWD = 60
+# A head is small beside a body; still far fewer callers than a process accepts.
+HEADERS_CROWD = 240
 SAMPLES, SAMPLE_S = 15, 0.1
 BIG_CHUNK, TINY_CHUNK = 65_536, 4
 
@@ -37,6 +45,49 @@
     }
 
 
+REQUEST_ID = "X-Bluebellrun-Request-Id: crowd\r\n"
+
+Pieces = Callable[[], Iterator[bytes]]
+
+
+def pipelines(
+    path: str, slow_path: str, max_header_bytes: int, own_headers: str = REQUEST_ID
+) -> dict[str, Pieces]:
+    """Return kinds of callers by name that send whole requests, and read no answer.
+
+    The server answers ``path`` at once and ``slow_path`` late.
+    """
+    headers = own_headers + many_headers(max_header_bytes)
+
+    def complete(target: str, more: str = own_headers) -> bytes:
+        return request_head(target, Body(iter(()), 0), more)
+
+    return {
+        "unread answers": lambda: repeated(complete(path)),
+        "requests behind a slow one": lambda: chain(
+            [complete(slow_path)], repeated(complete(path))
+        ),
+        "many headers, body cut": lambda: request_pieces(path, whole(10), headers),
+        "many headers, slow": lambda: iter([complete(slow_path, headers)]),
+    }
+
+
+def crowd_of(kind: str) -> int:
+    """Return how many callers a crowd of one of the ``pipelines`` has."""
+    return HEADERS_CROWD if "headers" in kind else CROWD
+
+
+def all_kinds(
+    path: str, bodies: dict[str, Callable[[], Body]], others: dict[str, Pieces]
+) -> list[Pieces]:
+    """Return all kinds of callers that send bodies, and others."""
+
+    def pieces(body: Callable[[], Body]) -> Iterator[bytes]:
+        return request_pieces(path, body())
+
+    return [*others.values(), *(partial(pieces, body) for body in bodies.values())]
+
+
 async def check_crowd(
     process: "subprocess.Popen[bytes]",
     address: Address,
@@ -45,8 +96,22 @@
     memory_bytes: int,
     ordinary: Callable[[], Awaitable[bool]],
 ) -> None:
-    """Check memory and an ordinary request while a crowd of callers stays open."""
-    group = await start_crowd(address, path, [body() for _ in range(CROWD)])
+    """Check memory and an ordinary request while callers send bodies and stay open."""
+    kinds = [lambda: request_pieces(path, body())]
+    await check_pieces(process, address, kinds, memory_bytes, ordinary)
+
+
+async def check_pieces(
+    process: "subprocess.Popen[bytes]",
+    address: Address,
+    kinds: list[Pieces],
+    memory_bytes: int,
+    ordinary: Callable[[], Awaitable[bool]],
+    crowd: int = CROWD,
+) -> None:
+    """Check memory and an ordinary request while callers of some kinds, in turn, stay open."""
+    callers = [kind() for kind, _ in zip(cycle(kinds), range(crowd), strict=False)]
+    group = await start_crowd(address, callers)
     try:
         await curio.sleep(CROWD_S)
         answered = await ordinary()
--- a/tests/crowd/test_gateway.py
+++ b/tests/crowd/test_gateway.py
@@ -7,7 +7,15 @@
 
 from bluebellrun.http import ClientTimeouts, HttpClient, TransportError
 from tests.crowd.callers import MEGABYTE
-from tests.crowd.checks import check_crowd, check_descriptors, crowds
+from tests.crowd.checks import (
+    all_kinds,
+    check_crowd,
+    check_descriptors,
+    check_pieces,
+    crowd_of,
+    crowds,
+    pipelines,
+)
 from tests.gateway.processes import HOST, ROUTE_TIMEOUT_S, SERVICE, Gateways
 
 MEMORY_MB = 128
@@ -15,7 +23,10 @@
 MAX_BODY_BYTES = 4_194_304
 MAX_DESCRIPTORS = 600
 CONNECTIONS = 800
+MAX_HEADER_BYTES = 16_384
 KINDS = crowds(MAX_BODY_BYTES)
+PIPELINES = pipelines("/order/0", "/order/7", MAX_HEADER_BYTES)
+ALL_KINDS = all_kinds("/order/0", KINDS, PIPELINES)
 
 
 def run_gateway(folder: Path, check, **limits: float) -> None:
@@ -63,6 +74,21 @@
     run_gateway(tmp_path, check, ram_mb=MEMORY_MB)
 
 
+# Guards: a gateway read what callers sent during a request before it charged the bytes, and charged
+# no headers.
+@pytest.mark.parametrize("kind", [*PIPELINES, "all together"])
+def test_whole_requests_leave_memory_and_room_for_an_ordinary_one(
+    tmp_path: Path, kind: str
+) -> None:
+    async def check(program, ordinary) -> None:
+        kinds = [PIPELINES[kind]] if kind in PIPELINES else ALL_KINDS
+        memory = MEMORY_MB * MEGABYTE
+        crowd = crowd_of(kind)
+        await check_pieces(program.process, program.callers, kinds, memory, ordinary, crowd)
+
+    run_gateway(tmp_path, check, ram_mb=MEMORY_MB)
+
+
 # Guards: the gateway accepted 4,096 connections however few descriptors its host granted.
 @pytest.mark.parametrize("data", [b"", b"POST /order/0 HTTP/1.1\r\nHost: h"], ids=["idle", "head"])
 def test_connections_stay_below_the_granted_descriptors(tmp_path: Path, data: bytes) -> None:
--- a/tests/crowd/test_sidecar.py
+++ b/tests/crowd/test_sidecar.py
@@ -16,14 +16,26 @@
     TransportError,
 )
 from tests.crowd.callers import MEGABYTE
-from tests.crowd.checks import check_crowd, check_descriptors, crowds
+from tests.crowd.checks import (
+    all_kinds,
+    check_crowd,
+    check_descriptors,
+    check_pieces,
+    crowd_of,
+    crowds,
+    pipelines,
+)
 from tests.gateway.processes import ROUTE_TIMEOUT_S, UPSTREAM_PORT, free_network
 
 MEMORY_MB = 72
 MAX_BODY_BYTES = 1_048_576
 MAX_DESCRIPTORS = 240
 CONNECTIONS = 300
+MAX_HEADER_BYTES = 8_192
 KINDS = crowds(MAX_BODY_BYTES)
+PIPELINES = pipelines("/api/report", "/api/picked", MAX_HEADER_BYTES)
+ALL_KINDS = all_kinds("/api/order", KINDS, PIPELINES)
+SLOW_S = 30.0
 
 
 def run_sidecar(folder: Path, check, **limits: float) -> None:
@@ -35,6 +47,8 @@
     address = Address(program.ip, FIRST_PORT)
 
     async def handle(exchange: HttpExchange) -> None:
+        if exchange.request.path == "/api/picked":
+            await curio.sleep(SLOW_S)
         await exchange.answer_json(200, {"prepared": 0})
 
     async def ordinary() -> bool:
@@ -71,6 +85,18 @@
     run_sidecar(tmp_path, check, ram_mb=MEMORY_MB)
 
 
+# Guards: a sidecar read what callers sent during a call before it charged the bytes, and charged no
+# headers.
+@pytest.mark.parametrize("kind", [*PIPELINES, "all together"])
+def test_whole_calls_leave_memory_and_room_for_an_ordinary_one(tmp_path: Path, kind: str) -> None:
+    async def check(program, address, ordinary) -> None:
+        kinds = [PIPELINES[kind]] if kind in PIPELINES else ALL_KINDS
+        memory, crowd = MEMORY_MB * MEGABYTE, crowd_of(kind)
+        await check_pieces(program.process, address, kinds, memory, ordinary, crowd)
+
+    run_sidecar(tmp_path, check, ram_mb=MEMORY_MB)
+
+
 # Guards: connections that stay idle took all that the sidecar accepts.
 def test_idle_connections_leave_room_for_an_ordinary_call(tmp_path: Path) -> None:
     async def check(program, address, ordinary) -> None:
