Bound and charge the bytes of pipelined requests

Callers that pipeline small requests and read no answer took a gateway, a sidecar or an entry to hundreds of megabytes, until the process ended.

While a request runs, its connection reads what follows, in order to notice a hang-up. The bound on these bytes was counted anew for each request of the pipeline, they were charged only after they had been read, and the charge of the next request replaced theirs. Now at most 64 KiB are kept ahead, bytes are charged before they are read, and a request's charge includes what follows it. Beyond that bytes stay in the socket; a hang-up behind them is noticed by polling the socket every 0.1 s.

In tests/http, the bound read ahead (539,900 bytes before) and the hang-up behind unread bytes failed before.

--- a/bluebellrun/http/_connection.py
+++ b/bluebellrun/http/_connection.py
@@ -12,11 +12,12 @@
 
 import curio
 import h11
+from curio.traps import _read_wait
 
 from bluebellrun.core import new_request_id
 from bluebellrun.http._caller_wait import CallerWait
 from bluebellrun.http._exchange import CallerGoneError
-from bluebellrun.http._listener import is_readable
+from bluebellrun.http._listener import has_hung_up, is_readable
 from bluebellrun.http._memory_gate import MemoryGate
 from bluebellrun.http._models import HttpLimits, HttpRequest, encode_headers
 from bluebellrun.http._outgoing import Outgoing
@@ -26,7 +27,11 @@
 LINGER_S = 0.5
 # What is read of a refused request so that its caller reads the refusal: a socket's usual buffer.
 LINGER_BYTES = 262_144
-# Waits between reads of bytes that arrive early and have no room.
+# What is read of the requests that a caller sends before it has its answer; the rest stays in the
+# socket.
+MAX_EARLY_BYTES = 65_536
+EARLY_READ_SIZE = 4_096
+# Interval of looking for a hang-up, and for room, while early bytes stay in the socket.
 EARLY_BYTES_POLL_S = 0.1
 
 
@@ -169,21 +174,25 @@
 
     async def wait_until_gone(self) -> None:
         """Return when the caller closes its side while an answer is being made."""
-        wait = self._wait
-        early = 0
+        early = self._reader.unparsed_bytes
         while True:
+            await _read_wait(self._socket._fileno)
+            size = min(EARLY_READ_SIZE, MAX_EARLY_BYTES - early)
+            # The bytes are charged before they are read: every connection may have as many.
+            if size <= 0 or not self._wait.resize(self._wait.size + size, time.monotonic()):
+                if has_hung_up(self._socket):
+                    return
+                await curio.sleep(EARLY_BYTES_POLL_S)
+                continue
             try:
-                data = await self._socket.recv(READ_SIZE)
+                data = await self._socket.recv(size)
             except OSError:
                 return
             if not data:
                 return
             early += len(data)
-            if early > self._limits.max_header_bytes + self._limits.max_body_bytes:
-                return
+            self._wait.resize(self._wait.size - size + len(data), time.monotonic())
             self._protocol.receive_data(data)
-            while not wait.resize(wait.size + len(data), time.monotonic()):
-                await curio.sleep(EARLY_BYTES_POLL_S)
 
     def start_next_cycle(self) -> bool:
         """Prepare for another request; return whether the connection allows one."""
@@ -193,7 +202,7 @@
         self._collected = 0
         self._served += 1
         if self._wait.size:
-            self._wait.resize(len(self._protocol.trailing_data[0]), time.monotonic())
+            self._wait.resize(self._reader.unparsed_bytes, time.monotonic())
         return True
 
     async def _linger(self) -> None:
--- a/bluebellrun/http/_listener.py
+++ b/bluebellrun/http/_listener.py
@@ -27,6 +27,13 @@
     return bool(poll.poll(0))
 
 
+def has_hung_up(sock: Any) -> bool:
+    """Return whether the peer has closed its side, even if bytes before that are unread."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class Listener:
     """Accept connections on one address until closed.
 
--- a/bluebellrun/http/_request_reader.py
+++ b/bluebellrun/http/_request_reader.py
@@ -99,6 +99,11 @@
         """Return when the first bytes of the current request arrived, by the monotonic clock."""
         return self._began_at
 
+    @property
+    def unparsed_bytes(self) -> int:
+        """Return how many bytes have been read that belong to no request yet."""
+        return len(self._protocol.trailing_data[0])
+
     async def read(self, on_bytes: Callable[[], None], is_first: bool) -> HttpRequest:
         """Read one request with its body; ``on_bytes`` is called as its first bytes arrive.
 
@@ -107,7 +112,7 @@
         self._task = await curio.current_task()
         self._pieces = self._raw_bytes = 0
         self._began_at = time.monotonic()
-        self._on_bytes = None if self._protocol.trailing_data[0] else on_bytes
+        self._on_bytes = None if self.unparsed_bytes else on_bytes
         if self._on_bytes is None:
             on_bytes()
         limits = self._limits
@@ -115,7 +120,7 @@
         self._check_size(head)
         length = self._body_length(head)
         headers = decode_headers(head.headers)
-        body = self._read_no_body() if length == 0 else await self._read_body(length)
+        body = await self._read_no_body() if length == 0 else await self._read_body(length)
         return HttpRequest(
             head.method.decode("latin-1"), head.target.decode("latin-1"), headers, body
         )
@@ -126,7 +131,7 @@
             async with curio.timeout_after(timeout_s):
                 event = await self._pull_head()
         except curio.TaskTimeout:
-            if self._protocol.trailing_data[0] == b"":
+            if not self.unparsed_bytes:
                 raise CallerGoneError("idle") from None
             self._time_out("the request's headers")
         except h11.RemoteProtocolError as error:
@@ -145,7 +150,7 @@
             if event is not h11.NEED_DATA:
                 return event
             if reads:
-                await self._acquire(len(self._protocol.trailing_data[0]))
+                await self._acquire(self.unparsed_bytes)
             if reads > MAX_HEAD_READS:
                 await curio.sleep(HEAD_READ_PAUSE_S)
             self._protocol.receive_data(await self._receive(HEAD_READ_SIZE))
@@ -177,8 +182,10 @@
             self._refuse_size()
         return None if is_chunked else length or 0
 
-    def _read_no_body(self) -> bytes:
+    async def _read_no_body(self) -> bytes:
         """Read the end of a request without a body."""
+        if held := self.unparsed_bytes:
+            await self._acquire(held)
         event = self._protocol.next_event()
         if not isinstance(event, h11.EndOfMessage):
             raise CallerGoneError("closed within a request")
@@ -189,7 +196,8 @@
         body = bytearray()
         try:
             async with curio.timeout_after(self._limits.body_timeout_s):
-                await self._acquire(SMALL_BYTES if length is None else length)
+                size = SMALL_BYTES if length is None else length
+                await self._acquire(max(size, self.unparsed_bytes))
                 if self._protocol.they_are_waiting_for_100_continue:
                     await self._send(h11.InformationalResponse(status_code=100, headers=[]))
                 await self._collect_body(body, length)
@@ -214,14 +222,16 @@
             if turn is _Turn.WHOLE:
                 return
             wait.record_progress(len(body) - before, time.monotonic())
-            if length is None and len(body) + LEAST_READ_SIZE > wait.size:
+            room = wait.size
+            if length is None and len(body) + LEAST_READ_SIZE > room:
                 most = self._limits.max_body_bytes + READ_SIZE
-                await self._acquire(min(most, max(2 * wait.size, len(body) + READ_SIZE)))
+                room = min(most, max(2 * room, len(body) + READ_SIZE))
+                await self._acquire(room)
             pause_s = self._work.pause_s(self._pieces, spent_s + READ_COST_S, time.monotonic())
             if pause_s or turn is _Turn.MORE:
                 await curio.sleep(pause_s)
             if turn is _Turn.NEEDS_DATA:
-                await self._read_piece(max(LEAST_READ_SIZE, wait.size - len(body)))
+                await self._read_piece(max(LEAST_READ_SIZE, room - len(body)))
 
     def _parse_body(self, body: bytearray) -> _Turn:
         """Append what one turn parses of the bytes that have arrived."""
--- a/tests/http/test_memory_pressure.py
+++ b/tests/http/test_memory_pressure.py
@@ -18,6 +18,8 @@
     MemorySettings,
 )
 from bluebellrun.http import _memory_gate as gate_module
+from bluebellrun.http._connection import MAX_EARLY_BYTES
+from bluebellrun.http._outgoing import MAX_AHEAD_BYTES
 
 BODY = 100_000
 SMALL = b"x" * 1_000
@@ -162,6 +164,52 @@
     run(check, slow)
 
 
+# Guards: each request of a pipeline read up to a body's bytes of those that follow it.
+def test_a_bounded_part_of_a_pipeline_is_read_ahead() -> None:
+    goes_on = curio.Event()
+
+    async def slow(exchange: HttpExchange) -> None:
+        await goes_on.wait()
+        await exchange.answer_json(200, {})
+
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        requests = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 20_000
+        running = await connect(server, requests[:100])
+        sending = await curio.spawn(running.sendall, requests[100:])
+        await curio.sleep(0.3)
+        assert memory.budget.held == MAX_EARLY_BYTES
+        await goes_on.set()
+        answers = 0
+        while answers < 20_000:
+            answers += (await running.recv(65_536)).count(b"HTTP/1.1 200")
+            assert memory.budget.held <= MAX_EARLY_BYTES + MAX_AHEAD_BYTES
+        await sending.join()
+
+    run(check, slow)
+
+
+# Guards: a caller that left behind bytes which stay in the socket was not noticed.
+def test_a_caller_that_hangs_up_behind_unread_bytes_ends_its_request() -> None:
+    ended = curio.Event()
+
+    async def slow(_: HttpExchange) -> None:
+        try:
+            await curio.sleep(20.0)
+        finally:
+            await ended.set()
+
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        running = await connect(server, request + b"x" * 2 * MAX_EARLY_BYTES)
+        await curio.sleep(0.3)
+        assert memory.budget.held == MAX_EARLY_BYTES
+        await running.close()
+        async with curio.timeout_after(1.0):
+            await ended.wait()
+
+    run(check, slow)
+
+
 # Guards: answers that callers do not read were held without a bound.
 def test_answers_that_are_not_read_are_given_up_the_stalled_first() -> None:
     async def large(exchange: HttpExchange) -> None:
