Charge the parsed headers of requests

A few hundred callers whose heads, of legal size, are made of short headers took a gateway or an entry over the memory of its machine: a parsed header takes hundreds of bytes, and heads were charged by their text, and only until the request's body began.

Each header is now charged 256 bytes beside its text, before the head is parsed and until the answer; the first 8 KiB of a head stay free, so that usual requests are charged what they were.

The test in tests/http held 0 bytes for 402 headers before.

--- a/bluebellrun/http/_request_reader.py
+++ b/bluebellrun/http/_request_reader.py
@@ -4,6 +4,7 @@
 bounded: a caller that sends small pieces does not keep the others waiting.
 """
 
+import re
 import time
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
@@ -31,12 +32,18 @@
 # A head arrives in a few reads; after more of them, pauses let its bytes gather.
 MAX_HEAD_READS = 32
 HEAD_READ_PAUSE_S = 0.01
+# What a parsed header takes beside its name and value, and how much of a head is not charged:
+# connections of usual callers hold as much.
+HEADER_COST_BYTES = 256
+FREE_HEAD_BYTES = 8_192
 # Chunks of a byte are sent in six bytes; what is far over that only makes work.
 MAX_FRAMING = 8
 # What a turn of the loop that reads some bytes costs, beside parsing them.
 READ_COST_S = 0.000_05
 NO_MEMORY_RETRY_S = 1
 
+_HEAD_END = re.compile(rb"\n\r?\n")
+
 
 class BadRequestError(Exception):
     """A request that cannot be accepted, and the status that says why."""
@@ -79,6 +86,7 @@
         self._pieces = 0
         self._raw_bytes = 0
         self._began_at = 0.0
+        self._head_bytes = 0
 
     @property
     def limits(self) -> HttpLimits:
@@ -110,7 +118,7 @@
         Raises ``BadRequestError`` and ``CallerGoneError``.
         """
         self._task = await curio.current_task()
-        self._pieces = self._raw_bytes = 0
+        self._pieces = self._raw_bytes = self._head_bytes = 0
         self._began_at = time.monotonic()
         self._on_bytes = None if self.unparsed_bytes else on_bytes
         if self._on_bytes is None:
@@ -146,6 +154,7 @@
         """Return the head's event, reading from the socket as needed."""
         reads = 0
         while True:
+            await self._hold_head()
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
@@ -156,6 +165,17 @@
             self._protocol.receive_data(await self._receive(HEAD_READ_SIZE))
             reads += 1
 
+    async def _hold_head(self) -> None:
+        """Hold what a head that is complete takes once it is parsed: more than its bytes."""
+        data = self._protocol.trailing_data[0]
+        end = _HEAD_END.search(data)
+        if end is None:
+            return
+        size = end.end() + HEADER_COST_BYTES * data.count(b"\n", 0, end.end())
+        self._head_bytes = max(0, size - FREE_HEAD_BYTES)
+        if self._head_bytes:
+            await self._acquire(self._head_bytes + len(data))
+
     def _check_size(self, head: Any) -> None:
         """Refuse headers over the limit, which h11 checks only while they are incomplete."""
         size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
@@ -184,7 +204,7 @@
 
     async def _read_no_body(self) -> bytes:
         """Read the end of a request without a body."""
-        if held := self.unparsed_bytes:
+        if held := self._head_bytes + self.unparsed_bytes:
             await self._acquire(held)
         event = self._protocol.next_event()
         if not isinstance(event, h11.EndOfMessage):
@@ -197,7 +217,7 @@
         try:
             async with curio.timeout_after(self._limits.body_timeout_s):
                 size = SMALL_BYTES if length is None else length
-                await self._acquire(max(size, self.unparsed_bytes))
+                await self._acquire(self._head_bytes + max(size, self.unparsed_bytes))
                 if self._protocol.they_are_waiting_for_100_continue:
                     await self._send(h11.InformationalResponse(status_code=100, headers=[]))
                 await self._collect_body(body, length)
@@ -222,11 +242,11 @@
             if turn is _Turn.WHOLE:
                 return
             wait.record_progress(len(body) - before, time.monotonic())
-            room = wait.size
+            room = wait.size - self._head_bytes
             if length is None and len(body) + LEAST_READ_SIZE > room:
                 most = self._limits.max_body_bytes + READ_SIZE
                 room = min(most, max(2 * room, len(body) + READ_SIZE))
-                await self._acquire(room)
+                await self._acquire(self._head_bytes + room)
             pause_s = self._work.pause_s(self._pieces, spent_s + READ_COST_S, time.monotonic())
             if pause_s or turn is _Turn.MORE:
                 await curio.sleep(pause_s)
--- a/tests/http/test_memory_pressure.py
+++ b/tests/http/test_memory_pressure.py
@@ -20,6 +20,7 @@
 from bluebellrun.http import _memory_gate as gate_module
 from bluebellrun.http._connection import MAX_EARLY_BYTES
 from bluebellrun.http._outgoing import MAX_AHEAD_BYTES
+from bluebellrun.http._request_reader import FREE_HEAD_BYTES, HEADER_COST_BYTES
 
 BODY = 100_000
 SMALL = b"x" * 1_000
@@ -210,6 +211,39 @@
     run(check, slow)
 
 
+# Guards: the headers of a request took fifty times the memory of their bytes, and none was charged.
+@pytest.mark.parametrize("body", [b"", b"x"])
+def test_many_headers_are_held_until_the_answer(body: bytes) -> None:
+    goes_on = curio.Event()
+    held = []
+
+    async def slow(exchange: HttpExchange) -> None:
+        held.append(len(exchange.request.headers))
+        await goes_on.wait()
+        await exchange.answer_json(200, {})
+
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        head = b"POST / HTTP/1.1\r\nHost: a\r\n" + b"a: b\r\n" * 400
+        length = b"Content-Length: %d\r\n\r\n" % len(body)
+        sock = await connect(server, head + length + body)
+        await curio.sleep(0.3)
+        assert held == [402]
+        assert memory.budget.held >= 402 * HEADER_COST_BYTES - FREE_HEAD_BYTES
+        # Two such heads have room, a third one has not.
+        others = [await connect(server, head + length + body) for _ in range(2)]
+        await curio.sleep(0.3)
+        assert len(held) == 2
+        assert memory.budget.held <= SETTINGS.total_bytes
+        await goes_on.set()
+        assert b"HTTP/1.1 200" in await sock.recv(65_536)
+        for other in others:
+            assert b"HTTP/1.1 200" in await other.recv(65_536)
+        await curio.sleep(0.1)
+        assert memory.budget.held == 0
+
+    run(check, slow)
+
+
 # Guards: answers that callers do not read were held without a bound.
 def test_answers_that_are_not_read_are_given_up_the_stalled_first() -> None:
     async def large(exchange: HttpExchange) -> None:
