--- a/bluebellrun/transport/__init__.py
+++ b/bluebellrun/transport/__init__.py
@@ -2,7 +2,9 @@
 
 from bluebellrun.transport._call import Call
 from bluebellrun.transport._exceptions import CallError, LinkLostError
-from bluebellrun.transport._link import Link, LinkTiming, dial, serve_link
+from bluebellrun.transport._link import Link
+from bluebellrun.transport._models import LinkTiming
+from bluebellrun.transport._open import dial, serve_link
 
 __all__ = [
     "Call",
--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -5,48 +5,27 @@
 """
 
 import contextlib
-import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
 import curio
-import h2.config
-import h2.connection
 import h2.events
 import h2.exceptions
-import h2.settings
 from curio.socket import SHUT_RDWR
 
-from bluebellrun.core import Address
-from bluebellrun.http import ConnectError, connect, link_security
-from bluebellrun.telemetry import get_logger
 from bluebellrun.transport._call import Call
 from bluebellrun.transport._exceptions import CallError, LinkLostError
+from bluebellrun.transport._keep_alive import KeepAlive
+from bluebellrun.transport._models import LinkTiming
+from bluebellrun.transport._protocol import new_protocol
+from bluebellrun.transport._writer import FrameWriter
 
 READ_SIZE_BYTES = 262_144
-STREAM_WINDOW_BYTES = 16_777_216
-CONNECTION_WINDOW_BYTES = 67_108_864
-MAX_CALLS = 1_000
 PING_DATA = b"bluebell"
 CONTENT_TYPE = "application/grpc+msgpack"
-# A ping sleep longer than this many intervals means that this process was paused.
-PAUSE_THRESHOLD_INTERVALS = 2
 STATUS_OK = 0
 STATUS_INTERNAL = 13
 
-_log = get_logger("transport")
-
-
-@dataclass(frozen=True, slots=True)
-class LinkTiming:
-    """Timeouts and ping interval of a link, in seconds."""
-
-    connect_s: float = 1.0
-    ping_interval_s: float = 1.0
-    ping_timeout_s: float = 2.0
-
-
 CallHandler = Callable[[Call], Awaitable[None]]
 
 
@@ -54,30 +33,21 @@
     """An HTTP/2 connection to another process."""
 
     def __init__(
-        self, sock: Any, client: bool, timing: LinkTiming, handler: CallHandler | None = None
+        self,
+        sock: Any,
+        client: bool,
+        timing: LinkTiming,
+        handler: CallHandler | None = None,
     ) -> None:
         self._socket = sock
         self._client = client
-        self._timing = timing
         self._handler = handler
-        config = h2.config.H2Configuration(client_side=client, header_encoding="utf-8")
-        self._protocol = h2.connection.H2Connection(config=config)
-        self._protocol.local_settings = h2.settings.Settings(
-            client=client,
-            initial_values={
-                h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: STREAM_WINDOW_BYTES,
-                h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS: MAX_CALLS,
-                h2.settings.SettingCodes.ENABLE_PUSH: 0,
-            },
-        )
-        self._protocol.initiate_connection()
-        self._protocol.increment_flow_control_window(CONNECTION_WINDOW_BYTES)
+        self._protocol = new_protocol(client)
+        self._writer = FrameWriter(sock, self._protocol, self._shut_down)
         self._calls: dict[int, Call] = {}
-        self._frames_ready = curio.Event()
         self._closed = curio.Event()
         self._error: LinkLostError | None = None
-        self._last_received_at = time.monotonic()
-        self._bytes_sent = 0
+        self._keep_alive = KeepAlive(timing, self._ping, self._shut_down)
         self._bytes_received = 0
 
     @property
@@ -88,7 +58,7 @@
     @property
     def bytes_sent(self) -> int:
         """Return how many bytes this side has sent."""
-        return self._bytes_sent
+        return self._writer.bytes_sent
 
     @property
     def bytes_received(self) -> int:
@@ -97,12 +67,12 @@
 
     async def run(self) -> None:
         """Exchange frames until the link is closed, fails or times out."""
-        self._last_received_at = time.monotonic()
+        self._keep_alive.record_received()
         error: LinkLostError = LinkLostError("closed")
-        pinger = await curio.spawn(self._keep_alive, daemon=True)
-        writer = await curio.spawn(self._write_frames, daemon=True)
+        pinger = await curio.spawn(self._keep_alive.run, daemon=True)
+        writer = await curio.spawn(self._writer.run, daemon=True)
         try:
-            await self._flush()
+            await self._writer.flush()
             await self._read_frames()
         except LinkLostError as lost:
             error = lost
@@ -138,7 +108,7 @@
             ("te", "trailers"),
         ]
         self._protocol.send_headers(stream_id, headers)
-        await self._flush()
+        await self._writer.flush()
         return call
 
     async def call_unary(self, path: str, message: bytes, timeout_s: float) -> bytes:
@@ -177,19 +147,19 @@
                     view = view[allowed:]
                     continue
                 call.mark_window_full()
-                await self._flush()
+                await self._writer.flush()
                 await call.wait_for_window()
         except curio.CancelledError:
             if len(view) < len(data):
                 await self.reset_stream(call)
             raise
-        await self._flush()
+        await self._writer.flush()
 
     async def end_stream(self, call: Call) -> None:
         """End the sending side of a call."""
         if self._error is None and call.stream_id in self._calls:
             self._protocol.end_stream(call.stream_id)
-            await self._flush()
+            await self._writer.flush()
 
     async def reset_stream(self, call: Call) -> None:
         """Reset a call's stream."""
@@ -199,7 +169,7 @@
                 self._protocol.reset_stream(call.stream_id)
             except h2.exceptions.ProtocolError:
                 return
-            await self._flush()
+            await self._writer.flush()
 
     async def acknowledge(self, call: Call, count: int) -> None:
         """Return the credit for consumed bytes to the peer's flow control window."""
@@ -209,7 +179,7 @@
             self._protocol.acknowledge_received_data(count, call.stream_id)
         except (h2.exceptions.ProtocolError, KeyError):
             return
-        await self._flush()
+        await self._writer.flush()
 
     def _sendable_bytes(self, call: Call) -> int:
         """Return how many bytes the next frame of a call may hold."""
@@ -219,28 +189,6 @@
             raise LinkLostError(f"the call is over: {error}") from error
         return min(window, self._protocol.max_outbound_frame_size)
 
-    async def _flush(self) -> None:
-        """Wake the writer task to send the pending frames."""
-        await self._frames_ready.set()
-
-    async def _write_frames(self) -> None:
-        """Write frames as they become ready.
-
-        Only this task writes to the socket, so that cancelling a caller never truncates a frame.
-        """
-        while not self._closed.is_set():
-            await self._frames_ready.wait()
-            self._frames_ready.clear()
-            data = self._protocol.data_to_send()
-            if not data:
-                continue
-            try:
-                await self._socket.sendall(data)
-            except OSError as error:
-                await self._shut_down(LinkLostError(str(error)))
-                return
-            self._bytes_sent += len(data)
-
     async def _read_frames(self) -> None:
         """Read and dispatch frames until the peer closes."""
         while not self._closed.is_set():
@@ -248,10 +196,10 @@
             if not data:
                 raise LinkLostError("closed by the peer")
             self._bytes_received += len(data)
-            self._last_received_at = time.monotonic()
+            self._keep_alive.record_received()
             for event in self._protocol.receive_data(data):
                 await self._dispatch(event)
-            await self._flush()
+            await self._writer.flush()
 
     async def _dispatch(self, event: Any) -> None:
         """Handle one h2 event."""
@@ -268,11 +216,15 @@
                 await self._handle_end(event.stream_id, LinkLostError("the peer gave up the call"))
                 self._calls.pop(event.stream_id, None)
             case h2.events.WindowUpdated() | h2.events.RemoteSettingsChanged():
-                for call in list(self._calls.values()):
-                    await call.notify_window_update()
+                await self._notify_window_update()
             case h2.events.ConnectionTerminated():
                 raise LinkLostError("the peer is closing the link")
 
+    async def _notify_window_update(self) -> None:
+        """Wake the calls that wait for the peer's windows to grow."""
+        for call in list(self._calls.values()):
+            await call.notify_window_update()
+
     async def _handle_data(self, event: Any) -> None:
         """Pass bytes to their call; drop those of an unknown call."""
         call = self._calls.get(event.stream_id)
@@ -307,7 +259,7 @@
         trailers = [("grpc-status", str(status)), ("grpc-message", message)]
         with contextlib.suppress(h2.exceptions.ProtocolError):
             self._protocol.send_headers(call.stream_id, trailers, end_stream=True)
-        await self._flush()
+        await self._writer.flush()
         self._calls.pop(call.stream_id, None)
 
     async def _handle_headers(self, event: Any) -> None:
@@ -327,26 +279,10 @@
         if self._client:
             self._calls.pop(stream_id, None)
 
-    async def _keep_alive(self) -> None:
-        """Send pings and close the link when nothing arrives within the ping timeout.
-
-        Time during which this process itself was paused does not count.
-        """
-        while not self._closed.is_set():
-            sleep_started_at = time.monotonic()
-            await curio.sleep(self._timing.ping_interval_s)
-            if (
-                time.monotonic() - sleep_started_at
-                > PAUSE_THRESHOLD_INTERVALS * self._timing.ping_interval_s
-            ):
-                self._last_received_at = time.monotonic()
-            silent_s = time.monotonic() - self._last_received_at
-            if silent_s > self._timing.ping_timeout_s:
-                await self._shut_down(LinkLostError(f"the peer was silent for {silent_s:.2f} s"))
-                return
-            if silent_s >= self._timing.ping_interval_s / 2:
-                self._protocol.ping(PING_DATA)
-                await self._flush()
+    async def _ping(self) -> None:
+        """Send a ping."""
+        self._protocol.ping(PING_DATA)
+        await self._writer.flush()
 
     async def _shut_down(self, error: LinkLostError) -> None:
         """Shut down the connection and fail the calls in progress.
@@ -361,24 +297,6 @@
         for call in list(self._calls.values()):
             await call.close(error)
         self._calls.clear()
-        await self._frames_ready.set()
+        await self._writer.close()
         with contextlib.suppress(OSError):
             await self._socket.shutdown(SHUT_RDWR)
-
-
-async def dial(address: Address, timing: LinkTiming, tls: Any = None) -> Link:
-    """Open a link to another process; raise ``ConnectError`` if it cannot be opened."""
-    sock = await connect(address, timing.connect_s, tls or link_security.tls)
-    link = Link(sock, client=True, timing=timing)
-    await curio.spawn(link.run, daemon=True)
-    return link
-
-
-async def serve_link(sock: Any, handler: CallHandler, timing: LinkTiming) -> None:
-    """Serve the calls of an accepted link; reject it if link security does not allow it."""
-    try:
-        sock = await link_security.accept(sock)
-    except ConnectError as error:
-        _log.warning("link refused", error=str(error))
-        return
-    await Link(sock, client=False, timing=timing, handler=handler).run()
