Bound what a link keeps for a peer that reads nothing

A peer may announce windows of two gigabytes and read nothing: the sender of a message then filled the protocol's buffer up to the window, without a pause, and other tasks of the process did not run meanwhile. Pings from the peer kept the link alive.

--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -141,9 +141,13 @@
                 error = self._error or call.error
                 if error is not None:
                     raise error
+                if self._writer.is_full:
+                    await self._writer.wait_for_progress()
+                    continue
                 allowed = self._sendable_bytes(call)
                 if allowed > 0:
                     self._protocol.send_data(call.stream_id, bytes(view[:allowed]))
+                    self._writer.queue(allowed)
                     view = view[allowed:]
                     continue
                 call.mark_window_full()
