Close links whose peers send control frames without a pause

A few dozen peers that sent pings, settings or resets without a pause kept an entry or an agent from all other links: it read and parsed a link's frames as long as there were any, and answered each of them.

A link may now send 200 frames a second that carry no message, and 1,000 at once, and is closed beyond that. A read is one frame long, and a peer that fills it lets other tasks run before the next.

The three tests of tests/transport/test_bad_peers.py failed before: no link was closed.

--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -14,13 +15,14 @@
 from curio.socket import SHUT_RDWR
 
 from bluebellrun.transport._call import Call
+from bluebellrun.transport._control_limit import ControlLimit
 from bluebellrun.transport._exceptions import CallError, LinkLostError
 from bluebellrun.transport._keep_alive import KeepAlive
 from bluebellrun.transport._models import LinkTiming
 from bluebellrun.transport._protocol import new_protocol
 from bluebellrun.transport._writer import FrameWriter
 
-READ_SIZE_BYTES = 262_144
+READ_SIZE_BYTES = 16_384
 PING_DATA = b"bluebell"
 CONTENT_TYPE = "application/grpc+msgpack"
 STATUS_OK = 0
@@ -40,6 +42,7 @@
         handler: CallHandler | None = None,
     ) -> None:
         self._socket = sock
+        self._control = ControlLimit(time.monotonic())
         self._client = client
         self._handler = handler
         self._protocol = new_protocol(client)
@@ -204,6 +207,9 @@
             for event in self._protocol.receive_data(data):
                 await self._dispatch(event)
             await self._writer.flush()
+            if len(data) == READ_SIZE_BYTES:
+                # A peer that sends faster than this process reads lets other tasks run.
+                await curio.sleep(0)
 
     async def _dispatch(self, event: Any) -> None:
         """Handle one h2 event."""
@@ -217,13 +223,24 @@
             case h2.events.StreamEnded():
                 await self._handle_end(event.stream_id, None)
             case h2.events.StreamReset():
+                self._count_control_frame()
                 await self._handle_end(event.stream_id, LinkLostError("the peer gave up the call"))
                 self._calls.pop(event.stream_id, None)
-            case h2.events.WindowUpdated() | h2.events.RemoteSettingsChanged():
+            case h2.events.PingReceived():
+                self._count_control_frame()
+            case h2.events.RemoteSettingsChanged():
+                self._count_control_frame()
+                await self._notify_window_update()
+            case h2.events.WindowUpdated():
                 await self._notify_window_update()
             case h2.events.ConnectionTerminated():
                 raise LinkLostError("the peer is closing the link")
 
+    def _count_control_frame(self) -> None:
+        """Count a frame that carries no message; raise ``LinkLostError`` after too many."""
+        if not self._control.allow(time.monotonic()):
+            raise LinkLostError("the peer sends too many control frames")
+
     async def _notify_window_update(self) -> None:
         """Wake the calls that wait for the peer's windows to grow."""
         for call in list(self._calls.values()):
--- a/tests/crowd/test_links.py
+++ b/tests/crowd/test_links.py
@@ -15,29 +15,26 @@
 from tests.crowd.callers import MEGABYTE, SENT_AT_ONCE
 from tests.crowd.checks import check_pieces
 from tests.gateway.processes import ROUTE_TIMEOUT_S
+from tests.transport.peers import (
+    CONTINUATION,
+    DATA,
+    END_HEADERS,
+    HEADERS,
+    MAX_FRAME_BYTES,
+    PING,
+    RESET,
+    SETTINGS,
+    frame,
+    head,
+    opening,
+)
 
 MEMORY_MB = 160
 SERVICE = "job-ledger"
-PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
-DATA, HEADERS, RESET, SETTINGS, PING, CONTINUATION = 0, 1, 3, 4, 6, 9
-END_HEADERS = 4
-MAX_FRAME_BYTES = 16_384
 MESSAGE_BYTES = 1_000_000
 STREAMS = 60
 CALLS = 1_000
-# A head in HPACK without compression: POST, http, and literal ``:path`` and ``:authority``.
-HEAD = b"\x83\x86\x04\x08/unknown\x01\x01x"
-
-
-def frame(kind: int, flags: int, stream: int, payload: bytes) -> bytes:
-    """Return an HTTP/2 frame."""
-    size = len(payload).to_bytes(3, "big")
-    return size + bytes([kind, flags]) + stream.to_bytes(4, "big") + payload
-
-
-def opening() -> bytes:
-    """Return what a peer sends first."""
-    return PREFACE + frame(SETTINGS, 0, 0, b"")
+HEAD = head("/unknown")
 
 
 def many(one: bytes) -> bytes:
--- a/tests/transport/test_bad_peers.py
+++ b/tests/transport/test_bad_peers.py
@@ -1,25 +1,71 @@
 """Peers that send what no link needs."""
 
+from collections.abc import Awaitable, Callable
+
 import curio
 import pytest
 
 from bluebellrun.core import Address
 from bluebellrun.http import Listener
-from bluebellrun.transport import Call, LinkTiming, serve_link
+from bluebellrun.transport import Call, LinkTiming, dial, serve_link
 from bluebellrun.transport import _writer as writer_module
 from tests.transport.peers import (
     END_HEADERS,
     HEADERS,
     PING,
+    RESET,
+    SETTINGS,
     connect,
     frame,
     head,
+    is_closed,
     opening,
 )
 
 TIMING = LinkTiming(connect_s=1.0, ping_interval_s=1.0, ping_timeout_s=5.0)
 
 
+async def echo(call: Call) -> None:
+    while (message := await call.receive()) is not None:
+        await call.send(message)
+
+
+def run(check: Callable[[Address], Awaitable[None]]) -> None:
+    async def main() -> None:
+        listener = Listener(Address("127.0.0.1", 0), lambda sock: serve_link(sock, echo, TIMING))
+        await curio.spawn(listener.run, daemon=True)
+        async with curio.timeout_after(20.0):
+            await check(listener.address)
+            link = await dial(listener.address, TIMING)
+            assert await link.call_unary("/echo", b"whole", 1.0) == b"whole"
+            await link.close()
+
+    curio.run(main)
+
+
+# Guards: control frames without a pause kept a process from all other links.
+@pytest.mark.parametrize(
+    "one",
+    [
+        lambda number: frame(PING, 0, 0, bytes(8)),
+        lambda number: frame(SETTINGS, 0, 0, b""),
+        lambda number: (
+            frame(HEADERS, END_HEADERS, 2 * number + 1, head("/echo"))
+            + frame(RESET, 0, 2 * number + 1, bytes(4))
+        ),
+    ],
+    ids=["pings", "settings", "resets"],
+)
+def test_a_link_with_too_many_control_frames_is_closed(one) -> None:
+    async def check(address: Address) -> None:
+        few = await connect(address, [opening(), *(one(number) for number in range(500))])
+        assert not await is_closed(few)
+        many = await connect(address, [opening(), *(one(number) for number in range(2_000))])
+        assert await is_closed(many)
+
+    run(check)
+
+
 # Guards: messages to a peer that reads nothing were kept up to its windows, of any size.
 def test_a_link_whose_peer_reads_nothing_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(writer_module, "WRITE_STALL_S", 0.3)
