Bound the incomplete heads of links

A peer may continue the head of a call without an end; a link kept up to a megabyte of it, so that 60 peers took an agent to 161 MB of 160. A link on which 64 KiB arrive that complete no frame or head is now closed.

--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -23,6 +23,8 @@
 from bluebellrun.transport._writer import FrameWriter
 
 READ_SIZE_BYTES = 16_384
+# Frames of heads, and a part of a frame, that are not complete.
+MAX_INCOMPLETE_BYTES = 65_536
 PING_DATA = b"bluebell"
 CONTENT_TYPE = "application/grpc+msgpack"
 STATUS_OK = 0
@@ -198,13 +200,18 @@
 
     async def _read_frames(self) -> None:
         """Read and dispatch frames until the peer closes."""
+        incomplete = 0
         while not self._closed.is_set():
             data = await self._socket.recv(READ_SIZE_BYTES)
             if not data:
                 raise LinkLostError("closed by the peer")
             self._bytes_received += len(data)
             self._keep_alive.record_received()
-            for event in self._protocol.receive_data(data):
+            events = self._protocol.receive_data(data)
+            incomplete = 0 if events else incomplete + len(data)
+            if incomplete > MAX_INCOMPLETE_BYTES:
+                raise LinkLostError(f"{incomplete} bytes complete no frame or head")
+            for event in events:
                 await self._dispatch(event)
             await self._writer.flush()
             if len(data) == READ_SIZE_BYTES:
--- a/tests/transport/test_bad_peers.py
+++ b/tests/transport/test_bad_peers.py
@@ -10,8 +10,10 @@
 from bluebellrun.transport import Call, LinkTiming, dial, serve_link
 from bluebellrun.transport import _writer as writer_module
 from tests.transport.peers import (
+    CONTINUATION,
     END_HEADERS,
     HEADERS,
+    MAX_FRAME_BYTES,
     PING,
     RESET,
     SETTINGS,
@@ -92,3 +94,16 @@
                 await sock.sendall(frame(PING, 0, 0, bytes(8)))
 
     curio.run(main)
+
+
+# Guards: a head without an end was kept until a megabyte of it had arrived.
+def test_a_link_whose_frames_complete_nothing_is_closed() -> None:
+    async def check(address: Address) -> None:
+        part = frame(CONTINUATION, 0, 1, bytes(MAX_FRAME_BYTES))
+        begin = opening() + frame(HEADERS, 0, 1, head("/echo"))
+        few = await connect(address, [begin, part, part])
+        assert not await is_closed(few)
+        many = await connect(address, [begin, *[part] * 8])
+        assert await is_closed(many)
+
+    run(check)
