Charge messages on links to the memory of their process

Peers that began messages of legal size and did not end them, or began calls and sent nothing on them, took an entry or an agent over the memory of its machine: a link's windows allow 64 MB, each call has a task, and nothing bounded the sum over all links. Agents had no setting of their memory.

The setting memory_mb is now one of all long-running processes.

--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -31,6 +31,7 @@
 from bluebellrun.runtime import (
     StopSignals,
     configure_link_security,
+    make_memory,
     run_program,
     spawn_background,
     warn_about_plaintext_links,
@@ -108,7 +109,7 @@
     configure_link_security(settings)
     warn_about_plaintext_links(settings.listen)
     timing = link_timing(settings)
-
+    memory = make_memory(settings)
     orders = _make_orders(settings, store)
 
     async def handle_other(call: Call) -> None:
@@ -118,7 +119,7 @@
             await node.serve_call(call)
 
     async def handle_connection(sock: Any) -> None:
-        await serve_link(sock, calls.handle, timing)
+        await serve_link(sock, calls.handle, timing, memory)
 
     listener = Listener(settings.listen, handle_connection)
     node = make_node(settings, "agent", listener.address, store, MonotonicClock())
--- a/bluebellrun/conf/_models.py
+++ b/bluebellrun/conf/_models.py
@@ -42,6 +42,9 @@
     fatal_invariants: bool = Field(
         default=False, description="Stop the process when a runtime invariant is violated."
     )
+    memory_mb: float = Field(
+        default=0.0, ge=0, description="Megabytes that the process may use; 0: no bound."
+    )
     stop_grace_s: float = Field(
         default=600.0, gt=0, description="Longest wait for work in progress at a stop, in s."
     )
@@ -67,9 +70,6 @@
         default=8_388_608, gt=0, description="Most bytes of a request's body."
     )
     max_connections: int = Field(default=4_096, gt=0, description="Most open connections.")
-    memory_mb: float = Field(
-        default=0.0, ge=0, description="Megabytes that the process may use; 0: no bound."
-    )
     header_timeout_s: float = Field(
         default=10.0, gt=0, description="Deadline for a request's headers, in s."
     )
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -18,15 +18,14 @@
     HttpLimits,
     HttpServer,
     Listener,
-    MemoryGate,
     TlsError,
-    memory_settings,
 )
 from bluebellrun.routing import make_routing
 from bluebellrun.runtime import (
     StopSignals,
     configure_link_security,
     make_caller_tls,
+    make_memory,
     run_program,
     spawn_background,
     warn_about_plaintext_links,
@@ -37,7 +36,6 @@
 
 EXIT_REQUESTS_ABORTED = 3
 STOP_POLL_S = 0.02
-MEGABYTE = 1_000_000
 
 _log = get_logger("entry")
 
@@ -64,9 +62,10 @@
     warn_about_plaintext_links(settings.link_listen)
     clock = MonotonicClock()
     timing = link_timing(settings)
+    memory = make_memory(settings)
 
     async def handle_connection(sock: Any) -> None:
-        await serve_link(sock, node.serve_call, timing)
+        await serve_link(sock, node.serve_call, timing, memory)
 
     metrics = Metrics(settings.statsd, "bluebellrun")
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
@@ -85,7 +84,7 @@
         entry.handle,
         _limits(settings),
         make_caller_tls(settings),
-        memory=MemoryGate(memory_settings(int(settings.memory_mb * MEGABYTE))),
+        memory=memory,
     )
     await spawn_background(server.run)
     await spawn_background(listener.run)
--- a/bluebellrun/http/__init__.py
+++ b/bluebellrun/http/__init__.py
@@ -22,7 +22,7 @@
 from bluebellrun.http._exchange import CallerGoneError, HttpExchange, HttpHandler
 from bluebellrun.http._listener import Listener
 from bluebellrun.http._memory import MemoryBudget, MemorySettings, memory_settings
-from bluebellrun.http._memory_gate import MemoryGate
+from bluebellrun.http._memory_gate import MemoryGate, NoMemoryError
 from bluebellrun.http._models import (
     ClientTimeouts,
     Headers,
@@ -66,6 +66,7 @@
     "MemoryBudget",
     "MemoryGate",
     "MemorySettings",
+    "NoMemoryError",
     "NotSentError",
     "PeerNotAllowedError",
     "PeerTimeoutError",
--- a/bluebellrun/runtime/__init__.py
+++ b/bluebellrun/runtime/__init__.py
@@ -8,6 +8,7 @@
 from bluebellrun.runtime._tasks import spawn_background
 
 if TYPE_CHECKING:
+    from bluebellrun.runtime._memory import make_memory
     from bluebellrun.runtime._security import (
         configure_link_security,
         make_caller_tls,
@@ -17,6 +18,7 @@
 _LOADED_AT_FIRST_USE = {
     "configure_link_security": "_security",
     "make_caller_tls": "_security",
+    "make_memory": "_memory",
     "warn_about_plaintext_links": "_security",
 }
 
@@ -25,10 +27,11 @@
     "StopSignals",
     "configure_link_security",
     "make_caller_tls",
+    "make_memory",
     "run_program",
     "spawn_background",
     "warn_about_plaintext_links",
 ]
 
-# ``_security`` is imported on first use: not every process has TLS settings.
+# Imported on first use: not every process has settings of TLS, or of this product's own set-up.
 __getattr__ = load_at_first_use(__name__, _LOADED_AT_FIRST_USE)
--- a/bluebellrun/transport/_call.py
+++ b/bluebellrun/transport/_call.py
@@ -39,6 +39,7 @@
         self._stream_id = stream_id
         self._path = path
         self._partial = bytearray()
+        self._charged = 0
         self._inbox: deque[bytes] = deque()
         self._receive_ready = curio.Event()
         self._ended = False
@@ -56,6 +57,11 @@
         """Return the id of the call's HTTP/2 stream."""
         return self._stream_id
 
+    @property
+    def charged(self) -> int:
+        """Return how many bytes the link's memory is charged for this call."""
+        return self._charged
+
     @property
     def error(self) -> Exception | None:
         """Return the error that ended the call, or none."""
@@ -66,6 +72,16 @@
         async with self._send_lock:
             await self._link.send_data(self, MESSAGE_PREFIX.pack(0, len(message)) + message)
 
+    def charge(self, size: int) -> None:
+        """Note that the link's memory is charged more bytes for this call."""
+        self._charged += size
+
+    def discharge(self, size: int) -> int:
+        """Note that up to ``size`` bytes need no memory any more; return how many were charged."""
+        size = min(size, self._charged)
+        self._charged -= size
+        return size
+
     async def receive(self) -> bytes | None:
         """Return the next message, or none when the peer has ended its side."""
         while not self._inbox:
--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -14,10 +14,12 @@
 import h2.exceptions
 from curio.socket import SHUT_RDWR
 
+from bluebellrun.http import MemoryGate
 from bluebellrun.transport._call import Call
 from bluebellrun.transport._control_limit import ControlLimit
 from bluebellrun.transport._exceptions import CallError, LinkLostError
 from bluebellrun.transport._keep_alive import KeepAlive
+from bluebellrun.transport._memory import LinkMemory
 from bluebellrun.transport._models import LinkTiming
 from bluebellrun.transport._protocol import new_protocol
 from bluebellrun.transport._writer import FrameWriter
@@ -25,6 +27,8 @@
 READ_SIZE_BYTES = 16_384
 # Frames of heads, and a part of a frame, that are not complete.
 MAX_INCOMPLETE_BYTES = 65_536
+# The memory of a call beside its messages: its objects and its task.
+CALL_COST_BYTES = 8_192
 PING_DATA = b"bluebell"
 CONTENT_TYPE = "application/grpc+msgpack"
 STATUS_OK = 0
@@ -42,8 +46,10 @@
         client: bool,
         timing: LinkTiming,
         handler: CallHandler | None = None,
+        memory: MemoryGate | None = None,
     ) -> None:
         self._socket = sock
+        self._memory = LinkMemory(self, memory or MemoryGate())
         self._control = ControlLimit(time.monotonic())
         self._client = client
         self._handler = handler
@@ -87,6 +93,7 @@
             await self._shut_down(error)
             await pinger.cancel()
             await writer.cancel()
+            self._memory.close()
             await self._socket.close()
 
     async def wait_closed(self) -> None:
@@ -97,6 +104,10 @@
         """Close the link."""
         await self._shut_down(LinkLostError("closed by this process"))
 
+    async def give_up(self, error: LinkLostError) -> None:
+        """Close the link because of an error of the peer, or for the sake of other links."""
+        await self._shut_down(error)
+
     async def call(self, path: str) -> Call:
         """Start a call."""
         if self._error is not None:
@@ -173,7 +184,7 @@
     async def reset_stream(self, call: Call) -> None:
         """Reset a call's stream."""
         await call.close(LinkLostError("this process gave up the call"))
-        if self._error is None and self._calls.pop(call.stream_id, None) is not None:
+        if self._error is None and self._forget(call.stream_id):
             try:
                 self._protocol.reset_stream(call.stream_id)
             except h2.exceptions.ProtocolError:
@@ -182,6 +193,7 @@
 
     async def acknowledge(self, call: Call, count: int) -> None:
         """Return the credit for consumed bytes to the peer's flow control window."""
+        self._memory.release(call.discharge(count))
         if self._error is not None:
             return
         try:
@@ -232,7 +244,7 @@
             case h2.events.StreamReset():
                 self._count_control_frame()
                 await self._handle_end(event.stream_id, LinkLostError("the peer gave up the call"))
-                self._calls.pop(event.stream_id, None)
+                self._forget(event.stream_id)
             case h2.events.PingReceived():
                 self._count_control_frame()
             case h2.events.RemoteSettingsChanged():
@@ -253,6 +265,23 @@
         for call in list(self._calls.values()):
             await call.notify_window_update()
 
+    def _forget(self, stream_id: int) -> bool:
+        """Forget a call and what is held for it; return whether it was known."""
+        call = self._calls.pop(stream_id, None)
+        if call is None:
+            return False
+        self._memory.release(call.discharge(call.charged))
+        return True
+
+    async def _hold(self, call: Call, size: int) -> None:
+        """Charge bytes to the memory of this process."""
+        await self._memory.hold(size)
+        if self._calls.get(call.stream_id) is call:
+            call.charge(size)
+        else:
+            # The call ended during the wait for room.
+            self._memory.release(size)
+
     async def _handle_data(self, event: Any) -> None:
         """Pass bytes to their call; drop those of an unknown call."""
         call = self._calls.get(event.stream_id)
@@ -262,6 +291,7 @@
             return
         if padding:
             self._protocol.acknowledge_received_data(padding, event.stream_id)
+        await self._hold(call, len(event.data))
         await call.feed(event.data)
 
     async def _handle_request(self, event: Any) -> None:
@@ -269,6 +299,7 @@
         path = dict(event.headers).get(":path", "")
         call = Call(self, event.stream_id, path)
         self._calls[event.stream_id] = call
+        await self._hold(call, CALL_COST_BYTES)
         await curio.spawn(self._serve_call, call, daemon=True)
 
     async def _serve_call(self, call: Call) -> None:
@@ -280,7 +311,7 @@
             if self._handler is not None:
                 await self._handler(call)
         except (LinkLostError, h2.exceptions.ProtocolError):
-            self._calls.pop(call.stream_id, None)
+            self._forget(call.stream_id)
             return
         except CallError as error:
             status, message = error.status, error.message
@@ -288,7 +319,7 @@
         with contextlib.suppress(h2.exceptions.ProtocolError):
             self._protocol.send_headers(call.stream_id, trailers, end_stream=True)
         await self._writer.flush()
-        self._calls.pop(call.stream_id, None)
+        self._forget(call.stream_id)
 
     async def _handle_headers(self, event: Any) -> None:
         """Fail a call that the peer ended with an error status."""
@@ -305,7 +336,7 @@
             return
         await call.close(error)
         if self._client:
-            self._calls.pop(stream_id, None)
+            self._forget(stream_id)
 
     async def _ping(self) -> None:
         """Send a ping."""
--- a/bluebellrun/transport/_open.py
+++ b/bluebellrun/transport/_open.py
@@ -5,7 +5,7 @@
 import curio
 
 from bluebellrun.core import Address
-from bluebellrun.http import ConnectError, connect, link_security
+from bluebellrun.http import ConnectError, MemoryGate, connect, link_security
 from bluebellrun.telemetry import get_logger
 from bluebellrun.transport._link import CallHandler, Link
 from bluebellrun.transport._models import LinkTiming
@@ -21,11 +21,16 @@
     return link
 
 
-async def serve_link(sock: Any, handler: CallHandler, timing: LinkTiming) -> None:
-    """Serve the calls of an accepted link; reject it if link security does not allow it."""
+async def serve_link(
+    sock: Any, handler: CallHandler, timing: LinkTiming, memory: MemoryGate | None = None
+) -> None:
+    """Serve the calls of an accepted link; reject it if link security does not allow it.
+
+    What arrives on it is charged to ``memory``.
+    """
     try:
         sock = await link_security.accept(sock)
     except ConnectError as error:
         _log.warning("link refused", error=str(error))
         return
-    await Link(sock, client=False, timing=timing, handler=handler).run()
+    await Link(sock, client=False, timing=timing, handler=handler, memory=memory).run()
