Accept only as many connections and links as there are descriptors

An entry accepted up to 4,096 connections, and entries and agents as many links, however few files they may have open. A few hundred idle callers, or peers that kept links without calls alive, used up the descriptors: nobody else was accepted, and no descriptor was left for store and upstreams.

Entries and agents now read the limit that they were started with. Callers get two thirds of it less 200, as at a gateway, and links a quarter; beyond that the oldest idle connection, or the oldest link without calls, is closed for a new one.

--- a/bluebellrun/agent/main.py
+++ b/bluebellrun/agent/main.py
@@ -1,7 +1,6 @@
 """The ``bluebellrun-agent`` program: builds and runs the agent's components."""
 
 import sys
-from typing import Any
 
 import curio
 
@@ -26,11 +25,12 @@
     UpstreamTimeouts,
 )
 from bluebellrun.groups import RebalanceSettings
-from bluebellrun.http import Listener, TlsError
+from bluebellrun.http import TlsError, peer_links
 from bluebellrun.messages import ORDER_PATH
 from bluebellrun.runtime import (
     StopSignals,
     configure_link_security,
+    granted_descriptors,
     make_memory,
     run_program,
     spawn_background,
@@ -38,7 +38,7 @@
 )
 from bluebellrun.store import EtcdStore, StoreTimeouts
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import Call, serve_link
+from bluebellrun.transport import MAX_LINKS, Call, LinkServer
 
 EXIT_ABORTED = 3
 FINAL_FLUSH_S = 0.05
@@ -118,10 +118,16 @@
         else:
             await node.serve_call(call)
 
-    async def handle_connection(sock: Any) -> None:
-        await serve_link(sock, calls.handle, timing, memory)
+    async def handle_call(call: Call) -> None:
+        await calls.handle(call)
 
-    listener = Listener(settings.listen, handle_connection)
+    listener = LinkServer(
+        settings.listen,
+        handle_call,
+        timing,
+        peer_links(granted_descriptors(), MAX_LINKS),
+        memory,
+    )
     node = make_node(settings, "agent", listener.address, store, MonotonicClock())
     calls = AgentCalls(agent, agent.claims, handle_other)
     node.follower.add_listener(agent.apply_configuration)
--- a/bluebellrun/entry/main.py
+++ b/bluebellrun/entry/main.py
@@ -2,7 +2,6 @@
 
 import sys
 from random import Random
-from typing import Any
 
 import curio
 
@@ -17,13 +16,15 @@
 from bluebellrun.http import (
     HttpLimits,
     HttpServer,
-    Listener,
     TlsError,
+    caller_connections,
+    peer_links,
 )
 from bluebellrun.routing import make_routing
 from bluebellrun.runtime import (
     StopSignals,
     configure_link_security,
+    granted_descriptors,
     make_caller_tls,
     make_memory,
     run_program,
@@ -32,7 +33,7 @@
 )
 from bluebellrun.store import EtcdStore, StoreTimeouts
 from bluebellrun.telemetry import Metrics, configure_logs, get_logger
-from bluebellrun.transport import serve_link
+from bluebellrun.transport import MAX_LINKS, Call, LinkServer
 
 EXIT_REQUESTS_ABORTED = 3
 STOP_POLL_S = 0.02
@@ -45,7 +46,7 @@
     return HttpLimits(
         max_header_bytes=settings.max_header_bytes,
         max_body_bytes=settings.max_body_bytes,
-        max_connections=settings.max_connections,
+        max_connections=caller_connections(granted_descriptors(), settings.max_connections),
         header_timeout_s=settings.header_timeout_s,
         body_timeout_s=settings.body_timeout_s,
         idle_timeout_s=settings.idle_timeout_s,
@@ -64,12 +65,18 @@
     timing = link_timing(settings)
     memory = make_memory(settings)
 
-    async def handle_connection(sock: Any) -> None:
-        await serve_link(sock, node.serve_call, timing, memory)
+    async def handle_call(call: Call) -> None:
+        await node.serve_call(call)
 
     metrics = Metrics(settings.statsd, "bluebellrun")
     store = EtcdStore(settings.store, StoreTimeouts(settings.store_timeout_s))
-    listener = Listener(settings.link_listen, handle_connection)
+    listener = LinkServer(
+        settings.link_listen,
+        handle_call,
+        timing,
+        peer_links(granted_descriptors(), MAX_LINKS),
+        memory,
+    )
     node = make_node(settings, "entry", listener.address, store, clock)
     fleet = Fleet(settings, clock)
     node.follower.add_listener(fleet.apply_configuration)
--- a/bluebellrun/http/__init__.py
+++ b/bluebellrun/http/__init__.py
@@ -9,7 +9,7 @@
     decompress_body,
 )
 from bluebellrun.http._connect import connect
-from bluebellrun.http._descriptors import caller_connections
+from bluebellrun.http._descriptors import caller_connections, peer_links
 from bluebellrun.http._exceptions import (
     AnswerTooLongError,
     BadResponseError,
@@ -83,5 +83,6 @@
     "header_value",
     "link_security",
     "memory_settings",
+    "peer_links",
     "read_retry_after_s",
 ]
--- a/bluebellrun/runtime/__init__.py
+++ b/bluebellrun/runtime/__init__.py
@@ -8,7 +8,7 @@
 from bluebellrun.runtime._tasks import spawn_background
 
 if TYPE_CHECKING:
-    from bluebellrun.runtime._memory import make_memory
+    from bluebellrun.runtime._resources import granted_descriptors, make_memory
     from bluebellrun.runtime._security import (
         configure_link_security,
         make_caller_tls,
@@ -18,7 +18,8 @@
 _LOADED_AT_FIRST_USE = {
     "configure_link_security": "_security",
     "make_caller_tls": "_security",
-    "make_memory": "_memory",
+    "granted_descriptors": "_resources",
+    "make_memory": "_resources",
     "warn_about_plaintext_links": "_security",
 }
 
@@ -26,6 +27,7 @@
     "ReceivedSignal",
     "StopSignals",
     "configure_link_security",
+    "granted_descriptors",
     "make_caller_tls",
     "make_memory",
     "run_program",
--- a/bluebellrun/transport/_link.py
+++ b/bluebellrun/transport/_link.py
@@ -16,6 +16,7 @@
 
 from bluebellrun.http import MemoryGate
 from bluebellrun.transport._call import Call
+from bluebellrun.transport._call_table import CallTable
 from bluebellrun.transport._control_limit import ControlLimit
 from bluebellrun.transport._exceptions import CallError, LinkLostError
 from bluebellrun.transport._keep_alive import KeepAlive
@@ -27,8 +28,6 @@
 READ_SIZE_BYTES = 16_384
 # Frames of heads, and a part of a frame, that are not complete.
 MAX_INCOMPLETE_BYTES = 65_536
-# The memory of a call beside its messages: its objects and its task.
-CALL_COST_BYTES = 8_192
 PING_DATA = b"bluebell"
 CONTENT_TYPE = "application/grpc+msgpack"
 STATUS_OK = 0
@@ -55,7 +54,7 @@
         self._handler = handler
         self._protocol = new_protocol(client)
         self._writer = FrameWriter(sock, self._protocol, self._shut_down)
-        self._calls: dict[int, Call] = {}
+        self._calls = CallTable(self._memory)
         self._closed = curio.Event()
         self._error: LinkLostError | None = None
         self._keep_alive = KeepAlive(timing, self._ping, self._shut_down)
@@ -66,6 +65,11 @@
         """Return whether the link is closed."""
         return self._closed.is_set()
 
+    @property
+    def has_calls(self) -> bool:
+        """Return whether a call is in progress."""
+        return bool(self._calls)
+
     @property
     def bytes_sent(self) -> int:
         """Return how many bytes this side has sent."""
@@ -114,7 +118,7 @@
             raise self._error
         stream_id = self._protocol.get_next_available_stream_id()
         call = Call(self, stream_id, path)
-        self._calls[stream_id] = call
+        self._calls.add(call)
         headers = [
             (":method", "POST"),
             (":scheme", "http"),
@@ -177,14 +181,14 @@
 
     async def end_stream(self, call: Call) -> None:
         """End the sending side of a call."""
-        if self._error is None and call.stream_id in self._calls:
+        if self._error is None and self._calls.get(call.stream_id) is call:
             self._protocol.end_stream(call.stream_id)
             await self._writer.flush()
 
     async def reset_stream(self, call: Call) -> None:
         """Reset a call's stream."""
         await call.close(LinkLostError("this process gave up the call"))
-        if self._error is None and self._forget(call.stream_id):
+        if self._error is None and self._calls.forget(call.stream_id):
             try:
                 self._protocol.reset_stream(call.stream_id)
             except h2.exceptions.ProtocolError:
@@ -193,7 +197,7 @@
 
     async def acknowledge(self, call: Call, count: int) -> None:
         """Return the credit for consumed bytes to the peer's flow control window."""
-        self._memory.release(call.discharge(count))
+        self._calls.consume(call, count)
         if self._error is not None:
             return
         try:
@@ -244,14 +248,14 @@
             case h2.events.StreamReset():
                 self._count_control_frame()
                 await self._handle_end(event.stream_id, LinkLostError("the peer gave up the call"))
-                self._forget(event.stream_id)
+                self._calls.forget(event.stream_id)
             case h2.events.PingReceived():
                 self._count_control_frame()
             case h2.events.RemoteSettingsChanged():
                 self._count_control_frame()
-                await self._notify_window_update()
+                await self._calls.notify_window_update()
             case h2.events.WindowUpdated():
-                await self._notify_window_update()
+                await self._calls.notify_window_update()
             case h2.events.ConnectionTerminated():
                 raise LinkLostError("the peer is closing the link")
 
@@ -260,28 +264,6 @@
         if not self._control.allow(time.monotonic()):
             raise LinkLostError("the peer sends too many control frames")
 
-    async def _notify_window_update(self) -> None:
-        """Wake the calls that wait for the peer's windows to grow."""
-        for call in list(self._calls.values()):
-            await call.notify_window_update()
-
-    def _forget(self, stream_id: int) -> bool:
-        """Forget a call and what is held for it; return whether it was known."""
-        call = self._calls.pop(stream_id, None)
-        if call is None:
-            return False
-        self._memory.release(call.discharge(call.charged))
-        return True
-
-    async def _hold(self, call: Call, size: int) -> None:
-        """Charge bytes to the memory of this process."""
-        await self._memory.hold(size)
-        if self._calls.get(call.stream_id) is call:
-            call.charge(size)
-        else:
-            # The call ended during the wait for room.
-            self._memory.release(size)
-
     async def _handle_data(self, event: Any) -> None:
         """Pass bytes to their call; drop those of an unknown call."""
         call = self._calls.get(event.stream_id)
@@ -291,15 +273,14 @@
             return
         if padding:
             self._protocol.acknowledge_received_data(padding, event.stream_id)
-        await self._hold(call, len(event.data))
+        await self._calls.hold(call, len(event.data))
         await call.feed(event.data)
 
     async def _handle_request(self, event: Any) -> None:
         """Start the handler of a call made by the peer."""
         path = dict(event.headers).get(":path", "")
         call = Call(self, event.stream_id, path)
-        self._calls[event.stream_id] = call
-        await self._hold(call, CALL_COST_BYTES)
+        await self._calls.accept(call)
         await curio.spawn(self._serve_call, call, daemon=True)
 
     async def _serve_call(self, call: Call) -> None:
@@ -311,7 +292,7 @@
             if self._handler is not None:
                 await self._handler(call)
         except (LinkLostError, h2.exceptions.ProtocolError):
-            self._forget(call.stream_id)
+            self._calls.forget(call.stream_id)
             return
         except CallError as error:
             status, message = error.status, error.message
@@ -319,7 +300,7 @@
         with contextlib.suppress(h2.exceptions.ProtocolError):
             self._protocol.send_headers(call.stream_id, trailers, end_stream=True)
         await self._writer.flush()
-        self._forget(call.stream_id)
+        self._calls.forget(call.stream_id)
 
     async def _handle_headers(self, event: Any) -> None:
         """Fail a call that the peer ended with an error status."""
@@ -336,7 +317,7 @@
             return
         await call.close(error)
         if self._client:
-            self._forget(stream_id)
+            self._calls.forget(stream_id)
 
     async def _ping(self) -> None:
         """Send a ping."""
@@ -353,9 +334,7 @@
             return
         self._error = error
         await self._closed.set()
-        for call in list(self._calls.values()):
-            await call.close(error)
-        self._calls.clear()
+        await self._calls.close(error)
         await self._writer.close()
         with contextlib.suppress(OSError):
             await self._socket.shutdown(SHUT_RDWR)
--- a/bluebellrun/transport/_open.py
+++ b/bluebellrun/transport/_open.py
@@ -21,10 +21,10 @@
     return link
 
 
-async def serve_link(
+async def accept_link(
     sock: Any, handler: CallHandler, timing: LinkTiming, memory: MemoryGate | None = None
-) -> None:
-    """Serve the calls of an accepted link; reject it if link security does not allow it.
+) -> Link | None:
+    """Return the link on an accepted connection, none if link security does not allow it.
 
     What arrives on it is charged to ``memory``.
     """
@@ -32,5 +32,14 @@
         sock = await link_security.accept(sock)
     except ConnectError as error:
         _log.warning("link refused", error=str(error))
-        return
-    await Link(sock, client=False, timing=timing, handler=handler, memory=memory).run()
+        return None
+    return Link(sock, client=False, timing=timing, handler=handler, memory=memory)
+
+
+async def serve_link(
+    sock: Any, handler: CallHandler, timing: LinkTiming, memory: MemoryGate | None = None
+) -> None:
+    """Serve the calls of an accepted connection until its link is closed."""
+    link = await accept_link(sock, handler, timing, memory)
+    if link is not None:
+        await link.run()
--- a/tests/crowd/checks.py
+++ b/tests/crowd/checks.py
@@ -1,7 +1,9 @@
 """What must hold of a process while a crowd of callers stays open."""
 
+import resource
 import subprocess
 from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from functools import partial
 from itertools import chain, cycle
 
@@ -129,11 +131,15 @@
     connections: int,
     max_fds: int,
     ordinary: Callable[[], Awaitable[bool]],
+    keep: Callable[[Address, Iterator[bytes]], Awaitable[None]] = stay_open,
 ) -> None:
-    """Check the open descriptors while more connections stay open than the process may have."""
+    """Check the open descriptors while more connections stay open than the process may have.
+
+    Each sends ``data`` and is kept open by ``keep``.
+    """
     group = curio.TaskGroup()
     for _ in range(connections):
-        await group.spawn(stay_open, address, iter([data]))
+        await group.spawn(keep, address, iter([data]))
     try:
         before = await _most_descriptors(process.pid)
         answered = await ordinary()
@@ -147,6 +153,17 @@
         await group.join()
 
 
+@contextmanager
+def descriptor_limit(count: int) -> Iterator[None]:
+    """Limit the descriptors of the processes that are started meanwhile."""
+    before = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (count, before[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+
+
 async def _most_descriptors(pid: int) -> int:
     """Return the most descriptors that a process has open within some time."""
     most = 0
--- a/tests/crowd/test_entry.py
+++ b/tests/crowd/test_entry.py
@@ -9,12 +9,23 @@
 from bluebellrun.customers import hash_key
 from standins.fleet import FleetProcess, LocalFleet
 from tests.crowd.callers import MEGABYTE
-from tests.crowd.checks import all_kinds, check_crowd, check_pieces, crowd_of, crowds, pipelines
+from tests.crowd.checks import (
+    all_kinds,
+    check_crowd,
+    check_descriptors,
+    check_pieces,
+    crowd_of,
+    crowds,
+    descriptor_limit,
+    pipelines,
+)
 from tests.gateway.processes import ROUTE_TIMEOUT_S
 
 MEMORY_MB = 160
 SERVICE, KEY = "job-ledger", "a-key"
 MAX_BODY_BYTES = 4_194_304
+ENOUGH_DESCRIPTORS, MAX_DESCRIPTORS = 1_024, 240
+CONNECTIONS = 300
 MAX_HEADER_BYTES = 32_768
 KINDS = crowds(MAX_BODY_BYTES)
 PIPELINES = pipelines(
@@ -26,11 +37,17 @@
 Check = Callable[[FleetProcess, Callable[[], Awaitable[bool]]], Awaitable[None]]
 
 
-def run_entry(fleet: LocalFleet, monkeypatch: pytest.MonkeyPatch, check: Check) -> None:
+def run_entry(
+    fleet: LocalFleet,
+    monkeypatch: pytest.MonkeyPatch,
+    check: Check,
+    descriptors: int = ENOUGH_DESCRIPTORS,
+) -> None:
     # By the environment: a build that does not know the setting ignores it.
     monkeypatch.setenv("BLUEBELLRUN_MEMORY_MB", str(MEMORY_MB))
     fleet.start_platform()
-    entry = fleet.start_entry("entry-1", "--max-body-bytes", str(MAX_BODY_BYTES))
+    with descriptor_limit(descriptors):
+        entry = fleet.start_entry("entry-1", "--max-body-bytes", str(MAX_BODY_BYTES))
     fleet.start_plain("plain-1")
     fleet.order("plain-1", "/standin/faults", {"held": True})
     agent = fleet.start_agent("jobs-1", SERVICE, "plain-1", "--protocol", "plain")
@@ -88,3 +105,17 @@
         await check_pieces(entry.process, entry.address, kinds, memory, ordinary, crowd)
 
     run_entry(fleet, monkeypatch, check)
+
+
+# Guards: an entry accepted 4,096 connections however few descriptors it had, and none was left for
+# its callers, links and store.
+@pytest.mark.parametrize("data", [b"", b"POST /x HTTP/1.1\r\nHost: h"], ids=["idle", "head"])
+def test_connections_leave_descriptors_for_an_ordinary_request(
+    fleet: LocalFleet, monkeypatch: pytest.MonkeyPatch, data: bytes
+) -> None:
+    async def check(entry, ordinary) -> None:
+        await check_descriptors(
+            entry.process, entry.address, data, CONNECTIONS, MAX_DESCRIPTORS, ordinary
+        )
+
+    run_entry(fleet, monkeypatch, check, MAX_DESCRIPTORS)
--- a/tests/crowd/test_links.py
+++ b/tests/crowd/test_links.py
@@ -2,6 +2,7 @@
 
 import struct
 from collections.abc import Callable, Iterator
+from functools import partial
 from itertools import count, repeat
 
 import curio
@@ -13,7 +14,7 @@
 from bluebellrun.transport import LinkLostError, LinkTiming
 from standins.fleet import FleetProcess, LocalFleet
 from tests.crowd.callers import MEGABYTE, SENT_AT_ONCE
-from tests.crowd.checks import check_pieces
+from tests.crowd.checks import check_descriptors, check_pieces, descriptor_limit
 from tests.gateway.processes import ROUTE_TIMEOUT_S
 from tests.transport.peers import (
     CONTINUATION,
@@ -34,6 +35,9 @@
 MESSAGE_BYTES = 1_000_000
 STREAMS = 60
 CALLS = 1_000
+ENOUGH_DESCRIPTORS, MAX_DESCRIPTORS = 1_024, 240
+LINKS = 300
+PING_S = 0.5
 HEAD = head("/unknown")
 
 
@@ -102,6 +106,43 @@
     return process.address
 
 
+async def keep_pinging(address: Address, data: Iterator[bytes]) -> None:
+    """Keep a link alive without calls; read no answer."""
+    try:
+        sock = await curio.open_connection(address.ip, address.port)
+        async with sock:
+            for piece in data:
+                await sock.sendall(piece)
+            while True:
+                await curio.sleep(PING_S)
+                await sock.sendall(frame(PING, 0, 0, bytes(8)))
+    except OSError:
+        return
+
+
+def start_role(fleet: LocalFleet, role: str, descriptors: int) -> FleetProcess:
+    """Start an entry or an agent, with what it needs, and wait until it is ready."""
+    fleet.start_platform()
+    fleet.declare([{"kind": "service", "name": SERVICE, "protocol": "plain"}])
+    fleet.start_plain("plain-1")
+    with descriptor_limit(descriptors):
+        if role == "agent":
+            return fleet.start_agent("jobs-1", SERVICE, "plain-1", "--protocol", "plain")
+        process = fleet.start_entry("entry-1")
+    fleet.wait_ready("entry-1")
+    return process
+
+
+async def answers(address: Address) -> bool:
+    """Return whether a new link is accepted and its call answered."""
+    timing = LinkTiming(ROUTE_TIMEOUT_S, ROUTE_TIMEOUT_S, ROUTE_TIMEOUT_S)
+    try:
+        await fetch_status(address, timing, timeout_s=ROUTE_TIMEOUT_S)
+    except (ConnectError, LinkLostError):
+        return False
+    return True
+
+
 # Guards: a peer that sent control frames without a pause kept a process from all other work, and
 # nothing bounded what a process read from its peers.
 @pytest.mark.parametrize("role", ["entry", "agent"])
@@ -111,24 +152,31 @@
 ) -> None:
     # By the environment: a build that does not know the setting ignores it.
     monkeypatch.setenv("BLUEBELLRUN_MEMORY_MB", str(MEMORY_MB))
-    fleet.start_platform()
-    fleet.declare([{"kind": "service", "name": SERVICE, "protocol": "plain"}])
-    fleet.start_plain("plain-1")
-    if role == "agent":
-        process = fleet.start_agent("jobs-1", SERVICE, "plain-1", "--protocol", "plain")
-    else:
-        process = fleet.start_entry("entry-1")
-        fleet.wait_ready("entry-1")
+    process = start_role(fleet, role, ENOUGH_DESCRIPTORS)
     address = links_of(process)
-
-    async def ordinary() -> bool:
-        timing = LinkTiming(ROUTE_TIMEOUT_S, ROUTE_TIMEOUT_S, ROUTE_TIMEOUT_S)
-        try:
-            await fetch_status(address, timing, timeout_s=ROUTE_TIMEOUT_S)
-        except (ConnectError, LinkLostError):
-            return False
-        return True
-
     kinds = [KINDS[kind]] if kind in KINDS else list(KINDS.values())
     memory = MEMORY_MB * MEGABYTE
+    ordinary = partial(answers, address)
     curio.run(check_pieces, process.process, address, kinds, memory, ordinary)
+
+
+# Guards: an entry and an agent accepted 4,096 links however few descriptors they had.
+@pytest.mark.parametrize("role", ["entry", "agent"])
+def test_links_without_calls_leave_descriptors_for_an_ordinary_call(
+    fleet: LocalFleet, role: str
+) -> None:
+    process = start_role(fleet, role, MAX_DESCRIPTORS)
+    address = links_of(process)
+
+    async def check() -> None:
+        await check_descriptors(
+            process.process,
+            address,
+            opening(),
+            LINKS,
+            MAX_DESCRIPTORS,
+            partial(answers, address),
+            keep_pinging,
+        )
+
+    curio.run(check)
--- a/tests/http/test_memory.py
+++ b/tests/http/test_memory.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from bluebellrun.http import _memory as memory_module
-from bluebellrun.http._descriptors import caller_connections
+from bluebellrun.http._descriptors import caller_connections, peer_links
 from bluebellrun.http._memory import Holding, MemoryBudget, MemorySettings, memory_settings
 from bluebellrun.http._work import WorkLimit, WorkSettings
 
@@ -109,6 +109,13 @@
     assert caller_connections(100, 4_096) == 16
 
 
+def test_links_and_callers_together_leave_descriptors():
+    assert peer_links(0, 4_096) == 4_096
+    assert peer_links(240, 4_096) == 16
+    for granted in (1_024, 4_096, 20_000):
+        assert caller_connections(granted, granted) + peer_links(granted, granted) < granted
+
+
 # Guards: each of the bodies that wait for memory sorted all stalled connections at every poll,
 # also where closing all of them would not do; 64 of them beside 1,500 slow heads took a core.
 def test_the_stalled_are_not_sorted_when_closing_all_would_not_do(
--- a/tests/transport/test_link_memory.py
+++ b/tests/transport/test_link_memory.py
@@ -7,7 +7,7 @@
 from bluebellrun.core import Address
 from bluebellrun.http import Listener, MemoryGate, MemorySettings
 from bluebellrun.transport import Call, LinkTiming, dial, serve_link
-from bluebellrun.transport._link import CALL_COST_BYTES
+from bluebellrun.transport._call_table import CALL_COST_BYTES
 from tests.transport.peers import (
     DATA,
     END_HEADERS,
