End connections of callers that never pause while connections are short

Callers that send requests without a pause, on as many connections as a process accepts, kept all others out with 503: connections were closed for new ones only if they were idle or stalled within a request. The readiness check of a gateway was kept from its probes by 100 such callers.

While connections are short, one whose caller does not take its answer is now closed as one that stalls within a request; else the oldest one with requests ahead ends with its next answer, which says so.

Crowds on: the ordinary request was not answered at the gateway (300 callers, 600 descriptors), its readiness check (100), the sidecar (100) and the entry (150, 240 descriptors). The test in tests/http got 503 before.

--- a/bluebellrun/http/_connection.py
+++ b/bluebellrun/http/_connection.py
@@ -55,6 +55,9 @@
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
         self._served = 0
+        self._ends = False
+        # Bytes that have been read of requests after the current one.
+        self._early_bytes = 0
         # Bytes of an answer that are collected before the first of them is sent.
         self._collected = 0
         self._reader = RequestReader(sock, self._protocol, limits, self._wait, work, self.send)
@@ -70,22 +73,34 @@
 
     @property
     def waits_since(self) -> float | None:
-        """Return since when a request has made no progress, if its next bytes are awaited."""
-        if not self._wait.is_on:
+        """Return since when nothing has moved, if a request or an answer waits for the caller."""
+        if not self._wait.is_on or self._reader.idle_task is not None:
             return None
         return max(self._reader.began_at, self._wait.moved_at)
 
+    @property
+    def has_requests_ahead(self) -> bool:
+        """Return whether the caller has sent more than the request that is being answered."""
+        return self._early_bytes > 0
+
     def closes_after_answer(self) -> bool:
         """Return whether the server ends this connection after the answer."""
-        return self._closing()
+        return self._ends or self._closing()
+
+    def end_after_answer(self) -> None:
+        """End this connection with its next answer."""
+        self._ends = True
 
     async def finish_writing(self) -> None:
-        """Let a slow caller take what is kept of an answer that was broken off."""
+        """Let the caller take what is kept of its last answer."""
         async with curio.ignore_after(LINGER_S):
             try:
                 await self._outgoing.flush()
             except CallerGoneError:
                 return
+        if self._ends:
+            # Closing a socket with unread bytes would discard the answer on its way.
+            await self._linger()
 
     async def close(self) -> None:
         """Give up what is held, before the socket is closed."""
@@ -174,10 +189,10 @@
 
     async def wait_until_gone(self) -> None:
         """Return when the caller closes its side while an answer is being made."""
-        early = self._reader.unparsed_bytes
+        self._early_bytes = self._reader.unparsed_bytes
         while True:
             await _read_wait(self._socket._fileno)
-            size = min(EARLY_READ_SIZE, MAX_EARLY_BYTES - early)
+            size = min(EARLY_READ_SIZE, MAX_EARLY_BYTES - self._early_bytes)
             # The bytes are charged before they are read: every connection may have as many.
             if size <= 0 or not self._wait.resize(self._wait.size + size, time.monotonic()):
                 if has_hung_up(self._socket):
@@ -190,7 +205,7 @@
                 return
             if not data:
                 return
-            early += len(data)
+            self._early_bytes += len(data)
             self._wait.resize(self._wait.size - size + len(data), time.monotonic())
             self._protocol.receive_data(data)
 
@@ -206,9 +221,12 @@
         return True
 
     async def _linger(self) -> None:
-        """Discard what the caller still sends, so that it can read the refusal."""
+        """Discard what the caller still sends, so that it can read its answer."""
         left = LINGER_BYTES
         async with curio.ignore_after(LINGER_S):
-            while left > 0 and (data := await self._socket.recv(READ_SIZE)):
-                left -= len(data)
-                await curio.sleep(0)
+            try:
+                while left > 0 and (data := await self._socket.recv(READ_SIZE)):
+                    left -= len(data)
+                    await curio.sleep(0)
+            except OSError:
+                return
--- a/bluebellrun/http/_exchange.py
+++ b/bluebellrun/http/_exchange.py
@@ -29,6 +29,7 @@
         self._started = False
         self._finished = False
         self._aborted = False
+        self._announces_end = False
         self._status = 0
         self._first_body_at: float | None = None
         self._received = time.monotonic()
@@ -58,6 +59,11 @@
         """Return whether the answer was broken off."""
         return self._aborted
 
+    @property
+    def announces_end(self) -> bool:
+        """Return whether the answer tells the caller that its connection ends."""
+        return self._announces_end
+
     @property
     def status(self) -> int:
         """Return the status that was sent, 0 before the head."""
@@ -74,7 +80,8 @@
 
     async def send_head(self, status: int, headers: Headers) -> None:
         """Send the status and headers; without a length, the body is chunked."""
-        if self._connection.closes_after_answer():
+        self._announces_end = self._connection.closes_after_answer()
+        if self._announces_end:
             headers = [*headers, ("connection", "close")]
         head = h11.Response(status_code=status, headers=encode_headers(headers))
         self._started = True
--- a/bluebellrun/http/_server.py
+++ b/bluebellrun/http/_server.py
@@ -61,10 +61,10 @@
             self._close_longest_idle,
         )
         self._closing = False
-        # The connections without a request, and those of which one is being read: the ones that
-        # have waited longest come first.
+        # All connections, and those without a request: the ones that have been open, or idle, for
+        # longest come first.
+        self._connections: dict[Connection, None] = {}
         self._idle: dict[Connection, float] = {}
-        self._reading: dict[Connection, None] = {}
         self._closed_idle = 0
         self._turned_away = 0
         self._reported = (0, 0)
@@ -126,11 +126,13 @@
     async def _serve(self, sock: Any) -> None:
         """Serve the requests of one connection."""
         connection = self._open_connection(sock)
+        self._connections[connection] = None
         try:
             while await self._serve_one(connection):
                 connection.limits = self._limits
             await connection.finish_writing()
         finally:
+            self._connections.pop(connection, None)
             await connection.close()
 
     async def _turn_away(self, sock: Any) -> None:
@@ -170,10 +172,11 @@
         return True
 
     async def _close_idle_or_stalled(self) -> bool:
-        """Close one connection that waits for its caller; return whether there was any.
+        """Close one connection for the sake of others; return whether there was any.
 
-        The first choice is the one that has been idle longest, the second one whose request has
-        stalled.
+        The first choice is the one that has been idle longest, the second one whose caller has
+        stalled within a request or an answer. The last one, whose caller sends requests ahead, ends
+        with its next answer, so that callers who never pause take turns with others.
         """
         before = time.monotonic() - STALLED_S
         for connection, idle_since in list(self._idle.items()):
@@ -182,11 +185,20 @@
             del self._idle[connection]
             if await connection.end_idle():
                 return True
-        for connection in list(self._reading):
+        for connection in self._connections:
             since = connection.waits_since
             if since is not None and since <= before:
-                del self._reading[connection]
-                await connection.close_stalled("connections are short and nothing arrives")
+                del self._connections[connection]
+                await connection.close_stalled("connections are short and nothing moves")
+                return True
+        return self._end_busy_connection()
+
+    def _end_busy_connection(self) -> bool:
+        """End a connection with requests ahead after its answer; return whether there was any."""
+        for connection in self._connections:
+            if connection.has_requests_ahead:
+                del self._connections[connection]
+                connection.end_after_answer()
                 return True
         return False
 
@@ -197,7 +209,9 @@
             return False
         exchange = HttpExchange(connection, request)
         await self._run_handler(connection, exchange)
-        if exchange.aborted or not exchange.finished or self._closing:
+        if exchange.aborted or not exchange.finished:
+            return False
+        if exchange.announces_end or self._closing:
             return False
         return connection.start_next_cycle()
 
@@ -207,7 +221,6 @@
 
         def begin() -> None:
             self._idle.pop(connection, None)
-            self._reading[connection] = None
 
         try:
             return await connection.read_request(begin)
@@ -217,7 +230,6 @@
             return None
         finally:
             self._idle.pop(connection, None)
-            self._reading.pop(connection, None)
         await connection.refuse(*refusal)
         return None
 
--- a/tests/crowd/callers.py
+++ b/tests/crowd/callers.py
@@ -12,6 +12,7 @@
 HOST = "h.example"
 KILOBYTE, MEGABYTE = 1_024, 1_000_000
 SENT_AT_ONCE = 65_536
+RECONNECT_S = 0.01
 
 
 @dataclass(frozen=True)
@@ -84,6 +85,31 @@
         await curio.sleep(3_600)
 
 
+async def keep_asking(address: Address, data: Iterator[bytes]) -> None:
+    """Send the same request without an end and read no answer; connect again when closed."""
+    request = b"".join(data)
+    while True:
+        try:
+            sock = await curio.open_connection(address.ip, address.port)
+            async with sock:
+                for piece in repeated(request):
+                    await sock.sendall(piece)
+        except OSError:
+            await curio.sleep(RECONNECT_S)
+
+
+async def leave_at_once(address: Address, data: Iterator[bytes]) -> None:
+    """Connect, send a request and leave, again and again."""
+    request = b"".join(data)
+    while True:
+        try:
+            sock = await curio.open_connection(address.ip, address.port)
+            async with sock:
+                await sock.sendall(request)
+        except OSError:
+            await curio.sleep(RECONNECT_S)
+
+
 def request_pieces(path: str, body: Body, headers: str = "") -> Iterator[bytes]:
     """Return a request in pieces as they are sent."""
     yield request_head(path, body, headers)
--- a/tests/crowd/test_entry.py
+++ b/tests/crowd/test_entry.py
@@ -8,7 +8,7 @@
 
 from bluebellrun.customers import hash_key
 from standins.fleet import FleetProcess, LocalFleet
-from tests.crowd.callers import MEGABYTE
+from tests.crowd.callers import MEGABYTE, keep_asking, leave_at_once
 from tests.crowd.checks import (
     all_kinds,
     check_crowd,
@@ -27,6 +27,7 @@
 ENOUGH_DESCRIPTORS, MAX_DESCRIPTORS = 1_024, 240
 CONNECTIONS = 300
 MAX_HEADER_BYTES = 32_768
+UNKNOWN = b"GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n"
 KINDS = crowds(MAX_BODY_BYTES)
 PIPELINES = pipelines(
     "/readyz", f"/services/{SERVICE}/x", MAX_HEADER_BYTES, f"Authorization: Bearer {KEY}\r\n"
@@ -119,3 +120,17 @@
         )
 
     run_entry(fleet, monkeypatch, check, MAX_DESCRIPTORS)
+
+
+# Guards: callers that asked without a pause kept all connections, and those that had left were
+# served before others.
+@pytest.mark.parametrize("keep, crowd", [(keep_asking, 150), (leave_at_once, 60)])
+def test_busy_callers_leave_connections_for_an_ordinary_request(
+    fleet: LocalFleet, monkeypatch: pytest.MonkeyPatch, keep, crowd: int
+) -> None:
+    async def check(entry, ordinary) -> None:
+        await check_descriptors(
+            entry.process, entry.address, UNKNOWN, crowd, MAX_DESCRIPTORS, ordinary, keep
+        )
+
+    run_entry(fleet, monkeypatch, check, MAX_DESCRIPTORS)
--- a/tests/crowd/test_gateway.py
+++ b/tests/crowd/test_gateway.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bluebellrun.http import ClientTimeouts, HttpClient, TransportError
-from tests.crowd.callers import MEGABYTE
+from tests.crowd.callers import MEGABYTE, keep_asking, leave_at_once
 from tests.crowd.checks import (
     all_kinds,
     check_crowd,
@@ -24,6 +24,11 @@
 MAX_DESCRIPTORS = 600
 CONNECTIONS = 800
 MAX_HEADER_BYTES = 16_384
+UNKNOWN = b"GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n"
+# More callers than the process, or its readiness check, accepts connections.
+BUSY_CALLERS = [(keep_asking, 300, MAX_DESCRIPTORS), (leave_at_once, 60, 4_100)]
+BUSY_PROBES = [(keep_asking, 100), (leave_at_once, 60)]
+BUSY_IDS = ["asking without a pause", "leaving at once"]
 KINDS = crowds(MAX_BODY_BYTES)
 PIPELINES = pipelines("/order/0", "/order/7", MAX_HEADER_BYTES)
 ALL_KINDS = all_kinds("/order/0", KINDS, PIPELINES)
@@ -109,3 +114,39 @@
         assert status == 200
 
     run_gateway(tmp_path, check, ram_mb=152)
+
+
+# Guards: callers that asked without a pause kept all connections, and those that had left were
+# served before others.
+@pytest.mark.parametrize("keep, crowd, max_fds", BUSY_CALLERS, ids=BUSY_IDS)
+def test_busy_callers_leave_connections_for_an_ordinary_request(
+    tmp_path: Path, keep, crowd: int, max_fds: int
+) -> None:
+    async def check(program, ordinary) -> None:
+        await check_descriptors(
+            program.process, program.callers, UNKNOWN, crowd, max_fds, ordinary, keep
+        )
+
+    run_gateway(tmp_path, check, ram_mb=MEMORY_MB, max_fds=max_fds)
+
+
+# Guards: callers of the readiness check kept all of its connections.
+@pytest.mark.parametrize("keep, crowd", BUSY_PROBES, ids=BUSY_IDS)
+def test_busy_probes_leave_connections_for_an_ordinary_one(
+    tmp_path: Path, keep, crowd: int
+) -> None:
+    async def check(program, _) -> None:
+        async def is_ready() -> bool:
+            client = HttpClient(program.ready, ClientTimeouts(ROUTE_TIMEOUT_S, ROUTE_TIMEOUT_S))
+            try:
+                return (await client.fetch("GET", "/api/ready", []))[0] == 200
+            except TransportError:
+                return False
+            finally:
+                await client.close()
+
+        await check_descriptors(
+            program.process, program.ready, UNKNOWN, crowd, MAX_DESCRIPTORS, is_ready, keep
+        )
+
+    run_gateway(tmp_path, check, ram_mb=MEMORY_MB, max_fds=MAX_DESCRIPTORS)
--- a/tests/crowd/test_sidecar.py
+++ b/tests/crowd/test_sidecar.py
@@ -15,7 +15,7 @@
     HttpServer,
     TransportError,
 )
-from tests.crowd.callers import MEGABYTE
+from tests.crowd.callers import MEGABYTE, keep_asking, leave_at_once
 from tests.crowd.checks import (
     all_kinds,
     check_crowd,
@@ -32,6 +32,7 @@
 MAX_DESCRIPTORS = 240
 CONNECTIONS = 300
 MAX_HEADER_BYTES = 8_192
+UNKNOWN = b"GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n"
 KINDS = crowds(MAX_BODY_BYTES)
 PIPELINES = pipelines("/api/report", "/api/picked", MAX_HEADER_BYTES)
 ALL_KINDS = all_kinds("/api/order", KINDS, PIPELINES)
@@ -105,3 +106,17 @@
         )
 
     run_sidecar(tmp_path, check, ram_mb=MEMORY_MB, max_fds=MAX_DESCRIPTORS)
+
+
+# Guards: callers that asked without a pause kept all connections, and those that had left were
+# served before others.
+@pytest.mark.parametrize("keep, crowd", [(keep_asking, 100), (leave_at_once, 60)])
+def test_busy_callers_leave_connections_for_an_ordinary_call(
+    tmp_path: Path, keep, crowd: int
+) -> None:
+    async def check(program, address, ordinary) -> None:
+        await check_descriptors(
+            program.process, address, UNKNOWN, crowd, MAX_DESCRIPTORS, ordinary, keep
+        )
+
+    run_sidecar(tmp_path, check, ram_mb=MEMORY_MB, max_fds=MAX_DESCRIPTORS)
--- a/tests/http/test_memory_pressure.py
+++ b/tests/http/test_memory_pressure.py
@@ -1,5 +1,6 @@
 """A server whose memory budget is used up: who waits, who is refused and who is served."""
 
+import contextlib
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -347,3 +348,21 @@
         assert (await read(stalled)).startswith(b"HTTP/1.1 408")
 
     run(check, max_connections=1)
+
+
+# Guards: a caller that always had a next request kept its connection, and new callers out.
+def test_a_caller_with_requests_ahead_takes_turns_with_a_new_one() -> None:
+    async def check(server: HttpServer, memory: MemoryGate) -> None:
+        sock = await connect(server, b"")
+        sending = await curio.spawn(sock.sendall, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 20_000)
+        await curio.sleep(0.2)
+        assert await status(server, SMALL) == 200
+        answers = b""
+        with contextlib.suppress(ConnectionResetError):
+            while piece := await sock.recv(65_536):
+                answers += piece
+        assert b"connection: close" in answers
+        assert answers.endswith(b"}")
+        await sending.cancel()
+
+    run(check, max_connections=1)
