Drop connections whose caller has left before they are accepted

Sixty callers that connect, ask and leave at once, again and again, kept a gateway from an ordinary request for more than 8 s: it accepted all that waited, up to its 2,600 connections, before it served any, and then served each caller that was gone.

At most 16 connections are now accepted without a turn of the others, and one whose caller has hung up by then is closed unread.

--- a/bluebellrun/http/_listener.py
+++ b/bluebellrun/http/_listener.py
@@ -14,6 +14,7 @@
 ACCEPT_BACKLOG = 1_024
 MAX_TURNED_AWAY = 64
 ACCEPT_RETRY_S = 0.05
+ACCEPTS_PER_TURN = 16
 
 ConnectionHandler = Callable[[Any], Awaitable[None]]
 # Closes a connection for the sake of a new one; returns whether there was any.
@@ -79,7 +80,11 @@
     async def run(self) -> None:
         """Accept connections until cancelled or closed."""
         self._accepting = await curio.current_task()
+        accepted = 0
         while not self._closed:
+            if accepted % ACCEPTS_PER_TURN == 0:
+                # While connections wait to be accepted, those that are open get their turns.
+                await curio.sleep(0)
             try:
                 client, _ = await self._socket.accept()
             except OSError:
@@ -87,10 +92,17 @@
                     return
                 await curio.sleep(ACCEPT_RETRY_S)
                 continue
+            accepted += 1
             await self._admit(client)
 
     async def _admit(self, client: Any) -> None:
-        """Serve a connection, or turn it away when as many as allowed are open."""
+        """Serve a connection, or turn it away when as many as allowed are open.
+
+        One whose peer has left while it waited to be accepted is not served.
+        """
+        if has_hung_up(client):
+            await client.close()
+            return
         handler: ConnectionHandler | None = self._handler
         if self._open >= self._max_connections and not await self._has_made_room():
             handler = self._turn_away
