Crowd tests: end the stand-ins while programs still connect to them

The tests now run with run_program, which cancels such tasks in rounds, as the product's programs do; a check that fails is raised as before.

--- a/tests/crowd/test_gateway.py
+++ b/tests/crowd/test_gateway.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bluebellrun.http import ClientTimeouts, HttpClient, TransportError
+from bluebellrun.runtime import run_program
 from tests.crowd.callers import MEGABYTE, keep_asking, leave_at_once
 from tests.crowd.checks import (
     all_kinds,
@@ -57,7 +58,7 @@
         await check(program, ordinary)
 
     try:
-        curio.run(main)
+        run_program(main)
     finally:
         gateways.end()
 
--- a/tests/crowd/test_sidecar.py
+++ b/tests/crowd/test_sidecar.py
@@ -15,6 +15,7 @@
     HttpServer,
     TransportError,
 )
+from bluebellrun.runtime import run_program
 from tests.crowd.callers import MEGABYTE, keep_asking, leave_at_once
 from tests.crowd.checks import (
     all_kinds,
@@ -70,7 +71,7 @@
         await check(program, address, ordinary)
 
     try:
-        curio.run(main)
+        run_program(main)
     finally:
         program.end(0.0)
 
